--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of decisions and of policies. */
+package org.acaciafold.bench;
--- /dev/null
+++ b/cli/src/main/java/org/acaciafold/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.acaciafold.cli;
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/ClientCall.java
@@ -0,0 +1,99 @@
+package org.acaciafold.coordination;
+
+import java.util.Optional;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.TeamId;
+
+/** A call of a caller or operator, already authorized. */
+public sealed interface ClientCall {
+    /**
+     * Submits a job; answered when it is durable.
+     *
+     * @param team the team
+     * @param submissionKey a key under which a repeat finds the first job, empty for none
+     * @param request the job
+     */
+    record Submit(TeamId team, String submissionKey, JobRequest request) implements ClientCall {}
+
+    /**
+     * Asks for the state of a job.
+     *
+     * @param team the team
+     * @param job the job
+     */
+    record QueryJob(TeamId team, JobId job) implements ClientCall {}
+
+    /**
+     * Cancels a job; answered when that is durable.
+     *
+     * @param team the team
+     * @param job the job
+     */
+    record Cancel(TeamId team, JobId job) implements ClientCall {}
+
+    /**
+     * Claims an idempotency key before its request is sent to a worker.
+     *
+     * @param team the team
+     * @param key the idempotency key
+     * @param digest a digest of the request, to refuse another request under the same key
+     */
+    record Claim(TeamId team, String key, String digest) implements ClientCall {}
+
+    /**
+     * Records the outcome of a claimed request.
+     *
+     * @param team the team
+     * @param key the idempotency key
+     * @param outcome the outcome
+     */
+    record Settle(TeamId team, String key, StoredOutcome outcome) implements ClientCall {}
+
+    /**
+     * Asks for a slot on a replica of a service.
+     *
+     * @param team the calling team
+     * @param service the service
+     * @param waitMs the longest wait in milliseconds
+     */
+    record AcquireSlot(TeamId team, String service, long waitMs) implements ClientCall {}
+
+    /**
+     * Gives a slot back.
+     *
+     * @param slot the number of the slot
+     * @param succeeded whether the worker answered well
+     * @param tookMs how long the request took in milliseconds
+     */
+    record ReleaseSlot(long slot, boolean succeeded, long tookMs) implements ClientCall {}
+
+    /**
+     * Asks for a subtree of the settings.
+     *
+     * @param subtree the path, such as {@code team/north}, empty for the list of subtrees
+     */
+    record QuerySettings(String subtree) implements ClientCall {}
+
+    /**
+     * Replaces a subtree; answered at once as pending, or refused.
+     *
+     * @param editId the unique identifier of the edit
+     * @param subtree the path
+     * @param expected the version of the subtree that was read, 0 for a new one
+     * @param text the new text in INI, empty to remove the subtree
+     */
+    record EditSettings(String editId, String subtree, long expected, Optional<String> text) implements ClientCall {}
+
+    /**
+     * Asks whether an edit is in force everywhere.
+     *
+     * @param editId the identifier of the edit
+     */
+    record QueryEdit(String editId) implements ClientCall {}
+
+    /**
+     * Asks for the state of this entry host.
+     */
+    record QueryStatus() implements ClientCall {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -0,0 +1,62 @@
+package org.acaciafold.coordination;
+
+import java.util.List;
+
+import org.acaciafold.core.model.Clock;
+
+/**
+ * The whole of an entry host's decisions as a deterministic state machine.
+ *
+ * <p>The caller feeds events and carries the effects out; nothing here does I/O, blocks or starts threads.
+ *
+ * <p>Example: {@code core.tick(List.of(new Event.ClientCalled(1, call))).forEach(runtime::carryOut)}.
+ */
+public final class HostCore {
+    private final Clock clock;
+    private final Outbox outbox;
+    private final List<HostSystem> systems;
+
+    private HostCore(Clock clock, Outbox outbox, List<HostSystem> systems) {
+        this.clock = clock;
+        this.outbox = outbox;
+        this.systems = systems;
+    }
+
+    /**
+     * Creates the state machine of an entry host that knows nothing yet.
+     *
+     * @param config what the host is told at its start
+     * @param clock the clock of the process
+     * @return the state machine
+     */
+    public static HostCore of(HostConfig config, Clock clock) {
+        HostState state = HostState.of(config, clock);
+        return new HostCore(clock, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+    }
+
+    /**
+     * Applies events and runs all systems once.
+     *
+     * @param events what happened since the last tick, in order
+     * @return the effects to carry out, in order
+     */
+    public List<Effect> tick(List<Event> events) {
+        for (Event event : events) {
+            apply(event);
+        }
+        long nowMs = clock.nowMs();
+        outbox.expire(nowMs);
+        for (HostSystem system : systems) {
+            system.tick(nowMs, outbox);
+        }
+        return outbox.drain();
+    }
+
+    private void apply(Event event) {
+        switch (event) {
+            case Event.TableAnswered answered -> outbox.deliver(answered.call(), answered.reply());
+            case Event.WorkerAnswered answered -> outbox.deliver(answered.call(), answered.reply());
+            default -> systems.forEach(system -> system.apply(event, outbox));
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -0,0 +1,94 @@
+package org.acaciafold.coordination;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.settings.FleetSettings;
+
+/** The tables that the systems of an entry host share; each is written by one system and read by all. */
+final class HostState {
+    private final HostConfig config;
+    private final Clock clock;
+    private final Map<HostId, HostEntry> entryHosts = new TreeMap<>();
+    private final Map<WorkerId, HostEntry> workers = new TreeMap<>();
+    private final Map<HostId, PeerEntry> peers = new TreeMap<>();
+    private final Map<SliceId, OwnedSlice> owned = new TreeMap<>();
+    private FleetSettings settings = FleetSettings.empty();
+    private boolean tableAnswers;
+    private boolean stopping;
+
+    private HostState(HostConfig config, Clock clock) {
+        this.config = config;
+        this.clock = clock;
+    }
+
+    /**
+     * Creates the state of a host that knows nothing yet.
+     *
+     * @param config what the host is told at its start
+     * @param clock the clock of the process
+     * @return the state
+     */
+    static HostState of(HostConfig config, Clock clock) {
+        return new HostState(config, clock);
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    HostConfig config() {
+        return config;
+    }
+
+    /** Returns the entry hosts of the host list, this one included; written by {@link MembershipSystem}. */
+    Map<HostId, HostEntry> entryHosts() {
+        return entryHosts;
+    }
+
+    /** Returns the slices that this host owns; written by the ownership system. */
+    Map<SliceId, OwnedSlice> owned() {
+        return owned;
+    }
+
+    /** Returns what the peers last told; written by {@link MembershipSystem}. */
+    Map<HostId, PeerEntry> peers() {
+        return peers;
+    }
+
+    /** Returns the settings in force here; written by the settings system. */
+    FleetSettings settings() {
+        return settings;
+    }
+
+    void settings(FleetSettings value) {
+        settings = value;
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    void stopping(boolean value) {
+        stopping = value;
+    }
+
+    /** Returns whether the last call to the table service was answered. */
+    boolean tableAnswers() {
+        return tableAnswers;
+    }
+
+    void tableAnswers(boolean value) {
+        tableAnswers = value;
+    }
+
+    /** Returns the workers of the host list, in all failure domains; written by {@link MembershipSystem}. */
+    Map<WorkerId, HostEntry> workers() {
+        return workers;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -0,0 +1,89 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.placement.PlacementSummary;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.HostList;
+
+/** Keeps the host list and the peers, and tells the peers what this host owns. */
+final class MembershipSystem implements HostSystem {
+    private final HostState state;
+    private long nextHeartbeatMs;
+
+    private MembershipSystem(HostState state) {
+        this.state = state;
+    }
+
+    static MembershipSystem of(HostState state) {
+        return new MembershipSystem(state);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        switch (event) {
+            case Event.HostsListed listed -> replaceHosts(listed.hosts());
+            case Event.PeerReceived received -> hear(received);
+            case Event.StopRequested ignored -> state.stopping(true);
+            default -> {
+                // events of other systems
+            }
+        }
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        if (nowMs < nextHeartbeatMs) {
+            return;
+        }
+        nextHeartbeatMs = nowMs + state.config().heartbeatMs();
+        PeerMessage heartbeat = new PeerMessage.Heartbeat(
+                state.config().incarnation(), state.settings().version(), summaries());
+        for (HostEntry entry : state.entryHosts().values()) {
+            HostId peer = HostId.of(entry.id());
+            if (!peer.equals(state.config().host())) {
+                outbox.send(peer, entry.address(), heartbeat);
+            }
+        }
+    }
+
+    private void hear(Event.PeerReceived received) {
+        if (received.message() instanceof PeerMessage.Heartbeat heartbeat) {
+            PeerEntry entry = new PeerEntry(
+                    heartbeat.incarnation(), state.clock().nowMs(), heartbeat.settingsVersion(), heartbeat.slices());
+            state.peers().put(received.from(), entry);
+        }
+    }
+
+    private void replaceHosts(HostList hosts) {
+        state.entryHosts().clear();
+        state.workers().clear();
+        for (HostEntry entry : hosts.hosts()) {
+            switch (entry.role()) {
+                case ENTRY -> state.entryHosts().put(HostId.of(entry.id()), entry);
+                case WORKER -> state.workers().put(WorkerId.of(entry.id()), entry);
+                default -> throw new IllegalStateException("unknown role " + entry.role());
+            }
+        }
+    }
+
+    private List<SliceSummary> summaries() {
+        List<SliceSummary> summaries = new ArrayList<>();
+        for (OwnedSlice slice : state.owned().values()) {
+            PlacementSummary summary = slice.placement().summary();
+            summaries.add(new SliceSummary(
+                    slice.id(),
+                    slice.fence(),
+                    summary.capacity(),
+                    summary.reserved(),
+                    Resources.empty(),
+                    summary.waiting(),
+                    List.of()));
+        }
+        return summaries;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/Outbox.java
@@ -0,0 +1,156 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.WorkerCommand;
+import org.acaciafold.core.port.WorkerReply;
+
+/**
+ * Collects the effects of a tick and keeps what to do with each answer.
+ *
+ * <p>Each call is answered exactly once: by its answer, or after the timeout by {@link TableReply.Unavailable} or
+ * {@link WorkerReply.Lost}. Later answers are dropped and counted.
+ */
+final class Outbox {
+    private static final String TIMED_OUT = "no answer within the timeout";
+
+    private final long timeoutMs;
+    private final List<Effect> effects = new ArrayList<>();
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private long lastCall;
+    private long lateAnswers;
+
+    private Outbox(long timeoutMs) {
+        this.timeoutMs = timeoutMs;
+    }
+
+    /**
+     * Creates an outbox.
+     *
+     * @param timeoutMs milliseconds after which a call counts as unanswered
+     * @return the outbox
+     */
+    static Outbox of(long timeoutMs) {
+        return new Outbox(timeoutMs);
+    }
+
+    /**
+     * Answers a caller or operator.
+     *
+     * @param call the number of the call
+     * @param reply the answer
+     */
+    void answer(long call, ClientReply reply) {
+        effects.add(new Effect.AnswerClient(call, reply));
+    }
+
+    /**
+     * Sends a request to the table service.
+     *
+     * @param nowMs the time in milliseconds
+     * @param request the request
+     * @param then what to do with the answer
+     */
+    void call(long nowMs, TableRequest request, Consumer<TableReply> then) {
+        long call = ++lastCall;
+        Consumer<Object> onAnswer = reply -> then.accept((TableReply) reply);
+        pending.put(call, new Pending(nowMs + timeoutMs, onAnswer, new TableReply.Unavailable(TIMED_OUT)));
+        effects.add(new Effect.CallTable(call, request));
+    }
+
+    /**
+     * Sends a command to a worker.
+     *
+     * @param nowMs the time in milliseconds
+     * @param worker the worker
+     * @param address where the worker takes commands
+     * @param command the command
+     * @param then what to do with the answer
+     */
+    void call(long nowMs, WorkerId worker, String address, WorkerCommand command, Consumer<WorkerReply> then) {
+        long call = ++lastCall;
+        Consumer<Object> onAnswer = reply -> then.accept((WorkerReply) reply);
+        pending.put(call, new Pending(nowMs + timeoutMs, onAnswer, new WorkerReply.Lost(TIMED_OUT)));
+        effects.add(new Effect.CallWorker(call, worker, address, command));
+    }
+
+    /**
+     * Delivers the answer of a call.
+     *
+     * @param call the number of the call
+     * @param reply the answer
+     */
+    void deliver(long call, Object reply) {
+        Pending waiting = pending.remove(call);
+        if (waiting == null) {
+            lateAnswers++;
+            return;
+        }
+        waiting.then().accept(reply);
+    }
+
+    /**
+     * Returns and clears the effects collected so far.
+     *
+     * @return the effects in the order in which they were added
+     */
+    List<Effect> drain() {
+        List<Effect> drained = List.copyOf(effects);
+        effects.clear();
+        return drained;
+    }
+
+    /**
+     * Answers the calls whose timeout has passed.
+     *
+     * @param nowMs the time in milliseconds
+     */
+    void expire(long nowMs) {
+        List<Long> expired = new ArrayList<>();
+        pending.forEach((call, waiting) -> {
+            if (waiting.deadlineMs() <= nowMs) {
+                expired.add(call);
+            }
+        });
+        expired.sort(Long::compare);
+        for (Long call : expired) {
+            Pending waiting = pending.remove(call);
+            waiting.then().accept(waiting.onTimeout());
+        }
+    }
+
+    /**
+     * Returns how many answers came after their timeout.
+     *
+     * @return the count since the start
+     */
+    long lateAnswers() {
+        return lateAnswers;
+    }
+
+    /**
+     * Sends a message to a peer.
+     *
+     * @param to the peer
+     * @param address where the peer takes messages
+     * @param message the message
+     */
+    void send(HostId to, String address, PeerMessage message) {
+        effects.add(new Effect.SendPeer(to, address, message));
+    }
+
+    /** Tells that everything is handed over and the process may end. */
+    void stopped() {
+        effects.add(new Effect.Stopped());
+    }
+
+    private record Pending(long deadlineMs, Consumer<Object> then, Object onTimeout) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/PeerMessage.java
@@ -0,0 +1,77 @@
+package org.acaciafold.coordination;
+
+import java.util.List;
+
+import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.TeamId;
+
+/** A message between the state machines of two entry hosts. */
+public sealed interface PeerMessage {
+    /**
+     * Tells that the sender is alive and what it owns.
+     *
+     * @param incarnation a number that differs for each start of the sender
+     * @param settingsVersion the version of the settings in force at the sender
+     * @param slices the slices it owns
+     */
+    record Heartbeat(long incarnation, long settingsVersion, List<SliceSummary> slices) implements PeerMessage {}
+
+    /**
+     * Forwards a call.
+     *
+     * @param call the number of the call at the sender
+     * @param body the call
+     */
+    record Ask(long call, ClientCall body) implements PeerMessage {}
+
+    /**
+     * Answers a forwarded call.
+     *
+     * @param call the number of the call at the receiver
+     * @param body the answer
+     */
+    record Told(long call, ClientReply body) implements PeerMessage {}
+
+    /**
+     * Tells the owner of a slice that the table has a new or changed job for it.
+     *
+     * @param slice the slice
+     * @param job the job
+     */
+    record JobHomed(SliceId slice, JobId job) implements PeerMessage {}
+
+    /**
+     * Tells that the table has a newer settings tree.
+     *
+     * @param version its version
+     */
+    record SettingsChanged(long version) implements PeerMessage {}
+
+    /**
+     * Tells that the sender has released a slice.
+     *
+     * @param slice the slice
+     * @param fence the token it had
+     */
+    record Handover(SliceId slice, Fence fence) implements PeerMessage {}
+
+    /**
+     * Asks a host of the domain to keep a claim while the table does not answer.
+     *
+     * @param call the number of the call at the sender
+     * @param team the team
+     * @param key the idempotency key
+     * @param digest the digest of the request
+     */
+    record ClaimCopy(long call, TeamId team, String key, String digest) implements PeerMessage {}
+
+    /**
+     * Answers a copy of a claim.
+     *
+     * @param call the number of the call at the receiver
+     * @param kept false when another request has claimed the key
+     */
+    record ClaimCopied(long call, boolean kept) implements PeerMessage {}
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/codec/Codec.java
@@ -0,0 +1,95 @@
+package org.acaciafold.core.codec;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Step;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Turns records and sealed interfaces into bytes and back.
+ *
+ * <p>Example: {@code Codec.json().decode(bytes, JobSpec.class, Step.TABLE, "table")}.
+ */
+public final class Codec {
+    private static final Codec JSON = new Codec(JsonMapper.builder().build());
+    private static final Codec MESSAGE_PACK = new Codec(new ObjectMapper(new MessagePackFactory()));
+
+    private final ObjectMapper mapper;
+
+    private Codec(ObjectMapper mapper) {
+        this.mapper = mapper;
+        mapper.registerModule(new Jdk8Module());
+        mapper.setAnnotationIntrospector(new SealedTypes());
+        mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+    }
+
+    /**
+     * Returns the codec of JSON, for protocols that other programs speak.
+     *
+     * @return the codec
+     */
+    public static Codec json() {
+        return JSON;
+    }
+
+    /**
+     * Returns the codec of MessagePack, for messages between entry hosts.
+     *
+     * @return the codec
+     */
+    public static Codec messagePack() {
+        return MESSAGE_PACK;
+    }
+
+    /**
+     * Reads a value.
+     *
+     * @param <T> the type of the value
+     * @param bytes the encoded value
+     * @param type the type of the value
+     * @param step the step to name in an error
+     * @param peer the peer to name in an error
+     * @return the value
+     * @throws AcaciafoldException when the bytes do not hold such a value
+     */
+    public <T> T decode(byte[] bytes, Class<T> type, Step step, String peer) throws AcaciafoldException {
+        try {
+            T value = mapper.readValue(bytes, type);
+            if (value == null) {
+                throw new IOException("the value is null");
+            }
+            return value;
+        } catch (IOException e) {
+            String message = "not a valid " + type.getSimpleName() + ": " + firstLine(e);
+            throw new AcaciafoldException(Failure.notRun(step, peer, "malformed", message), e);
+        }
+    }
+
+    /**
+     * Writes a value whose static type is its own class or the sealed interface given.
+     *
+     * @param value the value
+     * @param type the type that {@link #decode} will be asked for
+     * @param <T> the type of the value
+     * @return the encoded value
+     */
+    public <T> byte[] encode(T value, Class<T> type) {
+        try {
+            return mapper.writerFor(type).writeValueAsBytes(value);
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot encode " + type.getSimpleName(), e);
+        }
+    }
+
+    private static String firstLine(Exception e) {
+        String message = String.valueOf(e.getMessage());
+        int end = message.indexOf('\n');
+        return end < 0 ? message : message.substring(0, end);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/codec/SealedTypes.java
@@ -0,0 +1,70 @@
+package org.acaciafold.core.codec;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.databind.JavaType;
+import com.fasterxml.jackson.databind.cfg.MapperConfig;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.databind.jsontype.TypeResolverBuilder;
+
+/** Makes every sealed interface polymorphic, with a {@code type} property that holds the record's simple name. */
+final class SealedTypes extends JacksonAnnotationIntrospector {
+    private static final long serialVersionUID = 1L;
+    private static final String TYPE_PROPERTY = "type";
+
+    @Override
+    public List<NamedType> findSubtypes(Annotated annotated) {
+        Class<?> raw = annotated.getRawType();
+        if (!raw.isInterface() || !raw.isSealed()) {
+            return super.findSubtypes(annotated);
+        }
+        List<NamedType> types = new ArrayList<>();
+        collect(raw, types);
+        return types;
+    }
+
+    @Override
+    public TypeResolverBuilder<?> findTypeResolver(
+            MapperConfig<?> config, AnnotatedClass annotated, JavaType baseType) {
+        if (!sealedRoot(annotated.getRawType())) {
+            return super.findTypeResolver(config, annotated, baseType);
+        }
+        JsonTypeInfo.Value info = JsonTypeInfo.Value.construct(
+                JsonTypeInfo.Id.NAME, JsonTypeInfo.As.PROPERTY, TYPE_PROPERTY, null, false, null);
+        return _constructStdTypeResolverBuilder(config, info, baseType);
+    }
+
+    @Override
+    public String findTypeName(AnnotatedClass annotated) {
+        return sealedRoot(annotated.getRawType())
+                ? annotated.getRawType().getSimpleName()
+                : super.findTypeName(annotated);
+    }
+
+    private static void collect(Class<?> raw, List<NamedType> types) {
+        for (Class<?> permitted : raw.getPermittedSubclasses()) {
+            if (permitted.isSealed()) {
+                collect(permitted, types);
+            } else {
+                types.add(new NamedType(permitted, permitted.getSimpleName()));
+            }
+        }
+    }
+
+    private static boolean sealedRoot(Class<?> raw) {
+        if (raw.isInterface() && raw.isSealed()) {
+            return true;
+        }
+        for (Class<?> parent : raw.getInterfaces()) {
+            if (parent.isSealed()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/model/Fence.java
@@ -0,0 +1,46 @@
+package org.acaciafold.core.model;
+
+/**
+ * The fencing token of a control lease: the epoch of the slice row, then a counter of takeovers without the table.
+ *
+ * @param epoch the epoch in the slice row at the last takeover that the table recorded
+ * @param counter takeovers at the workers since then
+ */
+public record Fence(long epoch, long counter) implements Comparable<Fence> {
+    private static final Fence NONE = new Fence(0, 0);
+
+    /**
+     * Returns the token that every other token exceeds.
+     *
+     * @return the lowest token
+     */
+    public static Fence none() {
+        return NONE;
+    }
+
+    /**
+     * Creates a token.
+     *
+     * @param epoch the epoch in the slice row
+     * @param counter takeovers at the workers since that epoch
+     * @return the token
+     */
+    public static Fence of(long epoch, long counter) {
+        return new Fence(epoch, counter);
+    }
+
+    @Override
+    public int compareTo(Fence that) {
+        int byEpoch = Long.compare(epoch, that.epoch);
+        return byEpoch != 0 ? byEpoch : Long.compare(counter, that.counter);
+    }
+
+    /**
+     * Returns the next token for a takeover that the table does not record.
+     *
+     * @return the token with its counter raised by one
+     */
+    public Fence next() {
+        return new Fence(epoch, counter + 1);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/model/ManualClock.java
@@ -0,0 +1,37 @@
+package org.acaciafold.core.model;
+
+/** A clock that stands still until it is advanced, for replays and tests. */
+public final class ManualClock implements Clock {
+    private long nowMs;
+
+    private ManualClock(long nowMs) {
+        this.nowMs = nowMs;
+    }
+
+    /**
+     * Creates a clock.
+     *
+     * @param nowMs the first reading in milliseconds
+     * @return the clock
+     */
+    public static ManualClock of(long nowMs) {
+        return new ManualClock(nowMs);
+    }
+
+    /**
+     * Moves the clock forward.
+     *
+     * @param byMs milliseconds, not negative
+     */
+    public void advance(long byMs) {
+        if (byMs < 0) {
+            throw new IllegalArgumentException("a clock cannot go back: " + byMs);
+        }
+        nowMs += byMs;
+    }
+
+    @Override
+    public long nowMs() {
+        return nowMs;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/model/Step.java
@@ -0,0 +1,27 @@
+package org.acaciafold.core.model;
+
+/** The step at which an error arose. */
+public enum Step {
+    /** Reading or checking settings. */
+    SETTINGS,
+    /** Checking a key and its team. */
+    AUTHORIZATION,
+    /** Admitting a request or job: limits, queues and deadlines. */
+    ADMISSION,
+    /** Claiming an idempotency key. */
+    CLAIM,
+    /** Choosing a slice, owner or worker. */
+    ROUTING,
+    /** Reading or writing the table service. */
+    TABLE,
+    /** Reading or writing the object store. */
+    OBJECTS,
+    /** Exchanging a message with a peer entry host. */
+    PEER,
+    /** Placing a task on a worker. */
+    PLACEMENT,
+    /** Sending a command or request to a worker. */
+    WORKER,
+    /** Relaying a response to the caller. */
+    RESPONSE
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/port/StopMode.java
@@ -0,0 +1,11 @@
+package org.acaciafold.core.port;
+
+/** How a worker stops a task. */
+public enum StopMode {
+    /** Write a checkpoint, then end; the next attempt goes on from there. */
+    CHECKPOINT,
+    /** Finish the live requests in flight, then end. */
+    DRAIN,
+    /** End at once. */
+    KILL
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The entry host: request plane, HTTP interfaces and the runtime of the state machine. */
+package org.acaciafold.daemon;
--- /dev/null
+++ b/settings/src/main/java/org/acaciafold/settings/FleetSettings.java
@@ -0,0 +1,76 @@
+package org.acaciafold.settings;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.acaciafold.core.model.DomainId;
+import org.acaciafold.core.model.TeamId;
+
+/**
+ * The whole settings tree at one version.
+ *
+ * @param version the version of the tree, which only goes up; 0 before anything was set
+ * @param teams the subtrees of the teams
+ * @param domains the subtrees of the failure domains
+ * @param openServices the services whose queue is open to all callers, by service name
+ */
+public record FleetSettings(
+        long version,
+        Map<TeamId, TeamSettings> teams,
+        Map<DomainId, DomainSettings> domains,
+        Map<String, TeamId> openServices) {
+    private static final FleetSettings EMPTY = new FleetSettings(0, Map.of(), Map.of(), Map.of());
+
+    /**
+     * Copies the subtrees.
+     *
+     * @param version the version of the tree
+     * @param teams the subtrees of the teams
+     * @param domains the subtrees of the failure domains
+     * @param openServices the services open to all callers
+     */
+    public FleetSettings {
+        teams = Map.copyOf(teams);
+        domains = Map.copyOf(domains);
+        openServices = Map.copyOf(openServices);
+    }
+
+    /**
+     * Returns the tree before anything was set.
+     *
+     * @return a tree of version 0 with no teams
+     */
+    public static FleetSettings empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Looks a failure domain up.
+     *
+     * @param domain the failure domain
+     * @return its settings, empty when it has none
+     */
+    public Optional<DomainSettings> domain(DomainId domain) {
+        return Optional.ofNullable(domains.get(domain));
+    }
+
+    /**
+     * Tells whether operators have taken a failure domain out of service.
+     *
+     * @param domain the failure domain
+     * @return true when nothing may start there
+     */
+    public boolean takenOut(DomainId domain) {
+        return domain(domain).map(DomainSettings::takenOut).orElse(false);
+    }
+
+    /**
+     * Looks a team up.
+     *
+     * @param team the team
+     * @return its settings, empty when it has none
+     */
+    public Optional<TeamSettings> team(TeamId team) {
+        return Optional.ofNullable(teams.get(team));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/package-info.java
@@ -0,0 +1,2 @@
+/** TCP framing with MessagePack between entry hosts. */
+package org.acaciafold.wire;
