--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/RelayResponse.java
@@ -0,0 +1,11 @@
+package org.acaciafold.wire;
+
+import reactor.core.publisher.Flux;
+
+/**
+ * The response to a relayed request.
+ *
+ * @param head the head
+ * @param body the body; it ends with an error when it was cut
+ */
+public record RelayResponse(RelayStatus head, Flux<byte[]> body) {}
