Claims of idempotency keys and escrowed team limits

Weighed: copies at every entry host of the domain while the table is away. Left out, because a host that was replaced since cannot know which keys were claimed before, so a second run could not be excluded.

Limits: shares of one row a team. A read row raises nothing, since an earlier write with a lost answer may still land; only an own confirmed write does.

--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -0,0 +1,195 @@
+package org.acaciafold.coordination;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.acaciafold.core.codec.Codec;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.port.Check;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.Write;
+import org.acaciafold.settings.TeamSettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the upper limit of each team across the fleet by escrow.
+ *
+ * <p>The limit of a team is divided into shares, one for each slice, in one row of the table. An owner lowers its
+ * allotment in memory before it writes a lower share, and raises it only after its own write of the higher share was
+ * confirmed; so the allotments in force never add up to more than the limit. A row that was merely read raises nothing:
+ * an earlier write whose answer was lost may still take effect, until a confirmed write makes it conflict. While the
+ * table does not answer, a new owner has what it sees running.
+ */
+final class AllotmentSystem implements HostSystem {
+    private static final Logger LOG = LoggerFactory.getLogger(AllotmentSystem.class);
+    private static final long SCAN_INTERVAL_MS = 2_000;
+    private static final long WRITE_INTERVAL_MS = 500;
+    private static final int SCAN_LIMIT = 1_000;
+    private static final String PREFIX = "allotment/";
+
+    private final HostState state;
+    private final Map<TeamId, KnownRow> rows = new HashMap<>();
+    private final Set<TeamId> writing = new HashSet<>();
+    private final Set<TeamId> unconfirmed = new HashSet<>();
+    private final Map<TeamId, Long> nextWriteMs = new HashMap<>();
+    private boolean scanning;
+    private long nextScanMs;
+
+    private AllotmentSystem(HostState state) {
+        this.state = state;
+    }
+
+    static AllotmentSystem of(HostState state) {
+        return new AllotmentSystem(state);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        // works on the tables of other systems only
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        if (nowMs >= nextScanMs && !scanning) {
+            scan(nowMs, outbox);
+        }
+        for (TeamSettings team : state.settings().teams().values()) {
+            for (OwnedSlice slice : state.owned().values()) {
+                balance(nowMs, team, slice, outbox);
+            }
+        }
+        state.limitsInForce(allWithinLimits());
+    }
+
+    private boolean allWithinLimits() {
+        for (TeamSettings team : state.settings().teams().values()) {
+            KnownRow known = rows.get(team.team());
+            if (known != null && !known.row().issued().fitsIn(team.limit())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void balance(long nowMs, TeamSettings team, OwnedSlice slice, Outbox outbox) {
+        KnownRow known = rows.get(team.team());
+        Resources usage = slice.placement().usage(team.team());
+        Resources held = slice.allotments().getOrDefault(team.team(), Resources.empty());
+        boolean fencedIn =
+                known != null && known.row().share(slice.id()).fence().equals(slice.fence());
+        if (!fencedIn) {
+            held = held.max(usage);
+        }
+        slice.allotments().put(team.team(), held);
+        if (known == null || writing.contains(team.team())) {
+            return;
+        }
+        AllotmentShare share = known.row().share(slice.id());
+        if (share.fence().compareTo(slice.fence()) > 0) {
+            return;
+        }
+        Resources needed = usage.plus(slice.wanted().getOrDefault(team.team(), Resources.empty()));
+        Resources target = AllotmentTargets.target(known.row(), slice.id(), team.limit(), needed, state.sliceCount());
+        Resources lowered = held.min(target);
+        slice.allotments().put(team.team(), lowered);
+        AllotmentRow wanted = next(known.row(), slice, team, target, usage);
+        boolean stale =
+                unconfirmed.contains(team.team()) || !target.min(share.amount()).fitsIn(lowered);
+        if ((stale || !wanted.equals(known.row())) && nowMs >= nextWriteMs.getOrDefault(team.team(), 0L)) {
+            write(nowMs, team.team(), known, wanted, outbox);
+        }
+    }
+
+    /** Returns the row that the owner of a slice wants: unused parts given back, needs met as far as possible. */
+    private static AllotmentRow next(
+            AllotmentRow row, OwnedSlice slice, TeamSettings team, Resources target, Resources usage) {
+        Resources present = row.share(slice.id()).amount();
+        Resources kept = slice.settled() ? present.min(target.max(usage)) : present;
+        AllotmentShare lower = new AllotmentShare(slice.fence(), kept, Resources.empty());
+        AllotmentRow limited = row.with(slice.id(), lower).issue(team.limit());
+        Resources taken = target.minus(kept).max(Resources.empty()).min(limited.unassigned());
+        Resources amount = kept.plus(taken);
+        Resources want = target.minus(amount).max(Resources.empty());
+        return limited.with(slice.id(), new AllotmentShare(slice.fence(), amount, want));
+    }
+
+    private void confirm(TeamId team, AllotmentRow row) {
+        for (OwnedSlice slice : state.owned().values()) {
+            AllotmentShare share = row.share(slice.id());
+            if (share.fence().equals(slice.fence())) {
+                slice.allotments().put(team, share.amount());
+            }
+        }
+    }
+
+    private void learn(Row row) {
+        TeamId team = TeamId.of(row.key().substring(PREFIX.length()));
+        KnownRow known = rows.get(team);
+        if (known != null && known.version() > row.version()) {
+            return;
+        }
+        try {
+            AllotmentRow content = Codec.json().decode(row.value(), AllotmentRow.class, Step.TABLE, row.key());
+            rows.put(team, new KnownRow(content, row.version()));
+        } catch (AcaciafoldException e) {
+            LOG.error("unreadable allotment row of team {}: {}", team, e.getMessage());
+        }
+    }
+
+    /** Notes the teams without a row, so that the first owner that needs one creates it. */
+    private void noteMissing() {
+        for (TeamId team : state.settings().teams().keySet()) {
+            rows.putIfAbsent(team, new KnownRow(AllotmentRow.of(Resources.empty()), 0));
+        }
+    }
+
+    private void scan(long nowMs, Outbox outbox) {
+        scanning = true;
+        nextScanMs = nowMs + SCAN_INTERVAL_MS;
+        outbox.call(nowMs, new TableRequest.Scan(PREFIX, "", SCAN_LIMIT), reply -> {
+            scanning = false;
+            if (reply instanceof TableReply.Rows found) {
+                found.rows().forEach(this::learn);
+                noteMissing();
+            }
+        });
+    }
+
+    private void write(long nowMs, TeamId team, KnownRow known, AllotmentRow wanted, Outbox outbox) {
+        writing.add(team);
+        nextWriteMs.put(team, nowMs + WRITE_INTERVAL_MS);
+        String key = PREFIX + team;
+        byte[] value = Codec.json().encode(wanted, AllotmentRow.class);
+        TableRequest request = new TableRequest.Commit(
+                List.of(new Check(key, known.version())), List.of(new Write(key, Optional.of(value))));
+        outbox.call(nowMs, request, reply -> {
+            writing.remove(team);
+            written(team, wanted, reply);
+        });
+    }
+
+    private void written(TeamId team, AllotmentRow wanted, TableReply reply) {
+        switch (reply) {
+            case TableReply.Committed committed -> {
+                unconfirmed.remove(team);
+                rows.put(team, new KnownRow(wanted, committed.version()));
+                confirm(team, wanted);
+            }
+            case TableReply.Conflict conflict -> conflict.current().forEach(this::learn);
+            case TableReply.Unavailable ignored -> unconfirmed.add(team);
+            case TableReply.Rows ignored -> unconfirmed.add(team);
+        }
+    }
+
+    private record KnownRow(AllotmentRow row, long version) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentTargets.java
@@ -0,0 +1,50 @@
+package org.acaciafold.coordination;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.SliceId;
+
+/** Computes how much of a team's upper limit a slice should have. */
+final class AllotmentTargets {
+    private static final long BASE_DIVISOR = 2;
+
+    private AllotmentTargets() {}
+
+    /**
+     * Returns what a slice should have.
+     *
+     * @param row the row of the team
+     * @param slice the slice
+     * @param limit the upper limit in the settings
+     * @param needed what the slice has running and what its waiting tasks need
+     * @param slices how many slices the fleet has
+     * @return the target: in proportion while too much is shared out, else what is needed, with idle parts given to
+     *     slices that lack them
+     */
+    static Resources target(AllotmentRow row, SliceId slice, Resources limit, Resources needed, long slices) {
+        Resources share = row.share(slice).amount();
+        Resources assigned = row.assigned();
+        if (!assigned.fitsIn(limit)) {
+            return needed.min(inProportion(share, limit, assigned));
+        }
+        Resources base = parts(limit, BASE_DIVISOR * slices);
+        Resources floor = needed.max(base);
+        Resources idle = share.minus(floor).max(Resources.empty());
+        Resources given = idle.min(row.wantedByOthers(slice));
+        return floor.max(share.minus(given)).min(limit);
+    }
+
+    private static Resources inProportion(Resources share, Resources limit, Resources assigned) {
+        return Resources.of(
+                portion(share.cpuMillis(), limit.cpuMillis(), assigned.cpuMillis()),
+                portion(share.memoryMib(), limit.memoryMib(), assigned.memoryMib()),
+                portion(share.accelerators(), limit.accelerators(), assigned.accelerators()));
+    }
+
+    private static Resources parts(Resources limit, long count) {
+        return Resources.of(limit.cpuMillis() / count, limit.memoryMib() / count, limit.accelerators() / count);
+    }
+
+    private static long portion(long share, long limit, long assigned) {
+        return assigned <= limit ? share : share * limit / assigned;
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -1,13 +1,17 @@
 package org.acaciafold.coordination;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.model.DomainId;
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.settings.DomainSettings;
 import org.acaciafold.settings.FleetSettings;
 
 /** The tables that the systems of an entry host share; each is written by one system and read by all. */
@@ -19,6 +23,7 @@
     private final Map<HostId, PeerEntry> peers = new TreeMap<>();
     private final Map<SliceId, OwnedSlice> owned = new TreeMap<>();
     private FleetSettings settings = FleetSettings.empty();
+    private boolean limitsInForce;
     private boolean tableAnswers;
     private boolean stopping;
 
@@ -51,6 +56,15 @@
         return entryHosts;
     }
 
+    /** Returns whether no team holds more allotments than its limit; written by {@link AllotmentSystem}. */
+    boolean limitsInForce() {
+        return limitsInForce;
+    }
+
+    void limitsInForce(boolean value) {
+        limitsInForce = value;
+    }
+
     /** Returns the slices that this host owns; written by the ownership system. */
     Map<SliceId, OwnedSlice> owned() {
         return owned;
@@ -70,6 +84,17 @@
         settings = value;
     }
 
+    /** Returns how many slices the fleet is divided into, at least 1. */
+    long sliceCount() {
+        Set<DomainId> domains = new TreeSet<>(settings.domains().keySet());
+        entryHosts.values().forEach(entry -> domains.add(entry.domain()));
+        long count = 0;
+        for (DomainId domain : domains) {
+            count += settings.domain(domain).map(DomainSettings::slices).orElse(1);
+        }
+        return Math.max(count, 1);
+    }
+
     boolean stopping() {
         return stopping;
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -20,6 +20,7 @@
     private final Map<WorkerId, WorkerLink> links = new TreeMap<>();
     private long authorityUntilMs;
     private long tableContactMs;
+    private boolean settled;
 
     private OwnedSlice(SliceId id, Fence fence, PlacementPlane placement) {
         this.id = id;
@@ -62,6 +63,15 @@
         return placement;
     }
 
+    /** Returns whether every member has told what runs on it, or can run nothing any more; written by the worker system. */
+    boolean settled() {
+        return settled;
+    }
+
+    void settled(boolean value) {
+        settled = value;
+    }
+
     /** Returns when the last answered renewal in the table was sent, in milliseconds. */
     long tableContactMs() {
         return tableContactMs;
--- a/coordination/src/main/java/org/acaciafold/coordination/PeerMessage.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PeerMessage.java
@@ -5,7 +5,6 @@
 import org.acaciafold.core.model.Fence;
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
 
 /** A message between the state machines of two entry hosts. */
 public sealed interface PeerMessage {
@@ -56,22 +55,4 @@
      * @param fence the token it had
      */
     record Handover(SliceId slice, Fence fence) implements PeerMessage {}
-
-    /**
-     * Asks a host of the domain to keep a claim while the table does not answer.
-     *
-     * @param call the number of the call at the sender
-     * @param team the team
-     * @param key the idempotency key
-     * @param digest the digest of the request
-     */
-    record ClaimCopy(long call, TeamId team, String key, String digest) implements PeerMessage {}
-
-    /**
-     * Answers a copy of a claim.
-     *
-     * @param call the number of the call at the receiver
-     * @param kept false when another request has claimed the key
-     */
-    record ClaimCopied(long call, boolean kept) implements PeerMessage {}
 }
--- a/core/src/main/java/org/acaciafold/core/model/Resources.java
+++ b/core/src/main/java/org/acaciafold/core/model/Resources.java
@@ -56,6 +56,32 @@
                 && accelerators <= available.accelerators;
     }
 
+    /**
+     * Returns the larger of each resource.
+     *
+     * @param that the other amount
+     * @return the amount that covers both
+     */
+    public Resources max(Resources that) {
+        return new Resources(
+                Math.max(cpuMillis, that.cpuMillis),
+                Math.max(memoryMib, that.memoryMib),
+                Math.max(accelerators, that.accelerators));
+    }
+
+    /**
+     * Returns the smaller of each resource.
+     *
+     * @param that the other amount
+     * @return the amount that both cover
+     */
+    public Resources min(Resources that) {
+        return new Resources(
+                Math.min(cpuMillis, that.cpuMillis),
+                Math.min(memoryMib, that.memoryMib),
+                Math.min(accelerators, that.accelerators));
+    }
+
     /**
      * Returns the amount without another.
      *
