Worker agent and table of the stand-ins as state machines

Both take the time as an argument and do no I/O, so that the fuzz can use them in one process. A claim by a higher fence is remembered only once granted: a refused one would stop the present holder before its lease ends.

--- /dev/null
+++ b/standin/src/main/java/org/acaciafold/standin/FakeWork.java
@@ -0,0 +1,60 @@
+package org.acaciafold.standin;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
+
+/**
+ * What a task does, read from the payload of its job.
+ *
+ * <p>The payload is a list of words: {@code run=MS} ends after so many milliseconds, {@code fail} fails instead of
+ * succeeding, {@code fail=N} does so in the first N attempts, {@code result=TEXT} is the result. A task without
+ * {@code run} takes the declared run time, at most {@link #LONGEST_DECLARED_MS}. A replica of a service runs until it is
+ * stopped; {@code sleep=MS}, {@code stream=CHUNKS} and {@code hold} say how it answers live requests.
+ */
+record FakeWork(Map<String, String> words) {
+    static final long LONGEST_DECLARED_MS = 5_000;
+
+    static FakeWork of(JobSpec spec) {
+        Map<String, String> words = new HashMap<>();
+        for (String word : spec.payload().trim().split("[\\s;]+")) {
+            int at = word.indexOf('=');
+            words.put(at < 0 ? word : word.substring(0, at), at < 0 ? "" : word.substring(at + 1));
+        }
+        return new FakeWork(words);
+    }
+
+    boolean fails(long attempt) {
+        String attempts = words.get("fail");
+        if (attempts == null) {
+            return false;
+        }
+        return attempts.isEmpty() || attempt <= Long.parseLong(attempts);
+    }
+
+    boolean holds() {
+        return words.containsKey("hold");
+    }
+
+    String result(JobSpec spec) {
+        return words.getOrDefault("result", "done " + spec.name());
+    }
+
+    long runMs(JobSpec spec) {
+        if (spec.kind() instanceof JobKind.Service) {
+            return Long.MAX_VALUE;
+        }
+        String given = words.get("run");
+        return given == null ? Math.min(spec.runTimeMs(), LONGEST_DECLARED_MS) : Long.parseLong(given);
+    }
+
+    long sleepMs() {
+        return Long.parseLong(words.getOrDefault("sleep", "0"));
+    }
+
+    int streamChunks() {
+        return Integer.parseInt(words.getOrDefault("stream", "0"));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/acaciafold/standin/HeldTask.java
@@ -0,0 +1,100 @@
+package org.acaciafold.standin;
+
+import org.acaciafold.core.model.JobSpec;
+import org.acaciafold.core.model.TaskId;
+import org.acaciafold.core.port.TaskPhase;
+import org.acaciafold.core.port.TaskView;
+
+/** A task on a worker. */
+final class HeldTask {
+    private final TaskId id;
+    private final long attempt;
+    private final JobSpec spec;
+    private final long startedMs;
+    private final FakeWork work;
+    private long leaseUntilMs;
+    private long endsMs;
+    private TaskPhase phase = TaskPhase.RUNNING;
+    private boolean draining;
+    private int requests;
+
+    HeldTask(TaskId id, long attempt, JobSpec spec, long nowMs, long leaseMs) {
+        this.id = id;
+        this.attempt = attempt;
+        this.spec = spec;
+        this.startedMs = nowMs;
+        this.work = FakeWork.of(spec);
+        this.leaseUntilMs = nowMs + leaseMs;
+        long runMs = work.runMs(spec);
+        this.endsMs = runMs == Long.MAX_VALUE ? Long.MAX_VALUE : nowMs + runMs;
+    }
+
+    boolean answers(String service) {
+        return phase == TaskPhase.RUNNING && !draining && spec.name().equals(service);
+    }
+
+    long attempt() {
+        return attempt;
+    }
+
+    void checkpoint(long untilMs) {
+        phase = TaskPhase.CHECKPOINTING;
+        endsMs = Math.min(endsMs, untilMs);
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    boolean drained() {
+        return draining && requests == 0;
+    }
+
+    long endsMs() {
+        return endsMs;
+    }
+
+    TaskId id() {
+        return id;
+    }
+
+    long leaseUntilMs() {
+        return leaseUntilMs;
+    }
+
+    TaskPhase phase() {
+        return phase;
+    }
+
+    long ranMs(long nowMs) {
+        return nowMs - startedMs;
+    }
+
+    void renew(long untilMs) {
+        leaseUntilMs = untilMs;
+    }
+
+    void requestBegan() {
+        requests++;
+    }
+
+    void requestEnded() {
+        requests--;
+    }
+
+    int requests() {
+        return requests;
+    }
+
+    JobSpec spec() {
+        return spec;
+    }
+
+    TaskView view(long nowMs) {
+        return new TaskView(id, attempt, spec, Math.max(0, leaseUntilMs - nowMs), phase);
+    }
+
+    FakeWork work() {
+        return work;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/acaciafold/standin/WorkerAgent.java
@@ -0,0 +1,366 @@
+package org.acaciafold.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TaskId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.EndReason;
+import org.acaciafold.core.port.TaskEnd;
+import org.acaciafold.core.port.TaskPhase;
+import org.acaciafold.core.port.TaskView;
+import org.acaciafold.core.port.WorkerCommand;
+import org.acaciafold.core.port.WorkerReply;
+import org.acaciafold.core.port.WorkerView;
+
+/**
+ * The agent of a worker as a state machine over a clock that its caller reads: leases, tasks, slots and a journal.
+ *
+ * <p>Example: {@code agent.command(command, clock.nowMs())}, and {@code agent.advance(clock.nowMs())} as time passes.
+ */
+public final class WorkerAgent {
+    private static final long CHECKPOINT_MS = 50;
+    private static final long SEQUENCES_PER_INCARNATION = 1_000_000;
+
+    private final WorkerId worker;
+    private final Resources capacity;
+    private final String rack;
+    private final int slots;
+    private final int connections;
+    private final ControlLeases leases;
+    private final Map<TaskId, HeldTask> tasks = new TreeMap<>();
+    private final Map<TaskId, Long> endedAttempts = new HashMap<>();
+    private final Map<Long, TaskEnd> ends = new TreeMap<>();
+    private final Map<Long, LiveRequest> requests = new HashMap<>();
+    private final List<JournalEntry> journal = new ArrayList<>();
+    private Peak peak = Peak.empty();
+    private boolean leaving;
+    private boolean failsEverything;
+    private long version;
+    private long lastEnd;
+    private long lastRequest;
+
+    private WorkerAgent(WorkerId worker, Resources capacity, String rack, int slots, int connections, long first) {
+        this.worker = worker;
+        this.capacity = capacity;
+        this.rack = rack;
+        this.slots = slots;
+        this.connections = connections;
+        this.leases = new ControlLeases(first);
+        this.version = first + 1;
+        this.lastEnd = first;
+    }
+
+    /**
+     * Creates an agent that has seen no fence and runs nothing.
+     *
+     * @param worker the worker
+     * @param capacity all it has
+     * @param rack its rack
+     * @param slots live requests it serves at once
+     * @param connections connections it accepts at once
+     * @param incarnation a number that grows with each start of the worker, so that sequences are never used again
+     * @return the agent
+     */
+    public static WorkerAgent of(
+            WorkerId worker, Resources capacity, String rack, int slots, int connections, long incarnation) {
+        long first = incarnation * SEQUENCES_PER_INCARNATION;
+        return new WorkerAgent(worker, capacity, rack, slots, connections, first);
+    }
+
+    /**
+     * Ends the tasks whose lease or work has run out.
+     *
+     * @param nowMs the time in milliseconds
+     */
+    public void advance(long nowMs) {
+        for (HeldTask task : List.copyOf(tasks.values())) {
+            reasonToEnd(task, nowMs).ifPresent(reason -> endTask(task, reason, nowMs));
+        }
+    }
+
+    /**
+     * Decides on a live request.
+     *
+     * @param call its head
+     * @param nowMs the time in milliseconds
+     * @return whether it runs
+     */
+    public Admission begin(LiveCall call, long nowMs) {
+        advance(nowMs);
+        Optional<Failure> refusal = refusal(call, nowMs);
+        Optional<HeldTask> replica = replicaOf(call.service());
+        if (refusal.isPresent() || replica.isEmpty()) {
+            Failure failure = refusal.orElseGet(() -> refused("no-replica", "no replica of " + call.service()));
+            record(nowMs, JournalEntry.Kind.REQUEST_REFUSED, call.requestId(), 0, failure.code());
+            return new Admission.Rejected(failure);
+        }
+        HeldTask task = replica.get();
+        task.requestBegan();
+        long number = ++lastRequest;
+        requests.put(number, new LiveRequest(call, task));
+        version++;
+        peak = peak.withSlots(requests.size());
+        record(nowMs, JournalEntry.Kind.REQUEST_STARTED, call.requestId(), 0, call.idempotencyKey());
+        return new Admission.Admitted(number, task.spec().payload());
+    }
+
+    /**
+     * Carries a command out.
+     *
+     * @param command the command
+     * @param nowMs the time of its receipt in milliseconds
+     * @return the reply
+     */
+    public WorkerReply command(WorkerCommand command, long nowMs) {
+        advance(nowMs);
+        return switch (command) {
+            case WorkerCommand.Claim claim -> claim(claim, nowMs);
+            case WorkerCommand.Start start ->
+                guarded(start.fence(), start.leaseSequence(), nowMs, () -> start(start, nowMs));
+            case WorkerCommand.Stop stop -> guarded(stop.fence(), stop.leaseSequence(), nowMs, () -> stop(stop, nowMs));
+            case WorkerCommand.Throttle throttle ->
+                guarded(throttle.fence(), throttle.leaseSequence(), nowMs, () -> throttle(throttle));
+            case WorkerCommand.Release release -> release(release, nowMs);
+        };
+    }
+
+    /**
+     * Records how many connections for live requests are open.
+     *
+     * @param open the number of open connections
+     */
+    public void connected(int open) {
+        peak = peak.withConnections(open);
+    }
+
+    /**
+     * Ends a live request.
+     *
+     * @param number the number from {@link Admission.Admitted}
+     * @param nowMs the time in milliseconds
+     */
+    public void end(long number, long nowMs) {
+        LiveRequest request = requests.remove(number);
+        if (request == null) {
+            return;
+        }
+        request.task().requestEnded();
+        version++;
+        LiveCall call = request.call();
+        record(nowMs, JournalEntry.Kind.REQUEST_ENDED, call.requestId(), 0, call.idempotencyKey());
+        advance(nowMs);
+    }
+
+    /**
+     * Sets whether every task fails as soon as it has started.
+     *
+     * @param value true when it does
+     */
+    public void failsEverything(boolean value) {
+        failsEverything = value;
+    }
+
+    /**
+     * Returns what has happened since the start.
+     *
+     * @return the entries in order
+     */
+    public List<JournalEntry> journal() {
+        return List.copyOf(journal);
+    }
+
+    /**
+     * Sets whether the worker is about to leave.
+     *
+     * @param value true when it is
+     */
+    public void leaving(boolean value) {
+        leaving = value;
+        version++;
+    }
+
+    /**
+     * Returns the most that was ever in use at once.
+     *
+     * @return the peak
+     */
+    public Peak peak() {
+        return peak;
+    }
+
+    /**
+     * Returns what the worker has and runs.
+     *
+     * @param nowMs the time in milliseconds
+     * @return the view
+     */
+    public WorkerView view(long nowMs) {
+        List<TaskView> views =
+                tasks.values().stream().map(task -> task.view(nowMs)).toList();
+        return new WorkerView(capacity, rack, slots, connections, requests.size(), leaving, views);
+    }
+
+    private WorkerReply claim(WorkerCommand.Claim claim, long nowMs) {
+        if (!leases.grants(claim.fence(), claim.holder(), nowMs)) {
+            return fenced(nowMs);
+        }
+        boolean renews = claim.fence().equals(leases.fence()) && leases.valid(claim.leaseSequence(), nowMs);
+        long sequence = leases.grant(claim.fence(), claim.holder(), nowMs, claim.validityMs());
+        if (renews) {
+            renewTasks(claim, nowMs);
+        }
+        claim.acknowledgedEnds().forEach(ends::remove);
+        Optional<WorkerView> view = claim.seenVersion() == version ? Optional.empty() : Optional.of(view(nowMs));
+        return new WorkerReply.Claimed(sequence, version, view, List.copyOf(ends.values()));
+    }
+
+    private void endTask(HeldTask task, EndReason reason, long nowMs) {
+        tasks.remove(task.id());
+        endedAttempts.merge(task.id(), task.attempt(), Math::max);
+        String result = reason == EndReason.SUCCEEDED ? task.work().result(task.spec()) : "";
+        long id = ++lastEnd;
+        ends.put(id, new TaskEnd(id, task.id(), task.attempt(), reason, result, task.ranMs(nowMs)));
+        version++;
+        record(nowMs, JournalEntry.Kind.TASK_ENDED, task.id().toString(), task.attempt(), reason.name());
+    }
+
+    private WorkerReply fenced(long nowMs) {
+        return new WorkerReply.Fenced(leases.fence(), leases.holder(), leases.remainingMs(nowMs));
+    }
+
+    private WorkerReply guarded(Fence fence, long sequence, long nowMs, Supplier<WorkerReply> then) {
+        int order = fence.compareTo(leases.fence());
+        if (order < 0) {
+            return fenced(nowMs);
+        }
+        if (order > 0 || !leases.valid(sequence, nowMs)) {
+            return new WorkerReply.Refused("lease-lapsed", "no valid control lease " + sequence);
+        }
+        return then.get();
+    }
+
+    private Optional<EndReason> reasonToEnd(HeldTask task, long nowMs) {
+        if (task.leaseUntilMs() <= nowMs) {
+            return Optional.of(EndReason.EXPIRED);
+        }
+        if (task.drained()) {
+            return Optional.of(EndReason.STOPPED);
+        }
+        if (task.endsMs() > nowMs && !failsEverything) {
+            return Optional.empty();
+        }
+        if (task.phase() == TaskPhase.CHECKPOINTING) {
+            return Optional.of(EndReason.CHECKPOINTED);
+        }
+        boolean fails = failsEverything || task.work().fails(task.attempt());
+        return Optional.of(fails ? EndReason.FAILED : EndReason.SUCCEEDED);
+    }
+
+    private void record(long nowMs, JournalEntry.Kind kind, String subject, long attempt, String detail) {
+        journal.add(new JournalEntry(nowMs, kind, subject, attempt, detail));
+    }
+
+    private Optional<Failure> refusal(LiveCall call, long nowMs) {
+        int order = call.fence().compareTo(leases.fence());
+        if (order < 0) {
+            return Optional.of(refused("fenced", "a higher fence was seen"));
+        }
+        if (order > 0 || !leases.valid(call.leaseSequence(), nowMs)) {
+            return Optional.of(refused("lease-lapsed", "no valid control lease " + call.leaseSequence()));
+        }
+        if (requests.size() >= slots) {
+            return Optional.of(refused("no-slot", "all " + slots + " slots are in use"));
+        }
+        return Optional.empty();
+    }
+
+    private Failure refused(String code, String message) {
+        return Failure.notRun(Step.WORKER, worker.value(), code, message);
+    }
+
+    private WorkerReply release(WorkerCommand.Release release, long nowMs) {
+        int order = release.fence().compareTo(leases.fence());
+        if (order < 0) {
+            return fenced(nowMs);
+        }
+        if (order > 0) {
+            return new WorkerReply.Refused("not-held", "this fence was never claimed here");
+        }
+        leases.release();
+        return new WorkerReply.Done();
+    }
+
+    private void renewTasks(WorkerCommand.Claim claim, long nowMs) {
+        for (HeldTask task : tasks.values()) {
+            long renewMs = task.spec().exclusive() ? claim.renewExclusiveMs() : claim.renewMs();
+            if (renewMs > 0) {
+                task.renew(nowMs + renewMs);
+            }
+        }
+    }
+
+    private Optional<HeldTask> replicaOf(String service) {
+        Predicate<HeldTask> answers = task -> task.answers(service);
+        return tasks.values().stream().filter(answers).min((a, b) -> Integer.compare(a.requests(), b.requests()));
+    }
+
+    private WorkerReply start(WorkerCommand.Start start, long nowMs) {
+        if (tasks.containsKey(start.task())) {
+            return new WorkerReply.Refused("already-running", "the task runs here");
+        }
+        if (endedAttempts.getOrDefault(start.task(), Long.MIN_VALUE) >= start.attempt()) {
+            return new WorkerReply.Refused("already-ended", "this attempt or a later one has ended here");
+        }
+        if (leaving) {
+            return new WorkerReply.Refused("leaving", "the worker is about to leave");
+        }
+        Resources after = used().plus(start.spec().demand());
+        if (!after.fitsIn(capacity)) {
+            return new WorkerReply.Refused("no-capacity", "not enough free resources");
+        }
+        tasks.put(start.task(), new HeldTask(start.task(), start.attempt(), start.spec(), nowMs, start.taskLeaseMs()));
+        version++;
+        peak = peak.withResources(after);
+        record(nowMs, JournalEntry.Kind.TASK_STARTED, start.task().toString(), start.attempt(), "");
+        return new WorkerReply.Done();
+    }
+
+    private WorkerReply stop(WorkerCommand.Stop stop, long nowMs) {
+        HeldTask task = tasks.get(stop.task());
+        if (task == null || task.attempt() != stop.attempt()) {
+            return new WorkerReply.Refused("unknown-task", "this attempt does not run here");
+        }
+        switch (stop.mode()) {
+            case CHECKPOINT -> task.checkpoint(nowMs + CHECKPOINT_MS);
+            case DRAIN -> task.drain();
+            case KILL -> endTask(task, EndReason.STOPPED, nowMs);
+            default -> throw new IllegalStateException("unknown mode " + stop.mode());
+        }
+        version++;
+        advance(nowMs);
+        return new WorkerReply.Done();
+    }
+
+    private WorkerReply throttle(WorkerCommand.Throttle throttle) {
+        return tasks.containsKey(throttle.task())
+                ? new WorkerReply.Done()
+                : new WorkerReply.Refused("unknown-task", "the task does not run here");
+    }
+
+    private Resources used() {
+        return tasks.values().stream().map(task -> task.spec().demand()).reduce(Resources.empty(), Resources::plus);
+    }
+
+    private record LiveRequest(LiveCall call, HeldTask task) {}
+}
