--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/LiveRequests.java
@@ -0,0 +1,22 @@
+package org.acaciafold.daemon.request;
+
+import java.util.Optional;
+
+import org.acaciafold.core.model.TeamId;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Answers the live requests of callers. */
+@FunctionalInterface
+public interface LiveRequests {
+    /**
+     * Answers one request.
+     *
+     * @param request the request, its path starts with {@code /v1/services/}
+     * @param response the response
+     * @param team the team whose key came with the request, empty when it came with none
+     * @return completes when the response is written
+     */
+    Mono<Void> handle(HttpServerRequest request, HttpServerResponse response, Optional<TeamId> team);
+}
