Settings: readers of host files and of the tree, keys, checked as a whole

Every error is reported at once with file, line and what would be right. INI is parsed by commons-configuration2; a scan of our own adds line numbers and finds duplicates, which the library merges silently. FleetSettings keeps subtrees sorted: Map.copyOf iterates in another order in each process, which would break replays.

--- /dev/null
+++ b/settings/src/main/java/org/acaciafold/settings/ClosestName.java
@@ -0,0 +1,35 @@
+package org.acaciafold.settings;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+import org.apache.commons.text.similarity.LevenshteinDistance;
+
+/** Finds the right name that a wrong one was probably meant to be. */
+final class ClosestName {
+    private static final int MAX_DISTANCE = 3;
+
+    private ClosestName() {}
+
+    /**
+     * Says what would be right.
+     *
+     * @param wrong the unknown name
+     * @param right the known names
+     * @return the end of a sentence
+     */
+    static String hint(String wrong, Collection<String> right) {
+        return find(wrong, right)
+                .map(name -> "did you mean " + name + "?")
+                .orElseGet(() -> "known here: " + String.join(", ", right));
+    }
+
+    private static Optional<String> find(String wrong, Collection<String> right) {
+        LevenshteinDistance distance = LevenshteinDistance.getDefaultInstance();
+        return right.stream()
+                .filter(name -> distance.apply(wrong, name) <= MAX_DISTANCE)
+                .min(Comparator.comparing((String name) -> distance.apply(wrong, name))
+                        .thenComparing(Comparator.naturalOrder()));
+    }
+}
--- a/settings/src/main/java/org/acaciafold/settings/FleetSettings.java
+++ b/settings/src/main/java/org/acaciafold/settings/FleetSettings.java
@@ -1,7 +1,9 @@
 package org.acaciafold.settings;
 
+import java.util.Collections;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import org.acaciafold.core.model.DomainId;
 import org.acaciafold.core.model.TeamId;
@@ -22,7 +24,7 @@
     private static final FleetSettings EMPTY = new FleetSettings(0, Map.of(), Map.of(), Map.of());
 
     /**
-     * Copies the subtrees.
+     * Copies the subtrees; their order is that of their names, the same in each process.
      *
      * @param version the version of the tree
      * @param teams the subtrees of the teams
@@ -30,9 +32,9 @@
      * @param openServices the services open to all callers
      */
     public FleetSettings {
-        teams = Map.copyOf(teams);
-        domains = Map.copyOf(domains);
-        openServices = Map.copyOf(openServices);
+        teams = Collections.unmodifiableMap(new TreeMap<>(teams));
+        domains = Collections.unmodifiableMap(new TreeMap<>(domains));
+        openServices = Collections.unmodifiableMap(new TreeMap<>(openServices));
     }
 
     /**
--- /dev/null
+++ b/settings/src/main/java/org/acaciafold/settings/IniLines.java
@@ -0,0 +1,118 @@
+package org.acaciafold.settings;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The line of each section and name of a text in INI, and the errors of its form. */
+final class IniLines {
+    private final String file;
+    private final List<SettingsProblem> problems;
+    private final Map<String, Integer> sections = new LinkedHashMap<>();
+    private final Map<String, Integer> names = new LinkedHashMap<>();
+    private String section = "";
+
+    private IniLines(String file, List<SettingsProblem> problems) {
+        this.file = file;
+        this.problems = problems;
+    }
+
+    /**
+     * Scans a text.
+     *
+     * @param file the name to put into errors
+     * @param text the text
+     * @param problems where errors go
+     * @return the lines
+     */
+    static IniLines scan(String file, String text, List<SettingsProblem> problems) {
+        IniLines lines = new IniLines(file, problems);
+        int number = 0;
+        for (String line : text.split("\\R", -1)) {
+            number++;
+            lines.scanLine(number, line.trim());
+        }
+        return lines;
+    }
+
+    /** Returns the name of a line with a value, empty for other lines. */
+    static String nameOf(String line) {
+        String trimmed = line.trim();
+        int end = trimmed.indexOf('=');
+        return comment(trimmed) || trimmed.startsWith("[") || end < 0
+                ? ""
+                : trimmed.substring(0, end).trim();
+    }
+
+    /** Returns the name of a line that opens a section, empty for other lines. */
+    static String sectionOf(String line) {
+        String trimmed = line.trim();
+        int end = trimmed.indexOf(']');
+        return trimmed.startsWith("[") && end > 0 ? trimmed.substring(1, end).trim() : "";
+    }
+
+    /** Returns the line of a value, 0 when unknown. */
+    int line(String inSection, String name) {
+        return names.getOrDefault(key(inSection, name), 0);
+    }
+
+    /** Returns the line of each section in the order of the text. */
+    Map<String, Integer> sections() {
+        return sections;
+    }
+
+    private static boolean comment(String line) {
+        return line.startsWith("#") || line.startsWith(";");
+    }
+
+    private static String key(String section, String name) {
+        return section + '\n' + name;
+    }
+
+    private void addName(int number, String line) {
+        String name = nameOf(line);
+        if (section.isEmpty()) {
+            problem(number, "a value before the first [section]");
+            return;
+        }
+        if (name.isEmpty()) {
+            problem(number, "not a line of the form NAME = VALUE");
+            return;
+        }
+        Integer first = names.putIfAbsent(key(section, name), number);
+        if (first != null) {
+            problem(number, name + " stands twice in [" + section + "], first in line " + first);
+        }
+    }
+
+    private void addSection(int number, String line) {
+        section = sectionOf(line);
+        if (section.isEmpty()) {
+            problem(number, "not a line of the form [SECTION]");
+            return;
+        }
+        Integer first = sections.putIfAbsent(section, number);
+        if (first != null) {
+            problem(number, "section [" + section + "] stands twice, first in line " + first);
+        }
+    }
+
+    private void problem(int number, String message) {
+        problems.add(new SettingsProblem(file, number, message));
+    }
+
+    private void scanLine(int number, String line) {
+        if (line.isEmpty() || comment(line)) {
+            return;
+        }
+        if (line.endsWith("\\")) {
+            problem(number, "a value must end on its own line; remove the backslash");
+            return;
+        }
+        if (line.startsWith("[")) {
+            addSection(number, line);
+        } else {
+            addName(number, line);
+        }
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/acaciafold/settings/SectionReader.java
@@ -0,0 +1,168 @@
+package org.acaciafold.settings;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * Reads typed values from one section and collects the errors.
+ *
+ * <p>Each method returns the value, or a harmless one after it has reported an error. Every name that is read is a known
+ * name; {@link #finish} reports the others.
+ */
+final class SectionReader {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+    private static final String NAME_RULE = "up to 63 letters, digits, dots, hyphens and underscores";
+
+    private final String file;
+    private final String section;
+    private final int line;
+    private final Map<String, IniValue> values;
+    private final List<SettingsProblem> problems;
+    private final TreeSet<String> known = new TreeSet<>();
+
+    private SectionReader(
+            String file, String section, int line, Map<String, IniValue> values, List<SettingsProblem> problems) {
+        this.file = file;
+        this.section = section;
+        this.line = line;
+        this.values = values;
+        this.problems = problems;
+    }
+
+    static SectionReader of(
+            String file, String section, int line, Map<String, IniValue> values, List<SettingsProblem> problems) {
+        return new SectionReader(file, section, line, values, problems);
+    }
+
+    /** Tells whether a text can be the name of a host, failure domain, team or service. */
+    static boolean validName(String text) {
+        return NAME.matcher(text).matches();
+    }
+
+    /** Reads an IP number and a port. */
+    String address(String name) {
+        String text = text(name);
+        if (!text.isEmpty() && !Addresses.valid(text)) {
+            problem(name, text + " is not an IP number and a port, such as 10.0.0.1:8080 or [fd00::1]:8080");
+        }
+        return text;
+    }
+
+    /** Reads one of several words. */
+    <T> T choice(String name, Map<String, T> choices, String fallback) {
+        String text = text(name, fallback);
+        if (!choices.containsKey(text)) {
+            problem(name, text + " is not one of " + String.join(", ", new TreeSet<>(choices.keySet())));
+            return choices.get(fallback);
+        }
+        return choices.get(text);
+    }
+
+    /** Reports names that were never asked for. */
+    void finish() {
+        values.forEach((name, value) -> {
+            if (!known.contains(name)) {
+                String message = "unknown name " + name + " in [" + section + "]; " + ClosestName.hint(name, known);
+                problems.add(new SettingsProblem(file, value.line(), message));
+            }
+        });
+    }
+
+    /** Returns all values of a section whose names are free. */
+    Map<String, IniValue> free() {
+        known.addAll(values.keySet());
+        return values;
+    }
+
+    /** Reads the name of a host, failure domain or team. */
+    String name(String name) {
+        String text = text(name);
+        if (!text.isEmpty() && !validName(text)) {
+            problem(name, text + " is not a name: " + NAME_RULE);
+        }
+        return text;
+    }
+
+    /** Reads a number with a fraction that lies above a bound and not above another. */
+    double number(String name, double above, double most, String fallback) {
+        String text = text(name, fallback);
+        Optional<Double> number = parseNumber(text);
+        if (number.isEmpty() || !(number.get() > above && number.get() <= most)) {
+            problem(name, text + " is not a number above " + above + " and at most " + most);
+            return Double.parseDouble(fallback);
+        }
+        return number.get();
+    }
+
+    /** Reads a value in a form of its own; the function returns empty for a wrong one. */
+    <T> T parsed(String name, Function<String, Optional<T>> parser, String forms, String fallback) {
+        String text = text(name, fallback);
+        return parser.apply(text).orElseGet(() -> {
+            problem(name, text + " is not one of " + forms);
+            return parser.apply(fallback).orElseThrow();
+        });
+    }
+
+    /** Reports an error of a value, in its line when it is there. */
+    void problem(String name, String message) {
+        IniValue value = values.get(name);
+        int at = value == null ? line : value.line();
+        problems.add(new SettingsProblem(file, at, name + ": " + message));
+    }
+
+    /** Reads a required quantity. */
+    long quantity(String name, Quantity quantity, long least, long most) {
+        String text = text(name);
+        return text.isEmpty() ? least : inRange(name, text, quantity, least, most);
+    }
+
+    /** Reads a quantity that may be left out. */
+    long quantity(String name, Quantity quantity, long least, long most, String fallback) {
+        return inRange(name, text(name, fallback), quantity, least, most);
+    }
+
+    /** Reads a required text, empty after an error. */
+    String text(String name) {
+        known.add(name);
+        IniValue value = values.get(name);
+        if (value == null || value.value().isEmpty()) {
+            problem(name, "missing in [" + section + "]");
+            return "";
+        }
+        return value.value();
+    }
+
+    /** Reads a text that may be left out. */
+    String text(String name, String fallback) {
+        known.add(name);
+        IniValue value = values.get(name);
+        return value == null ? fallback : value.value();
+    }
+
+    private static Optional<Double> parseNumber(String text) {
+        try {
+            return Optional.of(Double.valueOf(text));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    private long inRange(String name, String text, Quantity quantity, long least, long most) {
+        if (quantity.parse(text).isEmpty()) {
+            problem(name, text + " is not a quantity with its unit; write it like " + quantity.examples());
+            return least;
+        }
+        long amount = quantity.parse(text).getAsLong();
+        if (amount < least || amount > most) {
+            problem(
+                    name,
+                    text + " is out of range; right is " + quantity.format(least) + " to " + quantity.format(most));
+            return least;
+        }
+        return amount;
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/acaciafold/settings/SettingsTree.java
@@ -0,0 +1,208 @@
+package org.acaciafold.settings;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.DomainId;
+import org.acaciafold.core.model.TeamId;
+
+/**
+ * The settings tree as texts, a text in INI for each subtree.
+ *
+ * <p>Subtrees are {@code team/NAME}, {@code domain/NAME} and {@code open}. Example:
+ * {@code SettingsTree.of(7, texts).check()}.
+ */
+public final class SettingsTree {
+    /** The subtree of the services that are open to all callers. */
+    public static final String OPEN = "open";
+
+    private static final String TEAM = "team/";
+    private static final String DOMAIN = "domain/";
+    private static final String SOURCE = "settings";
+    private static final long MAX_WAITING_AT_ONE_HOST = 65_536;
+
+    private final long version;
+    private final Map<String, String> texts;
+
+    private SettingsTree(long version, Map<String, String> texts) {
+        this.version = version;
+        this.texts = texts;
+    }
+
+    /**
+     * Creates a tree.
+     *
+     * @param version the version of the whole
+     * @param texts the texts by subtree
+     * @return the tree, not yet checked
+     */
+    public static SettingsTree of(long version, Map<String, String> texts) {
+        return new SettingsTree(version, new TreeMap<>(texts));
+    }
+
+    /**
+     * Writes settings as texts.
+     *
+     * @param settings the settings
+     * @return the tree whose check returns these settings
+     */
+    public static SettingsTree of(FleetSettings settings) {
+        Map<String, String> texts = new TreeMap<>();
+        settings.teams().forEach((team, value) -> texts.put(subtree(team), SubtreeWriter.team(value)));
+        settings.domains().forEach((domain, value) -> texts.put(subtree(domain), SubtreeWriter.domain(value)));
+        if (!settings.openServices().isEmpty()) {
+            texts.put(OPEN, SubtreeWriter.open(settings.openServices()));
+        }
+        return new SettingsTree(settings.version(), texts);
+    }
+
+    /**
+     * Returns the path of a failure domain's subtree.
+     *
+     * @param domain the failure domain
+     * @return the path
+     */
+    public static String subtree(DomainId domain) {
+        return DOMAIN + domain;
+    }
+
+    /**
+     * Returns the path of a team's subtree.
+     *
+     * @param team the team
+     * @return the path
+     */
+    public static String subtree(TeamId team) {
+        return TEAM + team;
+    }
+
+    /**
+     * Tells whether a path can be that of a subtree.
+     *
+     * @param subtree the path
+     * @return true for {@code open}, {@code team/NAME} and {@code domain/NAME}
+     */
+    public static boolean validSubtree(String subtree) {
+        if (subtree.equals(OPEN)) {
+            return true;
+        }
+        int slash = subtree.indexOf('/') + 1;
+        String kind = subtree.substring(0, slash);
+        return (kind.equals(TEAM) || kind.equals(DOMAIN)) && SectionReader.validName(subtree.substring(slash));
+    }
+
+    /**
+     * Checks the whole tree.
+     *
+     * @return the typed settings
+     * @throws SettingsException when there are errors, with all of them
+     */
+    public FleetSettings check() throws SettingsException {
+        List<SettingsProblem> problems = new ArrayList<>();
+        Map<TeamId, TeamSettings> teams = new TreeMap<>();
+        Map<DomainId, DomainSettings> domains = new TreeMap<>();
+        Map<String, TeamId> open = new TreeMap<>();
+        texts.forEach((subtree, text) -> {
+            if (!validSubtree(subtree)) {
+                problems.add(new SettingsProblem(subtree, 0, "not a subtree; right is team/NAME, domain/NAME or open"));
+                return;
+            }
+            SubtreeReader reader = SubtreeReader.of(subtree, text, problems);
+            if (subtree.startsWith(TEAM)) {
+                TeamId team = TeamId.of(subtree.substring(TEAM.length()));
+                teams.put(team, reader.team(team));
+            } else if (subtree.startsWith(DOMAIN)) {
+                DomainId domain = DomainId.of(subtree.substring(DOMAIN.length()));
+                domains.put(domain, reader.domain(domain));
+            } else {
+                open.putAll(reader.open());
+            }
+        });
+        checkKeys(teams, problems);
+        checkQueues(teams, problems);
+        checkOpen(open, teams, problems);
+        if (!problems.isEmpty()) {
+            throw new SettingsException(SOURCE, problems);
+        }
+        return new FleetSettings(version, teams, domains, open);
+    }
+
+    /**
+     * Returns the texts by subtree.
+     *
+     * @return the texts
+     */
+    public Map<String, String> texts() {
+        return Map.copyOf(texts);
+    }
+
+    /**
+     * Returns the version of the whole.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the tree with another text for a subtree.
+     *
+     * @param subtree the path
+     * @param text the new text
+     * @return the changed tree
+     */
+    public SettingsTree with(String subtree, String text) {
+        Map<String, String> changed = new TreeMap<>(texts);
+        changed.put(subtree, text);
+        return new SettingsTree(version, changed);
+    }
+
+    /**
+     * Returns the tree without a subtree.
+     *
+     * @param subtree the path
+     * @return the changed tree
+     */
+    public SettingsTree without(String subtree) {
+        Map<String, String> changed = new TreeMap<>(texts);
+        changed.remove(subtree);
+        return new SettingsTree(version, changed);
+    }
+
+    private static void checkKeys(Map<TeamId, TeamSettings> teams, List<SettingsProblem> problems) {
+        Map<String, TeamId> holders = new HashMap<>();
+        for (TeamSettings team : teams.values()) {
+            for (KeyHash key : team.keys()) {
+                TeamId holder = holders.putIfAbsent(key.id(), team.team());
+                if (holder != null) {
+                    String message = "key " + key.id() + " belongs to team " + holder + " already; create another";
+                    problems.add(new SettingsProblem(subtree(team.team()), 0, message));
+                }
+            }
+        }
+    }
+
+    private static void checkOpen(
+            Map<String, TeamId> open, Map<TeamId, TeamSettings> teams, List<SettingsProblem> problems) {
+        open.forEach((service, team) -> {
+            if (!teams.containsKey(team)) {
+                String message = service + ": there is no team " + team + "; create team/" + team + " first";
+                problems.add(new SettingsProblem(OPEN, 0, message));
+            }
+        });
+    }
+
+    private static void checkQueues(Map<TeamId, TeamSettings> teams, List<SettingsProblem> problems) {
+        long waiting =
+                teams.values().stream().mapToLong(TeamSettings::queueLimit).sum();
+        if (waiting > MAX_WAITING_AT_ONE_HOST) {
+            String message = "the queue limits of all teams add up to " + waiting + "; lower them to "
+                    + MAX_WAITING_AT_ONE_HOST + " or less";
+            problems.add(new SettingsProblem(SOURCE, 0, message));
+        }
+    }
+}
