--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/placement/AllotmentSystem.java
@@ -0,0 +1,30 @@
+package org.acaciafold.core.placement;
+
+import org.acaciafold.core.model.Resources;
+
+/** Tells what the waiting tasks of each team need beyond its allotment. */
+final class AllotmentSystem {
+    private final Tables tables;
+
+    AllotmentSystem(Tables tables) {
+        this.tables = tables;
+    }
+
+    void run(Tick tick) {
+        for (TeamRow team : tables.teams.values()) {
+            Resources missing = missing(team);
+            if (!missing.equals(Resources.empty())) {
+                tick.decisions.add(new Decision.WantsAllotment(team.id, missing));
+            }
+        }
+    }
+
+    private static Resources missing(TeamRow team) {
+        if (team.waitingDemand.equals(Resources.empty())) {
+            return Resources.empty();
+        }
+        Resources beyond = team.used.plus(team.waitingDemand).minus(team.terms.allotment());
+        return Resources.of(
+                Math.max(0, beyond.cpuMillis()), Math.max(0, beyond.memoryMib()), Math.max(0, beyond.accelerators()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/placement/AttemptRow.java
@@ -0,0 +1,38 @@
+package org.acaciafold.core.placement;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.port.StopMode;
+
+/** An attempt of a task that holds resources of a worker. */
+final class AttemptRow {
+    /** What is known of an attempt. */
+    enum Phase {
+        /** The start was decided and not yet confirmed. */
+        STARTING,
+        /** The worker runs it. */
+        RUNNING,
+        /** It was asked to stop. */
+        STOPPING
+    }
+
+    final TaskRow task;
+    final long number;
+    final WorkerRow worker;
+    final Resources demand;
+    final long startedMs;
+    Phase phase = Phase.STARTING;
+    StopMode stopMode;
+    long stopAskedMs;
+
+    AttemptRow(TaskRow task, long number, WorkerRow worker, long startedMs) {
+        this.task = task;
+        this.number = number;
+        this.worker = worker;
+        this.demand = task.job.spec.demand();
+        this.startedMs = startedMs;
+    }
+
+    boolean current() {
+        return task.current == this;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/placement/JobRow.java
@@ -0,0 +1,77 @@
+package org.acaciafold.core.placement;
+
+import java.util.ArrayDeque;
+import java.util.BitSet;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
+
+/** A job in the table of jobs. */
+final class JobRow {
+    final JobSpec spec;
+    final TeamRow team;
+    final JobClass jobClass;
+    final long sequence;
+    final BitSet ended = new BitSet();
+    final Map<Integer, TaskRow> tasks = new HashMap<>(4);
+    final Deque<TaskRow> retries = new ArrayDeque<>(0);
+    boolean homed;
+    boolean cancelled;
+    boolean queued;
+    boolean breaking;
+    long submittedMs;
+    int waiting;
+    int running;
+    int succeeded;
+    int failed;
+    int nextFresh;
+    Optional<String> problem = Optional.empty();
+
+    JobRow(JobSpec spec, TeamRow team, long sequence) {
+        this.spec = spec;
+        this.team = team;
+        this.jobClass = JobClass.of(spec);
+        this.sequence = sequence;
+    }
+
+    boolean gang() {
+        return spec.kind() instanceof JobKind.Gang;
+    }
+
+    /** Tells whether tasks of the job may start. */
+    boolean live() {
+        return homed && !cancelled && problem.isEmpty();
+    }
+
+    boolean service() {
+        return spec.kind() instanceof JobKind.Service;
+    }
+
+    /** Tells whether a task can be taken now; tasks that wait for their next try are not counted. */
+    boolean hasReadyTask() {
+        skipTaken();
+        return !retries.isEmpty() || nextFresh < spec.kind().tasks();
+    }
+
+    /** Takes the next task that waits. */
+    TaskRow takeTask(long firstAttempt) {
+        if (!retries.isEmpty()) {
+            return retries.poll();
+        }
+        skipTaken();
+        TaskRow task = new TaskRow(this, nextFresh, firstAttempt);
+        tasks.put(nextFresh, task);
+        nextFresh++;
+        return task;
+    }
+
+    private void skipTaken() {
+        while (nextFresh < spec.kind().tasks() && (ended.get(nextFresh) || tasks.containsKey(nextFresh))) {
+            nextFresh++;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
@@ -0,0 +1,62 @@
+package org.acaciafold.core.placement;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+import org.acaciafold.core.model.Resources;
+
+/** The jobs of one team and class whose tasks demand the same; all are blocked when one does not fit. */
+final class ShapeQueue {
+    /** Orders queues by their first jobs. */
+    static final Comparator<ShapeQueue> BY_HEAD =
+            Comparator.<ShapeQueue>comparingLong(queue -> queue.headKey).thenComparingLong(queue -> queue.headSequence);
+
+    private static final Comparator<Entry> BY_KEY =
+            Comparator.<Entry>comparingLong(Entry::key).thenComparingLong(entry -> entry.job.sequence);
+
+    final ClassQueue parent;
+    final Resources demand;
+    /** Whether the queue waits for room or for allotment, outside the ready queues of its parent. */
+    boolean blocked;
+
+    private final PriorityQueue<Entry> entries = new PriorityQueue<>(BY_KEY);
+    private long headKey;
+    private long headSequence;
+
+    ShapeQueue(ClassQueue parent, Resources demand) {
+        this.parent = parent;
+        this.demand = demand;
+    }
+
+    private record Entry(JobRow job, long key) {}
+
+    void add(JobRow job, long key) {
+        entries.add(new Entry(job, key));
+    }
+
+    /** Returns the first job that has a task to start, null when there is none; forgets the others before it. */
+    JobRow head() {
+        while (!entries.isEmpty()) {
+            JobRow job = entries.peek().job();
+            if (job.live() && job.hasReadyTask()) {
+                return job;
+            }
+            entries.poll();
+            job.queued = false;
+        }
+        return null;
+    }
+
+    /** Tells whether the first job is another than when the order was last read. */
+    boolean orderChanged() {
+        Entry first = entries.peek();
+        return first == null || first.job().sequence != headSequence;
+    }
+
+    /** Reads the order of the first job again; to be called only while the queue is in no ordered set. */
+    void refreshOrder() {
+        Entry first = entries.peek();
+        headKey = first == null ? Long.MAX_VALUE : first.key();
+        headSequence = first == null ? Long.MAX_VALUE : first.job().sequence;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/placement/StopSystem.java
@@ -0,0 +1,64 @@
+package org.acaciafold.core.placement;
+
+import org.acaciafold.core.port.StopMode;
+
+/** Stops the tasks of cancelled jobs, on leaving workers, in a closed domain, and duplicates. */
+final class StopSystem {
+    private static final int MOVES_PER_TICK = 256;
+
+    private final Tables tables;
+
+    StopSystem(Tables tables) {
+        this.tables = tables;
+    }
+
+    void run(Tick tick) {
+        while (!tables.unwanted.isEmpty()) {
+            stopUnwanted(tick, tables.unwanted.poll());
+        }
+        while (!tables.cancelled.isEmpty()) {
+            stopJob(tick, tables.cancelled.poll());
+        }
+        moveAway(tick);
+    }
+
+    private void stopUnwanted(Tick tick, AttemptRow attempt) {
+        if (attempt.worker.attempts.contains(attempt)) {
+            tick.stop(attempt, attempt.current() ? gentle(attempt.task.job) : StopMode.KILL, "not wanted here");
+        }
+    }
+
+    private void stopJob(Tick tick, JobRow job) {
+        StopMode mode = job.service() ? StopMode.DRAIN : StopMode.KILL;
+        for (TaskRow task : job.tasks.values()) {
+            if (task.current != null) {
+                tick.stop(task.current, mode, "cancelled");
+            }
+        }
+    }
+
+    private void moveAway(Tick tick) {
+        int moves = 0;
+        while (moves < MOVES_PER_TICK && !tables.draining.isEmpty()) {
+            WorkerRow worker = tables.draining.peek();
+            if (tables.open && worker.state != WorkerState.LEAVING) {
+                tables.draining.poll();
+                continue;
+            }
+            moves += stopAll(tick, worker);
+            tables.draining.poll();
+        }
+    }
+
+    private int stopAll(Tick tick, WorkerRow worker) {
+        String reason = tables.open ? "the worker is leaving" : "the failure domain is out of service";
+        for (AttemptRow attempt : worker.attempts) {
+            tick.stop(attempt, gentle(attempt.task.job), reason);
+        }
+        return worker.attempts.size();
+    }
+
+    private static StopMode gentle(JobRow job) {
+        return job.service() ? StopMode.DRAIN : StopMode.CHECKPOINT;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/placement/TaskRow.java
@@ -0,0 +1,36 @@
+package org.acaciafold.core.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciafold.core.model.TaskId;
+
+/** A task that runs, or that ran before and waits to be tried again. */
+final class TaskRow {
+    final JobRow job;
+    final int index;
+    final List<AttemptRow> strays = new ArrayList<>(0);
+    AttemptRow current;
+    long lastAttempt;
+    int failures;
+    WorkerRow lastFailedOn;
+
+    TaskRow(JobRow job, int index, long lastAttempt) {
+        this.job = job;
+        this.index = index;
+        this.lastAttempt = lastAttempt;
+    }
+
+    /** Returns the attempt of a number when it holds resources. */
+    Optional<AttemptRow> attempt(long number) {
+        if (current != null && current.number == number) {
+            return Optional.of(current);
+        }
+        return strays.stream().filter(stray -> stray.number == number).findFirst();
+    }
+
+    TaskId id() {
+        return job.spec.task(index);
+    }
+}
