--- a/standin/src/main/java/org/acaciafold/standin/FakeWork.java
+++ b/standin/src/main/java/org/acaciafold/standin/FakeWork.java
@@ -18,8 +18,12 @@
     static final long LONGEST_DECLARED_MS = 5_000;
 
     static FakeWork of(JobSpec spec) {
+        return of(spec.payload());
+    }
+
+    static FakeWork of(String payload) {
         Map<String, String> words = new HashMap<>();
-        for (String word : spec.payload().trim().split("[\\s;]+")) {
+        for (String word : payload.trim().split("[\\s;]+")) {
             int at = word.indexOf('=');
             words.put(at < 0 ? word : word.substring(0, at), at < 0 ? "" : word.substring(at + 1));
         }
--- /dev/null
+++ b/standin/src/main/java/org/acaciafold/standin/HostRegistry.java
@@ -0,0 +1,65 @@
+package org.acaciafold.standin;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.HostList;
+
+/** The host list of the platform; a change is seen after a lag. */
+final class HostRegistry {
+    private final Clock clock;
+    private final long lagMs;
+    private final Map<String, HostEntry> seen = new TreeMap<>();
+    private final Deque<Change> changes = new ArrayDeque<>();
+
+    private HostRegistry(Clock clock, long lagMs) {
+        this.clock = clock;
+        this.lagMs = lagMs;
+    }
+
+    static HostRegistry of(Clock clock, long lagMs) {
+        return new HostRegistry(clock, lagMs);
+    }
+
+    synchronized void leave(String id) {
+        change(hosts -> hosts.computeIfPresent(id, (key, host) -> leaving(host)));
+    }
+
+    synchronized HostList list() {
+        long nowMs = clock.nowMs();
+        while (!changes.isEmpty() && changes.peek().seenMs() <= nowMs) {
+            changes.poll().apply().accept(seen);
+        }
+        return new HostList(new ArrayList<>(seen.values()));
+    }
+
+    synchronized void put(HostEntry host) {
+        change(hosts -> hosts.put(host.id(), host));
+    }
+
+    /** Adds a host that is seen at once, before the platform serves. */
+    synchronized void putAtStart(HostEntry host) {
+        seen.put(host.id(), host);
+    }
+
+    synchronized void remove(String id) {
+        change(hosts -> hosts.remove(id));
+    }
+
+    private void change(Consumer<Map<String, HostEntry>> apply) {
+        changes.add(new Change(clock.nowMs() + lagMs, apply));
+    }
+
+    private static HostEntry leaving(HostEntry host) {
+        return new HostEntry(
+                host.id(), host.role(), host.domain(), host.rack(), host.address(), host.callerAddress(), true);
+    }
+
+    private record Change(long seenMs, Consumer<Map<String, HostEntry>> apply) {}
+}
--- /dev/null
+++ b/standin/src/main/java/org/acaciafold/standin/StandinSettings.java
@@ -0,0 +1,109 @@
+package org.acaciafold.standin;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Step;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/** One section of the settings file of a stand-in. */
+final class StandinSettings {
+    private final String file;
+    private final String section;
+    private final Map<String, String> values;
+
+    private StandinSettings(String file, String section, Map<String, String> values) {
+        this.file = file;
+        this.section = section;
+        this.values = values;
+    }
+
+    /**
+     * Reads a section.
+     *
+     * @param file the settings file
+     * @param section the name of the section
+     * @return the section, empty when the file has none of that name
+     * @throws AcaciafoldException when the file cannot be read
+     */
+    static StandinSettings read(Path file, String section) throws AcaciafoldException {
+        INIConfiguration ini = new INIConfiguration();
+        try (Reader reader = Files.newBufferedReader(file)) {
+            ini.read(reader);
+        } catch (IOException | ConfigurationException e) {
+            throw new AcaciafoldException(failure(file.toString(), "cannot be read: " + e.getMessage()), e);
+        }
+        SubnodeConfiguration node = ini.getSection(section);
+        Map<String, String> values = new TreeMap<>();
+        node.getKeys().forEachRemaining(key -> values.put(key.replace("..", "."), node.getString(key)));
+        return new StandinSettings(file.toString(), section, values);
+    }
+
+    /**
+     * Returns all values.
+     *
+     * @return the values by name
+     */
+    Map<String, String> all() {
+        return values;
+    }
+
+    /**
+     * Returns a whole number.
+     *
+     * @param name its name
+     * @param otherwise the number when it is not set
+     * @return the number
+     * @throws AcaciafoldException when the value is no whole number
+     */
+    long number(String name, long otherwise) throws AcaciafoldException {
+        String text = values.get(name);
+        try {
+            return text == null ? otherwise : Long.parseLong(text.trim());
+        } catch (NumberFormatException e) {
+            throw new AcaciafoldException(failure(file, at(name) + " must be a whole number, not " + text), e);
+        }
+    }
+
+    /**
+     * Returns a text that may be left out.
+     *
+     * @param name its name
+     * @return the text
+     */
+    Optional<String> optional(String name) {
+        return Optional.ofNullable(values.get(name));
+    }
+
+    /**
+     * Returns a text that must be there.
+     *
+     * @param name its name
+     * @return the text
+     * @throws AcaciafoldException when it is missing
+     */
+    String text(String name) throws AcaciafoldException {
+        String text = values.get(name);
+        if (text == null) {
+            throw new AcaciafoldException(failure(file, at(name) + " is missing"));
+        }
+        return text.trim();
+    }
+
+    private String at(String name) {
+        return name + " in [" + section + "]";
+    }
+
+    private static Failure failure(String file, String message) {
+        return Failure.notRun(Step.SETTINGS, file, "bad-settings", message);
+    }
+}
