--- a/standin/src/main/java/org/acaciafold/standin/PlatformServer.java
+++ b/standin/src/main/java/org/acaciafold/standin/PlatformServer.java
@@ -123,7 +123,7 @@
 
     private <T> Mono<Void> faulty(HttpServerResponse response, Supplier<T> action, Function<T, Mono<Void>> send) {
         PlatformFault present = fault;
-        Mono<Void> lost = response.status(STATUS_UNAVAILABLE).send();
+        Mono<Void> lost = Mono.defer(() -> response.status(STATUS_UNAVAILABLE).send());
         return switch (present.mode()) {
             case UP -> send.apply(action.get());
             case DOWN -> lost;
--- a/standin/src/test/java/org/acaciafold/standin/StandinServerTest.java
+++ b/standin/src/test/java/org/acaciafold/standin/StandinServerTest.java
@@ -122,7 +122,9 @@
         WorkerReply reply = HttpWorkerClient.of(TIMEOUT_MS)
                 .command("127.0.0.1:" + closedPort(), new WorkerCommand.Release(FENCE))
                 .block();
-        assertEquals("unreachable", assertInstanceOf(WorkerReply.Refused.class, reply).code());
+        assertEquals(
+                "unreachable",
+                assertInstanceOf(WorkerReply.Refused.class, reply).code());
     }
 
     @Test
