Stateful fuzzing of several entry hosts in one JVM

World: entry hosts, workers (the stand-in's agent), table and host list on one clock, with cuts, pauses between decision and sending, kills, table outages and lost answers.

--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
@@ -0,0 +1,299 @@
+package org.acaciafold.proof.fuzz;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import org.acaciafold.coordination.ClientCall;
+import org.acaciafold.coordination.ClientReply;
+import org.acaciafold.coordination.JobPhase;
+import org.acaciafold.coordination.JobRequest;
+import org.acaciafold.coordination.StoredOutcome;
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.Outcome;
+import org.acaciafold.core.model.Priority;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.TeamId;
+
+/** The callers and operators of the fuzz world; what they are told goes to the oracle. */
+final class Clients {
+    static final int TEAMS = 3;
+    private static final long POLL_MS = 500;
+    private static final int HTTP_OK = 200;
+    private static final int MEMORY_MIB_PER_CORE = 1_024;
+
+    private final World world;
+    private final Oracle oracle;
+    private final Map<Long, Consumer<ClientReply>> waiting = new HashMap<>();
+    private final Map<JobId, Accepted> accepted = new TreeMap<>();
+    private final Map<JobId, JobPhase> ended = new TreeMap<>();
+    private final Map<String, String> heldKeys = new TreeMap<>();
+    private long lastCall;
+    private long lastOrder;
+
+    Clients(World world, Oracle oracle) {
+        this.world = world;
+        this.oracle = oracle;
+    }
+
+    static Resources limit(int cores) {
+        return Resources.of(cores * 1_000L, (long) cores * MEMORY_MIB_PER_CORE, 4);
+    }
+
+    static TeamId team(int index) {
+        return TeamId.of("t" + index % TEAMS);
+    }
+
+    static String teamText(int cores) {
+        return """
+                [team]
+                weight = 1.0
+                limit-cpu = %dcores
+                limit-memory = %dMiB
+                limit-accelerators = 4
+                rehome-after = 60s
+                queue-limit = 100
+                """.formatted(cores, cores * MEMORY_MIB_PER_CORE);
+    }
+
+    /** Delivers the answer to a call. */
+    void answered(long call, ClientReply reply) {
+        Consumer<ClientReply> then = waiting.remove(call);
+        if (then != null) {
+            then.accept(reply);
+        }
+    }
+
+    /** Calls a host; the answer may never come. */
+    void call(SimHost host, ClientCall body, Consumer<ClientReply> then) {
+        long call = ++lastCall;
+        waiting.put(call, then);
+        host.receive(new org.acaciafold.coordination.Event.ClientCalled(call, body));
+    }
+
+    /** Cancels every n-th accepted job. */
+    void cancelWave(int every) {
+        int index = 0;
+        for (JobId job : accepted.keySet()) {
+            if (index++ % every == 0) {
+                cancel(job);
+            }
+        }
+    }
+
+    /** Cancels all services, so that only work that ends by itself is left. */
+    void cancelServices() {
+        accepted.forEach((job, what) -> {
+            if (what.shape() == Action.Shape.SERVICE && !oracle.isCancelled(job)) {
+                cancel(job);
+            }
+        });
+    }
+
+    /** Asks for all jobs that are not known to have ended. */
+    void pollJobs() {
+        accepted.forEach((job, what) -> {
+            if (!ended.containsKey(job)) {
+                call(world.anyHost(), new ClientCall.QueryJob(what.team(), job), reply -> notePhase(job, reply));
+            }
+        });
+    }
+
+    /** Returns the accepted jobs that are not known to have ended. */
+    Map<JobId, Accepted> unfinished() {
+        Map<JobId, Accepted> left = new TreeMap<>(accepted);
+        left.keySet().removeAll(ended.keySet());
+        return left;
+    }
+
+    Map<JobId, Accepted> accepted() {
+        return accepted;
+    }
+
+    Map<JobId, JobPhase> ended() {
+        return ended;
+    }
+
+    /** Sends a request that must not be repeated, perhaps with a key that was sent before. */
+    void hold(int key, SimHost host) {
+        String name = "k" + key;
+        heldKeys.put(name, name);
+        ClientCall.Claim claim = new ClientCall.Claim(team(0), name, "digest-" + name);
+        call(host, claim, reply -> {
+            if (reply instanceof ClientReply.Claimed) {
+                execute(name, host);
+            }
+        });
+    }
+
+    /** Repeats all requests that must not be repeated; each must have a final answer. */
+    void repeatHolds() {
+        heldKeys.keySet().forEach(name -> {
+            ClientCall.Claim claim = new ClientCall.Claim(team(0), name, "digest-" + name);
+            SimHost host = world.anyHost();
+            call(host, claim, reply -> {
+                heldKeys.put(name, "answered " + reply.getClass().getSimpleName());
+                switch (reply) {
+                    case ClientReply.Claimed ignored -> execute(name, host);
+                    case ClientReply.Repeated repeated -> checkRepeat(name, repeated);
+                    default -> heldKeys.put(name, name);
+                }
+            });
+        });
+    }
+
+    /** Returns whether each request that must not be repeated has a final answer. */
+    boolean holdsAnswered() {
+        return heldKeys.values().stream().allMatch(state -> state.startsWith("answered"));
+    }
+
+    /** Edits a team's limit. */
+    void setLimit(int team, int cores, SimHost host) {
+        TeamId id = team(team);
+        Resources limit = limit(cores);
+        edit(host, "team/" + id, teamText(cores), new Sent() {
+            @Override
+            public void sent(long order) {
+                oracle.limitSent(id, limit, order);
+            }
+
+            @Override
+            public void accepted(long order) {
+                oracle.limitAccepted(id, limit, order);
+            }
+        });
+    }
+
+    /** Takes a domain out of service or brings it back. */
+    void setDomain(String domain, boolean out, SimHost host) {
+        String text = "[domain]\ntaken-out = " + out + "\nslices = 1\n";
+        edit(host, "domain/" + domain, text, new Sent() {
+            @Override
+            public void sent(long order) {
+                if (!out) {
+                    oracle.domainMayReturn(domain, order);
+                }
+            }
+
+            @Override
+            public void accepted(long order) {
+                oracle.domainAccepted(domain, out, order);
+                world.note("domain " + domain + (out ? " is out" : " is in"));
+            }
+        });
+    }
+
+    /** Submits a job. */
+    void submit(Action.Submit what, SimHost host) {
+        TeamId team = team(what.team());
+        call(host, new ClientCall.Submit(team, "", request(what)), reply -> {
+            if (reply instanceof ClientReply.Submitted submitted) {
+                accepted.put(submitted.job(), new Accepted(team, what.shape(), what.tasks()));
+            }
+        });
+    }
+
+    private void cancel(JobId job) {
+        Accepted what = accepted.get(job);
+        call(world.anyHost(), new ClientCall.Cancel(what.team(), job), reply -> {
+            if (reply instanceof ClientReply.Cancelling) {
+                oracle.cancelled(job);
+            }
+        });
+    }
+
+    private void checkRepeat(String name, ClientReply.Repeated repeated) {
+        boolean ran = oracle.executions(name) > 0;
+        boolean saysRan = repeated.outcome()
+                .map(outcome -> outcome.outcome() == Outcome.RAN)
+                .orElse(ran);
+        if (ran != saysRan) {
+            oracle.violate(world.nowMs(), "request " + name + " ran " + ran + " but its outcome says " + saysRan);
+        }
+    }
+
+    private void edit(SimHost host, String subtree, String text, Sent sent) {
+        call(host, new ClientCall.QuerySettings(subtree), reply -> {
+            if (reply instanceof ClientReply.SettingsFound found) {
+                long order = ++lastOrder;
+                String id = "edit-" + order;
+                sent.sent(order);
+                ClientCall edit = new ClientCall.EditSettings(id, subtree, found.version(), Optional.of(text));
+                call(host, edit, state -> follow(id, order, state, sent));
+            }
+        });
+    }
+
+    private void execute(String name, SimHost host) {
+        oracle.executed(world.nowMs(), name);
+        StoredOutcome outcome = new StoredOutcome(Outcome.RAN, HTTP_OK, "text/plain", new byte[0]);
+        call(host, new ClientCall.Settle(team(0), name, outcome), ignored -> {});
+    }
+
+    private void follow(String id, long order, ClientReply reply, Sent sent) {
+        if (!(reply instanceof ClientReply.EditState state)) {
+            return;
+        }
+        if (state.accepted()) {
+            sent.accepted(order);
+            return;
+        }
+        world.network().later(POLL_MS, () -> poll(id, order, sent));
+    }
+
+    private void poll(String id, long order, Sent sent) {
+        boolean[] answered = {false};
+        call(world.anyHost(), new ClientCall.QueryEdit(id), reply -> {
+            answered[0] = true;
+            if (reply instanceof ClientReply.EditState) {
+                follow(id, order, reply, sent);
+            } else {
+                world.network().later(POLL_MS, () -> poll(id, order, sent));
+            }
+        });
+        world.network().later(10 * POLL_MS, () -> {
+            if (!answered[0]) {
+                poll(id, order, sent);
+            }
+        });
+    }
+
+    private void notePhase(JobId job, ClientReply reply) {
+        if (!(reply instanceof ClientReply.JobFound found)) {
+            return;
+        }
+        switch (found.status().phase()) {
+            case SUCCEEDED, FAILED, CANCELLED -> ended.put(job, found.status().phase());
+            case WAITING, RUNNING -> world.noteStatus(job, found.status());
+            default -> throw new IllegalStateException("unknown phase");
+        }
+    }
+
+    private static JobRequest request(Action.Submit what) {
+        int tasks = what.tasks();
+        JobKind kind =
+                switch (what.shape()) {
+                    case SERVICE -> new JobKind.Service(tasks);
+                    case GANG -> new JobKind.Gang(tasks);
+                    case BATCH, EXCLUSIVE, TOO_LARGE -> new JobKind.Batch(tasks, OptionalLong.empty());
+                };
+        long cores = what.shape() == Action.Shape.TOO_LARGE ? 1_000 : 1;
+        Resources demand = Resources.of(cores * 1_000, MEMORY_MIB_PER_CORE, 0);
+        boolean exclusive = what.shape() == Action.Shape.EXCLUSIVE;
+        long runMs = 500L * (1 + what.tasks());
+        String name = what.shape().name().toLowerCase(java.util.Locale.ROOT) + what.tasks();
+        return new JobRequest(name, kind, demand, Priority.NORMAL, exclusive, runMs, "run=" + runMs);
+    }
+
+    record Accepted(TeamId team, Action.Shape shape, int tasks) {}
+
+    private interface Sent {
+        void sent(long order);
+
+        void accepted(long order);
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -0,0 +1,149 @@
+package org.acaciafold.proof.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Runs one case: start, steps with faults, then everything healed until all work has ended. */
+final class FuzzCase {
+    private static final long BOOTSTRAP_MS = 60_000;
+    private static final long STEP_MS = 100;
+    private static final long POLL_MS = 2_000;
+    private static final long END_MS = 600_000;
+    private static final int LIMIT_CORES = 40;
+    private static final int FINAL_LIMIT_CORES = 60;
+
+    private final World world;
+    private final List<Action> steps;
+
+    private FuzzCase(World world, List<Action> steps) {
+        this.world = world;
+        this.steps = steps;
+    }
+
+    static FuzzCase of(long seed, int domains, List<Action> steps) {
+        return new FuzzCase(new World(seed, domains), steps);
+    }
+
+    /** Runs the case; returns what went wrong, empty when nothing did. */
+    Optional<Finding> run() {
+        bootstrap();
+        for (Action step : steps) {
+            if (!world.oracle().violations().isEmpty()) {
+                break;
+            }
+            world.note("step " + step);
+            apply(step);
+            world.pass(STEP_MS);
+        }
+        if (world.oracle().violations().isEmpty()) {
+            finish();
+        }
+        List<String> violations = world.oracle().violations();
+        return violations.isEmpty() ? Optional.empty() : Optional.of(new Finding(violations.get(0), world.trace()));
+    }
+
+    World world() {
+        return world;
+    }
+
+    private void bootstrap() {
+        for (int team = 0; team < Clients.TEAMS; team++) {
+            world.clients().setLimit(team, LIMIT_CORES, world.host(0));
+            world.pass(POLL_MS);
+        }
+        for (long waited = 0;
+                waited < BOOTSTRAP_MS && !world.oracle().limitsAccepted(Clients.TEAMS);
+                waited += STEP_MS) {
+            world.pass(STEP_MS);
+        }
+        if (!world.oracle().limitsAccepted(Clients.TEAMS)) {
+            world.oracle().violate(world.nowMs(), "the first settings never came into force");
+        }
+    }
+
+    private void apply(Action step) {
+        long nowMs = world.nowMs();
+        switch (step) {
+            case Action.Submit submit -> world.clients().submit(submit, world.host(submit.host()));
+            case Action.CancelWave wave -> world.clients().cancelWave(wave.every());
+            case Action.Hold hold -> world.clients().hold(hold.key(), world.host(hold.host()));
+            case Action.SetLimit limit ->
+                world.clients().setLimit(limit.team(), limit.cores(), world.host(limit.host()));
+            case Action.SetDomain set ->
+                world.clients().setDomain(domain(set.domain()), set.out(), world.host(set.host()));
+            case Action.KillHost kill -> {
+                world.host(kill.host()).kill();
+                world.replaceLater(world.host(kill.host()), kill.replacedAfterMs());
+            }
+            case Action.StopHost stop -> {
+                world.host(stop.host()).stop();
+                world.replaceLater(world.host(stop.host()), stop.replacedAfterMs());
+            }
+            case Action.PauseHost pause -> world.host(pause.host()).pause(nowMs, nowMs + pause.ms());
+            case Action.KillWorker kill -> killWorker(world.worker(kill.worker()), kill.replacedAfterMs());
+            case Action.FailWorker fail -> failWorker(world.worker(fail.worker()), fail.ms());
+            case Action.LeaveWorker leave -> world.worker(leave.worker()).leaving(true);
+            case Action.CutDomains cut ->
+                world.network().cut(domain(cut.first()), domain(cut.second()), nowMs + cut.ms());
+            case Action.CutPlatform cut ->
+                world.network().cut(domain(cut.domain()), Network.PLATFORM, nowMs + cut.ms());
+            case Action.BreakTable broken -> world.breakTable(broken.fault(), broken.ms());
+            case Action.Disturb disturb -> world.network().disturb(disturb, nowMs + disturb.ms());
+            case Action.Pass pass -> world.pass(pass.ms());
+        }
+    }
+
+    private String domain(int index) {
+        return world.domains().get(index % world.domains().size());
+    }
+
+    private void failWorker(SimWorker worker, long ms) {
+        worker.failsEverything(true);
+        world.network().later(ms, () -> worker.failsEverything(false));
+    }
+
+    private void finish() {
+        world.heal();
+        world.pass(END_MS / 10);
+        world.domains().forEach(domain -> world.clients().setDomain(domain, false, world.anyHost()));
+        for (int team = 0; team < Clients.TEAMS; team++) {
+            world.clients().setLimit(team, FINAL_LIMIT_CORES, world.anyHost());
+        }
+        for (long waited = 0; waited < END_MS && !done(); waited += POLL_MS) {
+            world.clients().cancelServices();
+            world.clients().pollJobs();
+            world.clients().repeatHolds();
+            world.pass(POLL_MS);
+        }
+        if (world.oracle().violations().isEmpty() && !done()) {
+            world.oracle().violate(world.nowMs(), "never ended: " + describeUnfinished());
+        }
+    }
+
+    private boolean done() {
+        boolean broken = !world.oracle().violations().isEmpty();
+        return broken
+                || world.clients().unfinished().isEmpty() && world.clients().holdsAnswered();
+    }
+
+    private String describeUnfinished() {
+        List<String> lines = new ArrayList<>();
+        world.clients().unfinished().forEach((job, what) -> lines.add(what + " " + world.lastStatus(job)));
+        if (!world.clients().holdsAnswered()) {
+            lines.add("a request that must not be repeated has no final answer");
+        }
+        return String.join("; ", lines);
+    }
+
+    private void killWorker(SimWorker worker, long replacedAfterMs) {
+        worker.kill();
+        world.network().later(replacedAfterMs, () -> {
+            if (!worker.alive()) {
+                worker.restart();
+            }
+        });
+    }
+
+    record Finding(String violation, List<String> trace) {}
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Oracle.java
@@ -0,0 +1,127 @@
+package org.acaciafold.proof.fuzz;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.TaskId;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.port.TaskView;
+import org.acaciafold.core.port.WorkerCommand;
+import org.acaciafold.core.port.WorkerReply;
+
+/** Knows only what workers and callers saw, and tells where a promise was broken. */
+final class Oracle {
+    private final List<String> violations = new ArrayList<>();
+    private final Map<TeamId, Resources> limits = new TreeMap<>();
+    private final Map<TeamId, TreeMap<Long, Resources>> pendingLimits = new HashMap<>();
+    private final Map<String, Integer> executions = new TreeMap<>();
+    private final Map<String, Long> returnsSent = new HashMap<>();
+    private final Set<String> takenOut = new HashSet<>();
+    private final Set<JobId> cancelled = new HashSet<>();
+
+    /** Checks what runs on all workers at one instant. */
+    void inspect(long nowMs, Collection<SimWorker> workers) {
+        Map<TaskId, SimWorker> exclusive = new HashMap<>();
+        Map<TeamId, Resources> running = new HashMap<>();
+        for (SimWorker worker : workers) {
+            for (TaskView task : worker.tasks(nowMs)) {
+                running.merge(task.spec().team(), task.spec().demand(), Resources::plus);
+                SimWorker other = task.spec().exclusive() ? exclusive.put(task.task(), worker) : null;
+                if (other != null) {
+                    violate(nowMs, "task " + task.task() + " runs on " + other.id() + " and on " + worker.id());
+                }
+            }
+        }
+        running.forEach((team, used) -> {
+            if (!used.fitsIn(highestLimit(team))) {
+                violate(nowMs, "team " + team + " runs " + used + " above " + highestLimit(team));
+            }
+        });
+    }
+
+    /** Checks the answer of a worker to a command. */
+    void answered(long nowMs, SimWorker worker, WorkerCommand command, WorkerReply reply) {
+        if (!(command instanceof WorkerCommand.Start start)) {
+            return;
+        }
+        if (reply instanceof WorkerReply.Refused refused && refused.code().equals("no-capacity")) {
+            violate(nowMs, "worker " + worker.id() + " was given more than it has: " + start.task());
+        }
+        if (reply instanceof WorkerReply.Done && takenOut.contains(worker.domain())) {
+            violate(nowMs, "task " + start.task() + " started in domain " + worker.domain() + ", which is out");
+        }
+    }
+
+    /** Notes that a job's cancellation was answered as durable. */
+    void cancelled(JobId job) {
+        cancelled.add(job);
+    }
+
+    boolean isCancelled(JobId job) {
+        return cancelled.contains(job);
+    }
+
+    /** Notes that a domain's setting was accepted as in force everywhere. */
+    void domainAccepted(String domain, boolean out, long order) {
+        if (out && order > returnsSent.getOrDefault(domain, 0L)) {
+            takenOut.add(domain);
+        }
+    }
+
+    /** Notes that an edit which may bring a domain back was sent. */
+    void domainMayReturn(String domain, long order) {
+        returnsSent.merge(domain, order, Math::max);
+        takenOut.remove(domain);
+    }
+
+    /** Notes one execution of a request that must not be repeated. */
+    void executed(long nowMs, String key) {
+        if (executions.merge(key, 1, Integer::sum) > 1) {
+            violate(nowMs, "request " + key + " ran twice");
+        }
+    }
+
+    int executions(String key) {
+        return executions.getOrDefault(key, 0);
+    }
+
+    /** Notes that a limit was sent and may come into force at any time. */
+    void limitSent(TeamId team, Resources limit, long order) {
+        pendingLimits.computeIfAbsent(team, ignored -> new TreeMap<>()).put(order, limit);
+    }
+
+    /** Notes that a limit was accepted; those sent before it are no longer in force. */
+    void limitAccepted(TeamId team, Resources limit, long order) {
+        limits.put(team, limit);
+        pendingLimits.getOrDefault(team, new TreeMap<>()).headMap(order, true).clear();
+    }
+
+    boolean limitsAccepted(int teams) {
+        return limits.size() >= teams;
+    }
+
+    void violate(long nowMs, String what) {
+        violations.add("at " + nowMs + " ms: " + what);
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    private Resources highestLimit(TeamId team) {
+        Resources highest = limits.getOrDefault(team, Resources.empty());
+        for (Resources pending :
+                pendingLimits.getOrDefault(team, new TreeMap<>()).values()) {
+            highest = highest.max(pending);
+        }
+        return highest;
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
@@ -0,0 +1,97 @@
+package org.acaciafold.proof.fuzz;
+
+import java.util.List;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.HostRole;
+import org.acaciafold.core.port.TaskView;
+import org.acaciafold.core.port.WorkerCommand;
+import org.acaciafold.core.port.WorkerReply;
+import org.acaciafold.standin.WorkerAgent;
+
+/** A worker of the fuzz world: an agent that can die and come back empty. */
+final class SimWorker {
+    static final Resources CAPACITY = Resources.of(8_000, 16_384, 2);
+    private static final int SLOTS = 8;
+    private static final int CONNECTIONS = 64;
+
+    private final WorkerId id;
+    private final String domain;
+    private final String rack;
+    private long incarnation = 1;
+    private WorkerAgent agent;
+    private boolean alive = true;
+    private boolean leaving;
+
+    SimWorker(WorkerId id, String domain, String rack) {
+        this.id = id;
+        this.domain = domain;
+        this.rack = rack;
+        this.agent = fresh();
+    }
+
+    void advance(long nowMs) {
+        if (alive) {
+            agent.advance(nowMs);
+        }
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    WorkerReply command(WorkerCommand command, long nowMs) {
+        return agent.command(command, nowMs);
+    }
+
+    String domain() {
+        return domain;
+    }
+
+    HostEntry entry() {
+        return new HostEntry(
+                id.value(),
+                HostRole.WORKER,
+                org.acaciafold.core.model.DomainId.of(domain),
+                rack,
+                id.value(),
+                id.value(),
+                leaving);
+    }
+
+    void failsEverything(boolean value) {
+        agent.failsEverything(value);
+    }
+
+    WorkerId id() {
+        return id;
+    }
+
+    void kill() {
+        alive = false;
+    }
+
+    void leaving(boolean value) {
+        leaving = value;
+        agent.leaving(value);
+    }
+
+    /** Brings the worker back without tasks, leases or memory of fences. */
+    void restart() {
+        incarnation++;
+        alive = true;
+        leaving = false;
+        agent = fresh();
+    }
+
+    /** Returns the tasks that run now, none when the worker is dead. */
+    List<TaskView> tasks(long nowMs) {
+        return alive ? agent.view(nowMs).tasks() : List.of();
+    }
+
+    private WorkerAgent fresh() {
+        return WorkerAgent.of(id, CAPACITY, rack, SLOTS, CONNECTIONS, incarnation);
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -0,0 +1,267 @@
+package org.acaciafold.proof.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.acaciafold.coordination.Effect;
+import org.acaciafold.coordination.Event;
+import org.acaciafold.coordination.JobStatus;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.ManualClock;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.HostList;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.WorkerReply;
+import org.acaciafold.standin.TableStore;
+
+/** Several entry hosts, workers and the platform on one clock, with faults. */
+final class World {
+    private static final long TICK_MS = 20;
+    private static final long LIST_INTERVAL_MS = 1_000;
+    private static final long LIST_LAG_MS = 2_000;
+    private static final long SLOW_TABLE_MS = 1_500;
+    private static final int HOSTS_PER_DOMAIN = 2;
+    private static final int WORKERS_PER_DOMAIN = 3;
+    private static final int TRACE_LINES = 400;
+
+    private final ManualClock clock = ManualClock.of(1_000_000);
+    private final Network network;
+    private final Random random;
+    private final TableStore table = TableStore.empty();
+    private final Oracle oracle = new Oracle();
+    private final Clients clients = new Clients(this, oracle);
+    private final List<String> domains = new ArrayList<>();
+    private final List<SimHost> hosts = new ArrayList<>();
+    private final Map<WorkerId, SimWorker> workers = new TreeMap<>();
+    private final Map<JobId, JobStatus> lastStatus = new TreeMap<>();
+    private final List<String> trace = new ArrayList<>();
+    private HostList listed = new HostList(List.of());
+    private Action.TableFault tableFault;
+    private long tableFaultUntilMs;
+    private long nextListMs;
+    private long lastIncarnation;
+    private int lastHost;
+
+    World(long seed, int domainCount) {
+        network = Network.of(seed);
+        network.advance(clock.nowMs());
+        random = new Random(seed + 1);
+        for (int d = 0; d < domainCount; d++) {
+            domains.add("d" + d);
+            for (int h = 0; h < HOSTS_PER_DOMAIN; h++) {
+                addHost("d" + d);
+            }
+            for (int w = 0; w < WORKERS_PER_DOMAIN; w++) {
+                WorkerId id = WorkerId.of("d" + d + "w" + w);
+                workers.put(id, new SimWorker(id, "d" + d, "r" + w % 2));
+            }
+        }
+        publishHosts();
+    }
+
+    SimHost anyHost() {
+        List<SimHost> live = hosts.stream()
+                .filter(host -> host.alive() && !host.stopping() && !host.paused(nowMs()))
+                .toList();
+        return live.isEmpty() ? hosts.get(0) : live.get(random.nextInt(live.size()));
+    }
+
+    Clients clients() {
+        return clients;
+    }
+
+    List<String> domains() {
+        return domains;
+    }
+
+    SimHost host(int index) {
+        return hosts.get(index % hosts.size());
+    }
+
+    List<SimHost> hosts() {
+        return hosts;
+    }
+
+    Network network() {
+        return network;
+    }
+
+    void note(String what) {
+        trace.add("at " + nowMs() + " ms: " + what);
+        if (trace.size() > TRACE_LINES) {
+            trace.remove(0);
+        }
+    }
+
+    void noteStatus(JobId job, JobStatus status) {
+        lastStatus.put(job, status);
+    }
+
+    JobStatus lastStatus(JobId job) {
+        return lastStatus.get(job);
+    }
+
+    long nowMs() {
+        return clock.nowMs();
+    }
+
+    Oracle oracle() {
+        return oracle;
+    }
+
+    /** Lets time pass until it has or a promise is broken. */
+    void pass(long ms) {
+        long endMs = nowMs() + ms;
+        while (nowMs() < endMs && oracle.violations().isEmpty()) {
+            step();
+        }
+    }
+
+    void breakTable(Action.TableFault fault, long ms) {
+        tableFault = fault;
+        tableFaultUntilMs = nowMs() + ms;
+    }
+
+    void replaceLater(SimHost host, long afterMs) {
+        network.later(afterMs, () -> {
+            hosts.remove(host);
+            addHost(host.domain());
+        });
+    }
+
+    void heal() {
+        network.heal();
+        tableFaultUntilMs = 0;
+        hosts.forEach(SimHost::wake);
+        workers.values().forEach(worker -> {
+            worker.failsEverything(false);
+            if (!worker.alive()) {
+                worker.restart();
+            }
+            worker.leaving(false);
+        });
+    }
+
+    TableStore table() {
+        return table;
+    }
+
+    List<String> trace() {
+        return trace;
+    }
+
+    SimWorker worker(int index) {
+        List<SimWorker> all = List.copyOf(workers.values());
+        return all.get(index % all.size());
+    }
+
+    private void addHost(String domain) {
+        HostId id = HostId.of(domain + "h" + lastHost++);
+        hosts.add(new SimHost(id, domain, ++lastIncarnation, clock));
+    }
+
+    private void carryOut(SimHost host, Effect effect) {
+        switch (effect) {
+            case Effect.CallTable call -> callTable(host, call);
+            case Effect.CallWorker call -> callWorker(host, call);
+            case Effect.SendPeer send -> sendPeer(host, send);
+            case Effect.AnswerClient answer -> network.later(1, () -> clients.answered(answer.call(), answer.reply()));
+            case Effect.Stopped ignored -> host.kill();
+        }
+    }
+
+    private void callTable(SimHost host, Effect.CallTable call) {
+        network.send(host.domain(), Network.PLATFORM, () -> {
+            boolean broken = nowMs() < tableFaultUntilMs;
+            if (broken && tableFault == Action.TableFault.DOWN) {
+                return;
+            }
+            if (broken && tableFault == Action.TableFault.SLOW) {
+                network.later(SLOW_TABLE_MS, () -> answerTable(host, call, false));
+                return;
+            }
+            answerTable(host, call, broken && random.nextBoolean());
+        });
+    }
+
+    private void answerTable(SimHost host, Effect.CallTable call, boolean lost) {
+        TableReply reply = table.call(call.request());
+        if (call.request() instanceof TableRequest.Commit commit) {
+            note(host.id() + " commits "
+                    + commit.writes().stream().map(write -> write.key()).toList() + " -> "
+                    + reply.getClass().getSimpleName());
+        }
+        if (!lost) {
+            network.send(
+                    Network.PLATFORM, host.domain(), () -> host.receive(new Event.TableAnswered(call.call(), reply)));
+        }
+    }
+
+    private void callWorker(SimHost host, Effect.CallWorker call) {
+        SimWorker worker = workers.get(call.worker());
+        network.send(host.domain(), worker.domain(), () -> {
+            if (!worker.alive()) {
+                return;
+            }
+            WorkerReply reply = worker.command(call.command(), nowMs());
+            noteCommand(host, worker, call, reply);
+            oracle.answered(nowMs(), worker, call.command(), reply);
+            network.send(
+                    worker.domain(), host.domain(), () -> host.receive(new Event.WorkerAnswered(call.call(), reply)));
+        });
+    }
+
+    private void noteCommand(SimHost host, SimWorker worker, Effect.CallWorker call, WorkerReply reply) {
+        if (!(reply instanceof WorkerReply.Claimed)) {
+            String command = call.command().toString();
+            note(host.id() + " to " + worker.id() + ": " + command.substring(0, Math.min(160, command.length()))
+                    + " -> " + reply);
+        }
+    }
+
+    private void sendPeer(SimHost from, Effect.SendPeer send) {
+        hosts.stream()
+                .filter(host -> host.id().equals(send.to()))
+                .findFirst()
+                .ifPresent(to -> network.send(
+                        from.domain(),
+                        to.domain(),
+                        () -> to.receive(new Event.PeerReceived(from.id(), send.message()))));
+    }
+
+    private void publishHosts() {
+        List<HostEntry> entries = new ArrayList<>();
+        hosts.stream().filter(SimHost::alive).forEach(host -> entries.add(host.entry()));
+        workers.values().stream().filter(SimWorker::alive).forEach(worker -> entries.add(worker.entry()));
+        HostList next = new HostList(entries);
+        if (listed.hosts().isEmpty()) {
+            listed = next;
+        } else {
+            network.later(LIST_LAG_MS, () -> listed = next);
+        }
+    }
+
+    private void step() {
+        clock.advance(TICK_MS);
+        workers.values().forEach(worker -> worker.advance(nowMs()));
+        network.advance(nowMs());
+        if (nowMs() >= nextListMs) {
+            nextListMs = nowMs() + LIST_INTERVAL_MS;
+            publishHosts();
+            for (SimHost host : hosts) {
+                HostList list = listed;
+                network.send(Network.PLATFORM, host.domain(), () -> host.receive(new Event.HostsListed(list)));
+            }
+        }
+        for (SimHost host : List.copyOf(hosts)) {
+            host.tick(nowMs()).forEach(effect -> carryOut(host, effect));
+        }
+        oracle.inspect(nowMs(), workers.values());
+    }
+}
