Settings in force by registration, checked edits and self-validating reads

A host registers in a transaction that checks the version of the tree, so a scan of the registrations after an edit misses no host that could act without it.

--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -25,6 +25,7 @@
     private FleetSettings settings = FleetSettings.empty();
     private boolean limitsInForce;
     private boolean tableAnswers;
+    private boolean registered;
     private boolean stopping;
 
     private HostState(HostConfig config, Clock clock) {
@@ -75,6 +76,15 @@
         return peers;
     }
 
+    /** Returns whether this host is registered, without which it must not act; written by {@link SettingsSystem}. */
+    boolean registered() {
+        return registered;
+    }
+
+    void registered(boolean value) {
+        registered = value;
+    }
+
     /** Returns the settings in force here; written by the settings system. */
     FleetSettings settings() {
         return settings;
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/Registration.java
@@ -0,0 +1,168 @@
+package org.acaciafold.coordination;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.port.Check;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.Write;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps this host's registration, without which it must not act, and writes there which settings are in force.
+ *
+ * <p>Registering checks in the same transaction that the tree still has the version in force here. A row of another
+ * start of the same host is overwritten by the later start; the earlier one then never acts again.
+ */
+final class Registration {
+    private static final Logger LOG = LoggerFactory.getLogger(Registration.class);
+    private static final long RETRY_MS = 200;
+
+    private final HostState state;
+    private final String key;
+    private Optional<SettingsRows.HostRow> row = Optional.empty();
+    private long rowVersion;
+    private boolean calling;
+    private boolean superseded;
+    private boolean wasRegistered;
+    private long notBeforeMs;
+
+    private Registration(HostState state) {
+        this.state = state;
+        this.key = SettingsRows.host(state.config().host());
+    }
+
+    static Registration of(HostState state) {
+        return new Registration(state);
+    }
+
+    /** Tells whether the table has no registration of this host that it would have to take back. */
+    boolean released() {
+        return row.isEmpty() && !calling;
+    }
+
+    /**
+     * Registers, acknowledges the settings in force, or takes the registration back when the host stops.
+     *
+     * @param nowMs the time in milliseconds
+     * @param treeKnown whether the tree was read since the start
+     * @param outbox where calls go
+     */
+    void tick(long nowMs, boolean treeKnown, Outbox outbox) {
+        if (calling || superseded || nowMs < notBeforeMs) {
+            return;
+        }
+        if (state.stopping()) {
+            deregister(outbox);
+        } else if (row.isEmpty() && treeKnown) {
+            readOwn(outbox);
+        } else if (row.isPresent() && !row.get().equals(wanted())) {
+            SettingsRows.HostRow next = wanted();
+            write(next, List.of(new Check(key, rowVersion)), outbox);
+        }
+    }
+
+    private void adopt(Optional<Row> found) {
+        if (found.isEmpty()) {
+            lost(0);
+            return;
+        }
+        rowVersion = found.get().version();
+        try {
+            SettingsRows.HostRow content = SettingsRows.decode(found.get(), SettingsRows.HostRow.class);
+            if (content.incarnation() == state.config().incarnation()) {
+                hold(content, rowVersion);
+            } else if (wasRegistered) {
+                superseded = true;
+                lost(rowVersion);
+                LOG.error(
+                        "another process runs as {}; this one does not act any more",
+                        state.config().host());
+            }
+        } catch (AcaciafoldException e) {
+            LOG.error("unreadable registration {}: {}", key, e.getMessage());
+        }
+    }
+
+    private void deregister(Outbox outbox) {
+        if (row.isEmpty() || !state.owned().isEmpty()) {
+            return;
+        }
+        state.registered(false);
+        TableRequest request =
+                new TableRequest.Commit(List.of(new Check(key, rowVersion)), List.of(new Write(key, Optional.empty())));
+        call(outbox, request, reply -> {
+            if (!(reply instanceof TableReply.Unavailable)) {
+                lost(0);
+            }
+        });
+    }
+
+    private void hold(SettingsRows.HostRow content, long version) {
+        row = Optional.of(content);
+        rowVersion = version;
+        wasRegistered = true;
+        state.registered(true);
+    }
+
+    private void lost(long version) {
+        row = Optional.empty();
+        rowVersion = version;
+        state.registered(false);
+    }
+
+    private void readOwn(Outbox outbox) {
+        call(outbox, new TableRequest.Read(List.of(key)), reply -> {
+            if (reply instanceof TableReply.Rows found) {
+                adopt(found.rows().stream().findFirst());
+                if (row.isEmpty() && !superseded) {
+                    register(outbox);
+                }
+            }
+        });
+    }
+
+    private void register(Outbox outbox) {
+        List<Check> checks =
+                List.of(new Check(SettingsRows.HEAD, state.settings().version()), new Check(key, rowVersion));
+        write(wanted(), checks, outbox);
+    }
+
+    private SettingsRows.HostRow wanted() {
+        long version = state.settings().version();
+        long limitsBefore = row.map(SettingsRows.HostRow::limitsWithin).orElse(0L);
+        long limitsWithin = state.limitsInForce() ? version : limitsBefore;
+        return new SettingsRows.HostRow(
+                state.config().incarnation(), state.config().domain(), version, limitsWithin);
+    }
+
+    private void write(SettingsRows.HostRow next, List<Check> checks, Outbox outbox) {
+        Write write = SettingsRows.write(key, next, SettingsRows.HostRow.class);
+        call(outbox, new TableRequest.Commit(checks, List.of(write)), reply -> {
+            switch (reply) {
+                case TableReply.Committed committed -> hold(next, committed.version());
+                case TableReply.Conflict conflict ->
+                    adopt(conflict.current().stream()
+                            .filter(found -> found.key().equals(key))
+                            .findFirst());
+                case TableReply.Unavailable ignored -> LOG.debug("registration of {} not confirmed", key);
+                case TableReply.Rows ignored -> throw new IllegalStateException("rows as the answer to a commit");
+            }
+        });
+    }
+
+    private void call(Outbox outbox, TableRequest request, Consumer<TableReply> then) {
+        calling = true;
+        outbox.call(state.clock().nowMs(), request, reply -> {
+            calling = false;
+            boolean done = reply instanceof TableReply.Committed || reply instanceof TableReply.Rows;
+            notBeforeMs = done ? 0 : state.clock().nowMs() + RETRY_MS;
+            then.accept(reply);
+        });
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
@@ -0,0 +1,123 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciafold.core.codec.Codec;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.DomainId;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.Write;
+
+/** The rows of the settings tree, of its edits and of the registered entry hosts, and their keys. */
+final class SettingsRows {
+    /** The row whose version is the version of the whole tree. */
+    static final String HEAD = "settings-version";
+
+    /** The prefix of the rows of the subtrees. */
+    static final String SUBTREES = "settings/";
+
+    /** The prefix of the registrations. */
+    static final String HOSTS = "host/";
+
+    private static final String EDITS = "edit/";
+    private static final int REMEMBERED_CHANGES = 16;
+
+    private SettingsRows() {}
+
+    static String edit(String editId) {
+        return EDITS + editId;
+    }
+
+    static String host(HostId host) {
+        return HOSTS + host;
+    }
+
+    static String subtree(String subtree) {
+        return SUBTREES + subtree;
+    }
+
+    static <T> T decode(Row row, Class<T> type) throws AcaciafoldException {
+        return Codec.json().decode(row.value(), type, Step.TABLE, row.key());
+    }
+
+    static <T> Write write(String key, T value, Class<T> type) {
+        return new Write(key, Optional.of(Codec.json().encode(value, type)));
+    }
+
+    /**
+     * A change of one subtree.
+     *
+     * @param version the version of the tree that the change made
+     * @param subtree the path
+     * @param removed whether the subtree was removed
+     */
+    record Change(long version, String subtree, boolean removed) {}
+
+    /**
+     * An edit that took effect.
+     *
+     * @param digest a digest of the edit, to refuse another edit under the same identifier
+     * @param changesLimit whether it changed the upper limit of a team or removed a team
+     */
+    record EditRow(String digest, boolean changesLimit) {}
+
+    /**
+     * The registration of an entry host.
+     *
+     * @param incarnation the start of the host
+     * @param domain its failure domain
+     * @param acknowledged the version of the settings in force there
+     * @param limitsWithin the version under which the host has seen all teams within their limits
+     */
+    record HostRow(long incarnation, DomainId domain, long acknowledged, long limitsWithin) {}
+
+    /**
+     * The content of the head row, which names the latest changes so that a host reads only these.
+     *
+     * @param subtree the subtree that this version changed
+     * @param removed whether it was removed
+     * @param earlier the changes before, the latest first
+     */
+    record Head(String subtree, boolean removed, List<Change> earlier) {
+        Head {
+            earlier = List.copyOf(earlier);
+        }
+
+        /** Returns the changes above a version, empty when some of them are no longer remembered. */
+        Optional<List<Change>> changesAfter(long known, long version) {
+            List<Change> changes = new ArrayList<>();
+            changes.add(new Change(version, subtree, removed));
+            for (Change change : earlier) {
+                if (change.version() <= known) {
+                    return Optional.of(changes);
+                }
+                boolean repeated =
+                        changes.stream().anyMatch(later -> later.subtree().equals(change.subtree()));
+                if (!repeated) {
+                    changes.add(change);
+                }
+            }
+            return Optional.empty();
+        }
+
+        /** Returns the head after the next change. */
+        Head next(long version, String changed, boolean removal) {
+            List<Change> changes = new ArrayList<>();
+            changes.add(new Change(version, subtree, removed));
+            earlier.stream().limit(REMEMBERED_CHANGES - 1L).forEach(changes::add);
+            return new Head(changed, removal, changes);
+        }
+    }
+
+    /**
+     * The row of a subtree.
+     *
+     * @param editId the edit that wrote it
+     * @param text its text in INI
+     */
+    record SubtreeRow(String editId, String text) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/StoredTree.java
@@ -0,0 +1,75 @@
+package org.acaciafold.coordination;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.acaciafold.settings.SettingsTree;
+
+/** The settings tree as the table has it at one version, immutable. */
+final class StoredTree {
+    private static final StoredTree EMPTY = new StoredTree(0, Optional.empty(), Map.of());
+
+    private final long version;
+    private final Optional<SettingsRows.Head> head;
+    private final Map<String, Subtree> subtrees;
+
+    private StoredTree(long version, Optional<SettingsRows.Head> head, Map<String, Subtree> subtrees) {
+        this.version = version;
+        this.head = head;
+        this.subtrees = subtrees;
+    }
+
+    static StoredTree empty() {
+        return EMPTY;
+    }
+
+    static StoredTree of(long version, SettingsRows.Head head, Map<String, Subtree> subtrees) {
+        return new StoredTree(version, Optional.of(head), new TreeMap<>(subtrees));
+    }
+
+    /** Returns the tree after one more change. */
+    StoredTree changed(long newVersion, SettingsRows.Head newHead, String subtree, Optional<String> text) {
+        Map<String, Subtree> next = new TreeMap<>(subtrees);
+        text.ifPresentOrElse(value -> next.put(subtree, new Subtree(newVersion, value)), () -> next.remove(subtree));
+        return new StoredTree(newVersion, Optional.of(newHead), next);
+    }
+
+    /** Returns the head of the tree after one more change. */
+    SettingsRows.Head nextHead(String subtree, boolean removal) {
+        return head.map(present -> present.next(version, subtree, removal))
+                .orElseGet(() ->
+                        new SettingsRows.Head(subtree, removal, List.of(new SettingsRows.Change(0, subtree, true))));
+    }
+
+    /** Returns a subtree, empty when there is none. */
+    Optional<Subtree> subtree(String path) {
+        return Optional.ofNullable(subtrees.get(path));
+    }
+
+    /** Returns the subtrees by path. */
+    Map<String, Subtree> subtrees() {
+        return subtrees;
+    }
+
+    /** Returns the texts of the tree, not yet checked. */
+    SettingsTree texts() {
+        Map<String, String> texts = new HashMap<>();
+        subtrees.forEach((path, subtree) -> texts.put(path, subtree.text()));
+        return SettingsTree.of(version, texts);
+    }
+
+    long version() {
+        return version;
+    }
+
+    /**
+     * The text of a subtree.
+     *
+     * @param version the version of the tree that changed it last
+     * @param text its text in INI
+     */
+    record Subtree(long version, String text) {}
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -7,6 +7,7 @@
     private Systems() {}
 
     static List<HostSystem> inOrder(HostState state) {
-        return List.of(MembershipSystem.of(state), ClaimSystem.of(state), AllotmentSystem.of(state));
+        return List.of(
+                MembershipSystem.of(state), ClaimSystem.of(state), AllotmentSystem.of(state), SettingsSystem.of(state));
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/TreeLoader.java
@@ -0,0 +1,156 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the settings tree from the table at one version.
+ *
+ * <p>The head row names the latest changes with their versions, so a host that lags little reads just these subtrees; a
+ * row of another version than the head names shows that the two reads belong to different versions. A host that lags
+ * more reads all subtrees between two equal reads of the head.
+ */
+final class TreeLoader {
+    private static final Logger LOG = LoggerFactory.getLogger(TreeLoader.class);
+    private static final int PAGE = 500;
+
+    private final Clock clock;
+    private final Outbox outbox;
+    private final StoredTree base;
+    private final Consumer<Optional<StoredTree>> then;
+
+    private TreeLoader(Clock clock, Outbox outbox, StoredTree base, Consumer<Optional<StoredTree>> then) {
+        this.clock = clock;
+        this.outbox = outbox;
+        this.base = base;
+        this.then = then;
+    }
+
+    /**
+     * Reads the tree.
+     *
+     * @param clock the clock of the process
+     * @param outbox where calls go
+     * @param base the tree that is known, returned when the table has none above it
+     * @param then gets the tree; empty when the table does not answer or changed meanwhile
+     */
+    static void load(Clock clock, Outbox outbox, StoredTree base, Consumer<Optional<StoredTree>> then) {
+        TreeLoader loader = new TreeLoader(clock, outbox, base, then);
+        loader.readHead(loader::headRead);
+    }
+
+    private void headRead(Optional<Row> row) {
+        long version = row.map(Row::version).orElse(0L);
+        if (version <= base.version()) {
+            then.accept(Optional.of(base));
+            return;
+        }
+        decode(row.orElseThrow(), SettingsRows.Head.class).ifPresent(head -> {
+            Optional<List<SettingsRows.Change>> changes =
+                    base.version() == 0 ? Optional.empty() : head.changesAfter(base.version(), version);
+            changes.ifPresentOrElse(
+                    changed -> readChanges(version, head, changed), () -> scan(version, head, "", new TreeMap<>()));
+        });
+    }
+
+    private void readChanges(long version, SettingsRows.Head head, List<SettingsRows.Change> changes) {
+        List<String> keys = changes.stream()
+                .map(change -> SettingsRows.subtree(change.subtree()))
+                .toList();
+        rows(new TableRequest.Read(keys), rows -> {
+            Map<String, StoredTree.Subtree> subtrees = new TreeMap<>(base.subtrees());
+            Map<String, Row> found = new HashMap<>();
+            rows.forEach(row -> found.put(row.key(), row));
+            for (SettingsRows.Change change : changes) {
+                Row row = found.get(SettingsRows.subtree(change.subtree()));
+                if (!apply(change, row, subtrees)) {
+                    then.accept(Optional.empty());
+                    return;
+                }
+            }
+            then.accept(Optional.of(StoredTree.of(version, head, subtrees)));
+        });
+    }
+
+    private static boolean apply(SettingsRows.Change change, Row row, Map<String, StoredTree.Subtree> subtrees) {
+        if (change.removed()) {
+            subtrees.remove(change.subtree());
+            return row == null;
+        }
+        if (row == null || row.version() != change.version()) {
+            return false;
+        }
+        return put(row, subtrees);
+    }
+
+    private void readHead(Consumer<Optional<Row>> withRow) {
+        rows(
+                new TableRequest.Read(List.of(SettingsRows.HEAD)),
+                rows -> withRow.accept(rows.stream().findFirst()));
+    }
+
+    private void scan(long version, SettingsRows.Head head, String after, Map<String, StoredTree.Subtree> subtrees) {
+        rows(new TableRequest.Scan(SettingsRows.SUBTREES, after, PAGE), rows -> {
+            for (Row row : rows) {
+                if (row.version() > version || !put(row, subtrees)) {
+                    then.accept(Optional.empty());
+                    return;
+                }
+            }
+            if (rows.size() == PAGE) {
+                scan(version, head, rows.getLast().key(), subtrees);
+                return;
+            }
+            readHead(again -> {
+                boolean same = again.map(Row::version).orElse(0L) == version;
+                then.accept(same ? Optional.of(StoredTree.of(version, head, subtrees)) : Optional.empty());
+            });
+        });
+    }
+
+    private <T> Optional<T> decode(Row row, Class<T> type) {
+        try {
+            return Optional.of(SettingsRows.decode(row, type));
+        } catch (AcaciafoldException e) {
+            LOG.error("unreadable row {} of version {}: {}", row.key(), row.version(), e.getMessage());
+            then.accept(Optional.empty());
+            return Optional.empty();
+        }
+    }
+
+    private static boolean put(Row row, Map<String, StoredTree.Subtree> subtrees) {
+        try {
+            String text =
+                    SettingsRows.decode(row, SettingsRows.SubtreeRow.class).text();
+            String path = row.key().substring(SettingsRows.SUBTREES.length());
+            subtrees.put(path, new StoredTree.Subtree(row.version(), text));
+            return true;
+        } catch (AcaciafoldException e) {
+            LOG.error("unreadable row {} of version {}: {}", row.key(), row.version(), e.getMessage());
+            return false;
+        }
+    }
+
+    private void rows(TableRequest request, Consumer<List<Row>> withRows) {
+        outbox.call(clock.nowMs(), request, reply -> {
+            if (reply instanceof TableReply.Rows found) {
+                withRows.accept(new ArrayList<>(found.rows()));
+            } else {
+                then.accept(Optional.empty());
+            }
+        });
+    }
+}
