Stateful property test of the placement plane against an oracle

Cause: the promises of placement had no proof. Chains of submissions, ends, refusals, lost leases, worker changes and closures run against an oracle that counts every reservation. Checked by hand that the test fails when the allotment check, the undo of a partial gang, the wake-up of blocked queues or the cancelled mark is taken out.

--- /dev/null
+++ b/core/src/test/java/org/acaciafold/core/placement/SliceModel.java
@@ -0,0 +1,258 @@
+package org.acaciafold.core.placement;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.TaskId;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.EndReason;
+import org.acaciafold.core.port.StopMode;
+import org.acaciafold.core.port.TaskEnd;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A plane beside a simple oracle that checks each decision. */
+final class SliceModel {
+    static final Resources ALLOTMENT = Resources.of(40_000, 4_000, 4);
+    private static final long TICK_MS = 20;
+
+    final PlacementPlane plane;
+    final Map<WorkerId, WorkerSpec> workers = new LinkedHashMap<>();
+    final Map<WorkerId, WorkerState> states = new HashMap<>();
+    final Map<JobId, JobSpec> jobs = new LinkedHashMap<>();
+    final Set<JobId> cancelled = new HashSet<>();
+    final Set<JobId> failing = new HashSet<>();
+    final Map<TaskId, Long> attempts = new HashMap<>();
+    final Map<TaskId, Running> running = new LinkedHashMap<>();
+    final Set<TaskId> succeeded = new HashSet<>();
+    boolean open = true;
+    long nowMs = 1_000;
+    private long endId;
+
+    SliceModel(long seed) {
+        plane = TablePlane.of(seed);
+        for (int i = 0; i < 3; i++) {
+            plane.team(TeamId.of("team" + i), terms(ALLOTMENT));
+        }
+        for (int i = 0; i < 4; i++) {
+            putWorker(i, WorkerState.READY);
+        }
+    }
+
+    /** An attempt that holds resources. */
+    record Running(long attempt, WorkerId worker, JobSpec spec, boolean stopping) {}
+
+    static TeamTerms terms(Resources allotment) {
+        return new TeamTerms(
+                1,
+                allotment,
+                new ServicePolicy.Spread(1),
+                new BatchPolicy.DeadlineOrder(1.5),
+                new GangPolicy.Reserve(200));
+    }
+
+    void putWorker(int index, WorkerState state) {
+        WorkerId id = WorkerId.of("w" + index);
+        Resources capacity = Resources.of(8_000 + 4_000 * (index % 2), 1_000, index % 2);
+        workers.put(id, new WorkerSpec(id, "rack" + index % 2, capacity));
+        states.put(id, state);
+        plane.putWorker(workers.get(id), state);
+    }
+
+    void submit(JobSpec spec) {
+        jobs.put(spec.id(), spec);
+        plane.submit(spec, new BitSet(), nowMs);
+    }
+
+    void cancel(int choice) {
+        if (!jobs.isEmpty()) {
+            JobId id = List.copyOf(jobs.keySet()).get(choice % jobs.size());
+            cancelled.add(id);
+            plane.cancel(id);
+        }
+    }
+
+    void open(boolean value) {
+        open = value;
+        plane.open(value);
+    }
+
+    void end(int choice, EndReason reason) {
+        if (running.isEmpty()) {
+            return;
+        }
+        TaskId task = List.copyOf(running.keySet()).get(choice % running.size());
+        end(task, reason);
+    }
+
+    void end(TaskId task, EndReason reason) {
+        Running run = running.remove(task);
+        if (reason == EndReason.SUCCEEDED && !(run.spec().kind() instanceof JobKind.Service)) {
+            succeeded.add(task);
+        }
+        if (reason == EndReason.FAILED) {
+            failing.add(task.job());
+        }
+        plane.ended(new TaskEnd(endId++, task, run.attempt(), reason, "", 50), nowMs);
+    }
+
+    void refuse(int choice) {
+        if (!running.isEmpty()) {
+            TaskId task = List.copyOf(running.keySet()).get(choice % running.size());
+            plane.refused(task, running.remove(task).attempt(), nowMs);
+        }
+    }
+
+    void lose(int choice) {
+        if (!running.isEmpty()) {
+            TaskId task = List.copyOf(running.keySet()).get(choice % running.size());
+            plane.lost(task, running.remove(task).attempt());
+        }
+    }
+
+    /** Runs the systems once and checks every decision. */
+    void tick() {
+        nowMs += TICK_MS;
+        Set<JobId> before = new HashSet<>();
+        running.keySet().forEach(task -> before.add(task.job()));
+        Map<JobId, Integer> gangStarts = new HashMap<>();
+        for (Decision decision : plane.tick(nowMs)) {
+            switch (decision) {
+                case Decision.Start start -> {
+                    applyStart(start);
+                    if (start.spec().kind() instanceof JobKind.Gang) {
+                        assertFalse(before.contains(start.spec().id()), "a gang starts while a part of it runs");
+                        gangStarts.merge(start.spec().id(), 1, Integer::sum);
+                    }
+                }
+                case Decision.StopTask stop -> applyStop(stop);
+                case Decision.JobStuck stuck -> assertTrue(jobs.containsKey(stuck.job()));
+                case Decision.WantsAllotment wants ->
+                    assertFalse(wants.missing().fitsIn(Resources.empty()));
+            }
+        }
+        gangStarts.forEach((job, count) -> assertEquals(remaining(job), count, "all of a gang or none"));
+        assertEquals(total(), plane.summary().reserved());
+        assertEquals(running.size(), plane.summary().running());
+    }
+
+    /** Ends what runs and ticks until nothing that fits is left. */
+    void settle() {
+        open(true);
+        workers.keySet().forEach(id -> putWorker(Integer.parseInt(id.value().substring(1)), WorkerState.READY));
+        jobs.values().stream()
+                .filter(spec -> spec.kind() instanceof JobKind.Service)
+                .forEach(spec -> {
+                    cancelled.add(spec.id());
+                    plane.cancel(spec.id());
+                });
+        for (int round = 0; round < 400 && !settled(); round++) {
+            nowMs += 5_000;
+            tick();
+            for (TaskId task : List.copyOf(running.keySet())) {
+                end(task, running.get(task).stopping() ? EndReason.CHECKPOINTED : EndReason.SUCCEEDED);
+            }
+        }
+        jobs.values().forEach(this::assertSettled);
+        assertEquals(Resources.empty(), plane.summary().reserved());
+    }
+
+    private boolean settled() {
+        return running.isEmpty() && jobs.values().stream().allMatch(this::done);
+    }
+
+    private boolean done(JobSpec spec) {
+        return cancelled.contains(spec.id())
+                || !fits(spec)
+                || failing.contains(spec.id())
+                        && plane.progress(spec.id()).orElseThrow().problem().isPresent()
+                || plane.progress(spec.id()).orElseThrow().waiting() == 0 && remaining(spec.id()) == 0;
+    }
+
+    private void assertSettled(JobSpec spec) {
+        assertTrue(
+                done(spec) || failing.contains(spec.id()),
+                () -> "fits and did not run: " + spec + " " + plane.progress(spec.id()));
+    }
+
+    private boolean fits(JobSpec spec) {
+        if (!spec.demand()
+                .times(spec.kind() instanceof JobKind.Gang ? spec.kind().tasks() : 1)
+                .fitsIn(ALLOTMENT)) {
+            return false;
+        }
+        int places = workers.values().stream()
+                .mapToInt(worker -> places(worker, spec.demand()))
+                .sum();
+        return places >= (spec.kind() instanceof JobKind.Gang ? remaining(spec.id()) : 1);
+    }
+
+    private static int places(WorkerSpec worker, Resources demand) {
+        int count = 0;
+        while (demand.times(count + 1).fitsIn(worker.capacity())) {
+            count++;
+        }
+        return count;
+    }
+
+    private int remaining(JobId job) {
+        int done =
+                (int) succeeded.stream().filter(task -> task.job().equals(job)).count();
+        return jobs.get(job).kind().tasks() - done;
+    }
+
+    private void applyStart(Decision.Start start) {
+        TaskId task = start.task();
+        assertTrue(open, "nothing starts in a closed domain");
+        assertFalse(cancelled.contains(task.job()), "a cancelled job does not start");
+        assertFalse(running.containsKey(task), "a task never runs in two places");
+        assertFalse(succeeded.contains(task), "a task that ended does not start");
+        assertEquals(WorkerState.READY, states.get(start.worker()));
+        assertTrue(start.attempt() > attempts.getOrDefault(task, 0L), "attempts increase");
+        attempts.put(task, start.attempt());
+        running.put(task, new Running(start.attempt(), start.worker(), start.spec(), false));
+        assertTrue(held(start.worker()).fitsIn(workers.get(start.worker()).capacity()), "no worker above capacity");
+        assertTrue(heldBy(start.spec().team()).fitsIn(ALLOTMENT), "no team above its allotment");
+    }
+
+    private void applyStop(Decision.StopTask stop) {
+        Running run = running.get(stop.task());
+        assertEquals(stop.attempt(), run.attempt());
+        assertEquals(stop.worker(), run.worker());
+        running.put(stop.task(), new Running(run.attempt(), run.worker(), run.spec(), true));
+        assertFalse(run.spec().kind() instanceof JobKind.Service && stop.mode() == StopMode.CHECKPOINT);
+    }
+
+    private Resources held(WorkerId worker) {
+        return sum(running.values().stream()
+                .filter(run -> run.worker().equals(worker))
+                .toList());
+    }
+
+    private Resources heldBy(TeamId team) {
+        return sum(running.values().stream()
+                .filter(run -> run.spec().team().equals(team))
+                .toList());
+    }
+
+    private Resources total() {
+        return sum(new ArrayList<>(running.values()));
+    }
+
+    private static Resources sum(List<Running> runs) {
+        return runs.stream().map(run -> run.spec().demand()).reduce(Resources.empty(), Resources::plus);
+    }
+}
