--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
@@ -1,10 +1,13 @@
 package org.acaciafold.proof.fuzz;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 import org.acaciafold.coordination.ClientCall;
@@ -22,6 +25,8 @@
 /** The callers and operators of the fuzz world; what they are told goes to the oracle. */
 final class Clients {
     static final int TEAMS = 3;
+    private static final List<Action.Shape> PROBES =
+            List.of(Action.Shape.BATCH, Action.Shape.EXCLUSIVE, Action.Shape.GANG);
     private static final long POLL_MS = 500;
     private static final int HTTP_OK = 200;
     private static final int MEMORY_MIB_PER_CORE = 1_024;
@@ -32,6 +37,7 @@
     private final Map<JobId, Accepted> accepted = new TreeMap<>();
     private final Map<JobId, JobPhase> ended = new TreeMap<>();
     private final Map<String, String> heldKeys = new TreeMap<>();
+    private final Set<String> probesAccepted = new TreeSet<>();
     private long lastCall;
     private long lastOrder;
 
@@ -189,10 +195,34 @@
 
     /** Submits a job. */
     void submit(Action.Submit what, SimHost host) {
+        submit(what, host, "");
+    }
+
+    /** Submits one job of each kind for each team, with keys under which a repeat finds the first job. */
+    void submitProbes() {
+        for (int team = 0; team < TEAMS; team++) {
+            for (Action.Shape shape : PROBES) {
+                String key = "probe-" + team + "-" + shape;
+                if (!probesAccepted.contains(key)) {
+                    submit(new Action.Submit(team, shape, 2, 0), world.anyHost(), key);
+                }
+            }
+        }
+    }
+
+    /** Returns whether all jobs that were submitted after the faults are accepted. */
+    boolean probesAccepted() {
+        return probesAccepted.size() == TEAMS * PROBES.size();
+    }
+
+    private void submit(Action.Submit what, SimHost host, String key) {
         TeamId team = team(what.team());
-        call(host, new ClientCall.Submit(team, "", request(what)), reply -> {
+        call(host, new ClientCall.Submit(team, key, request(what)), reply -> {
             if (reply instanceof ClientReply.Submitted submitted) {
                 accepted.put(submitted.job(), new Accepted(team, what.shape(), what.tasks()));
+                if (!key.isEmpty()) {
+                    probesAccepted.add(key);
+                }
             }
         });
     }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -111,6 +111,7 @@
             world.clients().setLimit(team, FINAL_LIMIT_CORES, world.anyHost());
         }
         for (long waited = 0; waited < END_MS && !done(); waited += POLL_MS) {
+            world.clients().submitProbes();
             world.clients().cancelServices();
             world.clients().pollJobs();
             world.clients().repeatHolds();
@@ -122,14 +123,18 @@
     }
 
     private boolean done() {
+        Clients clients = world.clients();
         boolean broken = !world.oracle().violations().isEmpty();
-        return broken
-                || world.clients().unfinished().isEmpty() && world.clients().holdsAnswered();
+        boolean ended = clients.probesAccepted() && clients.unfinished().isEmpty();
+        return broken || ended && clients.holdsAnswered();
     }
 
     private String describeUnfinished() {
         List<String> lines = new ArrayList<>();
         world.clients().unfinished().forEach((job, what) -> lines.add(what + " " + world.lastStatus(job)));
+        if (!world.clients().probesAccepted()) {
+            lines.add("jobs submitted after the faults are not accepted");
+        }
         if (!world.clients().holdsAnswered()) {
             lines.add("a request that must not be repeated has no final answer");
         }
