--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.acaciafold.core.model.Clock;
+import org.acaciafold.settings.FleetSettings;
 
 /**
  * The whole of an entry host's decisions as a deterministic state machine.
@@ -13,11 +14,13 @@
  */
 public final class HostCore {
     private final Clock clock;
+    private final HostState state;
     private final Outbox outbox;
     private final List<HostSystem> systems;
 
-    private HostCore(Clock clock, Outbox outbox, List<HostSystem> systems) {
+    private HostCore(Clock clock, HostState state, Outbox outbox, List<HostSystem> systems) {
         this.clock = clock;
+        this.state = state;
         this.outbox = outbox;
         this.systems = systems;
     }
@@ -31,7 +34,34 @@
      */
     public static HostCore of(HostConfig config, Clock clock) {
         HostState state = HostState.of(config, clock);
-        return new HostCore(clock, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+        return new HostCore(clock, state, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+    }
+
+    /**
+     * Returns how many answers of the table service and of workers came after their timeout.
+     *
+     * @return the count since the start
+     */
+    public long lateAnswers() {
+        return outbox.lateAnswers();
+    }
+
+    /**
+     * Returns how many slices this host owns.
+     *
+     * @return the number of slices
+     */
+    public int ownedSlices() {
+        return state.owned().size();
+    }
+
+    /**
+     * Returns the settings in force at this host.
+     *
+     * @return the whole settings tree
+     */
+    public FleetSettings settings() {
+        return state.settings();
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/AccessKeys.java
@@ -0,0 +1,112 @@
+package org.acaciafold.daemon;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.settings.FleetSettings;
+import org.acaciafold.settings.KeyHash;
+import org.acaciafold.settings.Keys;
+import org.acaciafold.settings.PresentedKey;
+
+/** Finds the team of the key that came with a request, by the settings in force at this moment. */
+final class AccessKeys {
+    private static final String SCHEME = "Bearer ";
+    private static final String CALLER = "caller";
+
+    private final Supplier<FleetSettings> settings;
+    private volatile Index index = Index.of(FleetSettings.empty());
+
+    private AccessKeys(Supplier<FleetSettings> settings) {
+        this.settings = settings;
+    }
+
+    static AccessKeys of(Supplier<FleetSettings> settings) {
+        return new AccessKeys(settings);
+    }
+
+    /**
+     * Checks a request against one key.
+     *
+     * @param authorization the value of the header {@code Authorization}, null when absent
+     * @param key the key
+     * @throws AcaciafoldException when another key or none came with the request
+     */
+    static void require(String authorization, KeyHash key) throws AcaciafoldException {
+        PresentedKey presented = parse(authorization);
+        if (!presented.id().equals(key.id()) || !Keys.verify(key, presented.secret())) {
+            throw wrongKey();
+        }
+    }
+
+    /**
+     * Finds the team of a request that may come without a key.
+     *
+     * @param authorization the value of the header {@code Authorization}, null when absent
+     * @return the team, empty when no key came with the request
+     * @throws AcaciafoldException when the key is not one in force
+     */
+    Optional<TeamId> optionalTeam(String authorization) throws AcaciafoldException {
+        return authorization == null ? Optional.empty() : Optional.of(team(authorization));
+    }
+
+    /**
+     * Finds the team of a request.
+     *
+     * @param authorization the value of the header {@code Authorization}, null when absent
+     * @return the team
+     * @throws AcaciafoldException when no key came with the request or it is not one in force
+     */
+    TeamId team(String authorization) throws AcaciafoldException {
+        PresentedKey presented = parse(authorization);
+        TeamKey key = current().keys().get(presented.id());
+        if (key == null || !Keys.verify(key.hash(), presented.secret())) {
+            throw wrongKey();
+        }
+        return key.team();
+    }
+
+    private Index current() {
+        FleetSettings inForce = settings.get();
+        Index known = index;
+        if (known.settings() != inForce) {
+            known = Index.of(inForce);
+            index = known;
+        }
+        return known;
+    }
+
+    private static PresentedKey parse(String authorization) throws AcaciafoldException {
+        if (authorization == null) {
+            throw refused("no-key", "the header Authorization: Bearer KEYID.SECRET is missing");
+        }
+        if (!authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            throw wrongKey();
+        }
+        return Keys.parse(authorization.substring(SCHEME.length()).trim()).orElseThrow(AccessKeys::wrongKey);
+    }
+
+    private static AcaciafoldException refused(String code, String message) {
+        return new AcaciafoldException(Failure.notRun(Step.AUTHORIZATION, CALLER, code, message));
+    }
+
+    private static AcaciafoldException wrongKey() {
+        return refused("wrong-key", "the key is unknown or withdrawn");
+    }
+
+    private record Index(FleetSettings settings, Map<String, TeamKey> keys) {
+        static Index of(FleetSettings settings) {
+            Map<String, TeamKey> keys = new HashMap<>();
+            settings.teams().forEach((team, terms) -> terms.keys()
+                    .forEach(hash -> keys.put(hash.id(), new TeamKey(team, hash))));
+            return new Index(settings, keys);
+        }
+    }
+
+    private record TeamKey(TeamId team, KeyHash hash) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
@@ -0,0 +1,250 @@
+package org.acaciafold.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.acaciafold.coordination.ClientCall;
+import org.acaciafold.coordination.ClientReply;
+import org.acaciafold.coordination.Effect;
+import org.acaciafold.coordination.Event;
+import org.acaciafold.coordination.HostCore;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.port.HostEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/**
+ * Runs the state machine on one thread of its own: feeds it events, ticks it and has its effects carried out.
+ *
+ * <p>A tick follows promptly after each event, and after {@value #TICK_MS} ms without one. An exception of the state
+ * machine ends it, because its tables may then be half written: its leases lapse and another entry host takes over.
+ */
+public final class CoreLoop implements CoreCalls {
+    private static final Logger LOG = LoggerFactory.getLogger(CoreLoop.class);
+    private static final long TICK_MS = 20;
+    private static final int EVENTS_PER_TICK = 4_096;
+    private static final int INBOX_LIMIT = 20_000;
+    private static final long REPLY_LIMIT_MS = 30_000;
+    private static final long RETRY_AFTER_MS = 1_000;
+    private static final String SELF = "entry-host";
+
+    private final HostCore core;
+    private final EffectRunner effects;
+    private final HostMetrics metrics;
+    private final Scheduler thread = Schedulers.newSingle("core");
+    private final Queue<Event> inbox = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger inboxSize = new AtomicInteger();
+    private final AtomicBoolean tickDue = new AtomicBoolean();
+    private final AtomicLong lastCall = new AtomicLong();
+    private final Map<Long, MonoSink<ClientReply>> waiting = new ConcurrentHashMap<>();
+    private final Sinks.Empty<Void> stopped = Sinks.empty();
+    private volatile HostSnapshot snapshot = HostSnapshot.empty();
+    private volatile List<HostEntry> hosts = List.of();
+
+    private CoreLoop(HostCore core, EffectRunner effects, HostMetrics metrics) {
+        this.core = core;
+        this.effects = effects;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Starts to run a state machine.
+     *
+     * @param core the state machine, used by nobody else from now on
+     * @param effects carries its effects out
+     * @param metrics where ticks and queues are counted
+     * @return the running loop
+     */
+    static CoreLoop start(HostCore core, EffectRunner effects, HostMetrics metrics) {
+        CoreLoop loop = new CoreLoop(core, effects, metrics);
+        metrics.watch(loop);
+        loop.thread.schedulePeriodically(loop::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+        return loop;
+    }
+
+    @Override
+    public Mono<ClientReply> call(ClientCall call) {
+        return Mono.<ClientReply>create(sink -> register(call, sink))
+                .publishOn(Schedulers.parallel())
+                .doOnDiscard(ClientReply.SlotGranted.class, this::giveBack);
+    }
+
+    /**
+     * Ends the loop without a handover.
+     */
+    void dispose() {
+        thread.dispose();
+        failAll("stopped", "the entry host has stopped");
+    }
+
+    /**
+     * Returns what other threads may know of the state machine.
+     *
+     * @return the snapshot of the last tick
+     */
+    public HostSnapshot snapshot() {
+        return snapshot;
+    }
+
+    /**
+     * Asks the state machine to hand everything over.
+     *
+     * @return completes when it has; an error signal when the state machine has failed
+     */
+    Mono<Void> stop() {
+        offer(new Event.StopRequested());
+        return stopped.asMono();
+    }
+
+    /** Returns the number of events that wait for a tick. */
+    int inboxSize() {
+        return inboxSize.get();
+    }
+
+    /**
+     * Hands an event to the next tick. Answers are always taken; messages and calls only while the inbox is short.
+     *
+     * @param event the event
+     * @return false when it was dropped
+     */
+    boolean offer(Event event) {
+        boolean droppable = event instanceof Event.PeerReceived || event instanceof Event.ClientCalled;
+        if (snapshot.failed() || droppable && inboxSize.get() >= INBOX_LIMIT) {
+            metrics.inboxFull();
+            return false;
+        }
+        if (event instanceof Event.HostsListed listed) {
+            hosts = List.copyOf(listed.hosts().hosts());
+        }
+        inboxSize.incrementAndGet();
+        inbox.add(event);
+        wake();
+        return true;
+    }
+
+    /** Returns the number of calls that wait for their reply. */
+    int waitingCalls() {
+        return waiting.size();
+    }
+
+    private void answer(Effect.AnswerClient answer) {
+        MonoSink<ClientReply> sink = waiting.remove(answer.call());
+        if (sink != null) {
+            sink.success(answer.reply());
+        } else if (answer.reply() instanceof ClientReply.SlotGranted granted) {
+            giveBack(granted);
+        }
+    }
+
+    private void carryOut(Effect effect) {
+        switch (effect) {
+            case Effect.AnswerClient answer -> answer(answer);
+            case Effect.CallTable call -> effects.callTable(call, this::offer);
+            case Effect.CallWorker call -> effects.callWorker(call, this::offer);
+            case Effect.SendPeer send -> effects.sendPeer(send);
+            case Effect.Stopped ignored -> stopped.tryEmitEmpty();
+        }
+    }
+
+    private List<Event> drain() {
+        List<Event> events = new ArrayList<>();
+        while (events.size() < EVENTS_PER_TICK) {
+            Event event = inbox.poll();
+            if (event == null) {
+                return events;
+            }
+            inboxSize.decrementAndGet();
+            events.add(event);
+        }
+        wake();
+        return events;
+    }
+
+    private void expire(long call) {
+        MonoSink<ClientReply> sink = waiting.remove(call);
+        if (sink != null) {
+            String message = "no reply within the limit";
+            sink.success(new ClientReply.Failed(Failure.unknown(Step.ROUTING, SELF, "no-reply", message)));
+        }
+    }
+
+    private void fail(RuntimeException error) {
+        LOG.error("the state machine has failed and is stopped; its leases will lapse", error);
+        snapshot = new HostSnapshot(snapshot.settings(), hosts, 0, snapshot.lateAnswers(), true);
+        stopped.tryEmitError(error);
+        dispose();
+    }
+
+    private void failAll(String code, String message) {
+        for (Long call : waiting.keySet()) {
+            MonoSink<ClientReply> sink = waiting.remove(call);
+            if (sink != null) {
+                sink.success(new ClientReply.Failed(Failure.unknown(Step.ROUTING, SELF, code, message)));
+            }
+        }
+    }
+
+    /** Releases a slot whose requester has gone away in the meantime. */
+    private void giveBack(ClientReply.SlotGranted granted) {
+        offer(new Event.ClientCalled(
+                lastCall.incrementAndGet(), new ClientCall.ReleaseSlot(granted.slot(), true, 0)));
+    }
+
+    private void register(ClientCall call, MonoSink<ClientReply> sink) {
+        long number = lastCall.incrementAndGet();
+        waiting.put(number, sink);
+        Disposable timer = Schedulers.parallel()
+                .schedule(() -> expire(number), replyLimitMs(call), TimeUnit.MILLISECONDS);
+        sink.onDispose(() -> {
+            timer.dispose();
+            waiting.remove(number);
+        });
+        if (!offer(new Event.ClientCalled(number, call)) && waiting.remove(number) != null) {
+            Failure failure = Failure.notRun(Step.ADMISSION, SELF, "overloaded", "the entry host cannot take the call")
+                    .withRetryAfterMs(RETRY_AFTER_MS);
+            sink.success(new ClientReply.Failed(failure));
+        }
+    }
+
+    private void tick() {
+        if (snapshot.failed()) {
+            return;
+        }
+        tickDue.set(false);
+        long startNanos = System.nanoTime();
+        try {
+            List<Effect> outcome = core.tick(drain());
+            snapshot = new HostSnapshot(core.settings(), hosts, core.ownedSlices(), core.lateAnswers(), false);
+            outcome.forEach(this::carryOut);
+        } catch (RuntimeException e) {
+            fail(e);
+        }
+        metrics.tick(Duration.ofNanos(System.nanoTime() - startNanos));
+    }
+
+    private void wake() {
+        if (tickDue.compareAndSet(false, true)) {
+            thread.schedule(this::tick);
+        }
+    }
+
+    private static long replyLimitMs(ClientCall call) {
+        return call instanceof ClientCall.AcquireSlot acquire ? acquire.waitMs() + REPLY_LIMIT_MS : REPLY_LIMIT_MS;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/EffectRunner.java
@@ -0,0 +1,78 @@
+package org.acaciafold.daemon;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.opentelemetry.api.trace.Span;
+import org.acaciafold.coordination.Effect;
+import org.acaciafold.coordination.Event;
+import org.acaciafold.coordination.PeerMessage;
+import org.acaciafold.core.codec.Codec;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.WorkerReply;
+import org.acaciafold.wire.PeerTransport;
+import reactor.core.publisher.Mono;
+
+/** Carries out what the state machine wants sent; called on its thread alone and never blocking it. */
+final class EffectRunner {
+    private final PlatformClients clients;
+    private final PeerTransport peers;
+    private final HostMetrics metrics;
+    private final Tracing tracing;
+    private PeerMessage lastMessage;
+    private byte[] lastEncoded;
+
+    private EffectRunner(PlatformClients clients, PeerTransport peers, HostMetrics metrics, Tracing tracing) {
+        this.clients = clients;
+        this.peers = peers;
+        this.metrics = metrics;
+        this.tracing = tracing;
+    }
+
+    static EffectRunner of(PlatformClients clients, PeerTransport peers, HostMetrics metrics, Tracing tracing) {
+        return new EffectRunner(clients, peers, metrics, tracing);
+    }
+
+    void callTable(Effect.CallTable effect, Consumer<Event> then) {
+        String kind = effect.request().getClass().getSimpleName();
+        Span span = tracing.startRoot("table " + kind);
+        long startNanos = System.nanoTime();
+        Mono.defer(() -> clients.table().call(effect.request()))
+                .onErrorResume(error -> Mono.just(new TableReply.Unavailable(String.valueOf(error.getMessage()))))
+                .subscribe(reply -> {
+                    String result = reply.getClass().getSimpleName();
+                    tracing.end(span, result, reply instanceof TableReply.Unavailable);
+                    metrics.tableCall(kind, result, System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
+                    then.accept(new Event.TableAnswered(effect.call(), reply));
+                });
+    }
+
+    void callWorker(Effect.CallWorker effect, Consumer<Event> then) {
+        String kind = effect.command().getClass().getSimpleName();
+        Span span = tracing.startRoot("worker " + kind);
+        span.setAttribute("worker", effect.worker().value());
+        long startNanos = System.nanoTime();
+        Mono.defer(() -> clients.workers().command(effect.address(), effect.command()))
+                .onErrorResume(error -> Mono.just(new WorkerReply.Lost(String.valueOf(error.getMessage()))))
+                .subscribe(reply -> {
+                    String result = reply.getClass().getSimpleName();
+                    tracing.end(span, result, reply instanceof WorkerReply.Lost);
+                    metrics.workerCall(kind, result, System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
+                    then.accept(new Event.WorkerAnswered(effect.call(), reply));
+                });
+    }
+
+    void sendPeer(Effect.SendPeer effect) {
+        metrics.peerMessageSent(effect.message().getClass().getSimpleName());
+        peers.send(effect.address(), encoded(effect.message()));
+    }
+
+    /** Encodes a message once when it goes to several peers in a row, as heartbeats do. */
+    private byte[] encoded(PeerMessage message) {
+        if (message != lastMessage) {
+            lastEncoded = Codec.messagePack().encode(message, PeerMessage.class);
+            lastMessage = message;
+        }
+        return lastEncoded;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/FailureStatus.java
@@ -0,0 +1,57 @@
+package org.acaciafold.daemon;
+
+import org.acaciafold.core.model.Failure;
+
+/** The HTTP status of each typed error. */
+public final class FailureStatus {
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int FORBIDDEN = 403;
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int CONFLICT = 409;
+    private static final int TOO_LONG = 413;
+    private static final int WRONG_TYPE = 415;
+    private static final int UNPROCESSABLE = 422;
+    private static final int TOO_MANY = 429;
+    private static final int INTERNAL_ERROR = 500;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private FailureStatus() {}
+
+    /**
+     * Returns the status that tells a caller of an error.
+     *
+     * @param failure the typed error
+     * @return a status of 400 or above
+     */
+    public static int of(Failure failure) {
+        return switch (failure.code()) {
+            case "malformed", "bad-request" -> BAD_REQUEST;
+            case "no-key", "wrong-key" -> UNAUTHORIZED;
+            case "other-team" -> FORBIDDEN;
+            case "not-found", "unknown-job", "unknown-team", "unknown-service", "unknown-edit", "unknown-key" ->
+                NOT_FOUND;
+            case "method" -> METHOD_NOT_ALLOWED;
+            case "conflict", "key-reused", "not-ended" -> CONFLICT;
+            case "too-long" -> TOO_LONG;
+            case "content-type" -> WRONG_TYPE;
+            case "can-never-run", "invalid-settings" -> UNPROCESSABLE;
+            case "limit", "queue-full", "overloaded" -> TOO_MANY;
+            case "deadline" -> GATEWAY_TIMEOUT;
+            case "internal" -> INTERNAL_ERROR;
+            default -> ofStep(failure);
+        };
+    }
+
+    private static int ofStep(Failure failure) {
+        return switch (failure.step()) {
+            case AUTHORIZATION -> UNAUTHORIZED;
+            case SETTINGS -> UNPROCESSABLE;
+            case WORKER, RESPONSE -> BAD_GATEWAY;
+            case ADMISSION, CLAIM, ROUTING, TABLE, OBJECTS, PEER, PLACEMENT -> UNAVAILABLE;
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/HostMetrics.java
@@ -0,0 +1,125 @@
+package org.acaciafold.daemon;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.acaciafold.core.model.Outcome;
+import org.acaciafold.wire.WireCounters;
+
+/** The metrics of an entry host; names start with {@code acaciafold}. */
+public final class HostMetrics {
+    private static final String PREFIX = "acaciafold.";
+
+    private final PrometheusMeterRegistry registry;
+    private final Timer ticks;
+
+    private HostMetrics(PrometheusMeterRegistry registry) {
+        this.registry = registry;
+        this.ticks = Timer.builder(PREFIX + "tick")
+                .description("Ticks of the state machine")
+                .publishPercentileHistogram()
+                .register(registry);
+    }
+
+    /**
+     * Creates the metrics of one entry host.
+     *
+     * @return metrics that have counted nothing yet
+     */
+    public static HostMetrics create() {
+        return new HostMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+    }
+
+    /**
+     * Counts a live request that has ended.
+     *
+     * @param outcome what is known of it
+     * @param code the code of its error, or {@code ok}
+     * @param took how long it took
+     */
+    public void liveRequest(Outcome outcome, String code, Duration took) {
+        Timer.builder(PREFIX + "live.requests")
+                .description("Live requests by outcome")
+                .tags("outcome", outcome.name(), "code", code)
+                .publishPercentileHistogram()
+                .register(registry)
+                .record(took);
+    }
+
+    /**
+     * Returns the registry, for meters of other packages.
+     *
+     * @return the registry
+     */
+    public MeterRegistry registry() {
+        return registry;
+    }
+
+    /** Returns all meters in the text format of Prometheus. */
+    String scrape() {
+        return registry.scrape();
+    }
+
+    /** Counts an HTTP request that ended with a status. */
+    void httpRequest(String api, int status) {
+        registry.counter(PREFIX + "http.requests", "api", api, "status", Integer.toString(status))
+                .increment();
+    }
+
+    void inboxFull() {
+        registry.counter(PREFIX + "inbox.dropped").increment();
+    }
+
+    void peerMessageReceived(String kind) {
+        registry.counter(PREFIX + "peer.messages", "direction", "received", "kind", kind)
+                .increment();
+    }
+
+    void peerMessageSent(String kind) {
+        registry.counter(PREFIX + "peer.messages", "direction", "sent", "kind", kind)
+                .increment();
+    }
+
+    void tableCall(String kind, String result, long took, TimeUnit unit) {
+        registry.timer(PREFIX + "table.calls", "kind", kind, "result", result).record(took, unit);
+    }
+
+    void tick(Duration took) {
+        ticks.record(took);
+    }
+
+    /** Registers what is read from the loop when metrics are scraped. */
+    void watch(CoreLoop loop) {
+        Gauge.builder(PREFIX + "inbox.length", loop, CoreLoop::inboxSize).register(registry);
+        Gauge.builder(PREFIX + "calls.waiting", loop, CoreLoop::waitingCalls).register(registry);
+        Gauge.builder(PREFIX + "slices.owned", loop, l -> l.snapshot().ownedSlices())
+                .register(registry);
+        Gauge.builder(PREFIX + "settings.version", loop, l -> l.snapshot().settings().version())
+                .register(registry);
+        FunctionCounter.builder(PREFIX + "answers.late", loop, l -> l.snapshot().lateAnswers())
+                .register(registry);
+    }
+
+    /** Registers what the connections to peers have counted. */
+    void watch(WireCounters counters) {
+        wire("messages.dropped", counters, WireCounters::droppedMessages);
+        wire("frames.dropped", counters, WireCounters::droppedFrames);
+        wire("connections.rejected", counters, WireCounters::rejectedConnections);
+        wire("bytes.sent", counters, WireCounters::sentBytes);
+        wire("bytes.received", counters, WireCounters::receivedBytes);
+    }
+
+    void workerCall(String kind, String result, long took, TimeUnit unit) {
+        registry.timer(PREFIX + "worker.calls", "kind", kind, "result", result).record(took, unit);
+    }
+
+    private void wire(String name, WireCounters counters, java.util.function.ToDoubleFunction<WireCounters> value) {
+        FunctionCounter.builder(PREFIX + "wire." + name, counters, value).register(registry);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/HttpAnswers.java
@@ -0,0 +1,63 @@
+package org.acaciafold.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+import io.netty.buffer.Unpooled;
+import org.acaciafold.core.codec.Codec;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Outcome;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Writes JSON answers and typed errors. */
+public final class HttpAnswers {
+    /** The header that tells whether a request ran: {@code ran}, {@code not-run} or {@code unknown}. */
+    public static final String OUTCOME_HEADER = "Acaciafold-Outcome";
+
+    private static final long MS_PER_SECOND = 1_000;
+
+    private HttpAnswers() {}
+
+    /**
+     * Writes a typed error with its status, outcome and time to retry.
+     *
+     * @param response the response, of which nothing has been written
+     * @param failure the typed error
+     * @return completes when it is written
+     */
+    public static Mono<Void> failure(HttpServerResponse response, Failure failure) {
+        response.header(OUTCOME_HEADER, outcome(failure.outcome()));
+        failure.retryAfterMs()
+                .ifPresent(ms -> response.header("Retry-After", Long.toString(Math.ceilDiv(ms, MS_PER_SECOND))));
+        return json(response, FailureStatus.of(failure), failure, Failure.class);
+    }
+
+    /**
+     * Returns the text of an outcome in headers.
+     *
+     * @param outcome the outcome
+     * @return {@code ran}, {@code not-run} or {@code unknown}
+     */
+    public static String outcome(Outcome outcome) {
+        return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Writes a value as JSON. */
+    static <T> Mono<Void> json(HttpServerResponse response, int status, T value, Class<T> type) {
+        return bytes(response, status, "application/json", Codec.json().encode(value, type));
+    }
+
+    /** Writes text. */
+    static Mono<Void> text(HttpServerResponse response, int status, String contentType, String text) {
+        return bytes(response, status, contentType, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Mono<Void> bytes(HttpServerResponse response, int status, String contentType, byte[] body) {
+        return response.status(status)
+                .header("Content-Type", contentType)
+                .header("Content-Length", Integer.toString(body.length))
+                .sendObject(Unpooled.wrappedBuffer(body))
+                .then();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/HttpListener.java
@@ -0,0 +1,128 @@
+package org.acaciafold.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.wire.Addresses;
+import org.reactivestreams.Publisher;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** A listening HTTP port, whose errors are typed and whose stop waits for the requests in progress. */
+final class HttpListener {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpListener.class);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(120);
+    private static final String SELF = "entry-host";
+
+    private final String name;
+    private final DisposableServer server;
+
+    private HttpListener(String name, DisposableServer server) {
+        this.name = name;
+        this.server = server;
+    }
+
+    /**
+     * Listens.
+     *
+     * @param name the name of the interface in logs and metrics
+     * @param address an IP number and a port
+     * @param routes adds the routes
+     * @return the listening port
+     * @throws AcaciafoldException when the address cannot be listened on
+     */
+    static HttpListener bind(String name, String address, Consumer<HttpServerRoutes> routes)
+            throws AcaciafoldException {
+        InetSocketAddress socket = Addresses.parse(address);
+        try {
+            DisposableServer server = HttpServer.create()
+                    .bindAddress(() -> socket)
+                    .channelGroup(new DefaultChannelGroup(GlobalEventExecutor.INSTANCE))
+                    .idleTimeout(IDLE_TIMEOUT)
+                    .requestTimeout(REQUEST_TIMEOUT)
+                    .route(routes)
+                    .bindNow();
+            LOG.info("{} on {}", name, Addresses.format((InetSocketAddress) server.address()));
+            return new HttpListener(name, server);
+        } catch (RuntimeException e) {
+            String message = "cannot listen for " + name + ": " + e.getMessage();
+            throw new AcaciafoldException(Failure.notRun(Step.SETTINGS, address, "port-in-use", message), e);
+        }
+    }
+
+    /**
+     * Turns a handler into one whose errors are answered.
+     *
+     * @param api the name of the interface in metrics
+     * @param metrics where requests are counted
+     * @param handler the handler
+     * @return the handler for a route
+     */
+    static BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> guarded(
+            String api, HostMetrics metrics, HttpHandler handler) {
+        return (request, response) -> Mono.defer(() -> {
+                    try {
+                        return handler.handle(request, response);
+                    } catch (AcaciafoldException e) {
+                        return Mono.error(e);
+                    }
+                })
+                .onErrorResume(error -> answer(request, response, error))
+                .doFinally(signal -> metrics.httpRequest(api, response.status().code()));
+    }
+
+    /** Returns the address, with the port that was chosen when the given one was 0. */
+    String address() {
+        return Addresses.format((InetSocketAddress) server.address());
+    }
+
+    /**
+     * Stops to listen and waits for the requests in progress.
+     *
+     * @param limit the longest wait
+     * @return whether requests were cut
+     */
+    boolean stop(Duration limit) {
+        try {
+            server.disposeNow(limit);
+            return false;
+        } catch (IllegalStateException e) {
+            LOG.warn("{}: requests were still in progress after {}", name, limit);
+            return true;
+        }
+    }
+
+    private static Mono<Void> answer(HttpServerRequest request, HttpServerResponse response, Throwable error) {
+        if (response.hasSentHeaders()) {
+            LOG.warn("response to {} {} was cut: {}", request.method(), request.uri(), error.toString());
+            return Mono.error(error);
+        }
+        Failure failure = failure(request, error);
+        if (failure.code().equals("too-long")) {
+            response.keepAlive(false);
+        }
+        return HttpAnswers.failure(response, failure);
+    }
+
+    private static Failure failure(HttpServerRequest request, Throwable error) {
+        if (error instanceof AcaciafoldException typed) {
+            return typed.failure();
+        }
+        LOG.error("cannot answer {} {}", request.method(), request.uri(), error);
+        return Failure.unknown(Step.ROUTING, SELF, "internal", "an error of the entry host; its log tells more");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/LogSetup.java
@@ -0,0 +1,46 @@
+package org.acaciafold.daemon;
+
+import java.util.Iterator;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
+import ch.qos.logback.core.OutputStreamAppender;
+import org.acaciafold.settings.Observation;
+import org.slf4j.ILoggerFactory;
+import org.slf4j.LoggerFactory;
+
+/** Sets the form of the log lines; without it they are lines for people, as logback.xml says. */
+public final class LogSetup {
+    private LogSetup() {}
+
+    /**
+     * Applies the settings to the loggers of this process.
+     *
+     * @param observation how logs are written
+     */
+    public static void apply(Observation observation) {
+        ILoggerFactory factory = LoggerFactory.getILoggerFactory();
+        if (!observation.jsonLogs() || !(factory instanceof LoggerContext context)) {
+            return;
+        }
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        Iterator<Appender<ILoggingEvent>> appenders = root.iteratorForAppenders();
+        while (appenders.hasNext()) {
+            if (appenders.next() instanceof OutputStreamAppender<ILoggingEvent> appender) {
+                writeJson(appender, context);
+            }
+        }
+    }
+
+    private static void writeJson(OutputStreamAppender<ILoggingEvent> appender, LoggerContext context) {
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setContext(context);
+        encoder.start();
+        appender.stop();
+        appender.setEncoder(encoder);
+        appender.start();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/PlatformClients.java
@@ -0,0 +1,33 @@
+package org.acaciafold.daemon;
+
+import org.acaciafold.platform.HostListClient;
+import org.acaciafold.platform.HttpHostListClient;
+import org.acaciafold.platform.HttpTableClient;
+import org.acaciafold.platform.HttpWorkerClient;
+import org.acaciafold.platform.TableClient;
+import org.acaciafold.platform.WorkerClient;
+import org.acaciafold.settings.HostSettings;
+
+/**
+ * The clients through which an entry host reaches the platform and the workers.
+ *
+ * @param table the table service
+ * @param hosts the host list
+ * @param workers the workers
+ */
+public record PlatformClients(TableClient table, HostListClient hosts, WorkerClient workers) {
+    /**
+     * Creates the clients over HTTP.
+     *
+     * @param settings the settings of the entry host
+     * @return the clients
+     */
+    public static PlatformClients http(HostSettings settings) {
+        String platform = settings.addresses().platform();
+        long timeoutMs = settings.timings().callTimeoutMs();
+        return new PlatformClients(
+                HttpTableClient.of(platform, timeoutMs),
+                HttpHostListClient.of(platform, timeoutMs),
+                HttpWorkerClient.of(timeoutMs));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/BodySender.java
@@ -0,0 +1,119 @@
+package org.acaciafold.wire;
+
+import java.util.function.Consumer;
+
+import org.reactivestreams.Subscription;
+import reactor.core.publisher.BaseSubscriber;
+import reactor.core.publisher.Flux;
+
+/** Sends one body as far as the other side allows and the send buffer has room; asks its source for no more. */
+final class BodySender extends BaseSubscriber<byte[]> {
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+    private final Link link;
+    private final long stream;
+    private final Runnable whenSent;
+    private final Consumer<Throwable> whenCut;
+    private byte[] chunk = new byte[0];
+    private int offset;
+    private long sent;
+    private long credit = BodyReceiver.WINDOW_BYTES;
+    private boolean requested;
+    private boolean complete;
+    private boolean ended;
+
+    private BodySender(Link link, long stream, Runnable whenSent, Consumer<Throwable> whenCut) {
+        this.link = link;
+        this.stream = stream;
+        this.whenSent = whenSent;
+        this.whenCut = whenCut;
+    }
+
+    /**
+     * Starts to send a body, on the event loop of the link.
+     *
+     * @param link the connection
+     * @param stream the number of the request
+     * @param body the body
+     * @param whenSent runs when all of it is sent
+     * @param whenCut runs when the body ends with an error
+     * @return the sender
+     */
+    static BodySender start(Link link, long stream, Flux<byte[]> body, Runnable whenSent, Consumer<Throwable> whenCut) {
+        BodySender sender = new BodySender(link, stream, whenSent, whenCut);
+        body.subscribe(sender);
+        return sender;
+    }
+
+    /** Takes note that the other side allows more bytes. */
+    void credit(int bytes) {
+        credit += bytes;
+        pump();
+    }
+
+    /** Sends what can be sent. */
+    void pump() {
+        while (!ended && offset < chunk.length && credit > 0 && link.writable()) {
+            sendPart();
+        }
+        if (ended || offset < chunk.length) {
+            return;
+        }
+        if (complete) {
+            ended = true;
+            link.send(Frame.of(new FrameHead.End(stream, sent)));
+            whenSent.run();
+        } else if (!requested) {
+            requested = true;
+            request(1);
+        }
+    }
+
+    /** Stops sending and tells the source. */
+    void stop() {
+        ended = true;
+        cancel();
+    }
+
+    @Override
+    protected void hookOnComplete() {
+        link.execute(() -> {
+            complete = true;
+            pump();
+        });
+    }
+
+    @Override
+    protected void hookOnError(Throwable error) {
+        link.execute(() -> {
+            if (!ended) {
+                ended = true;
+                whenCut.accept(error);
+            }
+        });
+    }
+
+    @Override
+    protected void hookOnNext(byte[] bytes) {
+        link.execute(() -> {
+            chunk = bytes;
+            offset = 0;
+            requested = false;
+            pump();
+        });
+    }
+
+    @Override
+    protected void hookOnSubscribe(Subscription subscription) {
+        link.execute(this::pump);
+    }
+
+    private void sendPart() {
+        int length = (int) Math.min(Math.min(chunk.length - offset, MAX_CHUNK_BYTES), credit);
+        byte[] part = java.util.Arrays.copyOfRange(chunk, offset, offset + length);
+        link.send(new Frame(new FrameHead.Chunk(stream), part));
+        offset += length;
+        sent += length;
+        credit -= length;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/ClientSession.java
@@ -0,0 +1,197 @@
+package org.acaciafold.wire;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.publisher.Sinks;
+
+/** The connecting side of a connection: proves the secret, sends messages and relays requests. */
+final class ClientSession implements LinkListener {
+    /** The version of the protocol between entry hosts. */
+    static final int PROTOCOL = 1;
+
+    private final Link link;
+    private final HostId self;
+    private final ClusterSecret secret;
+    private final Consumer<ClientSession> whenReady;
+    private final Consumer<Failure> whenClosed;
+    private final byte[] nonce;
+    private final Map<Long, ClientStream> streams = new HashMap<>();
+    private final Sinks.Empty<Void> ended = Sinks.empty();
+    private long lastStream;
+    private boolean ready;
+
+    private ClientSession(
+            Link link,
+            HostId self,
+            ClusterSecret secret,
+            Consumer<ClientSession> whenReady,
+            Consumer<Failure> whenClosed) {
+        this.link = link;
+        this.self = self;
+        this.secret = secret;
+        this.whenReady = whenReady;
+        this.whenClosed = whenClosed;
+        this.nonce = secret.nonce();
+    }
+
+    /**
+     * Opens a session over a new connection.
+     *
+     * @param link the connection
+     * @param self this host
+     * @param secret the cluster secret
+     * @param whenReady runs when both sides have proven the secret
+     * @param whenClosed runs once when the connection has ended
+     * @return the session
+     */
+    static ClientSession open(
+            Link link,
+            HostId self,
+            ClusterSecret secret,
+            Consumer<ClientSession> whenReady,
+            Consumer<Failure> whenClosed) {
+        ClientSession session = new ClientSession(link, self, secret, whenReady, whenClosed);
+        FrameHead hello = new FrameHead.Hello(PROTOCOL, self, session.nonce);
+        link.execute(() -> link.send(Frame.of(hello)));
+        return session;
+    }
+
+    @Override
+    public void closed(Failure failure) {
+        List.copyOf(streams.values()).forEach(stream -> stream.closed(failure));
+        whenClosed.accept(failure);
+        ended.tryEmitEmpty();
+    }
+
+    @Override
+    public void frame(Frame frame) throws AcaciafoldException {
+        if (!ready) {
+            prove(frame);
+            return;
+        }
+        switch (frame.head()) {
+            case FrameHead.ResponseHead head -> deliver(head.stream(), frame);
+            case FrameHead.Chunk head -> deliver(head.stream(), frame);
+            case FrameHead.End head -> deliver(head.stream(), frame);
+            case FrameHead.Reset head -> deliver(head.stream(), frame);
+            case FrameHead.Credit head -> deliver(head.stream(), frame);
+            case FrameHead.Hello h -> throw unexpected(h);
+            case FrameHead.Welcome h -> throw unexpected(h);
+            case FrameHead.Proof h -> throw unexpected(h);
+            case FrameHead.Message h -> throw unexpected(h);
+            case FrameHead.RequestHead h -> throw unexpected(h);
+            case FrameHead.Ping h -> throw unexpected(h);
+            case FrameHead.Pong h -> throw unexpected(h);
+        }
+    }
+
+    @Override
+    public void writable() {
+        List.copyOf(streams.values()).forEach(ClientStream::writable);
+    }
+
+    /** Closes the connection once what was sent is written. */
+    Mono<Void> close() {
+        link.close();
+        return ended.asMono();
+    }
+
+    /**
+     * Relays a request.
+     *
+     * @param request the request
+     * @return the response
+     */
+    Mono<RelayResponse> relay(RelayRequest request) {
+        return Mono.create(sink -> {
+            Exchange exchange = new Exchange(request, sink);
+            sink.onCancel(() -> link.execute(exchange::cancel));
+            link.execute(exchange::start);
+        });
+    }
+
+    /** Sends a message, or drops it when the send buffer is full. */
+    void send(byte[] message) {
+        link.execute(() -> {
+            if (!link.writable() || !link.send(new Frame(new FrameHead.Message(), message))) {
+                link.droppedMessage();
+            }
+        });
+    }
+
+    private void deliver(long id, Frame frame) throws AcaciafoldException {
+        ClientStream stream = streams.get(id);
+        if (stream == null) {
+            link.dropped();
+        } else {
+            stream.frame(frame);
+        }
+    }
+
+    private void prove(Frame frame) throws AcaciafoldException {
+        if (!(frame.head() instanceof FrameHead.Welcome welcome)) {
+            throw unexpected(frame.head());
+        }
+        ClusterSecret.Exchange exchange = new ClusterSecret.Exchange(self, nonce, welcome.host(), welcome.nonce());
+        if (!secret.proves(ClusterSecret.Side.ACCEPTING, exchange, welcome.proof())) {
+            throw new AcaciafoldException(link.failure("wrong-secret", "the peer does not know the cluster secret"));
+        }
+        link.proven();
+        link.send(Frame.of(new FrameHead.Proof(secret.prove(ClusterSecret.Side.CONNECTING, exchange))));
+        ready = true;
+        whenReady.accept(this);
+    }
+
+    private AcaciafoldException unexpected(FrameHead head) {
+        String kind = head.getClass().getSimpleName();
+        return new AcaciafoldException(link.failure("unexpected-frame", "a frame " + kind + " was not expected"));
+    }
+
+    /** One request from before it is sent until its response has come. */
+    private final class Exchange {
+        private final RelayRequest request;
+        private final MonoSink<RelayResponse> sink;
+        private ClientStream stream;
+        private boolean cancelled;
+
+        private Exchange(RelayRequest request, MonoSink<RelayResponse> sink) {
+            this.request = request;
+            this.sink = sink;
+        }
+
+        private void cancel() {
+            cancelled = true;
+            if (stream != null) {
+                stream.cancel();
+            }
+        }
+
+        private void start() {
+            if (cancelled) {
+                return;
+            }
+            if (!link.open()) {
+                sink.error(new AcaciafoldException(notSent()));
+                return;
+            }
+            long id = ++lastStream;
+            ClientStream started = ClientStream.start(link, id, request, sink, () -> streams.remove(id));
+            if (!started.done()) {
+                streams.put(id, started);
+            }
+            stream = started;
+        }
+
+        private Failure notSent() {
+            return link.notSent("connection-closed", "the connection was closed before the request was sent");
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/ClientStream.java
@@ -0,0 +1,161 @@
+package org.acaciafold.wire;
+
+import java.util.concurrent.ScheduledFuture;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import reactor.core.publisher.MonoSink;
+
+/** One relayed request at the host that sends it; used on the event loop of its link alone. */
+final class ClientStream {
+    private final Link link;
+    private final long id;
+    private final RelayHead head;
+    private final MonoSink<RelayResponse> sink;
+    private final Runnable whenDone;
+    private BodySender sender;
+    private BodyReceiver receiver;
+    private ScheduledFuture<?> timer;
+    private boolean done;
+
+    private ClientStream(Link link, long id, RelayHead head, MonoSink<RelayResponse> sink, Runnable whenDone) {
+        this.link = link;
+        this.id = id;
+        this.head = head;
+        this.sink = sink;
+        this.whenDone = whenDone;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param link the connection
+     * @param id the number of the request
+     * @param request the request
+     * @param sink where the response goes
+     * @param whenDone runs when the exchange has ended
+     * @return the exchange
+     */
+    static ClientStream start(
+            Link link, long id, RelayRequest request, MonoSink<RelayResponse> sink, Runnable whenDone) {
+        ClientStream stream = new ClientStream(link, id, request.head(), sink, whenDone);
+        stream.send(request);
+        return stream;
+    }
+
+    /** Gives the request up because nobody waits for its response any more. */
+    void cancel() {
+        giveUp(link.failure("cancelled", "the sender has given the request up"));
+    }
+
+    /** The connection has ended. */
+    void closed(Failure failure) {
+        end(failure);
+    }
+
+    /** Returns whether the exchange has ended. */
+    boolean done() {
+        return done;
+    }
+
+    /** Handles a frame of this request; one that does not fit is dropped and counted. */
+    void frame(Frame frame) throws AcaciafoldException {
+        switch (frame.head()) {
+            case FrameHead.ResponseHead response -> respond(response.head());
+            case FrameHead.Chunk ignored -> chunk(frame.payload());
+            case FrameHead.End end -> complete(end.length());
+            case FrameHead.Reset reset -> end(reset.failure());
+            case FrameHead.Credit credit -> credit(credit.bytes());
+            default -> link.dropped();
+        }
+    }
+
+    /** The send buffer has room again. */
+    void writable() {
+        if (sender != null) {
+            sender.pump();
+        }
+    }
+
+    private void chunk(byte[] bytes) throws AcaciafoldException {
+        if (receiver == null) {
+            link.dropped();
+        } else {
+            receiver.chunk(bytes);
+        }
+    }
+
+    private void complete(long length) {
+        if (receiver == null) {
+            link.dropped();
+        } else if (finish()) {
+            receiver.end(length);
+        }
+    }
+
+    private void credit(int bytes) {
+        if (sender == null) {
+            link.dropped();
+        } else {
+            sender.credit(bytes);
+        }
+    }
+
+    private void end(Failure failure) {
+        if (!finish()) {
+            return;
+        }
+        if (receiver == null) {
+            sink.error(new AcaciafoldException(failure));
+        } else {
+            receiver.cut(failure);
+        }
+    }
+
+    private boolean finish() {
+        if (done) {
+            return false;
+        }
+        done = true;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        if (sender != null) {
+            sender.stop();
+        }
+        whenDone.run();
+        return true;
+    }
+
+    private void giveUp(Failure failure) {
+        if (!done) {
+            link.send(Frame.of(new FrameHead.Reset(id, failure)));
+            end(failure);
+        }
+    }
+
+    /** Takes the first response that repeats the correlation id; any other is dropped, and its body with it. */
+    private void respond(RelayStatus status) {
+        if (receiver != null || status == null || !head.requestId().equals(status.requestId())) {
+            link.dropped();
+            return;
+        }
+        receiver = BodyReceiver.of(link, id, this::cancel);
+        sink.success(new RelayResponse(status, receiver.body()));
+    }
+
+    private void send(RelayRequest request) {
+        if (!link.writable() || !link.send(Frame.of(new FrameHead.RequestHead(id, head)))) {
+            end(link.notSent("peer-busy", "the connection to the peer takes no request"));
+            return;
+        }
+        timer = link.schedule(
+                () -> giveUp(link.failure("deadline", "no whole response within the deadline")), head.deadlineLeftMs());
+        sender = BodySender.start(
+                link,
+                id,
+                request.body(),
+                () -> {},
+                error -> giveUp(link.failure("request-cut", "the request body was cut: " + error.getMessage())));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/ClusterSecret.java
@@ -0,0 +1,110 @@
+package org.acaciafold.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.Step;
+
+/** Proves and checks the cluster secret, which itself is never sent. */
+final class ClusterSecret {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int NONCE_BYTES = 32;
+    private static final int MIN_SECRET_LENGTH = 8;
+
+    private final SecretKeySpec key;
+    private final SecureRandom random = new SecureRandom();
+
+    private ClusterSecret(SecretKeySpec key) {
+        this.key = key;
+    }
+
+    /**
+     * Takes a secret.
+     *
+     * @param secret the secret, at least 8 characters
+     * @return what proves it
+     * @throws AcaciafoldException when the secret is too short
+     */
+    static ClusterSecret of(String secret) throws AcaciafoldException {
+        if (secret.length() < MIN_SECRET_LENGTH) {
+            String message = "the cluster secret is shorter than " + MIN_SECRET_LENGTH + " characters";
+            throw new AcaciafoldException(Failure.notRun(Step.SETTINGS, "cluster", "secret-too-short", message));
+        }
+        return new ClusterSecret(new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM));
+    }
+
+    /** Returns random bytes that are used for one connection alone. */
+    byte[] nonce() {
+        byte[] nonce = new byte[NONCE_BYTES];
+        random.nextBytes(nonce);
+        return nonce;
+    }
+
+    /**
+     * Proves the secret for one connection.
+     *
+     * @param side who proves it
+     * @param exchange what both hosts have told
+     * @return the proof
+     */
+    byte[] prove(Side side, Exchange exchange) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(key);
+            update(mac, side.name().getBytes(StandardCharsets.UTF_8));
+            update(mac, exchange.connecting().value().getBytes(StandardCharsets.UTF_8));
+            update(mac, exchange.connectingNonce());
+            update(mac, exchange.accepting().value().getBytes(StandardCharsets.UTF_8));
+            update(mac, exchange.acceptingNonce());
+            return mac.doFinal();
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("every Java runtime has " + ALGORITHM, e);
+        }
+    }
+
+    /**
+     * Checks a proof in a time that does not depend on how much of it is right.
+     *
+     * @param side who proves the secret
+     * @param exchange what both hosts have told
+     * @param proof the proof
+     * @return whether the prover knows the secret
+     */
+    boolean proves(Side side, Exchange exchange, byte[] proof) {
+        boolean fresh =
+                exchange.connectingNonce().length == NONCE_BYTES && exchange.acceptingNonce().length == NONCE_BYTES;
+        return fresh && MessageDigest.isEqual(prove(side, exchange), proof);
+    }
+
+    private static void update(Mac mac, byte[] part) {
+        mac.update((byte) (part.length >>> 8));
+        mac.update((byte) part.length);
+        mac.update(part);
+    }
+
+    /** The two ends of a connection. */
+    enum Side {
+        /** The host that connected. */
+        CONNECTING,
+        /** The host that accepted the connection. */
+        ACCEPTING
+    }
+
+    /**
+     * What both hosts have told while a connection opens.
+     *
+     * @param connecting the host that connected
+     * @param connectingNonce its random bytes
+     * @param accepting the host that accepted
+     * @param acceptingNonce its random bytes
+     */
+    record Exchange(HostId connecting, byte[] connectingNonce, HostId accepting, byte[] acceptingNonce) {}
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/Link.java
@@ -0,0 +1,249 @@
+package org.acaciafold.wire;
+
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Step;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.netty.Connection;
+
+/**
+ * One connection to a peer: sends and receives frames, and ends when the peer breaks the protocol, does not prove the
+ * secret in time or is silent. All methods but {@link #execute} and {@link #close} are called on its event loop.
+ */
+final class Link extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final Logger LOG = LoggerFactory.getLogger(Link.class);
+    private static final long PROOF_TIMEOUT_MS = 5_000;
+    private static final long PING_INTERVAL_MS = 2_000;
+    private static final int MAX_SILENT_INTERVALS = 3;
+
+    private final Channel channel;
+    private final FrameDecoder decoder;
+    private final WireCounters counters;
+    private final String peer;
+    private final LinkListener listener;
+    private ScheduledFuture<?> watch;
+    private boolean proven;
+    private boolean ended;
+    private boolean heard;
+    private int silentIntervals;
+
+    private Link(Channel channel, FrameDecoder decoder, WireCounters counters, Function<Link, LinkListener> listener) {
+        this.channel = channel;
+        this.decoder = decoder;
+        this.counters = counters;
+        this.peer = name(channel.remoteAddress());
+        this.listener = listener.apply(this);
+    }
+
+    /**
+     * Takes a connection over.
+     *
+     * @param connection the connection
+     * @param counters where bytes and rejected peers are counted
+     * @param listener creates the listener of the link
+     * @return the link
+     */
+    static Link attach(Connection connection, WireCounters counters, Function<Link, LinkListener> listener) {
+        FrameDecoder decoder = new FrameDecoder();
+        Link link = new Link(connection.channel(), decoder, counters, listener);
+        connection.addHandlerLast("frames", decoder).addHandlerLast("link", link);
+        connection.channel().config().setAutoRead(true);
+        link.execute(link::startWatch);
+        return link;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        end(failure("connection-closed", "the connection was closed"));
+        super.channelInactive(context);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
+        if (writable()) {
+            listener.writable();
+        }
+        super.channelWritabilityChanged(context);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof DecoderException) {
+            reject(failure("malformed-frame", String.valueOf(cause.getMessage())));
+        } else {
+            end(failure("connection-failed", String.valueOf(cause.getMessage())));
+        }
+    }
+
+    /** Closes the connection once what was sent is written. */
+    void close() {
+        execute(() -> {
+            if (open()) {
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                        .addListener(written -> end(failure("closed", "the connection was closed by this host")));
+            }
+        });
+    }
+
+    /** Counts a frame that belongs to no request in progress. */
+    void dropped() {
+        counters.frameDropped();
+    }
+
+    /** Counts a message that is not sent. */
+    void droppedMessage() {
+        counters.messageDropped();
+    }
+
+    /** Runs something on the event loop, after what was handed over before. */
+    void execute(Runnable task) {
+        channel.eventLoop().execute(task);
+    }
+
+    /** Creates an error that names this peer; whether the request ran is unknown. */
+    Failure failure(String code, String message) {
+        return Failure.unknown(Step.PEER, peer, code, message);
+    }
+
+    /** Creates an error of a request that never left. */
+    Failure notSent(String code, String message) {
+        return Failure.notRun(Step.PEER, peer, code, message);
+    }
+
+    /** Returns whether frames can still be sent. */
+    boolean open() {
+        return !ended && channel.isActive();
+    }
+
+    /** Returns the address of the peer. */
+    String peer() {
+        return peer;
+    }
+
+    /** Allows frames of full size: the peer has proven the secret. */
+    void proven() {
+        proven = true;
+        decoder.proven();
+    }
+
+    /** Runs something on the event loop later. */
+    ScheduledFuture<?> schedule(Runnable task, long delayMs) {
+        return channel.eventLoop().schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Sends a frame.
+     *
+     * @param frame the frame
+     * @return false when the frame was not sent, because it is too long or the connection has ended
+     */
+    boolean send(Frame frame) {
+        if (!open()) {
+            return false;
+        }
+        ByteBuf bytes = frame.encode();
+        if (bytes.readableBytes() > Frame.MAX_BYTES) {
+            LOG.warn("frame of {} bytes to {} is too long and not sent", bytes.readableBytes(), peer);
+            bytes.release();
+            return false;
+        }
+        counters.sent(bytes.readableBytes());
+        channel.writeAndFlush(bytes);
+        return true;
+    }
+
+    /** Returns whether the send buffer has room. */
+    boolean writable() {
+        return channel.isWritable();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
+        if (ended) {
+            return;
+        }
+        heard = true;
+        counters.received(bytes.readableBytes());
+        try {
+            take(Frame.decode(ByteBufUtil.getBytes(bytes), peer));
+        } catch (AcaciafoldException e) {
+            reject(e.failure());
+        }
+    }
+
+    private void end(Failure failure) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (watch != null) {
+            watch.cancel(false);
+        }
+        channel.close();
+        listener.closed(failure);
+    }
+
+    private void reject(Failure failure) {
+        if (!ended) {
+            LOG.warn("connection with {} rejected: {} ({})", peer, failure.message(), failure.code());
+            counters.rejected();
+            end(failure);
+        }
+    }
+
+    private void startWatch() {
+        if (ended) {
+            return;
+        }
+        schedule(
+                () -> {
+                    if (!proven) {
+                        reject(failure("proof-timeout", "the peer has not proven the cluster secret in time"));
+                    }
+                },
+                PROOF_TIMEOUT_MS);
+        watch = channel.eventLoop()
+                .scheduleWithFixedDelay(this::watchSilence, PING_INTERVAL_MS, PING_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void take(Frame frame) throws AcaciafoldException {
+        boolean keepAlive = frame.head() instanceof FrameHead.Ping || frame.head() instanceof FrameHead.Pong;
+        if (!proven || !keepAlive) {
+            listener.frame(frame);
+        } else if (frame.head() instanceof FrameHead.Ping) {
+            send(Frame.of(new FrameHead.Pong()));
+        }
+    }
+
+    /** Counts intervals rather than time, so that a paused process doesn't take its peers for dead. */
+    private void watchSilence() {
+        silentIntervals = heard ? 0 : silentIntervals + 1;
+        heard = false;
+        if (silentIntervals >= MAX_SILENT_INTERVALS) {
+            LOG.warn("connection with {} closed: the peer is silent", peer);
+            end(failure("peer-silent", "the peer does not answer"));
+        } else if (proven && silentIntervals > 0) {
+            send(Frame.of(new FrameHead.Ping()));
+        }
+    }
+
+    private static String name(SocketAddress address) {
+        return address instanceof InetSocketAddress socket && !socket.isUnresolved()
+                ? Addresses.format(socket)
+                : String.valueOf(address);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/PeerLink.java
@@ -0,0 +1,190 @@
+package org.acaciafold.wire;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.netty.channel.ChannelOption;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.Step;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.tcp.TcpClient;
+
+/** The connection to one peer, opened on demand and, after it was lost, not before a growing wait has passed. */
+final class PeerLink {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final long MIN_BACKOFF_MS = 50;
+    private static final long MAX_BACKOFF_MS = 2_000;
+    private static final int MAX_WAITING_MESSAGES = 64;
+
+    private final String address;
+    private final Context context;
+    private final Queue<byte[]> waitingMessages = new ArrayDeque<>();
+    private Sinks.One<ClientSession> attempt;
+    private ClientSession session;
+    private boolean connecting;
+    private long backoffMs;
+    private long retryAtMs = Long.MIN_VALUE;
+    private long lastUsedMs;
+    private boolean closed;
+
+    private PeerLink(String address, Context context) {
+        this.address = address;
+        this.context = context;
+        this.lastUsedMs = context.clock().nowMs();
+    }
+
+    static PeerLink of(String address, Context context) {
+        return new PeerLink(address, context);
+    }
+
+    /** Closes the connection once what was sent is written. */
+    synchronized Mono<Void> close() {
+        closed = true;
+        if (session == null) {
+            return Mono.empty();
+        }
+        return session.close();
+    }
+
+    /** Relays a request over the connection, which is opened first when needed. */
+    Mono<RelayResponse> relay(RelayRequest request) {
+        Duration deadline = Duration.ofMillis(request.head().deadlineLeftMs());
+        return Mono.defer(this::connected)
+                .timeout(deadline, Mono.error(notSent("deadline", "no connection within the deadline")))
+                .flatMap(ready -> ready.relay(request));
+    }
+
+    /** Sends a message over the connection; while it is being opened a few wait for it. */
+    void send(byte[] message) {
+        if (keep(message) && mustConnect()) {
+            connect();
+        }
+    }
+
+    /** Returns whether nothing was sent since a time and no connection is open. */
+    synchronized boolean unusedSince(long timeMs) {
+        return lastUsedMs < timeMs && session == null && attempt == null;
+    }
+
+    private void attach(ClientSession ready) {
+        attached(ready).tryEmitValue(ready);
+    }
+
+    private synchronized Sinks.One<ClientSession> attached(ClientSession ready) {
+        session = ready;
+        backoffMs = 0;
+        waitingMessages.forEach(ready::send);
+        waitingMessages.clear();
+        return attempt;
+    }
+
+    private void connect() {
+        try {
+            InetSocketAddress socket = Addresses.parse(address);
+            TcpClient.newConnection()
+                    .remoteAddress(() -> socket)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.WRITE_BUFFER_WATER_MARK, PeerServer.SEND_BUFFER)
+                    .doOnConnected(connection -> Link.attach(
+                            connection,
+                            context.counters(),
+                            link -> ClientSession.open(
+                                    link, context.self(), context.secret(), this::attach, this::lost)))
+                    .connect()
+                    .subscribe(connection -> {}, error -> lost(notConnected(error)));
+        } catch (AcaciafoldException e) {
+            lost(e.failure());
+        }
+    }
+
+    private Mono<ClientSession> connected() {
+        Optional<Sinks.One<ClientSession>> opening = opening();
+        if (opening.isEmpty()) {
+            return Mono.error(notSent("peer-unreachable", "the peer could not be reached a moment ago"));
+        }
+        if (mustConnect()) {
+            connect();
+        }
+        return opening.get().asMono();
+    }
+
+    private synchronized boolean keep(byte[] message) {
+        lastUsedMs = context.clock().nowMs();
+        if (session != null) {
+            session.send(message);
+            return false;
+        }
+        if (opening().isPresent() && waitingMessages.size() < MAX_WAITING_MESSAGES) {
+            waitingMessages.add(message);
+            return true;
+        }
+        context.counters().messageDropped();
+        return false;
+    }
+
+    private void lost(Failure failure) {
+        Sinks.One<ClientSession> ended = ended();
+        if (ended != null) {
+            LOG.info("no connection with {}: {}", address, failure.message());
+            ended.tryEmitError(notSent(failure.code(), failure.message()));
+        }
+    }
+
+    private synchronized Sinks.One<ClientSession> ended() {
+        Sinks.One<ClientSession> ended = attempt;
+        attempt = null;
+        session = null;
+        connecting = false;
+        backoffMs = Math.clamp(backoffMs * 2, MIN_BACKOFF_MS, MAX_BACKOFF_MS);
+        retryAtMs = context.clock().nowMs() + ThreadLocalRandom.current().nextLong(backoffMs / 2, backoffMs + 1);
+        waitingMessages.forEach(message -> context.counters().messageDropped());
+        waitingMessages.clear();
+        return ended;
+    }
+
+    /** Returns true once for each attempt, to the thread that is to connect. */
+    private synchronized boolean mustConnect() {
+        boolean must = attempt != null && !connecting;
+        connecting = connecting || must;
+        return must;
+    }
+
+    private Failure notConnected(Throwable error) {
+        return Failure.notRun(Step.PEER, address, "peer-unreachable", String.valueOf(error.getMessage()));
+    }
+
+    private AcaciafoldException notSent(String code, String message) {
+        return new AcaciafoldException(Failure.notRun(Step.PEER, address, code, message));
+    }
+
+    /** Returns the connection that is open or being opened, empty while it is too early for another attempt. */
+    private synchronized Optional<Sinks.One<ClientSession>> opening() {
+        lastUsedMs = context.clock().nowMs();
+        if (attempt == null && !closed && lastUsedMs >= retryAtMs) {
+            attempt = Sinks.one();
+        }
+        return Optional.ofNullable(attempt);
+    }
+
+    /**
+     * What all connections of a host share.
+     *
+     * @param self this host
+     * @param secret the secret of its cluster
+     * @param clock the clock of the process
+     * @param counters where frames and dropped messages are counted
+     */
+    record Context(HostId self, ClusterSecret secret, Clock clock, WireCounters counters) {}
+}
--- /dev/null
+++ b/wire/src/main/java/org/acaciafold/wire/ServerStream.java
@@ -0,0 +1,135 @@
+package org.acaciafold.wire;
+
+import java.util.concurrent.ScheduledFuture;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Mono;
+
+/** One relayed request at the host that answers it; used on the event loop of its link alone. */
+final class ServerStream {
+    private final Link link;
+    private final long id;
+    private final Runnable whenDone;
+    private final BodyReceiver receiver;
+    private final Disposable.Swap handling = Disposables.swap();
+    private ScheduledFuture<?> timer;
+    private BodySender sender;
+    private boolean done;
+
+    private ServerStream(Link link, long id, Runnable whenDone) {
+        this.link = link;
+        this.id = id;
+        this.whenDone = whenDone;
+        this.receiver = BodyReceiver.of(link, id, () -> {});
+    }
+
+    /**
+     * Creates the exchange of a request that was received.
+     *
+     * @param link the connection
+     * @param id the number of the request
+     * @param whenDone runs when the exchange has ended
+     * @return the exchange
+     */
+    static ServerStream of(Link link, long id, Runnable whenDone) {
+        return new ServerStream(link, id, whenDone);
+    }
+
+    /** Stops the handler: the sender is gone or has given the request up. */
+    void abort(Failure failure) {
+        if (finish()) {
+            receiver.cut(failure);
+            handling.dispose();
+            if (sender != null) {
+                sender.stop();
+            }
+        }
+    }
+
+    /** Handles a frame of this request. */
+    void frame(Frame frame) throws AcaciafoldException {
+        switch (frame.head()) {
+            case FrameHead.Chunk ignored -> receiver.chunk(frame.payload());
+            case FrameHead.End end -> receiver.end(end.length());
+            case FrameHead.Reset reset -> abort(reset.failure());
+            case FrameHead.Credit credit -> credit(credit.bytes());
+            default -> link.dropped();
+        }
+    }
+
+    /** Has the request answered. */
+    void handle(RelayHead head, RelayHandler handler) {
+        timer = link.schedule(
+                () -> reset(link.failure("deadline", "no whole response within the deadline")), head.deadlineLeftMs());
+        Mono<RelayResponse> response = Mono.defer(() -> handler.handle(new RelayRequest(head, receiver.body())));
+        handling.replace(response.subscribe(
+                answer -> link.execute(() -> respond(answer)),
+                error -> link.execute(() -> reset(unknown(error))),
+                () -> link.execute(this::requireResponse)));
+    }
+
+    /** The send buffer has room again. */
+    void writable() {
+        if (sender != null) {
+            sender.pump();
+        }
+    }
+
+    private void credit(int bytes) {
+        if (sender == null) {
+            link.dropped();
+        } else {
+            sender.credit(bytes);
+        }
+    }
+
+    private boolean finish() {
+        if (done) {
+            return false;
+        }
+        done = true;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        whenDone.run();
+        return true;
+    }
+
+    private void requireResponse() {
+        if (sender == null) {
+            reset(link.failure("no-response", "the peer has no response"));
+        }
+    }
+
+    private void reset(Failure failure) {
+        if (!done) {
+            link.send(Frame.of(new FrameHead.Reset(id, failure)));
+            abort(failure);
+        }
+    }
+
+    private void respond(RelayResponse answer) {
+        if (done || !link.send(Frame.of(new FrameHead.ResponseHead(id, answer.head())))) {
+            answer.body().subscribe().dispose();
+            return;
+        }
+        sender = BodySender.start(link, id, answer.body(), this::sent, error -> reset(unknown(error)));
+    }
+
+    private void sent() {
+        if (finish()) {
+            receiver.cut(link.failure("answered", "the response was sent before the request had ended"));
+        }
+    }
+
+    private Failure unknown(Throwable error) {
+        if (error instanceof AcaciafoldException typed) {
+            Failure failure = typed.failure();
+            return Failure.unknown(failure.step(), failure.peer(), failure.code(), failure.message());
+        }
+        return link.failure("relay-failed", String.valueOf(error.getMessage()));
+    }
+}
