Entry host with the runtime of its state machine, callers' and operators' HTTP

An exception of the state machine ends the host instead of going on with half written tables. Live requests go to a request plane that is passed in.

--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -64,6 +64,15 @@
         return state.settings();
     }
 
+    /**
+     * Returns whether the settings tree was read since the start.
+     *
+     * @return false while the host cannot tell a key that is in force from another
+     */
+    public boolean settingsKnown() {
+        return state.settingsKnown();
+    }
+
     /**
      * Applies events and runs all systems once.
      *
--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -24,6 +24,7 @@
     private final Map<SliceId, OwnedSlice> owned = new TreeMap<>();
     private FleetSettings settings = FleetSettings.empty();
     private boolean limitsInForce;
+    private boolean settingsKnown;
     private boolean tableAnswers;
     private boolean registered;
     private boolean stopping;
@@ -105,6 +106,15 @@
         return Math.max(count, 1);
     }
 
+    /** Returns whether the settings tree was read since the start; written by the settings system. */
+    boolean settingsKnown() {
+        return settingsKnown;
+    }
+
+    void settingsKnown(boolean value) {
+        settingsKnown = value;
+    }
+
     boolean stopping() {
         return stopping;
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/SettingsSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SettingsSystem.java
@@ -33,7 +33,6 @@
     private final EditAcceptance acceptance;
     private final Registration registration;
     private StoredTree stored = StoredTree.empty();
-    private boolean treeKnown;
     private boolean loading;
     private long heardVersion;
     private long refusedVersion;
@@ -69,7 +68,7 @@
             poll(nowMs, outbox);
         }
         edits.tick(nowMs, outbox);
-        registration.tick(nowMs, treeKnown, outbox);
+        registration.tick(nowMs, state.settingsKnown(), outbox);
     }
 
     private void answer(long call, ClientCall body, Outbox outbox) {
@@ -133,7 +132,7 @@
         TreeLoader.load(state.clock(), outbox, stored, loaded -> {
             loading = false;
             loaded.ifPresent(tree -> {
-                treeKnown = true;
+                state.settingsKnown(true);
                 putInForce(tree, outbox);
             });
         });
--- a/daemon/src/main/java/org/acaciafold/daemon/AccessKeys.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/AccessKeys.java
@@ -102,8 +102,9 @@
     private record Index(FleetSettings settings, Map<String, TeamKey> keys) {
         static Index of(FleetSettings settings) {
             Map<String, TeamKey> keys = new HashMap<>();
-            settings.teams().forEach((team, terms) -> terms.keys()
-                    .forEach(hash -> keys.put(hash.id(), new TeamKey(team, hash))));
+            settings.teams()
+                    .forEach((team, terms) ->
+                            terms.keys().forEach(hash -> keys.put(hash.id(), new TeamKey(team, hash))));
             return new Index(settings, keys);
         }
     }
--- a/daemon/src/main/java/org/acaciafold/daemon/CallerApi.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CallerApi.java
@@ -66,8 +66,7 @@
         routes.route(request -> true, HttpListener.guarded(API, metrics, CallerApi::unknownRoute));
     }
 
-    static Mono<Void> unknownRoute(HttpServerRequest request, HttpServerResponse response)
-            throws AcaciafoldException {
+    static Mono<Void> unknownRoute(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
         String message = "no such resource: " + request.method() + " " + request.path();
         throw new AcaciafoldException(Failure.notRun(Step.ROUTING, CALLER, "not-found", message));
     }
@@ -77,8 +76,7 @@
         return core.call(call).flatMap(reply -> answer(response, ACCEPTED, reply));
     }
 
-    private Mono<Void> liveRequest(HttpServerRequest request, HttpServerResponse response)
-            throws AcaciafoldException {
+    private Mono<Void> liveRequest(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
         Optional<TeamId> team = keys.optionalTeam(authorization(request));
         return live.handle(request, response, team);
     }
@@ -166,7 +164,8 @@
 
     private static AcaciafoldException notEnded(JobStatus status) {
         String message = "the job is " + status.phase() + "; its result comes when it has ended";
-        return new AcaciafoldException(Failure.notRun(Step.RESPONSE, status.job().value(), "not-ended", message));
+        return new AcaciafoldException(
+                Failure.notRun(Step.RESPONSE, status.job().value(), "not-ended", message));
     }
 
     /**
--- a/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
@@ -93,6 +93,11 @@
         failAll("stopped", "the entry host has stopped");
     }
 
+    /** Tells when the state machine has handed everything over or has failed. */
+    Mono<Void> ended() {
+        return stopped.asMono();
+    }
+
     /**
      * Returns what other threads may know of the state machine.
      *
@@ -109,7 +114,7 @@
      */
     Mono<Void> stop() {
         offer(new Event.StopRequested());
-        return stopped.asMono();
+        return ended();
     }
 
     /** Returns the number of events that wait for a tick. */
@@ -186,7 +191,7 @@
 
     private void fail(RuntimeException error) {
         LOG.error("the state machine has failed and is stopped; its leases will lapse", error);
-        snapshot = new HostSnapshot(snapshot.settings(), hosts, 0, snapshot.lateAnswers(), true);
+        snapshot = new HostSnapshot(snapshot.settings(), hosts, 0, snapshot.lateAnswers(), false, true);
         stopped.tryEmitError(error);
         dispose();
     }
@@ -202,15 +207,14 @@
 
     /** Releases a slot whose requester has gone away in the meantime. */
     private void giveBack(ClientReply.SlotGranted granted) {
-        offer(new Event.ClientCalled(
-                lastCall.incrementAndGet(), new ClientCall.ReleaseSlot(granted.slot(), true, 0)));
+        offer(new Event.ClientCalled(lastCall.incrementAndGet(), new ClientCall.ReleaseSlot(granted.slot(), true, 0)));
     }
 
     private void register(ClientCall call, MonoSink<ClientReply> sink) {
         long number = lastCall.incrementAndGet();
         waiting.put(number, sink);
-        Disposable timer = Schedulers.parallel()
-                .schedule(() -> expire(number), replyLimitMs(call), TimeUnit.MILLISECONDS);
+        Disposable timer =
+                Schedulers.parallel().schedule(() -> expire(number), replyLimitMs(call), TimeUnit.MILLISECONDS);
         sink.onDispose(() -> {
             timer.dispose();
             waiting.remove(number);
@@ -230,7 +234,8 @@
         long startNanos = System.nanoTime();
         try {
             List<Effect> outcome = core.tick(drain());
-            snapshot = new HostSnapshot(core.settings(), hosts, core.ownedSlices(), core.lateAnswers(), false);
+            snapshot = new HostSnapshot(
+                    core.settings(), hosts, core.ownedSlices(), core.lateAnswers(), core.settingsKnown(), false);
             outcome.forEach(this::carryOut);
         } catch (RuntimeException e) {
             fail(e);
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
@@ -0,0 +1,269 @@
+package org.acaciafold.daemon;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.acaciafold.coordination.HostConfig;
+import org.acaciafold.coordination.HostCore;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.settings.HostSettings;
+import org.acaciafold.settings.HostTimings;
+import org.acaciafold.wire.PeerServer;
+import org.acaciafold.wire.TcpPeerTransport;
+import org.acaciafold.wire.WireCounters;
+import org.acaciafold.wire.WireIdentity;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Mono;
+
+/**
+ * An entry host: the state machine with all that connects it to callers, operators, peers, workers and the platform.
+ *
+ * <p>Example: {@code EntryHost host = EntryHost.start(settings); ... boolean cut = host.stop();}
+ */
+public final class EntryHost {
+    private static final Logger LOG = LoggerFactory.getLogger(EntryHost.class);
+    private static final Duration REQUESTS_LIMIT = Duration.ofSeconds(20);
+    private static final Duration HANDOVER_LIMIT = Duration.ofSeconds(10);
+    private static final Duration CLOSE_LIMIT = Duration.ofSeconds(2);
+
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final Disposable.Composite polling = Disposables.composite();
+    private Tracing tracing;
+    private CoreLoop loop;
+    private TcpPeerTransport transport;
+    private PeerServer peers;
+    private HttpListener callers;
+    private HttpListener operators;
+
+    private EntryHost() {}
+
+    /**
+     * Prepares an entry host.
+     *
+     * @param settings its settings file
+     * @return a builder
+     */
+    public static Builder builder(HostSettings settings) {
+        return new Builder(settings);
+    }
+
+    /**
+     * Starts an entry host.
+     *
+     * @param settings its settings file
+     * @return the running host
+     * @throws AcaciafoldException when an address cannot be listened on or the settings cannot be used
+     */
+    public static EntryHost start(HostSettings settings) throws AcaciafoldException {
+        return builder(settings).start();
+    }
+
+    /**
+     * Returns where callers connect.
+     *
+     * @return an IP number and a port
+     */
+    public String callersAddress() {
+        return callers.address();
+    }
+
+    /**
+     * Tells when the host can go on no longer.
+     *
+     * @return an error signal when the state machine has failed; completes when it has handed everything over
+     */
+    public Mono<Void> ended() {
+        return loop.ended();
+    }
+
+    /**
+     * Returns where operators connect.
+     *
+     * @return an IP number and a port
+     */
+    public String operatorsAddress() {
+        return operators.address();
+    }
+
+    /**
+     * Returns where peers connect.
+     *
+     * @return an IP number and a port
+     */
+    public String peersAddress() {
+        return peers.address();
+    }
+
+    /**
+     * Tells whether the host serves callers.
+     *
+     * @return true when it listens and knows the host list and the settings
+     */
+    public boolean ready() {
+        return !stopping.get() && loop.snapshot().ready();
+    }
+
+    /**
+     * Stops gracefully: no new requests, everything handed over, the requests in progress finished.
+     *
+     * @return whether a request was cut or something was not handed over
+     */
+    public boolean stop() {
+        if (!stopping.compareAndSet(false, true)) {
+            return false;
+        }
+        LOG.info("stopping");
+        Mono<Boolean> handover = loop.stop()
+                .thenReturn(false)
+                .timeout(HANDOVER_LIMIT, Mono.just(true))
+                .onErrorReturn(true)
+                .cache();
+        handover.subscribe();
+        boolean cut = callers.stop(REQUESTS_LIMIT);
+        cut |= Boolean.TRUE.equals(handover.block());
+        cut |= Boolean.TRUE.equals(peers.stop(REQUESTS_LIMIT).block());
+        release();
+        LOG.info("stopped{}", cut ? "; requests were cut or slices not handed over" : "");
+        return cut;
+    }
+
+    private void release() {
+        polling.dispose();
+        if (transport != null) {
+            transport.close().timeout(CLOSE_LIMIT, Mono.empty()).block();
+        }
+        if (loop != null) {
+            loop.dispose();
+        }
+        if (operators != null) {
+            operators.stop(CLOSE_LIMIT);
+        }
+        if (tracing != null) {
+            tracing.close();
+        }
+    }
+
+    /** Closes what was already open when the start failed. */
+    private void abandon() {
+        if (callers != null) {
+            callers.stop(CLOSE_LIMIT);
+        }
+        if (peers != null) {
+            peers.stop(Duration.ZERO).block();
+        }
+        release();
+    }
+
+    private void open(Builder builder) throws AcaciafoldException {
+        HostSettings settings = builder.settings;
+        HostMetrics metrics = HostMetrics.create();
+        WireCounters counters = WireCounters.create();
+        WireIdentity identity = new WireIdentity(settings.host(), settings.clusterSecret());
+        metrics.watch(counters);
+        tracing = Tracing.create(settings.observation(), settings.host());
+        transport = TcpPeerTransport.create(identity, builder.clock, counters);
+        HostCore core = HostCore.of(config(settings), builder.clock);
+        loop = CoreLoop.start(core, EffectRunner.of(builder.clients, transport, metrics, tracing), metrics);
+        RequestPlane plane = builder.requestPlane.create(
+                new RequestContext(settings, loop, transport, loop::snapshot, metrics, tracing, builder.clock));
+        peers = PeerServer.start(
+                settings.addresses().peers(), identity, counters, PeerInbox.of(loop, metrics), plane.relays());
+        AccessKeys keys = AccessKeys.of(() -> loop.snapshot().settings());
+        CallerApi callerApi = new CallerApi(loop, keys, plane.live(), metrics, tracing, settings.maxBodyBytes());
+        callers = HttpListener.bind("callers", settings.addresses().callers(), callerApi::routes);
+        OperatorApi operatorApi =
+                new OperatorApi(loop, settings.operatorKey(), metrics, this::ready, settings.maxBodyBytes());
+        operators = HttpListener.bind("operators", settings.addresses().operators(), operatorApi::routes);
+        polling.add(HostListPoller.start(builder.clients.hosts(), loop));
+    }
+
+    private static HostConfig config(HostSettings settings) {
+        HostTimings timings = settings.timings();
+        SecureRandom random = new SecureRandom();
+        long incarnation = random.nextLong(1, Long.MAX_VALUE);
+        return HostConfig.builder(settings.host(), settings.domain(), incarnation)
+                .heartbeatMs(timings.heartbeatMs())
+                .controlLeaseMs(timings.controlLeaseMs())
+                .taskLeaseMs(timings.taskLeaseMs())
+                .callTimeoutMs(timings.callTimeoutMs())
+                .clockMarginMs(timings.clockMarginMs())
+                .seed(random.nextLong())
+                .build();
+    }
+
+    /** Prepares an entry host. */
+    public static final class Builder {
+        private final HostSettings settings;
+        private PlatformClients clients;
+        private RequestPlane.Factory requestPlane;
+        private Clock clock = Clock.system();
+
+        private Builder(HostSettings settings) {
+            this.settings = Objects.requireNonNull(settings, "settings");
+        }
+
+        /**
+         * Sets the clients of the platform and of the workers, by default those over HTTP.
+         *
+         * @param value the clients
+         * @return this builder
+         */
+        public Builder clients(PlatformClients value) {
+            clients = value;
+            return this;
+        }
+
+        /**
+         * Sets the clock.
+         *
+         * @param value the clock
+         * @return this builder
+         */
+        public Builder clock(Clock value) {
+            clock = value;
+            return this;
+        }
+
+        /**
+         * Sets what answers live requests.
+         *
+         * @param value builds the request plane
+         * @return this builder
+         */
+        public Builder requestPlane(RequestPlane.Factory value) {
+            requestPlane = value;
+            return this;
+        }
+
+        /**
+         * Starts the host.
+         *
+         * @return the running host
+         * @throws AcaciafoldException when an address cannot be listened on or the settings cannot be used
+         */
+        public EntryHost start() throws AcaciafoldException {
+            LogSetup.apply(settings.observation());
+            if (clients == null) {
+                clients = PlatformClients.http(settings);
+            }
+            if (requestPlane == null) {
+                requestPlane = NoRequestPlane::create;
+            }
+            EntryHost host = new EntryHost();
+            try {
+                host.open(this);
+            } catch (AcaciafoldException e) {
+                host.abandon();
+                throw e;
+            }
+            LOG.info("entry host {} of failure domain {} started", settings.host(), settings.domain());
+            return host;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/HostListPoller.java
@@ -0,0 +1,57 @@
+package org.acaciafold.daemon;
+
+import java.time.Duration;
+
+import org.acaciafold.coordination.Event;
+import org.acaciafold.platform.HostListClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Reads the host list of the platform again and again and hands it to the state machine. */
+final class HostListPoller {
+    private static final Logger LOG = LoggerFactory.getLogger(HostListPoller.class);
+    private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+    private final HostListClient client;
+    private final CoreLoop loop;
+    private boolean answering = true;
+
+    private HostListPoller(HostListClient client, CoreLoop loop) {
+        this.client = client;
+        this.loop = loop;
+    }
+
+    /**
+     * Starts to read the list.
+     *
+     * @param client the host list
+     * @param loop where the list goes
+     * @return ends the reading when disposed of
+     */
+    static Disposable start(HostListClient client, CoreLoop loop) {
+        HostListPoller poller = new HostListPoller(client, loop);
+        return Flux.interval(Duration.ZERO, INTERVAL)
+                .onBackpressureDrop()
+                .concatMap(tick -> poller.read(), 1)
+                .subscribe();
+    }
+
+    private Mono<Void> read() {
+        return Mono.defer(client::read)
+                .doOnNext(hosts -> {
+                    answering = true;
+                    loop.offer(new Event.HostsListed(hosts));
+                })
+                .then()
+                .onErrorResume(error -> {
+                    if (answering) {
+                        LOG.warn("the host list cannot be read; the last one stays in use: {}", error.toString());
+                    }
+                    answering = false;
+                    return Mono.empty();
+                });
+    }
+}
--- a/daemon/src/main/java/org/acaciafold/daemon/HostMetrics.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/HostMetrics.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
@@ -100,7 +101,10 @@
         Gauge.builder(PREFIX + "calls.waiting", loop, CoreLoop::waitingCalls).register(registry);
         Gauge.builder(PREFIX + "slices.owned", loop, l -> l.snapshot().ownedSlices())
                 .register(registry);
-        Gauge.builder(PREFIX + "settings.version", loop, l -> l.snapshot().settings().version())
+        Gauge.builder(
+                        PREFIX + "settings.version",
+                        loop,
+                        l -> l.snapshot().settings().version())
                 .register(registry);
         FunctionCounter.builder(PREFIX + "answers.late", loop, l -> l.snapshot().lateAnswers())
                 .register(registry);
@@ -119,7 +123,7 @@
         registry.timer(PREFIX + "worker.calls", "kind", kind, "result", result).record(took, unit);
     }
 
-    private void wire(String name, WireCounters counters, java.util.function.ToDoubleFunction<WireCounters> value) {
+    private void wire(String name, WireCounters counters, ToDoubleFunction<WireCounters> value) {
         FunctionCounter.builder(PREFIX + "wire." + name, counters, value).register(registry);
     }
 }
--- a/daemon/src/main/java/org/acaciafold/daemon/HostSnapshot.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/HostSnapshot.java
@@ -15,11 +15,17 @@
  * @param hosts the host list as last read, empty before its first answer
  * @param ownedSlices the number of slices that this host owns
  * @param lateAnswers answers that came after their timeout, since the start
+ * @param settingsKnown whether the settings were read since the start
  * @param failed whether the state machine has ended with an error
  */
 public record HostSnapshot(
-        FleetSettings settings, List<HostEntry> hosts, int ownedSlices, long lateAnswers, boolean failed) {
-    private static final HostSnapshot EMPTY = new HostSnapshot(FleetSettings.empty(), List.of(), 0, 0, false);
+        FleetSettings settings,
+        List<HostEntry> hosts,
+        int ownedSlices,
+        long lateAnswers,
+        boolean settingsKnown,
+        boolean failed) {
+    private static final HostSnapshot EMPTY = new HostSnapshot(FleetSettings.empty(), List.of(), 0, 0, false, false);
 
     /**
      * Returns the snapshot of a host that knows nothing yet.
@@ -42,4 +48,13 @@
                 .map(HostEntry::address)
                 .findFirst();
     }
+
+    /**
+     * Tells whether callers can be served.
+     *
+     * @return true when the host list and the settings are known and the state machine runs
+     */
+    public boolean ready() {
+        return settingsKnown && !hosts.isEmpty() && !failed;
+    }
 }
--- a/daemon/src/main/java/org/acaciafold/daemon/JobRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/JobRequests.java
@@ -33,7 +33,9 @@
      * @throws AcaciafoldException when it is too long or has characters outside visible ASCII
      */
     static String checkKey(String key) throws AcaciafoldException {
-        require(key.isEmpty() || KEY.matcher(key).matches(), "Idempotency-Key must be 1 to 200 visible ASCII characters");
+        require(
+                key.isEmpty() || KEY.matcher(key).matches(),
+                "Idempotency-Key must be 1 to 200 visible ASCII characters");
         return key;
     }
 
--- a/daemon/src/main/java/org/acaciafold/daemon/OperatorApi.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/OperatorApi.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -14,6 +15,7 @@
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Step;
 import org.acaciafold.settings.KeyHash;
+import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -40,8 +42,7 @@
     private final BooleanSupplier ready;
     private final long maxBodyBytes;
 
-    OperatorApi(
-            CoreCalls core, KeyHash operatorKey, HostMetrics metrics, BooleanSupplier ready, long maxBodyBytes) {
+    OperatorApi(CoreCalls core, KeyHash operatorKey, HostMetrics metrics, BooleanSupplier ready, long maxBodyBytes) {
         this.core = core;
         this.edits = SettingsEdits.of(core);
         this.operatorKey = operatorKey;
@@ -87,7 +88,7 @@
         return core.call(new ClientCall.QueryEdit(request.param("edit"))).flatMap(reply -> answer(response, OK, reply));
     }
 
-    private reactor.core.publisher.Mono<Void> query(HttpServerResponse response, String subtree) {
+    private Mono<Void> query(HttpServerResponse response, String subtree) {
         return core.call(new ClientCall.QuerySettings(subtree)).flatMap(reply -> {
             if (reply instanceof ClientReply.SettingsFound found) {
                 response.header("ETag", "\"" + found.version() + "\"");
@@ -98,7 +99,8 @@
 
     private Mono<Void> readiness(HttpServerResponse response) {
         boolean isReady = ready.getAsBoolean();
-        return HttpAnswers.text(response, isReady ? OK : UNAVAILABLE, "text/plain", isReady ? "ready\n" : "not ready\n");
+        return HttpAnswers.text(
+                response, isReady ? OK : UNAVAILABLE, "text/plain", isReady ? "ready\n" : "not ready\n");
     }
 
     private Mono<Void> remove(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
@@ -132,14 +134,12 @@
         return edits.takeOut(subtree, out).flatMap(reply -> answer(response, ACCEPTED, reply));
     }
 
-    private Mono<Void> withdrawKey(HttpServerRequest request, HttpServerResponse response)
-            throws AcaciafoldException {
+    private Mono<Void> withdrawKey(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
         String subtree = checkedSubtree("team/" + request.param("team"));
         return edits.withdrawKey(subtree, request.param("id")).flatMap(reply -> answer(response, ACCEPTED, reply));
     }
 
-    private java.util.function.BiFunction<HttpServerRequest, HttpServerResponse, org.reactivestreams.Publisher<Void>>
-            keyed(HttpHandler handler) {
+    private BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> keyed(HttpHandler handler) {
         return HttpListener.guarded(API, metrics, (request, response) -> {
             AccessKeys.require(request.requestHeaders().get("Authorization"), operatorKey);
             return handler.handle(request, response);
@@ -149,8 +149,7 @@
     private static Mono<Void> answer(HttpServerResponse response, int status, ClientReply reply) {
         return switch (reply) {
             case ClientReply.Failed failed -> Mono.error(new AcaciafoldException(failed.failure()));
-            case ClientReply.EditConflict conflict ->
-                HttpAnswers.json(response, CONFLICT, conflict, ClientReply.class);
+            case ClientReply.EditConflict conflict -> HttpAnswers.json(response, CONFLICT, conflict, ClientReply.class);
             default -> HttpAnswers.json(response, status, reply, ClientReply.class);
         };
     }
@@ -164,7 +163,8 @@
 
     private static ClientCall.EditSettings editCall(HttpServerRequest request, Optional<String> text)
             throws AcaciafoldException {
-        String edit = request.requestHeaders().get("Acaciafold-Edit", UUID.randomUUID().toString());
+        String edit = request.requestHeaders()
+                .get("Acaciafold-Edit", UUID.randomUUID().toString());
         if (!EDIT.matcher(edit).matches()) {
             throw malformed("Acaciafold-Edit must match " + EDIT);
         }
--- a/daemon/src/main/java/org/acaciafold/daemon/RequestBodies.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/RequestBodies.java
@@ -34,7 +34,8 @@
         }
         return request.receive()
                 .asByteArray()
-                .<ByteArrayOutputStream>reduceWith(ByteArrayOutputStream::new, (body, part) -> append(body, part, maxBytes))
+                .<ByteArrayOutputStream>reduceWith(
+                        ByteArrayOutputStream::new, (body, part) -> append(body, part, maxBytes))
                 .map(ByteArrayOutputStream::toByteArray)
                 .onErrorMap(BodyTooLong.class, error -> tooLong(maxBytes));
     }
--- a/daemon/src/main/java/org/acaciafold/daemon/SettingsEdits.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/SettingsEdits.java
@@ -1,6 +1,7 @@
 package org.acaciafold.daemon;
 
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.UUID;
 
 import org.acaciafold.coordination.ClientCall;
@@ -88,7 +89,7 @@
         try {
             String text = change.apply(found);
             return core.call(new ClientCall.EditSettings(
-                    UUID.randomUUID().toString(), found.subtree(), found.version(), java.util.Optional.of(text)));
+                    UUID.randomUUID().toString(), found.subtree(), found.version(), Optional.of(text)));
         } catch (AcaciafoldException e) {
             return Mono.error(e);
         }
--- a/daemon/src/main/java/org/acaciafold/daemon/Tracing.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/Tracing.java
@@ -1,7 +1,6 @@
 package org.acaciafold.daemon;
 
 import java.util.List;
-import java.util.Map;
 
 import io.opentelemetry.api.OpenTelemetry;
 import io.opentelemetry.api.common.AttributeKey;
@@ -16,6 +15,7 @@
 import io.opentelemetry.sdk.OpenTelemetrySdk;
 import io.opentelemetry.sdk.resources.Resource;
 import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.SpanProcessor;
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
 import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor;
 import io.opentelemetry.sdk.trace.export.SpanExporter;
@@ -52,8 +52,11 @@
         return switch (observation.traces()) {
             case NONE -> none();
             case LOG -> exporting(SimpleSpanProcessor.create(new LogSpanExporter()), host);
-            case OTLP -> exporting(
-                    BatchSpanProcessor.builder(otlp(observation.otlpEndpoint())).build(), host);
+            case OTLP ->
+                exporting(
+                        BatchSpanProcessor.builder(otlp(observation.otlpEndpoint()))
+                                .build(),
+                        host);
         };
     }
 
@@ -123,10 +126,13 @@
 
     /** Starts a span of the state machine, whose calls serve many requests together. */
     Span startRoot(String name) {
-        return tracer.spanBuilder(name).setSpanKind(SpanKind.CLIENT).setNoParent().startSpan();
+        return tracer.spanBuilder(name)
+                .setSpanKind(SpanKind.CLIENT)
+                .setNoParent()
+                .startSpan();
     }
 
-    private static Tracing exporting(io.opentelemetry.sdk.trace.SpanProcessor processor, HostId host) {
+    private static Tracing exporting(SpanProcessor processor, HostId host) {
         Resource resource = Resource.getDefault().toBuilder()
                 .put(AttributeKey.stringKey("service.name"), "acaciafold")
                 .put(AttributeKey.stringKey("service.instance.id"), host.value())
@@ -153,8 +159,9 @@
         }
 
         @Override
+        @SuppressWarnings("deprecation") // the interface still requires it
         public Iterable<String> keys(String carrier) {
-            return List.copyOf(Map.of(TRACEPARENT, carrier).keySet());
+            return List.of(TRACEPARENT);
         }
     }
 }
