Request plane: slots, fair queues, retry budget and ejection

A slot whose use is not proven to have ended stays counted: requests of earlier owners and requests given up on are dropped only when a report of the worker, taken after they could last have arrived, shows fewer in use.

--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/request/ReplicaHealth.java
@@ -0,0 +1,87 @@
+package org.acaciafold.core.request;
+
+/** How well one replica answers; a bad one is ejected for a growing time, then probed by one request at a time. */
+final class ReplicaHealth {
+    private static final int FAILURES_TO_EJECT = 3;
+    private static final int SAMPLES_TO_JUDGE = 5;
+    private static final int SUCCESSES_TO_FORGET = 10;
+    private static final int SLOW_FACTOR = 4;
+    private static final long SLOW_AT_LEAST_MS = 50;
+    private static final long FIRST_EJECTION_MS = 1_000;
+    private static final int MAX_DOUBLINGS = 5;
+    private static final double SMOOTHING = 0.3;
+
+    private double tookMs;
+    private int samples;
+    private int failures;
+    private int successes;
+    private int ejections;
+    private long ejectedUntilMs;
+    private boolean ejected;
+    private boolean probing;
+
+    /** Tells whether a request may be sent: not while ejected, and one at a time while probed. */
+    boolean available(long nowMs) {
+        return !ejected || nowMs >= ejectedUntilMs && !probing;
+    }
+
+    /** Tells whether it should be ejected, given what its peers take. */
+    boolean bad(double peersTookMs) {
+        boolean slow = samples >= SAMPLES_TO_JUDGE
+                && peersTookMs > 0
+                && tookMs > Math.max(SLOW_AT_LEAST_MS, SLOW_FACTOR * peersTookMs);
+        return failures >= FAILURES_TO_EJECT || slow;
+    }
+
+    void eject(long nowMs) {
+        ejected = true;
+        probing = false;
+        ejectedUntilMs = nowMs + (FIRST_EJECTION_MS << Math.min(ejections, MAX_DOUBLINGS));
+        ejections++;
+        forgetSamples();
+    }
+
+    boolean ejected() {
+        return ejected;
+    }
+
+    /** Records the end of a request. */
+    void record(SlotEnd end, long nowMs) {
+        boolean probe = probing;
+        probing = false;
+        tookMs = samples == 0 ? end.tookMs() : tookMs + SMOOTHING * (end.tookMs() - tookMs);
+        samples++;
+        failures = end.succeeded() ? 0 : failures + 1;
+        successes = end.succeeded() ? successes + 1 : 0;
+        if (successes >= SUCCESSES_TO_FORGET) {
+            ejections = 0;
+        }
+        if (!ejected || !probe) {
+            return;
+        }
+        if (end.succeeded()) {
+            ejected = false;
+            forgetSamples();
+        } else {
+            eject(nowMs);
+        }
+    }
+
+    int samples() {
+        return samples;
+    }
+
+    void sent() {
+        probing = ejected;
+    }
+
+    double tookMs() {
+        return tookMs;
+    }
+
+    private void forgetSamples() {
+        samples = 0;
+        failures = 0;
+        successes = 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/request/RequestPlane.java
@@ -0,0 +1,304 @@
+package org.acaciafold.core.request;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkerId;
+
+/**
+ * Gives the slots of workers to live requests, in the fair order of the teams.
+ *
+ * <p>It does no I/O and reads no clock; the same facts and ticks give the same decisions. A slot is given back by
+ * {@link #release} alone; when that never comes, it is freed after the caller's deadline once a report of the worker
+ * shows that it is not in use.
+ */
+public final class RequestPlane {
+    private static final int DEFAULT_QUEUE_LIMIT = 256;
+    private static final long LEAST_RETRY_MS = 100;
+
+    private final SplittableRandom random;
+    private final long lateArrivalMs;
+    private final Map<WorkerId, WorkerSlots> workers = new TreeMap<>();
+    private final Map<ServiceKey, ServiceReplicas> services = new TreeMap<>();
+    private final Map<TeamId, Integer> queueLimits = new TreeMap<>();
+    private final FairQueue<ServiceKey, SlotAsk> queue = FairQueue.empty();
+    private final PriorityQueue<SlotAsk> byDeadline =
+            new PriorityQueue<>(Comparator.comparingLong(SlotAsk::deadlineMs));
+    private final Set<Long> waiting = new HashSet<>();
+    private final Map<ServiceKey, Integer> waitingByService = new HashMap<>();
+    private final Map<Long, Held> held = new HashMap<>();
+    private final PriorityQueue<Held> byExpiry = new PriorityQueue<>(Comparator.comparingLong(Held::expiresMs));
+    private final List<SlotDecision> refused = new ArrayList<>();
+    private long lastSlot;
+
+    private RequestPlane(long seed, long lateArrivalMs) {
+        this.random = new SplittableRandom(seed);
+        this.lateArrivalMs = lateArrivalMs;
+    }
+
+    /**
+     * Creates a plane without workers.
+     *
+     * @param seed the seed of random choices
+     * @param lateArrivalMs how long after a grant a worker may still accept the request, in milliseconds
+     * @return the plane
+     */
+    public static RequestPlane of(long seed, long lateArrivalMs) {
+        return new RequestPlane(seed, lateArrivalMs);
+    }
+
+    /**
+     * Asks for a slot; answered by a later {@link #tick}.
+     *
+     * @param ask the request
+     * @param nowMs the time in milliseconds
+     */
+    public void ask(SlotAsk ask, long nowMs) {
+        int limit = queueLimits.getOrDefault(ask.caller(), DEFAULT_QUEUE_LIMIT);
+        long waitMs = expectedWaitMs(ask);
+        if (queue.size(ask.caller()) >= limit) {
+            refuse(ask, SlotDecision.Reason.QUEUE_FULL, waitMs);
+        } else if (nowMs + waitMs > ask.deadlineMs()) {
+            refuse(ask, SlotDecision.Reason.TOO_BUSY, waitMs);
+        } else {
+            queue.add(ask.caller(), ask.service(), ask);
+            byDeadline.add(ask);
+            waiting.add(ask.call());
+            waitingByService.merge(ask.service(), 1, Integer::sum);
+        }
+    }
+
+    /**
+     * Tells whether a service has a replica here.
+     *
+     * @param service the service
+     * @return true when a replica answers
+     */
+    public boolean knows(ServiceKey service) {
+        return services.containsKey(service);
+    }
+
+    /**
+     * Returns how busy a service is here.
+     *
+     * @param service the service
+     * @return its load
+     */
+    public ServiceLoad load(ServiceKey service) {
+        ServiceReplicas replicas = services.getOrDefault(service, new ServiceReplicas());
+        return new ServiceLoad(service, replicas.size(), replicas.freeSlots(), waitingFor(service));
+    }
+
+    /**
+     * Returns how busy the services on some of the workers are.
+     *
+     * @param some the workers
+     * @return the loads, counted over these workers
+     */
+    public List<ServiceLoad> loads(Collection<WorkerId> some) {
+        Map<ServiceKey, ServiceLoad> loads = new TreeMap<>();
+        for (WorkerId id : some) {
+            WorkerSlots worker = workers.get(id);
+            if (worker == null) {
+                continue;
+            }
+            for (ServiceKey service : worker.services()) {
+                ServiceLoad before = loads.get(service);
+                int replicas = before == null ? 0 : before.replicas();
+                int free = before == null ? 0 : before.freeSlots();
+                loads.put(service, new ServiceLoad(service, replicas + 1, free + worker.free(), waitingFor(service)));
+            }
+        }
+        return List.copyOf(loads.values());
+    }
+
+    /**
+     * Gives a slot back.
+     *
+     * @param slot the number of the slot; unknown ones are ignored
+     * @param end how its use ended
+     * @param nowMs the time in milliseconds
+     */
+    public void release(long slot, SlotEnd end, long nowMs) {
+        Held released = held.remove(slot);
+        if (released == null) {
+            return;
+        }
+        if (end.ended()) {
+            released.worker().release();
+        } else {
+            released.worker().abandon(released.grantedMs() + lateArrivalMs);
+        }
+        record(released, end, nowMs);
+    }
+
+    /**
+     * Forgets a worker that is no longer commanded from here.
+     *
+     * @param worker the worker
+     */
+    public void removeWorker(WorkerId worker) {
+        WorkerSlots removed = workers.remove(worker);
+        if (removed != null) {
+            removed.services().forEach(service -> removeReplica(service, removed));
+        }
+    }
+
+    /**
+     * Sets what a team may have waiting.
+     *
+     * @param team the team
+     * @param weight its weight among the teams that wait, above 0
+     * @param queueLimit live requests that may wait
+     */
+    public void team(TeamId team, double weight, int queueLimit) {
+        queue.weight(team, weight);
+        queueLimits.put(team, queueLimit);
+    }
+
+    /**
+     * Answers what can be answered.
+     *
+     * @param nowMs the time in milliseconds
+     * @return the answers in the order in which they were decided
+     */
+    public List<SlotDecision> tick(long nowMs) {
+        abandonExpired(nowMs);
+        List<SlotDecision> decisions = new ArrayList<>(refused);
+        refused.clear();
+        giveUpLate(nowMs, decisions);
+        grant(nowMs, decisions);
+        return decisions;
+    }
+
+    /**
+     * Records what a worker reports.
+     *
+     * @param report the report
+     */
+    public void worker(SlotWorker report) {
+        WorkerSlots known = workers.get(report.id());
+        Set<ServiceKey> before = known == null ? Set.of() : known.services();
+        WorkerSlots worker = known == null ? WorkerSlots.of(report) : known;
+        worker.update(report);
+        workers.put(report.id(), worker);
+        Set<ServiceKey> gone = new HashSet<>(before);
+        gone.removeAll(report.services());
+        gone.forEach(service -> removeReplica(service, worker));
+        for (ServiceKey service : report.services()) {
+            if (!before.contains(service)) {
+                services.computeIfAbsent(service, key -> new ServiceReplicas()).add(worker);
+            }
+        }
+    }
+
+    private void abandonExpired(long nowMs) {
+        while (!byExpiry.isEmpty() && byExpiry.peek().expiresMs() <= nowMs) {
+            Held expired = byExpiry.poll();
+            if (held.remove(expired.slot()) != null) {
+                expired.worker().abandon(expired.expiresMs());
+                record(expired, new SlotEnd(false, false, nowMs - expired.grantedMs()), nowMs);
+            }
+        }
+    }
+
+    private long expectedWaitMs(SlotAsk ask) {
+        ServiceReplicas replicas = services.get(ask.service());
+        if (replicas == null || replicas.slots() == 0 || replicas.freeSlots() > 0) {
+            return 0;
+        }
+        double ahead = (queue.size(ask.caller()) + 1) / queue.share(ask.caller());
+        return Math.round(ahead * replicas.meanTookMs() / replicas.slots());
+    }
+
+    private void giveUpLate(long nowMs, List<SlotDecision> decisions) {
+        while (!byDeadline.isEmpty() && byDeadline.peek().deadlineMs() <= nowMs) {
+            SlotAsk late = byDeadline.poll();
+            if (stopWaiting(late)) {
+                queue.remove(late.caller(), late.service(), late);
+                long retryMs = Math.max(LEAST_RETRY_MS, expectedWaitMs(late));
+                decisions.add(new SlotDecision.Refused(late.call(), SlotDecision.Reason.DEADLINE, retryMs));
+            }
+        }
+    }
+
+    private void grant(long nowMs, List<SlotDecision> decisions) {
+        Map<ServiceKey, ServiceReplicas.Replica> chosen = new HashMap<>();
+        Set<ServiceKey> full = new HashSet<>();
+        Optional<SlotAsk> next = queue.take(service -> hasRoom(service, nowMs, chosen, full));
+        while (next.isPresent()) {
+            SlotAsk ask = next.get();
+            decisions.add(grant(ask, chosen.get(ask.service()), nowMs));
+            chosen.clear();
+            next = queue.take(service -> hasRoom(service, nowMs, chosen, full));
+        }
+    }
+
+    private SlotDecision grant(SlotAsk ask, ServiceReplicas.Replica replica, long nowMs) {
+        stopWaiting(ask);
+        replica.worker().hold();
+        replica.health().sent();
+        long expiresMs = Math.max(ask.deadlineMs(), nowMs + lateArrivalMs);
+        Held slot = new Held(++lastSlot, replica.worker(), ask.service(), nowMs, expiresMs);
+        held.put(slot.slot(), slot);
+        byExpiry.add(slot);
+        return new SlotDecision.Granted(
+                ask.call(), slot.slot(), replica.worker().id());
+    }
+
+    private boolean hasRoom(
+            ServiceKey service, long nowMs, Map<ServiceKey, ServiceReplicas.Replica> chosen, Set<ServiceKey> full) {
+        if (full.contains(service) || !services.containsKey(service)) {
+            return false;
+        }
+        Optional<ServiceReplicas.Replica> replica = services.get(service).choose(random, nowMs);
+        replica.ifPresentOrElse(found -> chosen.put(service, found), () -> full.add(service));
+        return replica.isPresent();
+    }
+
+    private void record(Held used, SlotEnd end, long nowMs) {
+        ServiceReplicas replicas = services.get(used.service());
+        if (replicas != null) {
+            replicas.record(used.worker(), end, nowMs);
+        }
+    }
+
+    private void refuse(SlotAsk ask, SlotDecision.Reason reason, long waitMs) {
+        refused.add(new SlotDecision.Refused(ask.call(), reason, Math.max(LEAST_RETRY_MS, waitMs)));
+    }
+
+    private void removeReplica(ServiceKey service, WorkerSlots worker) {
+        ServiceReplicas replicas = services.get(service);
+        if (replicas != null) {
+            replicas.remove(worker);
+            if (replicas.isEmpty()) {
+                services.remove(service);
+            }
+        }
+    }
+
+    private boolean stopWaiting(SlotAsk ask) {
+        boolean waited = waiting.remove(ask.call());
+        if (waited) {
+            waitingByService.computeIfPresent(ask.service(), (service, count) -> count == 1 ? null : count - 1);
+        }
+        return waited;
+    }
+
+    private int waitingFor(ServiceKey service) {
+        return waitingByService.getOrDefault(service, 0);
+    }
+
+    private record Held(long slot, WorkerSlots worker, ServiceKey service, long grantedMs, long expiresMs) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/request/RetryBudget.java
@@ -0,0 +1,47 @@
+package org.acaciafold.core.request;
+
+/**
+ * Allows retries as a fraction of the requests, so that retries cannot multiply an overload.
+ *
+ * <p>Example: {@code budget.requested()} for each request, and {@code if (budget.tryRetry())} before each retry.
+ */
+public final class RetryBudget {
+    private final double ratio;
+    private final double capacity;
+    private double tokens;
+
+    private RetryBudget(double ratio, double capacity) {
+        this.ratio = ratio;
+        this.capacity = capacity;
+        this.tokens = capacity;
+    }
+
+    /**
+     * Creates a full budget.
+     *
+     * @param ratio retries per request in the long run, from 0 to 1
+     * @param capacity retries that may come at once
+     * @return the budget
+     */
+    public static RetryBudget of(double ratio, double capacity) {
+        return new RetryBudget(ratio, capacity);
+    }
+
+    /** Records a first attempt. */
+    public synchronized void requested() {
+        tokens = Math.min(capacity, tokens + ratio);
+    }
+
+    /**
+     * Takes a retry from the budget.
+     *
+     * @return false when there is none left
+     */
+    public synchronized boolean tryRetry() {
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/request/ServiceReplicas.java
@@ -0,0 +1,116 @@
+package org.acaciafold.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** The replicas of one service and the choice among them. */
+final class ServiceReplicas {
+    private static final int DRAWS = 6;
+    private static final double SMOOTHING = 0.1;
+
+    private final List<Replica> replicas = new ArrayList<>();
+    private double meanTookMs;
+
+    void add(WorkerSlots worker) {
+        replicas.add(new Replica(worker, new ReplicaHealth()));
+    }
+
+    /** Chooses the less loaded of two replicas drawn at random among those with a free slot. */
+    Optional<Replica> choose(SplittableRandom random, long nowMs) {
+        boolean allEjected =
+                replicas.stream().allMatch(replica -> replica.health().ejected());
+        Replica best = null;
+        int found = 0;
+        for (int draw = 0; draw < DRAWS && found < 2 && !replicas.isEmpty(); draw++) {
+            Replica drawn = replicas.get(random.nextInt(replicas.size()));
+            if (usable(drawn, allEjected, nowMs)) {
+                found++;
+                best = less(best, drawn);
+            }
+        }
+        return best != null ? Optional.of(best) : first(allEjected, nowMs);
+    }
+
+    int freeSlots() {
+        return replicas.stream().mapToInt(replica -> replica.worker().free()).sum();
+    }
+
+    boolean isEmpty() {
+        return replicas.isEmpty();
+    }
+
+    double meanTookMs() {
+        return meanTookMs;
+    }
+
+    void record(WorkerSlots worker, SlotEnd end, long nowMs) {
+        if (end.succeeded()) {
+            meanTookMs = meanTookMs == 0 ? end.tookMs() : meanTookMs + SMOOTHING * (end.tookMs() - meanTookMs);
+        }
+        for (Replica replica : replicas) {
+            if (replica.worker() == worker) {
+                replica.health().record(end, nowMs);
+                ejectWhenBad(replica, nowMs);
+            }
+        }
+    }
+
+    void remove(WorkerSlots worker) {
+        replicas.removeIf(replica -> replica.worker() == worker);
+    }
+
+    int size() {
+        return replicas.size();
+    }
+
+    int slots() {
+        return replicas.stream().mapToInt(replica -> replica.worker().slots()).sum();
+    }
+
+    List<Replica> replicas() {
+        return replicas;
+    }
+
+    private void ejectWhenBad(Replica replica, long nowMs) {
+        long ejected = replicas.stream().filter(any -> any.health().ejected()).count();
+        boolean halfRemains = (ejected + 1) * 2 <= replicas.size();
+        if (!replica.health().ejected() && halfRemains && replica.health().bad(peersTookMs(replica))) {
+            replica.health().eject(nowMs);
+        }
+    }
+
+    private Optional<Replica> first(boolean allEjected, long nowMs) {
+        return replicas.stream()
+                .filter(replica -> usable(replica, allEjected, nowMs))
+                .findFirst();
+    }
+
+    /** Returns the median of what the other replicas take, 0 while none of them is known. */
+    private double peersTookMs(Replica except) {
+        double[] took = replicas.stream()
+                .filter(replica -> replica != except && replica.health().samples() > 0)
+                .mapToDouble(replica -> replica.health().tookMs())
+                .sorted()
+                .toArray();
+        return took.length == 0 ? 0 : took[took.length / 2];
+    }
+
+    private static Replica less(Replica first, Replica second) {
+        boolean keep = first != null && first.worker().load() <= second.worker().load();
+        return keep ? first : second;
+    }
+
+    private static boolean usable(Replica replica, boolean allEjected, long nowMs) {
+        return replica.worker().free() > 0 && (allEjected || replica.health().available(nowMs));
+    }
+
+    /**
+     * One replica.
+     *
+     * @param worker the slots of its worker
+     * @param health how well it answers
+     */
+    record Replica(WorkerSlots worker, ReplicaHealth health) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciafold/core/request/SlotDecision.java
@@ -0,0 +1,41 @@
+package org.acaciafold.core.request;
+
+import org.acaciafold.core.model.WorkerId;
+
+/** The answer to a {@link SlotAsk}. */
+public sealed interface SlotDecision {
+    /**
+     * Returns the number of the ask.
+     *
+     * @return the number of the call
+     */
+    long call();
+
+    /**
+     * The slot is reserved until {@link RequestPlane#release}.
+     *
+     * @param call the number of the ask
+     * @param slot the number of the slot
+     * @param worker the worker
+     */
+    record Granted(long call, long slot, WorkerId worker) implements SlotDecision {}
+
+    /**
+     * No slot is given.
+     *
+     * @param call the number of the ask
+     * @param reason why
+     * @param retryAfterMs milliseconds after which a repeat may succeed
+     */
+    record Refused(long call, Reason reason, long retryAfterMs) implements SlotDecision {}
+
+    /** Why no slot is given. */
+    enum Reason {
+        /** The queue of the team is full. */
+        QUEUE_FULL,
+        /** The expected wait is longer than the caller's. */
+        TOO_BUSY,
+        /** The caller's deadline passed while it waited. */
+        DEADLINE
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciafold/core/request/RequestPlaneTest.java
@@ -0,0 +1,237 @@
+package org.acaciafold.core.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkerId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RequestPlaneTest {
+    private static final TeamId NORTH = TeamId.of("north");
+    private static final TeamId SOUTH = TeamId.of("south");
+    private static final ServiceKey SHOP = new ServiceKey(NORTH, "shop");
+    private static final ServiceKey TOURS = new ServiceKey(SOUTH, "tours");
+    private static final long LATE_MS = 100;
+    private static final long FAR_MS = 1_000_000;
+
+    private final RequestPlane plane = RequestPlane.of(1, LATE_MS);
+    private long lastCall;
+
+    // -- ask
+
+    @Test
+    void shouldRefuseAtOnceWhenQueueOfTeamIsFull() {
+        plane.team(NORTH, 1, 2);
+        report("w", 1, 1, 0);
+        ask(NORTH, SHOP, 0, FAR_MS);
+        ask(NORTH, SHOP, 0, FAR_MS);
+        ask(NORTH, SHOP, 0, FAR_MS);
+        assertRefused(SlotDecision.Reason.QUEUE_FULL, plane.tick(0).getFirst());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"199, true", "201, false"})
+    void shouldRefuseAtOnceWhenWaitExceedsDeadline(long deadlineMs, boolean refused) {
+        report("w", 1, 0, 0);
+        long first = slotOf(askNow(0, FAR_MS));
+        plane.release(first, new SlotEnd(true, true, 100), 0);
+        askNow(0, FAR_MS);
+        ask(NORTH, SHOP, 0, FAR_MS);
+        ask(NORTH, SHOP, 0, deadlineMs);
+        assertEquals(refused, !plane.tick(0).isEmpty());
+    }
+
+    @Test
+    void shouldAnswerWhenDeadlinePassesInQueue() {
+        report("w", 1, 1, 0);
+        ask(NORTH, SHOP, 0, 50);
+        assertTrue(plane.tick(49).isEmpty());
+        assertRefused(SlotDecision.Reason.DEADLINE, plane.tick(50).getFirst());
+        assertEquals(0, plane.load(SHOP).waiting());
+    }
+
+    // -- tick
+
+    @ParameterizedTest
+    @CsvSource({"1, 1, 10", "3, 1, 15"})
+    void shouldServeTeamsByWeightWhenOneFloods(double northWeight, double southWeight, int northServed) {
+        plane.team(NORTH, northWeight, 1_000);
+        plane.team(SOUTH, southWeight, 1_000);
+        report("w", 1, 1, 0);
+        Map<Long, TeamId> callers = new HashMap<>();
+        for (int index = 0; index < 500; index++) {
+            callers.put(ask(NORTH, SHOP, 0, FAR_MS), NORTH);
+        }
+        for (int index = 0; index < 20; index++) {
+            callers.put(ask(SOUTH, TOURS, 0, FAR_MS), SOUTH);
+        }
+        report("w", 1, 0, 0);
+        int north = 0;
+        for (int served = 0; served < 20; served++) {
+            SlotDecision decision = plane.tick(0).getFirst();
+            north += callers.get(decision.call()).equals(NORTH) ? 1 : 0;
+            plane.release(slotOf(decision), new SlotEnd(true, true, 1), 0);
+        }
+        assertEquals(northServed, north);
+    }
+
+    @Test
+    void shouldChooseLessLoadedOfTwoWhenBothHaveSlots() {
+        report("a", 8, 6, 0);
+        report("b", 8, 0, 0);
+        int toB = 0;
+        for (int index = 0; index < 4; index++) {
+            toB += workerOf(askNow(0, FAR_MS)).equals(WorkerId.of("b")) ? 1 : 0;
+        }
+        assertTrue(toB >= 3, "requests to the idle worker: " + toB);
+    }
+
+    // -- worker
+
+    @ParameterizedTest
+    @CsvSource({"8, 0", "5, 3", "0, 8"})
+    void shouldCountSlotsOfEarlierOwnersWhenReported(int inUse, int free) {
+        report("w", 8, inUse, 0);
+        assertEquals(free, plane.load(SHOP).freeSlots());
+        report("w", 8, 0, 1);
+        assertEquals(8, plane.load(SHOP).freeSlots());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"149, 0, 0", "150, 0, 1", "150, 1, 0"})
+    void shouldFreeLostSlotOnlyWhenWorkerProvesIt(long sampledAfterMs, int inUse, int free) {
+        report("w", 1, 0, 0);
+        askNow(0, 150);
+        plane.tick(150);
+        report("w", 1, inUse, sampledAfterMs);
+        assertEquals(free, plane.load(SHOP).freeSlots());
+    }
+
+    // -- release
+
+    @ParameterizedTest
+    @CsvSource({"true, 50, 1", "false, 50, 0", "false, 100, 1"})
+    void shouldKeepSlotWhenRequestMayStillRun(boolean ended, long sampledAfterMs, int free) {
+        report("w", 1, 0, 0);
+        plane.release(slotOf(askNow(0, FAR_MS)), new SlotEnd(false, ended, 10), 10);
+        report("w", 1, 0, sampledAfterMs);
+        assertEquals(free, plane.load(SHOP).freeSlots());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false, 5", "true, 500"})
+    void shouldEjectAndProbeWhenReplicaFailsOrIsSlow(boolean succeeds, long badTookMs) {
+        report("bad", 8, 0, 0);
+        report("good", 8, 0, 0);
+        for (int index = 0; index < 60; index++) {
+            serve(0, succeeds, badTookMs);
+        }
+        assertEquals(0, servedByBad(500, 40, false));
+        assertEquals(1, servedByBad(1_000, 40, false));
+        assertEquals(0, servedByBad(2_999, 40, false));
+        assertTrue(servedByBad(3_000, 40, true) > 1, "restored after a good probe");
+    }
+
+    @Property(tries = 200, seed = "7")
+    void shouldNeverExceedSlotsWhateverHappens(@ForAll @IntRange(min = 1, max = 100_000) int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Long> granted = new ArrayList<>();
+        Map<Long, WorkerId> running = new HashMap<>();
+        RequestPlane any = RequestPlane.of(seed, LATE_MS);
+        for (long nowMs = 0; nowMs < 2_000; nowMs += 10) {
+            any.ask(new SlotAsk(++lastCall, NORTH, SHOP, nowMs + 1 + random.nextInt(300)), nowMs);
+            for (String worker : List.of("a", "b")) {
+                long used = running.values().stream()
+                        .filter(WorkerId.of(worker)::equals)
+                        .count();
+                assertTrue(used <= 3, "slots in use at once: " + used);
+                if (random.nextInt(4) == 0) {
+                    any.worker(new SlotWorker(WorkerId.of(worker), 3, (int) used, nowMs, true, Set.of(SHOP)));
+                }
+            }
+            for (SlotDecision decision : any.tick(nowMs)) {
+                if (decision instanceof SlotDecision.Granted grant) {
+                    granted.add(grant.slot());
+                    running.put(grant.slot(), grant.worker());
+                }
+            }
+            if (!granted.isEmpty() && random.nextInt(2) == 0) {
+                endOne(any, random, granted, running, nowMs);
+            }
+        }
+    }
+
+    /** Ends a request at its worker, at its holder, or at both. */
+    private static void endOne(
+            RequestPlane plane, SplittableRandom random, List<Long> granted, Map<Long, WorkerId> running, long nowMs) {
+        long slot = granted.get(random.nextInt(granted.size()));
+        switch (random.nextInt(3)) {
+            case 0 -> running.remove(slot);
+            case 1 -> plane.release(slot, new SlotEnd(false, !running.containsKey(slot), 5), nowMs);
+            default -> {
+                running.remove(slot);
+                granted.remove(slot);
+                plane.release(slot, new SlotEnd(true, true, 5), nowMs);
+            }
+        }
+    }
+
+    private long ask(TeamId team, ServiceKey service, long nowMs, long deadlineMs) {
+        plane.ask(new SlotAsk(++lastCall, team, service, deadlineMs), nowMs);
+        return lastCall;
+    }
+
+    private SlotDecision askNow(long nowMs, long deadlineMs) {
+        ask(NORTH, SHOP, nowMs, deadlineMs);
+        List<SlotDecision> decisions = plane.tick(nowMs);
+        assertFalse(decisions.isEmpty(), "a slot is free");
+        return decisions.getFirst();
+    }
+
+    private void report(String worker, int slots, int inUse, long sampledAfterMs) {
+        plane.worker(new SlotWorker(WorkerId.of(worker), slots, inUse, sampledAfterMs, true, Set.of(SHOP, TOURS)));
+    }
+
+    private boolean serve(long nowMs, boolean badSucceeds, long badTookMs) {
+        SlotDecision decision = askNow(nowMs, nowMs + FAR_MS);
+        boolean bad = workerOf(decision).equals(WorkerId.of("bad"));
+        plane.release(slotOf(decision), new SlotEnd(!bad || badSucceeds, true, bad ? badTookMs : 5), nowMs);
+        return bad;
+    }
+
+    private int servedByBad(long nowMs, int requests, boolean succeeds) {
+        int served = 0;
+        for (int index = 0; index < requests; index++) {
+            served += serve(nowMs, succeeds, 5) ? 1 : 0;
+        }
+        return served;
+    }
+
+    private static void assertRefused(SlotDecision.Reason reason, SlotDecision decision) {
+        assertEquals(
+                reason, assertInstanceOf(SlotDecision.Refused.class, decision).reason());
+    }
+
+    private static long slotOf(SlotDecision decision) {
+        return assertInstanceOf(SlotDecision.Granted.class, decision).slot();
+    }
+
+    private static WorkerId workerOf(SlotDecision decision) {
+        return assertInstanceOf(SlotDecision.Granted.class, decision).worker();
+    }
+}
