Slots of owned workers and of peers in the state machine

AcquireSlot says whether a peer relayed the request, so that it is never sent on again; ReleaseSlot says whether the request has certainly ended.

--- a/coordination/src/main/java/org/acaciafold/coordination/ClientCall.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ClientCall.java
@@ -7,6 +7,9 @@
 
 /** A call of a caller or operator, already authorized. */
 public sealed interface ClientCall {
+    /** The team that stands for callers without a key; no team of the settings can have this name. */
+    TeamId ANYONE = TeamId.of("*");
+
     /**
      * Submits a job; answered when it is durable.
      *
@@ -53,20 +56,33 @@
     /**
      * Asks for a slot on a replica of a service.
      *
-     * @param team the calling team
+     * @param team the calling team, {@link #ANYONE} for a caller without a key
      * @param service the service
-     * @param waitMs the longest wait in milliseconds
+     * @param waitMs milliseconds until the caller gives up; the slot is presumed in use until then
+     * @param relayed whether a peer relayed the request, which is not sent elsewhere again
      */
-    record AcquireSlot(TeamId team, String service, long waitMs) implements ClientCall {}
+    record AcquireSlot(TeamId team, String service, long waitMs, boolean relayed) implements ClientCall {}
 
     /**
      * Gives a slot back.
      *
      * @param slot the number of the slot
      * @param succeeded whether the worker answered well
+     * @param ended whether the request certainly runs no more, or never ran
      * @param tookMs how long the request took in milliseconds
      */
-    record ReleaseSlot(long slot, boolean succeeded, long tookMs) implements ClientCall {}
+    record ReleaseSlot(long slot, boolean succeeded, boolean ended, long tookMs) implements ClientCall {
+        /**
+         * Gives a slot back whose request has ended or was never sent.
+         *
+         * @param slot the number of the slot
+         * @param succeeded whether the worker answered well
+         * @param tookMs how long the request took in milliseconds
+         */
+        public ReleaseSlot(long slot, boolean succeeded, long tookMs) {
+            this(slot, succeeded, true, tookMs);
+        }
+    }
 
     /**
      * Asks for a subtree of the settings.
--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -82,7 +82,7 @@
                     summary.reserved(),
                     Resources.empty(),
                     summary.waiting(),
-                    List.of()));
+                    slice.services()));
         }
         return summaries;
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -1,5 +1,6 @@
 package org.acaciafold.coordination;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -21,6 +22,7 @@
     private long authorityUntilMs;
     private long tableContactMs;
     private boolean settled;
+    private List<ServiceSummary> services = List.of();
 
     private OwnedSlice(SliceId id, Fence fence, PlacementPlane placement) {
         this.id = id;
@@ -63,6 +65,15 @@
         return placement;
     }
 
+    /** Returns the services with replicas in this slice; written by the slot system. */
+    List<ServiceSummary> services() {
+        return services;
+    }
+
+    void services(List<ServiceSummary> value) {
+        services = value;
+    }
+
     /** Returns whether every member has told what runs on it, or can run nothing any more; written by the worker system. */
     boolean settled() {
         return settled;
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotRouting.java
@@ -0,0 +1,88 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.request.ServiceKey;
+
+/** Finds the services that a caller may use and the peers that have replicas of them. */
+final class SlotRouting {
+    private final HostState state;
+    private final SplittableRandom random;
+
+    private SlotRouting(HostState state, SplittableRandom random) {
+        this.state = state;
+        this.random = random;
+    }
+
+    static SlotRouting of(HostState state) {
+        return new SlotRouting(state, new SplittableRandom(state.config().seed()));
+    }
+
+    /** Returns the less loaded of two peers drawn at random among those with replicas. */
+    Optional<Place> elsewhere(ServiceKey service) {
+        List<Place> places = places(service);
+        if (places.isEmpty()) {
+            return Optional.empty();
+        }
+        Place first = places.get(random.nextInt(places.size()));
+        Place second = places.get(random.nextInt(places.size()));
+        return Optional.of(first.room() >= second.room() ? first : second);
+    }
+
+    /** Tells whether a team of another name has the service, as far as this host has heard. */
+    boolean ofOtherTeam(String service, TeamId caller) {
+        return state.peers().values().stream()
+                .flatMap(peer -> peer.slices().stream())
+                .flatMap(slice -> slice.services().stream())
+                .anyMatch(summary ->
+                        summary.service().equals(service) && !summary.team().equals(caller));
+    }
+
+    /** Returns the service that a caller means: one open to all, else its own. */
+    ServiceKey resolve(TeamId caller, String service) {
+        TeamId team = state.settings().openServices().getOrDefault(service, caller);
+        return new ServiceKey(team, service);
+    }
+
+    private List<Place> places(ServiceKey service) {
+        long heardAfterMs = state.clock().nowMs() - state.config().controlLeaseMs();
+        List<Place> places = new ArrayList<>();
+        for (Map.Entry<HostId, PeerEntry> peer : state.peers().entrySet()) {
+            if (peer.getValue().heardMs() < heardAfterMs || !state.entryHosts().containsKey(peer.getKey())) {
+                continue;
+            }
+            room(peer.getValue(), service).ifPresent(room -> places.add(new Place(peer.getKey(), room)));
+        }
+        return places;
+    }
+
+    private static Optional<Integer> room(PeerEntry peer, ServiceKey service) {
+        int room = 0;
+        boolean found = false;
+        for (SliceSummary slice : peer.slices()) {
+            for (ServiceSummary summary : slice.services()) {
+                boolean same = summary.service().equals(service.name())
+                        && summary.team().equals(service.team());
+                if (same && summary.replicas() > 0) {
+                    found = true;
+                    room += summary.freeSlots() - summary.waiting();
+                }
+            }
+        }
+        return found ? Optional.of(room) : Optional.empty();
+    }
+
+    /**
+     * A peer with replicas of a service.
+     *
+     * @param owner the peer
+     * @param room its free slots less the requests that wait
+     */
+    record Place(HostId owner, int room) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
@@ -0,0 +1,276 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.TaskPhase;
+import org.acaciafold.core.port.TaskView;
+import org.acaciafold.core.port.WorkerView;
+import org.acaciafold.core.request.RequestPlane;
+import org.acaciafold.core.request.ServiceKey;
+import org.acaciafold.core.request.ServiceLoad;
+import org.acaciafold.core.request.SlotAsk;
+import org.acaciafold.core.request.SlotDecision;
+import org.acaciafold.core.request.SlotEnd;
+import org.acaciafold.core.request.SlotWorker;
+
+/**
+ * Gives the slots of owned workers to live requests, and names the peer that can when no owned worker has a replica.
+ *
+ * <p>A request for a service that had replicas a moment ago waits a little for them to be found again, such as after a
+ * takeover.
+ */
+final class SlotSystem implements HostSystem {
+    private static final long SUMMARY_INTERVAL_MS = 100;
+    private static final long RECENT_MS = 10_000;
+    private static final long PATIENCE_MS = 3_000;
+    private static final long RETRY_AFTER_MS = 1_000;
+    private static final int PARKED_LIMIT = 1_024;
+
+    private final HostState state;
+    private final RequestPlane plane;
+    private final SlotRouting routing;
+    private final Map<WorkerId, Seen> seen = new TreeMap<>();
+    private final Map<ServiceKey, Long> lastKnownMs = new TreeMap<>();
+    private final Deque<Parked> parked = new ArrayDeque<>();
+    private long settingsVersion = -1;
+    private long nextSummaryMs = Long.MIN_VALUE;
+
+    private SlotSystem(HostState state, RequestPlane plane) {
+        this.state = state;
+        this.plane = plane;
+        this.routing = SlotRouting.of(state);
+    }
+
+    static SlotSystem of(HostState state) {
+        long lateArrivalMs = state.config().controlLeaseMs() + state.config().clockMarginMs();
+        return new SlotSystem(state, RequestPlane.of(state.config().seed(), lateArrivalMs));
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        if (!(event instanceof Event.ClientCalled called)) {
+            return;
+        }
+        long nowMs = state.clock().nowMs();
+        switch (called.body()) {
+            case ClientCall.AcquireSlot acquire ->
+                acquire(new Parked(called.call(), acquire, nowMs, nowMs + acquire.waitMs()), nowMs, outbox);
+            case ClientCall.ReleaseSlot release -> {
+                SlotEnd end = new SlotEnd(release.succeeded(), release.ended(), release.tookMs());
+                plane.release(release.slot(), end, nowMs);
+                outbox.answer(called.call(), new ClientReply.Released());
+            }
+            default -> {
+                // calls of other systems
+            }
+        }
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        updateTeams();
+        updateWorkers(nowMs);
+        retryParked(nowMs, outbox);
+        for (SlotDecision decision : plane.tick(nowMs)) {
+            answer(decision, outbox);
+        }
+        if (nowMs >= nextSummaryMs) {
+            nextSummaryMs = nowMs + SUMMARY_INTERVAL_MS;
+            summarize(nowMs);
+        }
+    }
+
+    private void acquire(Parked request, long nowMs, Outbox outbox) {
+        if (!place(request, nowMs, outbox)) {
+            ServiceKey service = serviceOf(request);
+            Long knownMs = lastKnownMs.get(service);
+            boolean recent = knownMs != null && nowMs - knownMs < RECENT_MS;
+            if (recent && parked.size() < PARKED_LIMIT) {
+                parked.add(request);
+            } else {
+                outbox.answer(request.call(), new ClientReply.Failed(noReplica(request)));
+            }
+        }
+    }
+
+    private void answer(SlotDecision decision, Outbox outbox) {
+        switch (decision) {
+            case SlotDecision.Granted granted -> {
+                Seen worker = seen.get(granted.worker());
+                WorkerLink link = worker.link();
+                outbox.answer(
+                        granted.call(),
+                        new ClientReply.SlotGranted(
+                                granted.slot(),
+                                granted.worker(),
+                                link.requestAddress(),
+                                worker.fence(),
+                                link.leaseSequence()));
+            }
+            case SlotDecision.Refused refused -> {
+                Failure failure =
+                        switch (refused.reason()) {
+                            case QUEUE_FULL -> failure("queue-full", "too many requests of the team wait");
+                            case TOO_BUSY -> failure("too-busy", "the expected wait is longer than the deadline");
+                            case DEADLINE -> failure("deadline", "no slot became free before the deadline");
+                        };
+                outbox.answer(refused.call(), new ClientReply.Failed(failure.withRetryAfterMs(refused.retryAfterMs())));
+            }
+        }
+    }
+
+    private Failure failure(String code, String message) {
+        return Failure.notRun(Step.ADMISSION, state.config().host().value(), code, message);
+    }
+
+    private Failure noReplica(Parked request) {
+        ClientCall.AcquireSlot body = request.body();
+        ServiceKey service = serviceOf(request);
+        boolean unknown = !lastKnownMs.containsKey(service);
+        if (unknown && routing.ofOtherTeam(body.service(), service.team())) {
+            return failure("other-team", "the service " + body.service() + " belongs to another team");
+        }
+        String message = "no replica of " + body.service() + " of team " + service.team() + " runs now";
+        return failure("no-replica", message).withRetryAfterMs(RETRY_AFTER_MS);
+    }
+
+    /** Queues a request here or names a peer; false when nobody has a replica. */
+    private boolean place(Parked request, long nowMs, Outbox outbox) {
+        ServiceKey service = serviceOf(request);
+        boolean here = plane.knows(service);
+        Optional<SlotRouting.Place> elsewhere =
+                request.body().relayed() ? Optional.empty() : routing.elsewhere(service);
+        boolean fullHere =
+                here && plane.load(service).freeSlots() <= plane.load(service).waiting();
+        boolean better =
+                elsewhere.isPresent() && (!here || fullHere && elsewhere.get().room() > 0);
+        if (better) {
+            lastKnownMs.put(service, nowMs);
+            outbox.answer(
+                    request.call(),
+                    new ClientReply.SlotElsewhere(elsewhere.get().owner()));
+            return true;
+        }
+        if (here) {
+            plane.ask(new SlotAsk(request.call(), request.body().team(), service, request.deadlineMs()), nowMs);
+        }
+        return here;
+    }
+
+    private void retryParked(long nowMs, Outbox outbox) {
+        Iterator<Parked> each = parked.iterator();
+        while (each.hasNext()) {
+            Parked request = each.next();
+            if (place(request, nowMs, outbox)) {
+                each.remove();
+            } else if (nowMs >= Math.min(request.deadlineMs(), request.sinceMs() + PATIENCE_MS)) {
+                each.remove();
+                outbox.answer(request.call(), new ClientReply.Failed(noReplica(request)));
+            }
+        }
+    }
+
+    private ServiceKey serviceOf(Parked request) {
+        return routing.resolve(request.body().team(), request.body().service());
+    }
+
+    private void summarize(long nowMs) {
+        for (OwnedSlice slice : state.owned().values()) {
+            slice.services(plane.loads(slice.links().keySet()).stream()
+                    .map(SlotSystem::summary)
+                    .toList());
+            slice.services()
+                    .forEach(service -> lastKnownMs.put(new ServiceKey(service.team(), service.service()), nowMs));
+        }
+        lastKnownMs.values().removeIf(knownMs -> nowMs - knownMs > RECENT_MS);
+    }
+
+    private void updateTeams() {
+        if (settingsVersion == state.settings().version()) {
+            return;
+        }
+        settingsVersion = state.settings().version();
+        state.settings().teams().forEach((team, terms) -> plane.team(team, terms.weight(), terms.queueLimit()));
+    }
+
+    private void updateWorkers(long nowMs) {
+        Set<WorkerId> present = new HashSet<>();
+        for (OwnedSlice slice : state.owned().values()) {
+            for (WorkerLink link : slice.links().values()) {
+                if (link.view().isPresent()) {
+                    present.add(link.worker());
+                    updateWorker(slice, link, link.view().get(), nowMs);
+                }
+            }
+        }
+        seen.keySet().removeIf(worker -> {
+            boolean gone = !present.contains(worker);
+            if (gone) {
+                plane.removeWorker(worker);
+            }
+            return gone;
+        });
+    }
+
+    private void updateWorker(OwnedSlice slice, WorkerLink link, WorkerView view, long nowMs) {
+        boolean usable = link.leaseUntilMs() > nowMs && !view.leaving();
+        Seen now = new Seen(link, slice.fence(), view, link.leaseUntilMs(), usable);
+        Seen before = seen.put(link.worker(), now);
+        if (now.equals(before)) {
+            return;
+        }
+        if (before != null && before.link() != link) {
+            plane.removeWorker(link.worker());
+        }
+        long sampledAfterMs = link.leaseUntilMs() - state.config().controlLeaseMs();
+        plane.worker(new SlotWorker(
+                link.worker(), view.slots(), view.slotsInUse(), sampledAfterMs, usable, servicesOf(view)));
+    }
+
+    private static Set<ServiceKey> servicesOf(WorkerView view) {
+        Set<ServiceKey> services = new HashSet<>();
+        for (TaskView task : view.tasks()) {
+            if (task.phase() == TaskPhase.RUNNING && task.spec().kind() instanceof JobKind.Service) {
+                services.add(new ServiceKey(task.spec().team(), task.spec().name()));
+            }
+        }
+        return services;
+    }
+
+    private static ServiceSummary summary(ServiceLoad load) {
+        return new ServiceSummary(
+                load.service().name(), load.service().team(), load.replicas(), load.freeSlots(), load.waiting());
+    }
+
+    /** A request and since when it waits. */
+    private record Parked(long call, ClientCall.AcquireSlot body, long sinceMs, long deadlineMs) {}
+
+    /** What was last told to the plane of a worker. */
+    private record Seen(WorkerLink link, Fence fence, WorkerView view, long leaseUntilMs, boolean usable) {
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Seen that
+                    && link == that.link
+                    && view == that.view
+                    && leaseUntilMs == that.leaseUntilMs
+                    && usable == that.usable;
+        }
+
+        @Override
+        public int hashCode() {
+            return Long.hashCode(leaseUntilMs);
+        }
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -8,6 +8,10 @@
 
     static List<HostSystem> inOrder(HostState state) {
         return List.of(
-                MembershipSystem.of(state), ClaimSystem.of(state), AllotmentSystem.of(state), SettingsSystem.of(state));
+                MembershipSystem.of(state),
+                ClaimSystem.of(state),
+                AllotmentSystem.of(state),
+                SettingsSystem.of(state),
+                SlotSystem.of(state));
     }
 }
