Tests of edits, registrations and settings in force over several hosts

Hosts run as whole state machines over one table in memory with outages, lost answers and stale reads. A host without a registration refuses calls that start work, since its settings may be older than those accepted elsewhere.

--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -14,10 +14,12 @@
 public final class HostCore {
     private final Clock clock;
     private final Outbox outbox;
+    private final RegistrationGate gate;
     private final List<HostSystem> systems;
 
-    private HostCore(Clock clock, Outbox outbox, List<HostSystem> systems) {
+    private HostCore(Clock clock, Outbox outbox, RegistrationGate gate, List<HostSystem> systems) {
         this.clock = clock;
+        this.gate = gate;
         this.outbox = outbox;
         this.systems = systems;
     }
@@ -30,8 +32,13 @@
      * @return the state machine
      */
     public static HostCore of(HostConfig config, Clock clock) {
-        HostState state = HostState.of(config, clock);
-        return new HostCore(clock, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+        return of(HostState.of(config, clock));
+    }
+
+    /** Creates the state machine over tables that a test can look into. */
+    static HostCore of(HostState state) {
+        Outbox outbox = Outbox.of(state.config().callTimeoutMs());
+        return new HostCore(state.clock(), outbox, RegistrationGate.of(state), Systems.inOrder(state));
     }
 
     /**
@@ -56,7 +63,11 @@
         switch (event) {
             case Event.TableAnswered answered -> outbox.deliver(answered.call(), answered.reply());
             case Event.WorkerAnswered answered -> outbox.deliver(answered.call(), answered.reply());
-            default -> systems.forEach(system -> system.apply(event, outbox));
+            default -> {
+                if (gate.admits(event, outbox)) {
+                    systems.forEach(system -> system.apply(event, outbox));
+                }
+            }
         }
     }
 }
--- /dev/null
+++ b/coordination/src/test/java/org/acaciafold/coordination/TestTable.java
@@ -0,0 +1,94 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.acaciafold.core.port.Check;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.Write;
+
+/** A table service in memory with outages, lost answers and stale reads. */
+final class TestTable {
+    private final TreeMap<String, Row> rows = new TreeMap<>();
+    private Optional<TreeMap<String, Row>> staleRows = Optional.empty();
+    private long lastVersion;
+    private int answersToLose;
+    private boolean down;
+
+    TableReply handle(TableRequest request) {
+        if (down) {
+            return new TableReply.Unavailable("down");
+        }
+        TableReply reply = carryOut(request);
+        if (request instanceof TableRequest.Commit && answersToLose > 0) {
+            answersToLose--;
+            return new TableReply.Unavailable("answer lost");
+        }
+        return reply;
+    }
+
+    void down(boolean value) {
+        down = value;
+    }
+
+    void loseCommitAnswers(int count) {
+        answersToLose = count;
+    }
+
+    /** Serves reads from the present state from now on, or from the newest again. */
+    void stale(boolean value) {
+        staleRows = value ? Optional.of(new TreeMap<>(rows)) : Optional.empty();
+    }
+
+    Optional<Row> row(String key) {
+        return Optional.ofNullable(rows.get(key));
+    }
+
+    private TableReply carryOut(TableRequest request) {
+        Map<String, Row> readable = staleRows.orElse(rows);
+        return switch (request) {
+            case TableRequest.Read read ->
+                new TableReply.Rows(read.keys().stream()
+                        .filter(readable::containsKey)
+                        .sorted()
+                        .distinct()
+                        .map(readable::get)
+                        .toList());
+            case TableRequest.Scan scan ->
+                new TableReply.Rows(readable.values().stream()
+                        .filter(row ->
+                                row.key().startsWith(scan.prefix()) && row.key().compareTo(scan.after()) > 0)
+                        .limit(scan.limit())
+                        .toList());
+            case TableRequest.Commit commit -> commit(commit);
+        };
+    }
+
+    private TableReply commit(TableRequest.Commit commit) {
+        List<Row> current = new ArrayList<>();
+        boolean holds = true;
+        for (Check check : commit.checks()) {
+            Row row = rows.get(check.key());
+            holds &= (row == null ? 0 : row.version()) == check.version();
+            if (row != null) {
+                current.add(row);
+            }
+        }
+        if (!holds) {
+            return new TableReply.Conflict(current);
+        }
+        lastVersion++;
+        for (Write write : commit.writes()) {
+            write.value()
+                    .ifPresentOrElse(
+                            value -> rows.put(write.key(), new Row(write.key(), lastVersion, value)),
+                            () -> rows.remove(write.key()));
+        }
+        return new TableReply.Committed(lastVersion);
+    }
+}
