--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -16,11 +16,13 @@
     private final Clock clock;
     private final HostState state;
     private final Outbox outbox;
+    private final RegistrationGate gate;
     private final List<HostSystem> systems;
 
-    private HostCore(Clock clock, HostState state, Outbox outbox, List<HostSystem> systems) {
-        this.clock = clock;
+    private HostCore(HostState state, Outbox outbox, List<HostSystem> systems) {
+        this.clock = state.clock();
         this.state = state;
+        this.gate = RegistrationGate.of(state);
         this.outbox = outbox;
         this.systems = systems;
     }
@@ -33,8 +35,12 @@
      * @return the state machine
      */
     public static HostCore of(HostConfig config, Clock clock) {
-        HostState state = HostState.of(config, clock);
-        return new HostCore(clock, state, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+        return of(HostState.of(config, clock));
+    }
+
+    /** Creates the state machine over tables that a test can look into. */
+    static HostCore of(HostState state) {
+        return new HostCore(state, Outbox.of(state.config().callTimeoutMs()), Systems.inOrder(state));
     }
 
     /**
@@ -95,7 +101,11 @@
         switch (event) {
             case Event.TableAnswered answered -> outbox.deliver(answered.call(), answered.reply());
             case Event.WorkerAnswered answered -> outbox.deliver(answered.call(), answered.reply());
-            default -> systems.forEach(system -> system.apply(event, outbox));
+            default -> {
+                if (gate.admits(event, outbox)) {
+                    systems.forEach(system -> system.apply(event, outbox));
+                }
+            }
         }
     }
 }
