--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -1,6 +1,7 @@
 package org.acaciafold.proof.fuzz;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -17,6 +18,7 @@
 import org.acaciafold.core.port.HostList;
 import org.acaciafold.core.port.TableReply;
 import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.WorkerCommand;
 import org.acaciafold.core.port.WorkerReply;
 import org.acaciafold.standin.TableStore;
 
@@ -41,6 +43,8 @@
     private final Map<WorkerId, SimWorker> workers = new TreeMap<>();
     private final Map<JobId, JobStatus> lastStatus = new TreeMap<>();
     private final List<String> trace = new ArrayList<>();
+    private final Traffic traffic = new Traffic();
+    private final Map<String, Long> lastStartMs = new TreeMap<>();
     private HostList listed = new HostList(List.of());
     private Action.TableFault tableFault;
     private long tableFaultUntilMs;
@@ -152,6 +156,19 @@
         return table;
     }
 
+    /** Returns when a task last started in a domain, 0 for never. */
+    long lastStartMs(String domain) {
+        return lastStartMs.getOrDefault(domain, 0L);
+    }
+
+    Collection<SimWorker> workers() {
+        return workers.values();
+    }
+
+    Traffic traffic() {
+        return traffic;
+    }
+
     List<String> trace() {
         return trace;
     }
@@ -167,6 +184,7 @@
     }
 
     private void carryOut(SimHost host, Effect effect) {
+        traffic.count(effect);
         switch (effect) {
             case Effect.CallTable call -> callTable(host, call);
             case Effect.CallWorker call -> callWorker(host, call);
@@ -211,12 +229,19 @@
             }
             WorkerReply reply = worker.command(call.command(), nowMs());
             noteCommand(host, worker, call, reply);
+            noteStart(worker, call, reply);
             oracle.answered(nowMs(), worker, call.command(), reply);
             network.send(
                     worker.domain(), host.domain(), () -> host.receive(new Event.WorkerAnswered(call.call(), reply)));
         });
     }
 
+    private void noteStart(SimWorker worker, Effect.CallWorker call, WorkerReply reply) {
+        if (call.command() instanceof WorkerCommand.Start && reply instanceof WorkerReply.Done) {
+            lastStartMs.put(worker.domain(), nowMs());
+        }
+    }
+
     private void noteCommand(SimHost host, SimWorker worker, Effect.CallWorker call, WorkerReply reply) {
         if (!(reply instanceof WorkerReply.Claimed)) {
             String command = call.command().toString();
