--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/GroupCommit.java
@@ -0,0 +1,126 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.acaciafold.core.port.Check;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.Write;
+
+/**
+ * Writes many independent changes in one transaction.
+ *
+ * <p>One transaction is in flight at a time; what arrives meanwhile goes into the next one. When a check fails, the
+ * changes concerned are told and the others are sent again. An unanswered transaction is sent again after a pause.
+ *
+ * <p>Example: {@code commits.add(write); ... commits.tick(nowMs, outbox);}
+ */
+final class GroupCommit {
+    private static final int MAX_CHANGES = 256;
+    private static final long RETRY_PAUSE_MS = 200;
+
+    private final Set<TableWrite> queue = new LinkedHashSet<>();
+    private boolean inFlight;
+    private long notBeforeMs = Times.NEVER_MS;
+
+    private GroupCommit() {}
+
+    static GroupCommit empty() {
+        return new GroupCommit();
+    }
+
+    /** Adds a change to the next transaction. */
+    void add(TableWrite write) {
+        queue.add(write);
+    }
+
+    /** Returns whether nothing waits and nothing is in flight. */
+    boolean idle() {
+        return queue.isEmpty() && !inFlight;
+    }
+
+    /** Sends the next transaction unless one is in flight. */
+    void tick(long nowMs, Outbox outbox) {
+        queue.removeIf(TableWrite::abandoned);
+        if (inFlight || queue.isEmpty() || nowMs < notBeforeMs) {
+            return;
+        }
+        List<TableWrite> batch = nextBatch();
+        List<Check> checks = new ArrayList<>();
+        List<Write> writes = new ArrayList<>();
+        for (TableWrite change : batch) {
+            checks.addAll(change.checks());
+            writes.addAll(change.writes());
+        }
+        inFlight = true;
+        outbox.call(nowMs, new TableRequest.Commit(checks, writes), reply -> {
+            inFlight = false;
+            answered(batch, reply, nowMs);
+        });
+    }
+
+    /** Takes changes in order, leaving out those that touch a row of an earlier one. */
+    private List<TableWrite> nextBatch() {
+        List<TableWrite> batch = new ArrayList<>();
+        Set<String> keys = new HashSet<>();
+        for (TableWrite change : queue) {
+            List<String> own = change.checks().stream().map(Check::key).toList();
+            boolean free = own.stream().noneMatch(keys::contains);
+            keys.addAll(own);
+            if (free) {
+                batch.add(change);
+            }
+            if (batch.size() == MAX_CHANGES) {
+                break;
+            }
+        }
+        batch.forEach(queue::remove);
+        return batch;
+    }
+
+    private void answered(List<TableWrite> batch, TableReply reply, long sentMs) {
+        switch (reply) {
+            case TableReply.Committed committed -> batch.forEach(change -> change.committed(committed.version()));
+            case TableReply.Conflict conflict -> conflicted(batch, conflict.current());
+            case TableReply.Rows ignored -> throw new IllegalStateException("rows in answer to a commit");
+            case TableReply.Unavailable ignored -> {
+                notBeforeMs = sentMs + RETRY_PAUSE_MS;
+                batch.forEach(TableWrite::unanswered);
+                putBack(batch);
+            }
+        }
+    }
+
+    private void conflicted(List<TableWrite> batch, List<Row> rows) {
+        Map<String, Row> current = new HashMap<>();
+        rows.forEach(row -> current.put(row.key(), row));
+        List<TableWrite> again = new ArrayList<>();
+        for (TableWrite change : batch) {
+            if (change.checks().stream().allMatch(check -> holds(check, current))) {
+                again.add(change);
+            } else {
+                change.conflicted(current);
+            }
+        }
+        putBack(again);
+    }
+
+    private void putBack(List<TableWrite> changes) {
+        List<TableWrite> later = new ArrayList<>(queue);
+        queue.clear();
+        queue.addAll(changes);
+        queue.addAll(later);
+    }
+
+    private static boolean holds(Check check, Map<String, Row> current) {
+        Row row = current.get(check.key());
+        return (row == null ? 0 : row.version()) == check.version();
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -1,9 +1,11 @@
 package org.acaciafold.coordination;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.model.Fence;
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.model.WorkerId;
@@ -21,6 +23,8 @@
     private FleetSettings settings = FleetSettings.empty();
     private boolean tableAnswers;
     private boolean stopping;
+    private boolean drained;
+    private long lastAsk;
 
     private HostState(HostConfig config, Clock clock) {
         this.config = config;
@@ -46,6 +50,15 @@
         return config;
     }
 
+    /** Returns whether the host stops and all systems have ended what a stop must wait for. */
+    boolean drained() {
+        return drained;
+    }
+
+    void drained(boolean value) {
+        drained = value;
+    }
+
     /** Returns the entry hosts of the host list, this one included; written by {@link MembershipSystem}. */
     Map<HostId, HostEntry> entryHosts() {
         return entryHosts;
@@ -56,6 +69,42 @@
         return owned;
     }
 
+    /** Tells whether a peer was heard within the validity of a control lease. */
+    boolean heardLately(HostId host, long nowMs) {
+        PeerEntry peer = peers.get(host);
+        return peer != null && nowMs - peer.heardMs() <= config.controlLeaseMs();
+    }
+
+    /** Returns a number for a call to a peer that no other call of this host has. */
+    long nextAsk() {
+        return ++lastAsk;
+    }
+
+    /**
+     * Looks the owner of a slice up.
+     *
+     * @param slice the slice
+     * @param nowMs the time in milliseconds
+     * @return the host that told the highest fencing token lately, this host included, empty when there is none
+     */
+    Optional<HostId> ownerOf(SliceId slice, long nowMs) {
+        OwnedSlice own = owned.get(slice);
+        HostId owner = own == null ? null : config.host();
+        Fence highest = own == null ? Fence.none() : own.fence();
+        for (Map.Entry<HostId, PeerEntry> peer : peers.entrySet()) {
+            if (!heardLately(peer.getKey(), nowMs)) {
+                continue;
+            }
+            for (SliceSummary summary : peer.getValue().slices()) {
+                if (summary.slice().equals(slice) && summary.fence().compareTo(highest) > 0) {
+                    highest = summary.fence();
+                    owner = peer.getKey();
+                }
+            }
+        }
+        return Optional.ofNullable(owner);
+    }
+
     /** Returns what the peers last told; written by {@link MembershipSystem}. */
     Map<HostId, PeerEntry> peers() {
         return peers;
--- a/coordination/src/main/java/org/acaciafold/coordination/HostSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostSystem.java
@@ -17,4 +17,13 @@
      * @param outbox where effects go
      */
     void tick(long nowMs, Outbox outbox);
+
+    /**
+     * Tells whether this system has nothing left that a graceful stop must wait for.
+     *
+     * @return true when slices may be handed over as far as this system is concerned
+     */
+    default boolean idle() {
+        return true;
+    }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobIds.java
@@ -0,0 +1,22 @@
+package org.acaciafold.coordination;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.SliceId;
+
+/** Makes job identifiers that name the slice in which the job began. */
+final class JobIds {
+    private static final char SEPARATOR = '~';
+
+    private JobIds() {}
+
+    static JobId of(SliceId home, HostConfig host, long number) {
+        String incarnation = Long.toUnsignedString(host.incarnation(), Character.MAX_RADIX);
+        return JobId.of(home.value() + SEPARATOR + host.host().value() + '.' + incarnation + '.' + number);
+    }
+
+    /** Returns the slice in which a job began; an identifier that was not made here names no existing slice. */
+    static SliceId firstHome(JobId job) {
+        int at = job.value().indexOf(SEPARATOR);
+        return SliceId.of(at < 1 ? job.value() : job.value().substring(0, at));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobLookup.java
@@ -0,0 +1,82 @@
+package org.acaciafold.coordination;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+
+/** Finds the row of a job in the table, also after it has moved or ended. */
+final class JobLookup {
+    private static final int MAX_MOVES = 16;
+
+    private final HostState state;
+    private final Outbox outbox;
+
+    private JobLookup(HostState state, Outbox outbox) {
+        this.state = state;
+        this.outbox = outbox;
+    }
+
+    static JobLookup of(HostState state, Outbox outbox) {
+        return new JobLookup(state, outbox);
+    }
+
+    /**
+     * Looks a job up.
+     *
+     * @param job the job
+     * @param then takes what was found
+     */
+    void find(JobId job, Consumer<Result> then) {
+        read(job, JobIds.firstHome(job), 0, then);
+    }
+
+    private void read(JobId job, SliceId slice, int moves, Consumer<Result> then) {
+        String active = JobRow.key(slice, job);
+        String ended = JobRow.endedKey(job);
+        outbox.call(state.clock().nowMs(), new TableRequest.Read(List.of(active, ended)), reply -> {
+            if (!(reply instanceof TableReply.Rows rows)) {
+                then.accept(new Result.Unavailable());
+                return;
+            }
+            Optional<Row> row = rows.rows().stream()
+                    .filter(found -> found.key().equals(ended))
+                    .findFirst()
+                    .or(() -> rows.rows().stream().findFirst());
+            Optional<JobRow> content = row.flatMap(JobRow::read);
+            Optional<SliceId> moved = content.flatMap(JobRow::movedTo);
+            if (content.isEmpty()) {
+                then.accept(new Result.Absent());
+            } else if (moved.isPresent() && !row.get().key().equals(ended) && moves < MAX_MOVES) {
+                read(job, moved.get(), moves + 1, then);
+            } else {
+                boolean over = row.get().key().equals(ended);
+                then.accept(new Result.Found(content.get(), row.get().version(), slice, over));
+            }
+        });
+    }
+
+    /** What a lookup has found. */
+    sealed interface Result {
+        /**
+         * The job has a row.
+         *
+         * @param row its content
+         * @param version the version of the row
+         * @param home the slice in which it is homed
+         * @param ended whether it has ended
+         */
+        record Found(JobRow row, long version, SliceId home, boolean ended) implements Result {}
+
+        /** The job has no row. */
+        record Absent() implements Result {}
+
+        /** The table did not answer. */
+        record Unavailable() implements Result {}
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobQuerySystem.java
@@ -0,0 +1,165 @@
+package org.acaciafold.coordination;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.placement.JobProgress;
+import org.acaciafold.core.port.HostEntry;
+
+/** Answers what is known of a job, from its owner where that is reached, else from its row. */
+final class JobQuerySystem implements HostSystem {
+    private static final long OWNER_TIMEOUT_MS = 500;
+    private static final String TABLE = "table";
+
+    private final HostState state;
+    private final Map<Long, Asked> asked = new HashMap<>();
+
+    private JobQuerySystem(HostState state) {
+        this.state = state;
+    }
+
+    static JobQuerySystem of(HostState state) {
+        return new JobQuerySystem(state);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        switch (event) {
+            case Event.ClientCalled called when called.body() instanceof ClientCall.QueryJob query ->
+                answer(query, outbox, reply -> outbox.answer(called.call(), reply));
+            case Event.PeerReceived received -> receive(received, outbox);
+            default -> {
+                // events of other systems
+            }
+        }
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        List<Long> late = asked.entrySet().stream()
+                .filter(entry -> nowMs >= entry.getValue().deadlineMs())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+        late.forEach(call -> {
+            Asked waiting = asked.remove(call);
+            waiting.then().accept(waiting.otherwise());
+        });
+    }
+
+    private void receive(Event.PeerReceived received, Outbox outbox) {
+        switch (received.message()) {
+            case PeerMessage.Ask ask when ask.body() instanceof ClientCall.QueryJob query -> {
+                HostEntry entry = state.entryHosts().get(received.from());
+                Optional<ClientReply> own = ownReply(query);
+                if (entry != null && own.isPresent()) {
+                    outbox.send(received.from(), entry.address(), new PeerMessage.Told(ask.call(), own.get()));
+                }
+            }
+            case PeerMessage.Told told -> {
+                Asked waiting = asked.remove(told.call());
+                if (waiting != null) {
+                    waiting.then().accept(told.body());
+                }
+            }
+            default -> {
+                // messages of other systems
+            }
+        }
+    }
+
+    private void answer(ClientCall.QueryJob query, Outbox outbox, Consumer<ClientReply> then) {
+        Optional<ClientReply> own = ownReply(query);
+        if (own.isPresent()) {
+            then.accept(own.get());
+            return;
+        }
+        JobLookup.of(state, outbox).find(query.job(), result -> {
+            switch (result) {
+                case JobLookup.Result.Found found -> foundRow(query, found, outbox, then);
+                case JobLookup.Result.Absent ignored -> then.accept(JobErrors.notFound(query.job()));
+                case JobLookup.Result.Unavailable ignored ->
+                    ask(query, JobIds.firstHome(query.job()), JobErrors.unavailable(), outbox, then);
+            }
+        });
+    }
+
+    private void foundRow(
+            ClientCall.QueryJob query, JobLookup.Result.Found found, Outbox outbox, Consumer<ClientReply> then) {
+        if (!found.row().spec().team().equals(query.team())) {
+            then.accept(JobErrors.forbidden(query.job()));
+            return;
+        }
+        ClientReply fromRow = new ClientReply.JobFound(status(found.row(), found.home(), Optional.empty()));
+        if (found.ended()) {
+            then.accept(fromRow);
+        } else {
+            ask(query, found.home(), fromRow, outbox, then);
+        }
+    }
+
+    /** Asks the owner of a slice; without its answer in time the other reply is given. */
+    private void ask(
+            ClientCall.QueryJob query, SliceId home, ClientReply otherwise, Outbox outbox, Consumer<ClientReply> then) {
+        long nowMs = state.clock().nowMs();
+        Optional<HostId> owner = state.ownerOf(home, nowMs);
+        HostEntry entry = owner.map(state.entryHosts()::get).orElse(null);
+        if (entry == null || owner.get().equals(state.config().host())) {
+            then.accept(otherwise);
+            return;
+        }
+        long call = state.nextAsk();
+        asked.put(call, new Asked(nowMs + OWNER_TIMEOUT_MS, otherwise, then));
+        outbox.send(owner.get(), entry.address(), new PeerMessage.Ask(call, query));
+    }
+
+    private Optional<ClientReply> ownReply(ClientCall.QueryJob query) {
+        for (OwnedSlice slice : state.owned().values()) {
+            HomedJob job = slice.jobs().get(query.job());
+            if (job != null) {
+                return Optional.of(reply(query.team(), slice, job));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static ClientReply reply(TeamId team, OwnedSlice slice, HomedJob job) {
+        if (!job.row().spec().team().equals(team)) {
+            return JobErrors.forbidden(job.id());
+        }
+        return new ClientReply.JobFound(
+                status(job.row(), slice.id(), slice.placement().progress(job.id())));
+    }
+
+    private static JobStatus status(JobRow row, SliceId home, Optional<JobProgress> progress) {
+        int ended = row.succeededCount() + row.failedCount();
+        boolean over = row.phase() != JobPhase.WAITING;
+        int rest = over ? 0 : row.spec().kind().tasks() - ended;
+        int running = over ? 0 : progress.map(JobProgress::running).orElse(0);
+        int waiting = over ? 0 : progress.map(JobProgress::waiting).orElse(rest);
+        JobPhase phase = !over && running > 0 ? JobPhase.RUNNING : row.phase();
+        return new JobStatus(
+                row.spec().id(),
+                row.spec().team(),
+                row.spec().name(),
+                home,
+                phase,
+                waiting,
+                running,
+                row.succeededCount(),
+                row.failedCount(),
+                row.problem().or(() -> progress.flatMap(JobProgress::problem)),
+                row.results().stream().map(TaskResult::result).toList());
+    }
+
+    private record Asked(long deadlineMs, ClientReply otherwise, Consumer<ClientReply> then) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobSystem.java
@@ -0,0 +1,182 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.port.EndReason;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.TaskEnd;
+
+/** Keeps the jobs of owned slices: reads them, gives them to placement, and records what has ended. */
+final class JobSystem implements HostSystem {
+    private static final long REVIEW_INTERVAL_MS = 100;
+
+    private final HostState state;
+    private final GroupCommit commits;
+    private final Map<SliceId, JobScan> scans = new HashMap<>();
+    private long nextReviewMs = Times.NEVER_MS;
+    private long stoppingSinceMs = Times.NEVER_MS;
+
+    private JobSystem(HostState state, GroupCommit commits) {
+        this.state = state;
+        this.commits = commits;
+    }
+
+    static JobSystem of(HostState state, GroupCommit commits) {
+        return new JobSystem(state, commits);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        if (!(event instanceof Event.PeerReceived received)) {
+            return;
+        }
+        if (received.message() instanceof PeerMessage.JobHomed homed) {
+            homed(homed.slice(), homed.job(), received.from(), outbox);
+        }
+    }
+
+    @Override
+    public boolean idle() {
+        boolean patienceOver = stoppingSinceMs != Times.NEVER_MS
+                && state.clock().nowMs() - stoppingSinceMs > 2 * state.config().callTimeoutMs();
+        return patienceOver || commits.idle();
+    }
+
+    /** Reads a new or changed job of an owned slice. */
+    void homed(SliceId slice, JobId job, HostId from, Outbox outbox) {
+        OwnedSlice owned = state.owned().get(slice);
+        if (owned == null) {
+            return;
+        }
+        String key = JobRow.key(slice, job);
+        outbox.call(state.clock().nowMs(), new TableRequest.Read(List.of(key)), reply -> {
+            if (reply instanceof TableReply.Rows rows && state.owned().get(slice) == owned) {
+                rows.rows().forEach(row -> scan(owned).learn(row));
+                acknowledge(slice, job, from, outbox);
+            }
+        });
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        if (state.stopping() && stoppingSinceMs == Times.NEVER_MS) {
+            stoppingSinceMs = nowMs;
+        }
+        boolean review = nowMs >= nextReviewMs;
+        if (review) {
+            nextReviewMs = nowMs + REVIEW_INTERVAL_MS;
+        }
+        for (OwnedSlice slice : state.owned().values()) {
+            scan(slice).tick(nowMs, outbox);
+            recordEnds(slice);
+            if (review) {
+                reviewJobs(slice, nowMs);
+            }
+        }
+    }
+
+    private void acknowledge(SliceId slice, JobId job, HostId to, Outbox outbox) {
+        HostEntry entry = state.entryHosts().get(to);
+        if (entry != null && !to.equals(state.config().host())) {
+            outbox.send(to, entry.address(), new PeerMessage.JobKnown(slice, job));
+        }
+    }
+
+    private JobScan scan(OwnedSlice slice) {
+        return scans.compute(
+                slice.id(),
+                (id, present) -> present != null && present.slice() == slice ? present : JobScan.of(state, slice));
+    }
+
+    private void recordEnds(OwnedSlice slice) {
+        List<PendingEnd> waiting = new ArrayList<>();
+        for (PendingEnd pending : slice.newEnds()) {
+            HomedJob job = slice.jobs().get(pending.reported().end().task().job());
+            boolean handled = pending.reported().applied() && (job != null || slice.scanned());
+            if (!handled) {
+                waiting.add(pending);
+            } else if (job == null) {
+                pending.reported().settle();
+            } else {
+                record(job, pending.reported());
+            }
+        }
+        slice.newEnds().clear();
+        slice.newEnds().addAll(waiting);
+    }
+
+    private void record(HomedJob job, ReportedEnd reported) {
+        TaskEnd end = reported.end();
+        boolean service = job.row().spec().kind() instanceof JobKind.Service;
+        if (end.reason() == EndReason.SUCCEEDED && !service) {
+            job.change(job.row().withSuccess(end.task().index(), end.result()));
+            job.unrecorded().add(reported);
+        } else if (reported.failed()) {
+            job.change(job.row().withFailure(end.task().index()));
+            job.unrecorded().add(reported);
+        } else {
+            reported.settle();
+        }
+    }
+
+    private void reviewJobs(OwnedSlice slice, long nowMs) {
+        for (HomedJob job : slice.jobs().values()) {
+            place(slice, job, nowMs);
+            finalPhase(slice, job).ifPresent(phase -> job.change(job.row().withPhase(phase)));
+            if (job.dirty() && !job.writing()) {
+                commits.add(JobWrite.of(state, slice, job));
+            }
+        }
+    }
+
+    /** Gives a job to placement, or takes an exclusive one back that may not start here now. */
+    private void place(OwnedSlice slice, HomedJob job, long nowMs) {
+        boolean may = mayPlace(slice, job, nowMs);
+        if (may && !job.placed()) {
+            slice.placement().submit(job.row().spec(), job.row().endedTasks(), nowMs);
+            job.placed(true);
+        } else if (!may && job.placed() && !slice.runsAny(job.id())) {
+            slice.placement().removeJob(job.id());
+            job.placed(false);
+        }
+        boolean stops = job.row().cancelled() || job.row().problem().isPresent();
+        if (stops && job.placed()) {
+            slice.placement().cancel(job.id());
+        }
+    }
+
+    private boolean mayPlace(OwnedSlice slice, HomedJob job, long nowMs) {
+        if (!job.row().spec().exclusive()) {
+            return true;
+        }
+        boolean known = slice.scanned() && slice.settled();
+        return known && ExclusiveBound.holds(state, slice, job.row().spec().team(), nowMs);
+    }
+
+    private Optional<JobPhase> finalPhase(OwnedSlice slice, HomedJob job) {
+        JobRow row = job.row();
+        if (row.phase() != JobPhase.WAITING) {
+            return Optional.empty();
+        }
+        boolean service = row.spec().kind() instanceof JobKind.Service;
+        boolean all = row.endedTasks().cardinality() == row.spec().kind().tasks();
+        if (!service && all) {
+            return Optional.of(row.failedCount() > 0 ? JobPhase.FAILED : JobPhase.SUCCEEDED);
+        }
+        boolean stopped = slice.settled() && !slice.runsAny(job.id());
+        if (row.cancelled() && stopped) {
+            return Optional.of(JobPhase.CANCELLED);
+        }
+        return row.problem().isPresent() && stopped ? Optional.of(JobPhase.FAILED) : Optional.empty();
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -4,7 +4,6 @@
 import java.util.List;
 
 import org.acaciafold.core.model.HostId;
-import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.HostEntry;
@@ -74,13 +73,16 @@
     private List<SliceSummary> summaries() {
         List<SliceSummary> summaries = new ArrayList<>();
         for (OwnedSlice slice : state.owned().values()) {
+            if (!slice.holdsRow() && !slice.hasAuthority(state.clock().nowMs())) {
+                continue;
+            }
             PlacementSummary summary = slice.placement().summary();
             summaries.add(new SliceSummary(
                     slice.id(),
                     slice.fence(),
                     summary.capacity(),
                     summary.reserved(),
-                    Resources.empty(),
+                    slice.largestWorker(),
                     summary.waiting(),
                     List.of()));
         }
--- a/coordination/src/main/java/org/acaciafold/coordination/Outbox.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Outbox.java
@@ -27,6 +27,7 @@
     private final Map<Long, Pending> pending = new HashMap<>();
     private long lastCall;
     private long lateAnswers;
+    private boolean tableAnswers;
 
     private Outbox(long timeoutMs) {
         this.timeoutMs = timeoutMs;
@@ -94,7 +95,7 @@
             lateAnswers++;
             return;
         }
-        waiting.then().accept(reply);
+        accept(waiting, reply);
     }
 
     /**
@@ -123,7 +124,7 @@
         expired.sort(Long::compare);
         for (Long call : expired) {
             Pending waiting = pending.remove(call);
-            waiting.then().accept(waiting.onTimeout());
+            accept(waiting, waiting.onTimeout());
         }
     }
 
@@ -152,5 +153,21 @@
         effects.add(new Effect.Stopped());
     }
 
+    /**
+     * Tells whether the table service answers.
+     *
+     * @return whether the last call to it was answered in time
+     */
+    boolean tableAnswers() {
+        return tableAnswers;
+    }
+
+    private void accept(Pending waiting, Object reply) {
+        if (reply instanceof TableReply) {
+            tableAnswers = !(reply instanceof TableReply.Unavailable);
+        }
+        waiting.then().accept(reply);
+    }
+
     private record Pending(long deadlineMs, Consumer<Object> then, Object onTimeout) {}
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -1,16 +1,22 @@
 package org.acaciafold.coordination;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.placement.PlacementPlane;
+import org.acaciafold.core.port.StopMode;
 
-/** A slice that this host owns, with its placement and the allotments of its teams. */
+/** A slice that this host owns, with its placement, its workers, its jobs and the allotments of its teams. */
 final class OwnedSlice {
     private final SliceId id;
     private final Fence fence;
@@ -18,8 +24,20 @@
     private final Map<TeamId, Resources> allotments = new TreeMap<>();
     private final Map<TeamId, Resources> wanted = new TreeMap<>();
     private final Map<WorkerId, WorkerLink> links = new TreeMap<>();
+    private final TreeMap<AttemptId, PlacedTask> tasks = new TreeMap<>();
+    private final Map<AttemptId, PlacedTask> stops = new TreeMap<>();
+    private final Map<JobId, HomedJob> jobs = new TreeMap<>();
+    private final List<PendingEnd> newEnds = new ArrayList<>();
     private long authorityUntilMs;
-    private long tableContactMs;
+    private long tableContactMs = Times.NEVER_MS;
+    private SliceRow row;
+    private long rowVersion;
+    private boolean holdsRow;
+    private long takenMs;
+    private boolean scanned;
+    private long scanRequests;
+    private boolean settled;
+    private Fence fencedBy = Fence.none();
 
     private OwnedSlice(SliceId id, Fence fence, PlacementPlane placement) {
         this.id = id;
@@ -49,30 +67,198 @@
         return fence;
     }
 
+    /** Returns the highest fencing token that a worker of the slice has answered with. */
+    Fence fencedBy() {
+        return fencedBy;
+    }
+
+    void fencedBy(Fence highest) {
+        if (highest.compareTo(fencedBy) > 0) {
+            fencedBy = highest;
+        }
+    }
+
+    boolean hasAuthority(long nowMs) {
+        return nowMs < authorityUntilMs;
+    }
+
+    /** Returns whether the row names this host as far as it knows. */
+    boolean holdsRow() {
+        return holdsRow;
+    }
+
     SliceId id() {
         return id;
     }
 
+    /** Returns the jobs homed in the slice that have not ended; written by the job system. */
+    Map<JobId, HomedJob> jobs() {
+        return jobs;
+    }
+
+    /** Returns the largest amount of each resource that one reachable worker has. */
+    Resources largestWorker() {
+        Resources largest = Resources.empty();
+        for (WorkerLink link : links.values()) {
+            Resources capacity =
+                    link.view().map(view -> view.capacity()).orElse(Resources.empty());
+            largest = Resources.of(
+                    Math.max(largest.cpuMillis(), capacity.cpuMillis()),
+                    Math.max(largest.memoryMib(), capacity.memoryMib()),
+                    Math.max(largest.accelerators(), capacity.accelerators()));
+        }
+        return largest;
+    }
+
     /** Returns the workers of the slice; written by the worker system. */
     Map<WorkerId, WorkerLink> links() {
         return links;
     }
 
+    /**
+     * Computes until when a majority of each set of members certainly holds the control lease of this owner.
+     *
+     * @return a time in milliseconds, {@link Long#MIN_VALUE} when there are no members
+     */
+    long majorityUntilMs() {
+        long until = Long.MAX_VALUE;
+        for (List<WorkerId> members : row.memberSets()) {
+            if (!members.isEmpty()) {
+                until = Math.min(until, majorityUntilMs(members));
+            }
+        }
+        return until == Long.MAX_VALUE ? Times.NEVER_MS : until;
+    }
+
+    /** Returns the reported ends that the job system has not handled. */
+    List<PendingEnd> newEnds() {
+        return newEnds;
+    }
+
+    /** Adds a task to the tables. */
+    void place(PlacedTask task) {
+        tasks.put(task.id(), task);
+        links.get(task.worker()).tasks().put(task.id(), task);
+    }
+
     PlacementPlane placement() {
         return placement;
     }
 
+    /** Returns the row as this host knows it. */
+    SliceRow row() {
+        return row;
+    }
+
+    long rowVersion() {
+        return rowVersion;
+    }
+
+    void row(SliceRow value, long version, boolean held) {
+        row = value;
+        rowVersion = version;
+        holdsRow = held;
+    }
+
+    /** Returns whether all jobs of the slice were read from the table since the takeover. */
+    boolean scanned() {
+        return scanned;
+    }
+
+    /** Asks for a new scan of the jobs, before which no exclusive task starts. */
+    void requestScan() {
+        scanned = false;
+        scanRequests++;
+    }
+
+    /** Returns how many scans were asked for, to tell whether a scan began after the last request. */
+    long scanRequests() {
+        return scanRequests;
+    }
+
+    void scanned(long requestsAtBegin) {
+        scanned = scanRequests == requestsAtBegin;
+    }
+
+    /** Tells whether each member has answered this owner. */
+    boolean everyMemberSeen() {
+        for (WorkerId member : row.everyMember()) {
+            WorkerLink link = links.get(member);
+            if (link == null || link.view().isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns whether every member has told what runs on it, or can run nothing any more; written by the worker system. */
+    boolean settled() {
+        return settled;
+    }
+
+    void settled(boolean value) {
+        settled = value;
+    }
+
     /** Returns when the last answered renewal in the table was sent, in milliseconds. */
     long tableContactMs() {
         return tableContactMs;
     }
 
     void tableContactMs(long value) {
-        tableContactMs = value;
+        tableContactMs = Math.max(tableContactMs, value);
+    }
+
+    /** Returns when this host began to own the slice, in milliseconds. */
+    long takenMs() {
+        return takenMs;
+    }
+
+    void takenMs(long value) {
+        takenMs = value;
+    }
+
+    /** Removes a task that has ended or was never started from the tables. */
+    void remove(PlacedTask task) {
+        tasks.remove(task.id());
+        stops.remove(task.id());
+        links.get(task.worker()).tasks().remove(task.id());
+    }
+
+    /** Asks for the stop of a task, which is sent and repeated by the worker system. */
+    void stop(PlacedTask task, StopMode mode) {
+        task.stop(mode);
+        stops.put(task.id(), task);
+    }
+
+    /** Returns the tasks to be stopped. */
+    Collection<PlacedTask> stops() {
+        return stops.values();
+    }
+
+    /** Returns the tasks that run or may run on the workers of the slice. */
+    Map<AttemptId, PlacedTask> tasks() {
+        return tasks;
+    }
+
+    /** Tells whether a task of a job runs or may run on a worker of the slice. */
+    boolean runsAny(JobId job) {
+        AttemptId first = tasks.ceilingKey(AttemptId.first(job));
+        return first != null && first.task().job().equals(job);
     }
 
     /** Returns what each team's waiting tasks need beyond its allotment; written each tick by the placement system. */
     Map<TeamId, Resources> wanted() {
         return wanted;
     }
+
+    private long majorityUntilMs(List<WorkerId> members) {
+        List<Long> leases = new ArrayList<>();
+        for (WorkerId member : members) {
+            WorkerLink link = links.get(member);
+            leases.add(link == null ? Times.NEVER_MS : link.leaseUntilMs());
+        }
+        leases.sort(Collections.reverseOrder());
+        return leases.get(members.size() / 2);
+    }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
@@ -0,0 +1,309 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.placement.PlacementPlane;
+import org.acaciafold.core.port.Check;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.Write;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes slices of this host's failure domain over, and gives them up.
+ *
+ * <p>With the table the row of the slice names the owner; without it the workers decide. In both cases an owner has
+ * authority only while a majority of the members of the slice holds its control lease.
+ */
+final class OwnershipSystem implements HostSystem {
+    private static final Logger LOG = LoggerFactory.getLogger(OwnershipSystem.class);
+    private static final int READ_INTERVAL_HEARTBEATS = 2;
+    private static final long REVIEW_INTERVAL_MS = 50;
+    private static final int FIRST_CLAIM_LEASES = 2;
+
+    private final HostState state;
+    private final Function<SliceId, PlacementPlane> planes;
+    private final SliceRenewal renewal;
+    private final SliceRelease release;
+    private final Map<SliceId, SliceWatch> watches = new TreeMap<>();
+    private long nextReadMs;
+    private boolean readInFlight;
+    private long nextReviewMs = Times.NEVER_MS;
+    private long lastReadMs = Times.NEVER_MS;
+
+    private OwnershipSystem(HostState state, Function<SliceId, PlacementPlane> planes) {
+        this.state = state;
+        this.planes = planes;
+        this.release = SliceRelease.of(state);
+        this.renewal = SliceRenewal.of(state, this::giveUp);
+    }
+
+    static OwnershipSystem of(HostState state, Function<SliceId, PlacementPlane> planes) {
+        return new OwnershipSystem(state, planes);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        if (!(event instanceof Event.PeerReceived received)) {
+            return;
+        }
+        switch (received.message()) {
+            case PeerMessage.Heartbeat heartbeat ->
+                heartbeat.slices().forEach(summary -> hear(summary.slice(), summary.fence(), outbox));
+            case PeerMessage.Handover handover -> {
+                watch(handover.slice()).raise(handover.fence());
+                nextReadMs = state.clock().nowMs();
+            }
+            case PeerMessage.MembersKnown known ->
+                renewal.acknowledged(received.from(), known.slice(), known.generation());
+            default -> {
+                // messages of other systems
+            }
+        }
+    }
+
+    @Override
+    public boolean idle() {
+        return state.owned().isEmpty() && release.idle();
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        if (lastReadMs == Times.NEVER_MS) {
+            lastReadMs = nowMs;
+            Slices.local(state).forEach(slice -> watch(slice).ownerHeardMs(nowMs));
+        }
+        if (state.stopping()) {
+            if (state.drained()) {
+                List.copyOf(state.owned().values()).forEach(slice -> {
+                    state.owned().remove(slice.id());
+                    release.handOver(slice, nowMs, outbox);
+                });
+            }
+        } else {
+            readRows(nowMs, outbox);
+        }
+        boolean review = nowMs >= nextReviewMs;
+        if (review) {
+            nextReviewMs = nowMs + REVIEW_INTERVAL_MS;
+        }
+        if (review && !state.stopping()) {
+            Slices.local(state).forEach(slice -> considerTakeover(slice, nowMs, outbox));
+        }
+        for (OwnedSlice slice : List.copyOf(state.owned().values())) {
+            if (review || !slice.hasAuthority(nowMs)) {
+                slice.authorityUntilMs(slice.majorityUntilMs());
+            }
+            renewal.tick(slice, nowMs, outbox);
+            giveUpWhenFenced(slice, nowMs, outbox);
+        }
+    }
+
+    private void readRows(long nowMs, Outbox outbox) {
+        if (readInFlight || nowMs < nextReadMs) {
+            return;
+        }
+        nextReadMs = nowMs + READ_INTERVAL_HEARTBEATS * state.config().heartbeatMs();
+        List<SliceId> wanted = new ArrayList<>();
+        for (SliceId slice : Slices.local(state)) {
+            OwnedSlice own = state.owned().get(slice);
+            if (own == null || !own.holdsRow()) {
+                wanted.add(slice);
+            }
+        }
+        if (wanted.isEmpty()) {
+            return;
+        }
+        readInFlight = true;
+        List<String> keys = wanted.stream().map(SliceRow::key).toList();
+        outbox.call(nowMs, new TableRequest.Read(keys), reply -> {
+            readInFlight = false;
+            if (reply instanceof TableReply.Rows rows) {
+                lastReadMs = state.clock().nowMs();
+                applyRows(wanted, rows.rows(), nowMs, outbox);
+            } else {
+                wanted.forEach(slice -> watch(slice).interrupt());
+            }
+        });
+    }
+
+    private void applyRows(List<SliceId> wanted, List<Row> rows, long sentMs, Outbox outbox) {
+        Map<String, Row> byKey = new HashMap<>();
+        rows.forEach(row -> byKey.put(row.key(), row));
+        for (SliceId slice : wanted) {
+            Row row = byKey.get(SliceRow.key(slice));
+            Optional<SliceRow> value =
+                    row == null ? Optional.empty() : RowCodec.decode(row, SliceRow.class);
+            watch(slice).read(value, row == null ? 0 : row.version(), sentMs, state.clock().nowMs());
+            value.ifPresent(seen -> compareWithOwn(slice, seen, row.version(), outbox));
+        }
+    }
+
+    /** Settles a lost answer, joins a takeover without the table to the row, or gives up. */
+    private void compareWithOwn(SliceId slice, SliceRow row, long version, Outbox outbox) {
+        SliceWatch watch = watch(slice);
+        OwnedSlice own = state.owned().get(slice);
+        if (own == null) {
+            if (row.isOwnedBy(state.config()) && row.epoch() == watch.pendingEpoch()) {
+                begin(slice, Fence.of(row.epoch(), 0), row, version, watch.pendingSentMs());
+            } else {
+                acknowledgeMembers(slice, row, outbox);
+            }
+            return;
+        }
+        if (own.holdsRow()) {
+            return;
+        }
+        boolean joins = row.epoch() == own.fence().epoch() && own.hasAuthority(state.clock().nowMs());
+        if (joins) {
+            renewal.join(own, row, version, state.clock().nowMs(), outbox);
+        } else {
+            giveUp(own, outbox);
+        }
+    }
+
+    private void acknowledgeMembers(SliceId slice, SliceRow row, Outbox outbox) {
+        boolean changing = row.memberSets().size() > 1;
+        if (!changing || row.isReleased()) {
+            return;
+        }
+        state.entryHosts().values().stream()
+                .filter(entry -> entry.id().equals(row.owner()))
+                .forEach(entry -> outbox.send(
+                        HostId.of(entry.id()),
+                        entry.address(),
+                        new PeerMessage.MembersKnown(slice, row.generation())));
+    }
+
+    private void considerTakeover(SliceId slice, long nowMs, Outbox outbox) {
+        SliceWatch watch = watch(slice);
+        boolean owned = state.owned().containsKey(slice);
+        if (state.ownerOf(slice, nowMs).isPresent()) {
+            watch.ownerHeardMs(nowMs);
+        }
+        if (owned || watch.callInFlight() || !watch.known() || nowMs < watch.notBeforeMs()) {
+            return;
+        }
+        if (state.workers().isEmpty()) {
+            return;
+        }
+        long delayMs = Candidates.rank(state, slice, nowMs) * READ_INTERVAL_HEARTBEATS * state.config().heartbeatMs();
+        if (state.tableAnswers()) {
+            takeOverInTable(slice, watch, delayMs, nowMs, outbox);
+        } else {
+            takeOverAtWorkers(slice, watch, delayMs, nowMs);
+        }
+    }
+
+    private void takeOverInTable(SliceId slice, SliceWatch watch, long delayMs, long nowMs, Outbox outbox) {
+        boolean free = watch.row().map(SliceRow::isReleased).orElse(true);
+        long waitMs = delayMs + (free ? 0 : validityMs());
+        if (watch.interrupted() || nowMs - watch.unchangedSinceMs() < waitMs) {
+            return;
+        }
+        List<List<WorkerId>> members =
+                List.of(List.copyOf(Slices.workers(state, slice)));
+        if (watch.row().isEmpty() && members.getFirst().isEmpty()) {
+            return;
+        }
+        SliceRow before = watch.row().orElseGet(() -> new SliceRow("", 0, watch.highest().epoch(), 0, 0, members));
+        SliceRow taken = before.takenBy(state.config().host(), state.config().incarnation());
+        String key = SliceRow.key(slice);
+        Write write = new Write(key, Optional.of(RowCodec.encode(taken, SliceRow.class)));
+        watch.sent(taken.epoch(), nowMs);
+        List<Check> checks = List.of(new Check(key, watch.version()));
+        outbox.call(nowMs, new TableRequest.Commit(checks, List.of(write)), reply -> {
+            watch.answered();
+            nextReadMs = state.clock().nowMs();
+            boolean wanted = !state.stopping() && !state.owned().containsKey(slice);
+            if (reply instanceof TableReply.Committed committed && wanted) {
+                begin(slice, Fence.of(taken.epoch(), 0), taken, committed.version(), nowMs);
+            }
+        });
+    }
+
+    private void takeOverAtWorkers(SliceId slice, SliceWatch watch, long delayMs, long nowMs) {
+        boolean tableAway = nowMs - lastReadMs >= validityMs();
+        boolean ownerAway = nowMs - watch.ownerHeardMs() >= validityMs() + delayMs;
+        if (!tableAway || !ownerAway || watch.row().isEmpty()) {
+            return;
+        }
+        OwnedSlice taken = begin(
+                slice, watch.highest().next(), watch.row().get(), watch.version(), watch.writtenAfterMs());
+        taken.row(watch.row().get(), watch.version(), false);
+    }
+
+    private OwnedSlice begin(SliceId slice, Fence fence, SliceRow row, long version, long contactMs) {
+        OwnedSlice taken = OwnedSlice.of(slice, fence, planes.apply(slice));
+        taken.row(row, version, true);
+        taken.tableContactMs(contactMs);
+        taken.takenMs(state.clock().nowMs());
+        watch(slice).raise(fence);
+        state.owned().put(slice, taken);
+        LOG.info("slice {} taken over with fence {}", slice, fence);
+        return taken;
+    }
+
+    private void hear(SliceId slice, Fence fence, Outbox outbox) {
+        SliceWatch watch = watches.get(slice);
+        if (watch == null) {
+            return;
+        }
+        watch.raise(fence);
+        OwnedSlice own = state.owned().get(slice);
+        if (own == null || fence.compareTo(own.fence()) <= 0) {
+            return;
+        }
+        boolean newerEpoch = fence.epoch() > own.row().epoch();
+        if (newerEpoch || !own.hasAuthority(state.clock().nowMs())) {
+            giveUp(own, outbox);
+        }
+    }
+
+    private void giveUpWhenFenced(OwnedSlice slice, long nowMs, Outbox outbox) {
+        if (slice.hasAuthority(nowMs)) {
+            return;
+        }
+        boolean fenced = slice.fencedBy().compareTo(slice.fence()) >= 0;
+        long patienceMs = FIRST_CLAIM_LEASES * state.config().controlLeaseMs();
+        boolean refused = !slice.holdsRow() && nowMs - slice.takenMs() > patienceMs && nowMs - slice.authorityUntilMs() > patienceMs;
+        if (fenced || refused) {
+            giveUp(slice, outbox);
+        }
+    }
+
+    private void giveUp(OwnedSlice slice, Outbox outbox) {
+        if (!state.owned().remove(slice.id(), slice)) {
+            return;
+        }
+        long nowMs = state.clock().nowMs();
+        LOG.info("slice {} given up with fence {}", slice.id(), slice.fence());
+        SliceWatch watch = watch(slice.id());
+        watch.restart(nowMs);
+        watch.raise(slice.fencedBy());
+        watch.ownerHeardMs(nowMs);
+        long pauseMs = READ_INTERVAL_HEARTBEATS * state.config().heartbeatMs();
+        watch.notBeforeMs(nowMs + pauseMs * (1 + Candidates.rank(state, slice.id(), nowMs)));
+        release.releaseWorkers(slice, nowMs, outbox);
+    }
+
+    private SliceWatch watch(SliceId slice) {
+        return watches.computeIfAbsent(slice, ignored -> new SliceWatch());
+    }
+
+    private long validityMs() {
+        return state.config().controlLeaseMs() + state.config().clockMarginMs();
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/PeerMessage.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PeerMessage.java
@@ -42,6 +42,22 @@
      */
     record JobHomed(SliceId slice, JobId job) implements PeerMessage {}
 
+    /**
+     * Tells the sender of {@link JobHomed} that the owner has read the job.
+     *
+     * @param slice the slice
+     * @param job the job
+     */
+    record JobKnown(SliceId slice, JobId job) implements PeerMessage {}
+
+    /**
+     * Tells the owner of a slice that the sender has read its members, and would ask all of them in a takeover.
+     *
+     * @param slice the slice
+     * @param generation the generation of the members
+     */
+    record MembersKnown(SliceId slice, long generation) implements PeerMessage {}
+
     /**
      * Tells that the table has a newer settings tree.
      *
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
@@ -0,0 +1,193 @@
+package org.acaciafold.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.placement.Decision;
+import org.acaciafold.core.placement.TeamTerms;
+import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.port.WorkerCommand;
+import org.acaciafold.core.port.WorkerReply;
+import org.acaciafold.settings.TeamSettings;
+
+/** Runs the placement of owned slices and carries its decisions out, each checked again when it is sent. */
+final class PlacementSystem implements HostSystem {
+    private static final String ALREADY = "already-";
+
+    private final HostState state;
+    private final Map<SliceId, Told> told = new HashMap<>();
+
+    private PlacementSystem(HostState state) {
+        this.state = state;
+    }
+
+    static PlacementSystem of(HostState state) {
+        return new PlacementSystem(state);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        // works on the tables of other systems only
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        if (state.stopping()) {
+            return;
+        }
+        for (OwnedSlice slice : state.owned().values()) {
+            tellTerms(slice);
+            if (!slice.hasAuthority(nowMs)) {
+                continue;
+            }
+            slice.wanted().clear();
+            for (Decision decision : slice.placement().tick(nowMs)) {
+                execute(slice, decision, nowMs, outbox);
+            }
+        }
+    }
+
+    private void tellTerms(OwnedSlice slice) {
+        Told last = told.compute(
+                slice.id(), (id, present) -> present != null && present.slice == slice ? present : new Told(slice));
+        boolean open = !state.settings().takenOut(state.config().domain());
+        if (last.open != open) {
+            slice.placement().open(open);
+            last.open = open;
+        }
+        for (TeamSettings team : state.settings().teams().values()) {
+            TeamTerms terms = terms(slice, last, team);
+            if (!terms.equals(last.terms.put(team.team(), terms))) {
+                slice.placement().team(team.team(), terms);
+            }
+        }
+    }
+
+    private static TeamTerms terms(OwnedSlice slice, Told last, TeamSettings team) {
+        Resources held = slice.allotments().getOrDefault(team.team(), Resources.empty());
+        Resources allotment = slice.settled() ? held : held.min(seen(slice, last, team.team()));
+        return new TeamTerms(
+                team.weight(),
+                allotment,
+                team.policies().service(),
+                team.policies().batch(),
+                team.policies().gang());
+    }
+
+    /**
+     * Returns the most that was seen running of a team since the takeover.
+     *
+     * <p>While some members have not answered, what they run is unknown, but no more than the allotment without this.
+     */
+    private static Resources seen(OwnedSlice slice, Told last, TeamId team) {
+        return last.seen.merge(team, slice.placement().usage(team), Resources::max);
+    }
+
+    private void execute(OwnedSlice slice, Decision decision, long nowMs, Outbox outbox) {
+        switch (decision) {
+            case Decision.Start start -> start(slice, start, nowMs, outbox);
+            case Decision.StopTask stop -> {
+                PlacedTask task = slice.tasks().get(new AttemptId(stop.task(), stop.attempt()));
+                if (task != null) {
+                    slice.stop(task, stop.mode());
+                }
+            }
+            case Decision.JobStuck stuck -> stuck(slice, stuck);
+            case Decision.WantsAllotment wants -> slice.wanted().put(wants.team(), wants.missing());
+        }
+    }
+
+    private void start(OwnedSlice slice, Decision.Start start, long nowMs, Outbox outbox) {
+        if (!mayStart(slice, start, nowMs)) {
+            slice.placement().refused(start.task(), start.attempt(), nowMs);
+            return;
+        }
+        WorkerLink link = slice.links().get(start.worker());
+        PlacedTask task = PlacedTask.starting(start.task(), start.worker(), start.attempt(), start.spec());
+        slice.place(task);
+        WorkerCommand command = new WorkerCommand.Start(
+                slice.fence(),
+                link.leaseSequence(),
+                start.task(),
+                start.attempt(),
+                start.spec(),
+                state.config().taskLeaseMs());
+        long leaseEndedMs = link.leaseEndedMs();
+        outbox.call(
+                nowMs,
+                link.worker(),
+                link.address(),
+                command,
+                reply -> answered(slice, task, leaseEndedMs, reply));
+    }
+
+    private boolean mayStart(OwnedSlice slice, Decision.Start start, long nowMs) {
+        WorkerLink link = slice.links().get(start.worker());
+        HomedJob job = slice.jobs().get(start.task().job());
+        boolean worker = link != null
+                && link.hasLease(nowMs)
+                && link.state().equals(java.util.Optional.of(WorkerState.READY));
+        boolean wanted = job != null && job.placed() && !job.row().cancelled();
+        boolean exclusive = !start.spec().exclusive()
+                || (slice.scanned()
+                        && slice.settled()
+                        && ExclusiveBound.holds(state, slice, start.spec().team(), nowMs));
+        boolean open = !state.settings().takenOut(state.config().domain()) && !state.stopping();
+        return open && worker && wanted && exclusive && slice.hasAuthority(nowMs);
+    }
+
+    private void answered(OwnedSlice slice, PlacedTask task, long leaseEndedMs, WorkerReply reply) {
+        long nowMs = state.clock().nowMs();
+        boolean known = slice.tasks().get(task.id()) == task;
+        if (!known || state.owned().get(slice.id()) != slice) {
+            return;
+        }
+        switch (reply) {
+            case WorkerReply.Done ignored -> {
+                task.confirm(nowMs);
+                slice.placement().started(task.task(), task.attempt(), nowMs);
+            }
+            case WorkerReply.Refused refused when refused.code().startsWith(ALREADY) -> task.unresolved(nowMs);
+            case WorkerReply.Refused ignored -> refuse(slice, task, nowMs);
+            case WorkerReply.Fenced ignored -> refuse(slice, task, nowMs);
+            case WorkerReply.Lost ignored -> task.unresolved(leaseEndedMs);
+            case WorkerReply.Claimed ignored -> throw new IllegalStateException("a start was answered by claimed");
+        }
+    }
+
+    private static void refuse(OwnedSlice slice, PlacedTask task, long nowMs) {
+        slice.remove(task);
+        slice.placement().refused(task.task(), task.attempt(), nowMs);
+    }
+
+    /** Records that a job can never run, once all workers of the slice are known. */
+    private static void stuck(OwnedSlice slice, Decision.JobStuck stuck) {
+        HomedJob job = slice.jobs().get(stuck.job());
+        if (job == null || job.row().problem().isPresent()) {
+            return;
+        }
+        if (!slice.everyMemberSeen()) {
+            slice.placement().removeJob(job.id());
+            job.placed(false);
+            return;
+        }
+        Resources most = stuck.largest();
+        String largest = "; the largest task that fits has " + most.cpuMillis() + " cpu-millis, " + most.memoryMib()
+                + " MiB and " + most.accelerators() + " accelerators";
+        job.change(job.row().withProblem(stuck.reason() + largest));
+    }
+
+    private static final class Told {
+        private final OwnedSlice slice;
+        private final Map<TeamId, TeamTerms> terms = new HashMap<>();
+        private final Map<TeamId, Resources> seen = new HashMap<>();
+        private boolean open = true;
+
+        private Told(OwnedSlice slice) {
+            this.slice = slice;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/ReportedEnd.java
@@ -0,0 +1,49 @@
+package org.acaciafold.coordination;
+
+import org.acaciafold.core.port.TaskEnd;
+
+/** The end of a task on its way from a worker's report to a durable record. */
+final class ReportedEnd {
+    private final TaskEnd end;
+    private boolean applied;
+    private boolean failed;
+    private boolean durable;
+
+    private ReportedEnd(TaskEnd end) {
+        this.end = end;
+    }
+
+    static ReportedEnd of(TaskEnd end) {
+        return new ReportedEnd(end);
+    }
+
+    /** Returns whether placement knows the end. */
+    boolean applied() {
+        return applied;
+    }
+
+    /** Records that placement knows the end, and whether the task failed for good by it. */
+    void apply(boolean failedForGood) {
+        applied = true;
+        failed = failedForGood;
+    }
+
+    /** Returns whether the task failed for good by this end. */
+    boolean failed() {
+        return failed;
+    }
+
+    /** Returns whether the worker may forget the end. */
+    boolean durable() {
+        return durable;
+    }
+
+    /** Records that the end needs no repeat. */
+    void settle() {
+        durable = true;
+    }
+
+    TaskEnd end() {
+        return end;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
@@ -0,0 +1,170 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.Check;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.Write;
+
+/**
+ * Renews the rows of owned slices and changes their members.
+ *
+ * <p>A change of the members first joins the former set in the row. The former set is dropped when every entry host of
+ * the failure domain has told that it has read the row, because each of them may take the slice over without the table
+ * and would then ask a majority of the sets that it knows.
+ */
+final class SliceRenewal {
+    private static final int INTERVAL_HEARTBEATS = 2;
+
+    private final HostState state;
+    private final BiConsumer<OwnedSlice, Outbox> giveUp;
+    private final Map<SliceId, Progress> progress = new HashMap<>();
+    private final Map<SliceId, Map<HostId, Long>> acknowledged = new HashMap<>();
+
+    private SliceRenewal(HostState state, BiConsumer<OwnedSlice, Outbox> giveUp) {
+        this.state = state;
+        this.giveUp = giveUp;
+    }
+
+    static SliceRenewal of(HostState state, BiConsumer<OwnedSlice, Outbox> giveUp) {
+        return new SliceRenewal(state, giveUp);
+    }
+
+    /** Records that a host has read a generation of the members of a slice. */
+    void acknowledged(HostId host, SliceId slice, long generation) {
+        acknowledged.computeIfAbsent(slice, ignored -> new HashMap<>()).merge(host, generation, Math::max);
+    }
+
+    /** Takes the row of a slice that was taken over without the table. */
+    void join(OwnedSlice slice, SliceRow row, long version, long nowMs, Outbox outbox) {
+        SliceRow taken =
+                row.takenBy(state.config().host(), state.config().incarnation());
+        write(slice, taken, version, nowMs, outbox);
+    }
+
+    /** Renews the row when it is due. */
+    void tick(OwnedSlice slice, long nowMs, Outbox outbox) {
+        if (slice.holdsRow() && nowMs >= progress(slice).nextMs) {
+            SliceRow next = withChangedMembers(slice, nowMs).renewed();
+            write(slice, next, slice.rowVersion(), nowMs, outbox);
+        }
+    }
+
+    private void write(OwnedSlice slice, SliceRow row, long version, long nowMs, Outbox outbox) {
+        Progress own = progress(slice);
+        if (own.inFlight) {
+            return;
+        }
+        own.inFlight = true;
+        own.nextMs = nowMs + INTERVAL_HEARTBEATS * state.config().heartbeatMs();
+        String key = SliceRow.key(slice.id());
+        Write write = new Write(key, Optional.of(RowCodec.encode(row, SliceRow.class)));
+        TableRequest commit = new TableRequest.Commit(List.of(new Check(key, version)), List.of(write));
+        outbox.call(nowMs, commit, reply -> {
+            own.inFlight = false;
+            if (state.owned().get(slice.id()) == slice) {
+                answered(slice, row, nowMs, reply, outbox);
+            }
+        });
+    }
+
+    private void answered(OwnedSlice slice, SliceRow written, long sentMs, TableReply reply, Outbox outbox) {
+        switch (reply) {
+            case TableReply.Committed committed -> {
+                slice.row(written, committed.version(), true);
+                renewed(slice, sentMs);
+            }
+            case TableReply.Conflict conflict -> conflicted(slice, written, conflict.current(), outbox);
+            case TableReply.Rows ignored -> throw new IllegalStateException("rows in answer to a commit");
+            case TableReply.Unavailable ignored -> {
+                // the row may be written; the next renewal finds out
+            }
+        }
+    }
+
+    /** Records the contact; after a gap another failure domain may have taken jobs, so they are read again. */
+    private void renewed(OwnedSlice slice, long sentMs) {
+        if (sentMs - slice.tableContactMs() > state.config().controlLeaseMs()) {
+            slice.requestScan();
+        }
+        slice.tableContactMs(sentMs);
+    }
+
+    private void conflicted(OwnedSlice slice, SliceRow written, List<Row> current, Outbox outbox) {
+        Optional<SliceRow> found = current.stream()
+                .filter(row -> row.key().equals(SliceRow.key(slice.id())))
+                .findFirst()
+                .flatMap(row -> RowCodec.decode(row, SliceRow.class));
+        boolean mine = found.isPresent()
+                && found.get().isOwnedBy(state.config())
+                && found.get().epoch() == written.epoch();
+        if (mine) {
+            slice.row(found.get(), current.getFirst().version(), true);
+            progress(slice).nextMs = state.clock().nowMs();
+        } else if (slice.holdsRow()) {
+            giveUp.accept(slice, outbox);
+        }
+    }
+
+    private SliceRow withChangedMembers(OwnedSlice slice, long nowMs) {
+        SliceRow row = slice.row();
+        if (row.memberSets().size() > 1) {
+            return isKnownEverywhere(slice.id(), row.generation()) ? row.withoutFormerMembers() : row;
+        }
+        Set<WorkerId> members = new TreeSet<>(row.members());
+        Set<WorkerId> listed = Slices.workers(state, slice.id());
+        members.removeIf(worker -> !listed.contains(worker) && isSilent(slice, worker, nowMs));
+        members.addAll(listed);
+        return members.equals(new TreeSet<>(row.members())) ? row : row.withMembers(new ArrayList<>(members));
+    }
+
+    /** Tells whether everything that the worker ran under this or former owners has provably ended. */
+    private boolean isSilent(OwnedSlice slice, WorkerId worker, long nowMs) {
+        HostConfig config = state.config();
+        WorkerLink link = slice.links().get(worker);
+        long sinceMs = link == null ? slice.takenMs() : Math.max(slice.takenMs(), link.leaseEndedMs());
+        return nowMs > sinceMs + config.controlLeaseMs() + config.taskLeaseMs() + config.clockMarginMs();
+    }
+
+    private boolean isKnownEverywhere(SliceId slice, long generation) {
+        Map<HostId, Long> known = acknowledged.getOrDefault(slice, Map.of());
+        for (HostEntry entry : state.entryHosts().values()) {
+            HostId host = HostId.of(entry.id());
+            boolean peer = entry.domain().equals(state.config().domain())
+                    && !host.equals(state.config().host());
+            if (peer && known.getOrDefault(host, -1L) < generation) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private Progress progress(OwnedSlice slice) {
+        return progress.compute(
+                slice.id(),
+                (id, present) -> present != null && present.slice == slice ? present : new Progress(slice));
+    }
+
+    private static final class Progress {
+        private final OwnedSlice slice;
+        private long nextMs;
+        private boolean inFlight;
+
+        private Progress(OwnedSlice slice) {
+            this.slice = slice;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/SubmissionRow.java
@@ -0,0 +1,18 @@
+package org.acaciafold.coordination;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.TeamId;
+
+/**
+ * The row that makes the submission of a job idempotent.
+ *
+ * @param job the job that was submitted under the key
+ * @param home the slice in which it began
+ * @param digest a digest of what was submitted
+ */
+record SubmissionRow(JobId job, SliceId home, long digest) {
+    static String key(TeamId team, String submissionKey) {
+        return "submission/" + team.value() + '/' + submissionKey;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/SubmitSystem.java
@@ -0,0 +1,140 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.JobSpec;
+import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.port.HostEntry;
+
+/** Records submitted jobs in the table and tells the owners of their homes. */
+final class SubmitSystem implements HostSystem {
+    private static final int DEADLINE_TIMEOUTS = 3;
+    private static final long NOTICE_INTERVAL_MS = 500;
+    private static final int NOTICE_ATTEMPTS = 60;
+    private static final long NO_HOME_RETRY_MS = 1_000;
+
+    private final HostState state;
+    private final GroupCommit commits;
+    private final JobSystem jobs;
+    private final List<JobCreation> open = new ArrayList<>();
+    private final Map<JobId, Notice> notices = new TreeMap<>();
+    private long lastNumber;
+
+    private SubmitSystem(HostState state, GroupCommit commits, JobSystem jobs) {
+        this.state = state;
+        this.commits = commits;
+        this.jobs = jobs;
+    }
+
+    static SubmitSystem of(HostState state, GroupCommit commits, JobSystem jobs) {
+        return new SubmitSystem(state, commits, jobs);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        switch (event) {
+            case Event.ClientCalled called when called.body() instanceof ClientCall.Submit submit ->
+                submit(called.call(), submit, outbox);
+            case Event.PeerReceived received when received.message() instanceof PeerMessage.JobKnown known ->
+                notices.remove(known.job());
+            default -> {
+                // events of other systems
+            }
+        }
+    }
+
+    @Override
+    public boolean idle() {
+        return open.isEmpty();
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        open.forEach(creation -> creation.expire(nowMs));
+        open.removeIf(JobCreation::answered);
+        notices.values().removeIf(notice -> notice.attempts >= NOTICE_ATTEMPTS);
+        for (Notice notice : List.copyOf(notices.values())) {
+            if (nowMs >= notice.nextMs) {
+                send(notice, nowMs, outbox);
+            }
+        }
+    }
+
+    /** Tells the owner of a slice of a new or changed job until it has read it. */
+    void notifyOwner(SliceId slice, JobId job) {
+        notices.put(job, new Notice(slice, job));
+    }
+
+    private void submit(long call, ClientCall.Submit submit, Outbox outbox) {
+        long nowMs = state.clock().nowMs();
+        JobRequest request = submit.request();
+        Optional<SliceId> home = HomeChoice.choose(state, request.demand(), nowMs);
+        if (home.isEmpty()) {
+            Failure failure = Failure.notRun(
+                    Step.ROUTING, state.config().host().value(), "no-owner", "no owner of a slice is known");
+            outbox.answer(call, new ClientReply.Failed(failure.withRetryAfterMs(NO_HOME_RETRY_MS)));
+            return;
+        }
+        JobSpec spec = spec(JobIds.of(home.get(), state.config(), ++lastNumber), submit.team(), request);
+        Optional<String> key = submit.submissionKey().isEmpty()
+                ? Optional.empty()
+                : Optional.of(SubmissionRow.key(submit.team(), submit.submissionKey()));
+        long deadlineMs = nowMs + DEADLINE_TIMEOUTS * state.config().callTimeoutMs();
+        long digest = StableHash.of(request.toString());
+        JobCreation creation = JobCreation.of(spec, home.get(), key, digest, deadlineMs, reply -> {
+            outbox.answer(call, reply);
+            if (reply instanceof ClientReply.Submitted submitted) {
+                notifyOwner(submitted.home(), submitted.job());
+            }
+        });
+        open.add(creation);
+        commits.add(creation);
+    }
+
+    private void send(Notice notice, long nowMs, Outbox outbox) {
+        notice.attempts++;
+        notice.nextMs = nowMs + NOTICE_INTERVAL_MS;
+        HostId self = state.config().host();
+        Optional<HostId> owner = state.ownerOf(notice.slice, nowMs);
+        if (owner.isPresent() && owner.get().equals(self)) {
+            jobs.homed(notice.slice, notice.job, self, outbox);
+            notices.remove(notice.job);
+            return;
+        }
+        HostEntry entry = owner.map(state.entryHosts()::get).orElse(null);
+        if (entry != null) {
+            outbox.send(owner.get(), entry.address(), new PeerMessage.JobHomed(notice.slice, notice.job));
+        }
+    }
+
+    private static JobSpec spec(JobId id, TeamId team, JobRequest request) {
+        return JobSpec.builder(id, team, request.name(), request.kind())
+                .demand(request.demand())
+                .priority(request.priority())
+                .exclusive(request.exclusive())
+                .runTimeMs(request.runTimeMs())
+                .payload(request.payload())
+                .build();
+    }
+
+    private static final class Notice {
+        private final SliceId slice;
+        private final JobId job;
+        private int attempts;
+        private long nextMs = Times.NEVER_MS;
+
+        private Notice(SliceId slice, JobId job) {
+            this.slice = slice;
+            this.job = job;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/TaskReports.java
@@ -0,0 +1,98 @@
+package org.acaciafold.coordination;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.acaciafold.core.port.TaskEnd;
+import org.acaciafold.core.port.TaskView;
+import org.acaciafold.core.port.WorkerView;
+
+/** Compares what a worker reports with the tables of its slice. */
+final class TaskReports {
+    private final OwnedSlice slice;
+    private final WorkerLink link;
+
+    private TaskReports(OwnedSlice slice, WorkerLink link) {
+        this.slice = slice;
+        this.link = link;
+    }
+
+    static TaskReports of(OwnedSlice slice, WorkerLink link) {
+        return new TaskReports(slice, link);
+    }
+
+    /**
+     * Applies the last answer of the worker.
+     *
+     * @param sentMs when the answered claim was sent, in milliseconds
+     * @param nowMs the time in milliseconds
+     */
+    void apply(long sentMs, long nowMs) {
+        Set<AttemptId> reported = new HashSet<>();
+        link.view().map(WorkerView::tasks).orElse(List.of()).forEach(task -> {
+            reported.add(new AttemptId(task.task(), task.attempt()));
+            applyTask(task, nowMs);
+        });
+        link.ends().values().forEach(reportedEnd -> applyEnd(reportedEnd, nowMs));
+        for (PlacedTask task : List.copyOf(link.tasks().values())) {
+            if (!reported.contains(task.id()) && task.isAbsent(sentMs)) {
+                drop(task, nowMs);
+            }
+        }
+    }
+
+    private void applyEnd(ReportedEnd reported, long nowMs) {
+        if (reported.applied()) {
+            return;
+        }
+        TaskEnd end = reported.end();
+        PlacedTask task = slice.tasks().get(new AttemptId(end.task(), end.attempt()));
+        if (task != null) {
+            slice.remove(task);
+        }
+        int failedBefore = failedTasks(end);
+        slice.placement().ended(end, nowMs);
+        reported.apply(failedTasks(end) > failedBefore);
+    }
+
+    private int failedTasks(TaskEnd end) {
+        return slice.placement()
+                .progress(end.task().job())
+                .map(progress -> progress.failed())
+                .orElse(0);
+    }
+
+    private void applyTask(TaskView view, long nowMs) {
+        PlacedTask known = slice.tasks().get(new AttemptId(view.task(), view.attempt()));
+        if (known != null) {
+            confirm(known, nowMs);
+        } else if (!hasEnded(view)) {
+            slice.place(PlacedTask.running(view.task(), link.worker(), view.attempt(), view.spec(), nowMs));
+            slice.placement().adopt(link.worker(), view);
+        }
+    }
+
+    /** Tells whether the end of the attempt was reported, so that the view is older. */
+    private boolean hasEnded(TaskView view) {
+        return link.ends().values().stream()
+                .map(ReportedEnd::end)
+                .anyMatch(end -> end.task().equals(view.task()) && end.attempt() >= view.attempt());
+    }
+
+    private void confirm(PlacedTask task, long nowMs) {
+        if (!task.confirmed()) {
+            task.confirm(nowMs);
+            slice.placement().started(task.task(), task.attempt(), nowMs);
+        }
+    }
+
+    private void drop(PlacedTask task, long nowMs) {
+        slice.remove(task);
+        if (task.confirmed()) {
+            slice.placement().lost(task.task(), task.attempt());
+        } else {
+            slice.placement().refused(task.task(), task.attempt(), nowMs);
+        }
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/WorkerLink.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/WorkerLink.java
@@ -1,19 +1,30 @@
 package org.acaciafold.coordination;
 
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
+import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.placement.WorkerState;
 import org.acaciafold.core.port.WorkerView;
 
 /** What the owner of a slice knows of one of its workers; written by the worker system. */
 final class WorkerLink {
     private final WorkerId worker;
+    private final Map<Long, ReportedEnd> ends = new TreeMap<>();
+    private final Map<AttemptId, PlacedTask> tasks = new TreeMap<>();
     private String address;
     private String requestAddress;
     private long leaseSequence;
-    private long leaseUntilMs;
+    private long leaseUntilMs = Times.NEVER_MS;
+    private long leaseEndedMs = Times.NEVER_MS;
     private long viewVersion;
     private WorkerView view;
+    private boolean claimInFlight;
+    private long nextClaimMs;
+    private WorkerState state;
+    private Resources toldCapacity = Resources.empty();
 
     private WorkerLink(WorkerId worker, String address, String requestAddress) {
         this.worker = worker;
@@ -35,9 +46,32 @@
         requestAddress = requests;
     }
 
-    void claimed(long sequence, long untilMs) {
+    void claimInFlight(boolean value) {
+        claimInFlight = value;
+    }
+
+    boolean claimInFlight() {
+        return claimInFlight;
+    }
+
+    void claimed(long sequence, long untilMs, long endedMs) {
         leaseSequence = sequence;
         leaseUntilMs = untilMs;
+        leaseEndedMs = endedMs;
+    }
+
+    /** Returns the ends that the worker has reported and this owner has not acknowledged, by their number. */
+    Map<Long, ReportedEnd> ends() {
+        return ends;
+    }
+
+    boolean hasLease(long nowMs) {
+        return nowMs < leaseUntilMs;
+    }
+
+    /** Returns from when the last known control lease has certainly ended at the worker, in milliseconds. */
+    long leaseEndedMs() {
+        return leaseEndedMs;
     }
 
     /** Returns the sequence of the control lease that the worker granted last, 0 for none. */
@@ -50,11 +84,44 @@
         return leaseUntilMs;
     }
 
+    /** Ends the use of the control lease, as when the worker has answered with a higher fencing token. */
+    void loseLease() {
+        leaseUntilMs = Times.NEVER_MS;
+    }
+
+    long nextClaimMs() {
+        return nextClaimMs;
+    }
+
+    void nextClaimMs(long value) {
+        nextClaimMs = value;
+    }
+
     /** Returns where the worker takes live requests. */
     String requestAddress() {
         return requestAddress;
     }
 
+    /** Returns the state that placement was told last, empty when it was told nothing. */
+    Optional<WorkerState> state() {
+        return Optional.ofNullable(state);
+    }
+
+    /** Records what placement was told. */
+    void told(WorkerState value, Resources capacity) {
+        state = value;
+        toldCapacity = capacity;
+    }
+
+    Resources toldCapacity() {
+        return toldCapacity;
+    }
+
+    /** Returns the tasks that run or may run on the worker; written by {@link OwnedSlice}. */
+    Map<AttemptId, PlacedTask> tasks() {
+        return tasks;
+    }
+
     /** Returns the last view, empty while the worker has not answered this owner. */
     Optional<WorkerView> view() {
         return Optional.ofNullable(view);
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
@@ -0,0 +1,261 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.placement.WorkerSpec;
+import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.StopMode;
+import org.acaciafold.core.port.WorkerCommand;
+import org.acaciafold.core.port.WorkerReply;
+import org.acaciafold.core.port.WorkerView;
+
+/** Holds the control leases of the workers of owned slices and keeps placement told of what they run. */
+final class WorkerSystem implements HostSystem {
+    private static final long STOP_REPEAT_MS = 1_000;
+    private static final int LOST_AUTHORITY_LEASE_PARTS = 3;
+
+    private final HostState state;
+    private long nextReviewMs = Times.NEVER_MS;
+
+    private WorkerSystem(HostState state) {
+        this.state = state;
+    }
+
+    static WorkerSystem of(HostState state) {
+        return new WorkerSystem(state);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        // everything happens in ticks and in answers of workers
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        boolean review = nowMs >= nextReviewMs;
+        if (review) {
+            nextReviewMs = nowMs + state.config().heartbeatMs();
+        }
+        for (OwnedSlice slice : state.owned().values()) {
+            if (review || slice.links().isEmpty()) {
+                updateLinks(slice);
+            }
+            for (WorkerLink link : slice.links().values()) {
+                claimWhenDue(slice, link, nowMs, outbox);
+                dropExpired(slice, link, nowMs);
+                tellState(slice, link, nowMs);
+            }
+            if (!slice.settled()) {
+                settle(slice, nowMs);
+            }
+            if (review) {
+                stopUnboundExclusive(slice, nowMs);
+            }
+            sendStops(slice, nowMs, outbox);
+        }
+    }
+
+    private void settle(OwnedSlice slice, long nowMs) {
+        HostConfig config = state.config();
+        long boundMs = slice.takenMs() + config.controlLeaseMs() + config.taskLeaseMs() + config.clockMarginMs();
+        if (nowMs > boundMs || slice.everyMemberSeen()) {
+            slice.settled(true);
+        }
+    }
+
+    private void updateLinks(OwnedSlice slice) {
+        Set<WorkerId> wanted = new TreeSet<>(slice.row().everyMember());
+        wanted.addAll(Slices.workers(state, slice.id()));
+        for (WorkerId worker : wanted) {
+            HostEntry entry = state.workers().get(worker);
+            if (entry == null) {
+                continue;
+            }
+            WorkerLink link = slice.links()
+                    .computeIfAbsent(worker, id -> WorkerLink.of(id, entry.address(), entry.callerAddress()));
+            link.addresses(entry.address(), entry.callerAddress());
+        }
+        slice.links().values().removeIf(link -> {
+            boolean obsolete = !wanted.contains(link.worker()) && link.tasks().isEmpty();
+            if (obsolete && link.state().isPresent()) {
+                slice.placement().removeWorker(link.worker());
+            }
+            return obsolete;
+        });
+    }
+
+    private void claimWhenDue(OwnedSlice slice, WorkerLink link, long nowMs, Outbox outbox) {
+        if (link.claimInFlight() || nowMs < link.nextClaimMs()) {
+            return;
+        }
+        link.claimInFlight(true);
+        link.nextClaimMs(nowMs + state.config().heartbeatMs());
+        List<Long> acknowledged = new ArrayList<>();
+        link.ends().forEach((id, end) -> {
+            if (end.durable()) {
+                acknowledged.add(id);
+            }
+        });
+        long renewMs = slice.hasAuthority(nowMs) ? state.config().taskLeaseMs() : 0;
+        WorkerCommand.Claim claim = new WorkerCommand.Claim(
+                slice.fence(),
+                state.config().host(),
+                state.config().controlLeaseMs(),
+                link.leaseSequence(),
+                renewMs,
+                renewsExclusive(slice, link, nowMs) ? renewMs : 0,
+                link.viewVersion(),
+                acknowledged);
+        outbox.call(
+                nowMs,
+                link.worker(),
+                link.address(),
+                claim,
+                reply -> answered(slice, link, nowMs, acknowledged, reply, outbox));
+    }
+
+    private boolean renewsExclusive(OwnedSlice slice, WorkerLink link, long nowMs) {
+        return link.tasks().values().stream()
+                .filter(task -> task.spec().exclusive())
+                .allMatch(task -> ExclusiveBound.holds(state, slice, task.spec().team(), nowMs));
+    }
+
+    private void answered(
+            OwnedSlice slice,
+            WorkerLink link,
+            long sentMs,
+            List<Long> acknowledged,
+            WorkerReply reply,
+            Outbox outbox) {
+        link.claimInFlight(false);
+        boolean current = state.owned().get(slice.id()) == slice;
+        switch (reply) {
+            case WorkerReply.Claimed claimed when current -> {
+                link.ends().keySet().removeAll(acknowledged);
+                claimed(slice, link, sentMs, claimed);
+            }
+            case WorkerReply.Claimed ignored -> release(slice, link, outbox);
+            case WorkerReply.Fenced fenced when current -> fenced(slice, link, fenced);
+            case WorkerReply.Fenced ignored -> {
+                // the slice was given up
+            }
+            case WorkerReply.Done ignored -> throw new IllegalStateException("a claim was answered by done");
+            case WorkerReply.Refused ignored -> {
+                // the next claim tries again
+            }
+            case WorkerReply.Lost ignored -> {
+                // the lease may be granted, but counts only from an answer on
+            }
+        }
+    }
+
+    private void release(OwnedSlice slice, WorkerLink link, Outbox outbox) {
+        WorkerCommand command = new WorkerCommand.Release(slice.fence());
+        outbox.call(state.clock().nowMs(), link.worker(), link.address(), command, reply -> {
+            // an unanswered release only makes the next owner wait
+        });
+    }
+
+    private void fenced(OwnedSlice slice, WorkerLink link, WorkerReply.Fenced fenced) {
+        boolean other = !fenced.holder().equals(state.config().host());
+        int order = fenced.highest().compareTo(slice.fence());
+        if (order > 0 || (order == 0 && other)) {
+            slice.fencedBy(fenced.highest());
+            link.loseLease();
+            slice.authorityUntilMs(slice.majorityUntilMs());
+        }
+    }
+
+    private void claimed(OwnedSlice slice, WorkerLink link, long sentMs, WorkerReply.Claimed claimed) {
+        long nowMs = state.clock().nowMs();
+        HostConfig config = state.config();
+        link.claimed(
+                claimed.leaseSequence(),
+                sentMs + config.controlLeaseMs() - config.clockMarginMs(),
+                nowMs + config.controlLeaseMs() + config.clockMarginMs());
+        claimed.view().ifPresent(view -> link.view(view, claimed.version()));
+        claimed.ends().forEach(end -> {
+            if (!link.ends().containsKey(end.id())) {
+                ReportedEnd reported = ReportedEnd.of(end);
+                link.ends().put(end.id(), reported);
+                slice.newEnds().add(new PendingEnd(link, reported));
+            }
+        });
+        tellState(slice, link, nowMs);
+        TaskReports.of(slice, link).apply(sentMs, nowMs);
+    }
+
+    /** Frees what ran on a worker that has been silent until the leases of all its tasks have run out. */
+    private void dropExpired(OwnedSlice slice, WorkerLink link, long nowMs) {
+        HostConfig config = state.config();
+        if (link.tasks().isEmpty() || nowMs <= link.leaseEndedMs() + config.taskLeaseMs() + config.clockMarginMs()) {
+            return;
+        }
+        for (PlacedTask task : List.copyOf(link.tasks().values())) {
+            slice.remove(task);
+            slice.placement().lost(task.task(), task.attempt());
+        }
+    }
+
+    private void tellState(OwnedSlice slice, WorkerLink link, long nowMs) {
+        if (link.view().isEmpty()) {
+            return;
+        }
+        WorkerView view = link.view().get();
+        WorkerState now = stateOf(slice, link, view, nowMs);
+        boolean changed = link.state().isEmpty()
+                || link.state().get() != now
+                || !view.capacity().equals(link.toldCapacity());
+        if (changed) {
+            slice.placement().putWorker(new WorkerSpec(link.worker(), view.rack(), view.capacity()), now);
+            link.told(now, view.capacity());
+        }
+    }
+
+    private WorkerState stateOf(OwnedSlice slice, WorkerLink link, WorkerView view, long nowMs) {
+        if (!link.hasLease(nowMs) || !slice.row().isMemberOfAll(link.worker())) {
+            return WorkerState.UNREACHABLE;
+        }
+        HostEntry entry = state.workers().get(link.worker());
+        boolean leaving = view.leaving() || (entry != null && entry.leaving());
+        return leaving ? WorkerState.LEAVING : WorkerState.READY;
+    }
+
+    /** Checkpoints exclusive tasks whose leases are no longer renewed, while there is time for it. */
+    private void stopUnboundExclusive(OwnedSlice slice, long nowMs) {
+        long graceMs = state.config().taskLeaseMs() / LOST_AUTHORITY_LEASE_PARTS;
+        boolean authorityGone = nowMs > Math.max(slice.authorityUntilMs(), slice.takenMs()) + graceMs;
+        for (PlacedTask task : slice.tasks().values()) {
+            boolean outOfBound = slice.hasAuthority(nowMs)
+                    && !ExclusiveBound.holds(state, slice, task.spec().team(), nowMs);
+            boolean stops = task.spec().exclusive() && task.stop().isEmpty() && (authorityGone || outOfBound);
+            if (stops) {
+                slice.stop(task, StopMode.CHECKPOINT);
+            }
+        }
+    }
+
+    private void sendStops(OwnedSlice slice, long nowMs, Outbox outbox) {
+        for (PlacedTask task : slice.stops()) {
+            WorkerLink link = slice.links().get(task.worker());
+            boolean due = nowMs - task.stopSentMs() >= STOP_REPEAT_MS;
+            if (due && link.hasLease(nowMs)) {
+                task.stopSentMs(nowMs);
+                WorkerCommand command = new WorkerCommand.Stop(
+                        slice.fence(),
+                        link.leaseSequence(),
+                        task.task(),
+                        task.attempt(),
+                        task.stop().orElseThrow());
+                outbox.call(nowMs, link.worker(), link.address(), command, reply -> {
+                    // the end is reported like any other; without it the stop is repeated
+                });
+            }
+        }
+    }
+}
