--- a/coordination/src/main/java/org/acaciafold/coordination/CancelSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/CancelSystem.java
@@ -54,9 +54,9 @@
                 return;
             }
             switch (result) {
-                case JobLookup.Result.Found found when found.ended() -> cancellation.checkTeam(found.row(), true);
                 case JobLookup.Result.Found found -> {
-                    if (cancellation.checkTeam(found.row(), found.row().cancelled())) {
+                    boolean done = found.ended() || found.row().cancelled();
+                    if (cancellation.checkTeam(found.row(), done)) {
                         write(cancellation, found, outbox);
                     }
                 }
--- a/coordination/src/main/java/org/acaciafold/coordination/CancellationWrite.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/CancellationWrite.java
@@ -16,8 +16,7 @@
  * @param written run when the mark is durable
  * @param changed run when the row has changed since it was read
  */
-record CancellationWrite(
-        Cancellation cancellation, JobLookup.Result.Found found, Runnable written, Runnable changed)
+record CancellationWrite(Cancellation cancellation, JobLookup.Result.Found found, Runnable written, Runnable changed)
         implements TableWrite {
     @Override
     public boolean abandoned() {
@@ -43,8 +42,8 @@
     @Override
     public List<Write> writes() {
         cancellation.sent();
-        return List.of(new Write(
-                key(), Optional.of(found.row().withCancellation().encoded())));
+        return List.of(
+                new Write(key(), Optional.of(found.row().withCancellation().encoded())));
     }
 
     private String key() {
--- a/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
@@ -29,8 +29,8 @@
         Optional<SliceSummary> fitting = known.stream()
                 .filter(summary -> demand.fitsIn(summary.largest()))
                 .max(Comparator.comparingDouble(HomeChoice::freePart).thenComparing(SliceSummary::slice));
-        Comparator<SliceSummary> bySize = Comparator.comparingDouble(
-                summary -> -demand.dominantShare(summary.largest()));
+        Comparator<SliceSummary> bySize =
+                Comparator.comparingDouble(summary -> -demand.dominantShare(summary.largest()));
         return fitting.or(() -> known.stream().max(bySize.thenComparing(SliceSummary::slice)))
                 .map(SliceSummary::slice);
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -13,11 +13,15 @@
  */
 public final class HostCore {
     private final Clock clock;
+    private final HostState state;
     private final Outbox outbox;
     private final List<HostSystem> systems;
 
-    private HostCore(Clock clock, Outbox outbox, List<HostSystem> systems) {
+    private boolean stopped;
+
+    private HostCore(Clock clock, HostState state, Outbox outbox, List<HostSystem> systems) {
         this.clock = clock;
+        this.state = state;
         this.outbox = outbox;
         this.systems = systems;
     }
@@ -31,7 +35,7 @@
      */
     public static HostCore of(HostConfig config, Clock clock) {
         HostState state = HostState.of(config, clock);
-        return new HostCore(clock, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+        return new HostCore(clock, state, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
     }
 
     /**
@@ -46,12 +50,35 @@
         }
         long nowMs = clock.nowMs();
         outbox.expire(nowMs);
+        state.tableAnswers(outbox.tableAnswers());
         for (HostSystem system : systems) {
             system.tick(nowMs, outbox);
         }
+        stopWhenIdle();
         return outbox.drain();
     }
 
+    /** Lets slices be handed over when all other systems are idle, and ends when that is done. */
+    private void stopWhenIdle() {
+        if (!state.stopping() || stopped) {
+            return;
+        }
+        boolean drained = true;
+        boolean handedOver = true;
+        for (HostSystem system : systems) {
+            if (system instanceof OwnershipSystem) {
+                handedOver = system.idle();
+            } else {
+                drained &= system.idle();
+            }
+        }
+        state.drained(drained);
+        if (drained && handedOver) {
+            stopped = true;
+            outbox.stopped();
+        }
+    }
+
     private void apply(Event event) {
         switch (event) {
             case Event.TableAnswered answered -> outbox.deliver(answered.call(), answered.reply());
--- a/coordination/src/main/java/org/acaciafold/coordination/JobCreation.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobCreation.java
@@ -90,9 +90,8 @@
             finish(new ClientReply.Submitted(job(), home));
             return;
         }
-        Optional<SubmissionRow> first = submissionKey
-                .map(current::get)
-                .flatMap(found -> RowCodec.decode(found, SubmissionRow.class));
+        Optional<SubmissionRow> first =
+                submissionKey.map(current::get).flatMap(found -> RowCodec.decode(found, SubmissionRow.class));
         if (first.isPresent() && first.get().digest() == submission.digest()) {
             finish(new ClientReply.Submitted(first.get().job(), first.get().home()));
         } else {
@@ -125,8 +124,8 @@
         sent = true;
         List<Write> writes = new ArrayList<>();
         writes.add(new Write(JobRow.key(home, job()), Optional.of(row.encoded())));
-        submissionKey.ifPresent(
-                key -> writes.add(new Write(key, Optional.of(RowCodec.encode(submission, SubmissionRow.class)))));
+        submissionKey.ifPresent(key ->
+                writes.add(new Write(key, Optional.of(RowCodec.encode(submission, SubmissionRow.class)))));
         return writes;
     }
 
--- a/coordination/src/main/java/org/acaciafold/coordination/JobQuerySystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobQuerySystem.java
@@ -6,11 +6,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.HostId;
-import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.Step;
 import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.placement.JobProgress;
 import org.acaciafold.core.port.HostEntry;
@@ -18,7 +15,6 @@
 /** Answers what is known of a job, from its owner where that is reached, else from its row. */
 final class JobQuerySystem implements HostSystem {
     private static final long OWNER_TIMEOUT_MS = 500;
-    private static final String TABLE = "table";
 
     private final HostState state;
     private final Map<Long, Asked> asked = new HashMap<>();
@@ -33,13 +29,11 @@
 
     @Override
     public void apply(Event event, Outbox outbox) {
-        switch (event) {
-            case Event.ClientCalled called when called.body() instanceof ClientCall.QueryJob query ->
-                answer(query, outbox, reply -> outbox.answer(called.call(), reply));
-            case Event.PeerReceived received -> receive(received, outbox);
-            default -> {
-                // events of other systems
-            }
+        if (event instanceof Event.ClientCalled called && called.body() instanceof ClientCall.QueryJob query) {
+            answer(query, outbox, reply -> outbox.answer(called.call(), reply));
+        }
+        if (event instanceof Event.PeerReceived received) {
+            receive(received, outbox);
         }
     }
 
@@ -57,22 +51,18 @@
     }
 
     private void receive(Event.PeerReceived received, Outbox outbox) {
-        switch (received.message()) {
-            case PeerMessage.Ask ask when ask.body() instanceof ClientCall.QueryJob query -> {
-                HostEntry entry = state.entryHosts().get(received.from());
-                Optional<ClientReply> own = ownReply(query);
-                if (entry != null && own.isPresent()) {
-                    outbox.send(received.from(), entry.address(), new PeerMessage.Told(ask.call(), own.get()));
-                }
+        PeerMessage message = received.message();
+        if (message instanceof PeerMessage.Ask ask && ask.body() instanceof ClientCall.QueryJob query) {
+            HostEntry entry = state.entryHosts().get(received.from());
+            Optional<ClientReply> own = ownReply(query);
+            if (entry != null && own.isPresent()) {
+                outbox.send(received.from(), entry.address(), new PeerMessage.Told(ask.call(), own.get()));
             }
-            case PeerMessage.Told told -> {
-                Asked waiting = asked.remove(told.call());
-                if (waiting != null) {
-                    waiting.then().accept(told.body());
-                }
-            }
-            default -> {
-                // messages of other systems
+        }
+        if (message instanceof PeerMessage.Told told) {
+            Asked waiting = asked.remove(told.call());
+            if (waiting != null) {
+                waiting.then().accept(told.body());
             }
         }
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/JobRow.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobRow.java
@@ -36,14 +36,7 @@
 
     static JobRow of(JobSpec spec) {
         return new JobRow(
-                spec,
-                new long[0],
-                new long[0],
-                List.of(),
-                false,
-                Optional.empty(),
-                JobPhase.WAITING,
-                Optional.empty());
+                spec, new long[0], new long[0], List.of(), false, Optional.empty(), JobPhase.WAITING, Optional.empty());
     }
 
     /** Returns the key of a job that has not ended. */
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -100,8 +100,7 @@
     Resources largestWorker() {
         Resources largest = Resources.empty();
         for (WorkerLink link : links.values()) {
-            Resources capacity =
-                    link.view().map(view -> view.capacity()).orElse(Resources.empty());
+            Resources capacity = link.view().map(view -> view.capacity()).orElse(Resources.empty());
             largest = Resources.of(
                     Math.max(largest.cpuMillis(), capacity.cpuMillis()),
                     Math.max(largest.memoryMib(), capacity.memoryMib()),
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 
 import org.acaciafold.core.model.Fence;
 import org.acaciafold.core.model.HostId;
@@ -34,7 +34,7 @@
     private static final int FIRST_CLAIM_LEASES = 2;
 
     private final HostState state;
-    private final Function<SliceId, PlacementPlane> planes;
+    private final BiFunction<SliceId, Fence, PlacementPlane> planes;
     private final SliceRenewal renewal;
     private final SliceRelease release;
     private final Map<SliceId, SliceWatch> watches = new TreeMap<>();
@@ -43,14 +43,14 @@
     private long nextReviewMs = Times.NEVER_MS;
     private long lastReadMs = Times.NEVER_MS;
 
-    private OwnershipSystem(HostState state, Function<SliceId, PlacementPlane> planes) {
+    private OwnershipSystem(HostState state, BiFunction<SliceId, Fence, PlacementPlane> planes) {
         this.state = state;
         this.planes = planes;
         this.release = SliceRelease.of(state);
         this.renewal = SliceRenewal.of(state, this::giveUp);
     }
 
-    static OwnershipSystem of(HostState state, Function<SliceId, PlacementPlane> planes) {
+    static OwnershipSystem of(HostState state, BiFunction<SliceId, Fence, PlacementPlane> planes) {
         return new OwnershipSystem(state, planes);
     }
 
@@ -144,9 +144,13 @@
         rows.forEach(row -> byKey.put(row.key(), row));
         for (SliceId slice : wanted) {
             Row row = byKey.get(SliceRow.key(slice));
-            Optional<SliceRow> value =
-                    row == null ? Optional.empty() : RowCodec.decode(row, SliceRow.class);
-            watch(slice).read(value, row == null ? 0 : row.version(), sentMs, state.clock().nowMs());
+            Optional<SliceRow> value = row == null ? Optional.empty() : RowCodec.decode(row, SliceRow.class);
+            watch(slice)
+                    .read(
+                            value,
+                            row == null ? 0 : row.version(),
+                            sentMs,
+                            state.clock().nowMs());
             value.ifPresent(seen -> compareWithOwn(slice, seen, row.version(), outbox));
         }
     }
@@ -166,7 +170,8 @@
         if (own.holdsRow()) {
             return;
         }
-        boolean joins = row.epoch() == own.fence().epoch() && own.hasAuthority(state.clock().nowMs());
+        boolean joins = row.epoch() == own.fence().epoch()
+                && own.hasAuthority(state.clock().nowMs());
         if (joins) {
             renewal.join(own, row, version, state.clock().nowMs(), outbox);
         } else {
@@ -182,9 +187,7 @@
         state.entryHosts().values().stream()
                 .filter(entry -> entry.id().equals(row.owner()))
                 .forEach(entry -> outbox.send(
-                        HostId.of(entry.id()),
-                        entry.address(),
-                        new PeerMessage.MembersKnown(slice, row.generation())));
+                        HostId.of(entry.id()), entry.address(), new PeerMessage.MembersKnown(slice, row.generation())));
     }
 
     private void considerTakeover(SliceId slice, long nowMs, Outbox outbox) {
@@ -199,7 +202,9 @@
         if (state.workers().isEmpty()) {
             return;
         }
-        long delayMs = Candidates.rank(state, slice, nowMs) * READ_INTERVAL_HEARTBEATS * state.config().heartbeatMs();
+        long delayMs = Candidates.rank(state, slice, nowMs)
+                * READ_INTERVAL_HEARTBEATS
+                * state.config().heartbeatMs();
         if (state.tableAnswers()) {
             takeOverInTable(slice, watch, delayMs, nowMs, outbox);
         } else {
@@ -213,12 +218,12 @@
         if (watch.interrupted() || nowMs - watch.unchangedSinceMs() < waitMs) {
             return;
         }
-        List<List<WorkerId>> members =
-                List.of(List.copyOf(Slices.workers(state, slice)));
+        List<List<WorkerId>> members = List.of(List.copyOf(Slices.workers(state, slice)));
         if (watch.row().isEmpty() && members.getFirst().isEmpty()) {
             return;
         }
-        SliceRow before = watch.row().orElseGet(() -> new SliceRow("", 0, watch.highest().epoch(), 0, 0, members));
+        SliceRow before =
+                watch.row().orElseGet(() -> new SliceRow("", 0, watch.highest().epoch(), 0, 0, members));
         SliceRow taken = before.takenBy(state.config().host(), state.config().incarnation());
         String key = SliceRow.key(slice);
         Write write = new Write(key, Optional.of(RowCodec.encode(taken, SliceRow.class)));
@@ -240,13 +245,13 @@
         if (!tableAway || !ownerAway || watch.row().isEmpty()) {
             return;
         }
-        OwnedSlice taken = begin(
-                slice, watch.highest().next(), watch.row().get(), watch.version(), watch.writtenAfterMs());
+        OwnedSlice taken =
+                begin(slice, watch.highest().next(), watch.row().get(), watch.version(), watch.writtenAfterMs());
         taken.row(watch.row().get(), watch.version(), false);
     }
 
     private OwnedSlice begin(SliceId slice, Fence fence, SliceRow row, long version, long contactMs) {
-        OwnedSlice taken = OwnedSlice.of(slice, fence, planes.apply(slice));
+        OwnedSlice taken = OwnedSlice.of(slice, fence, planes.apply(slice, fence));
         taken.row(row, version, true);
         taken.tableContactMs(contactMs);
         taken.takenMs(state.clock().nowMs());
@@ -278,7 +283,9 @@
         }
         boolean fenced = slice.fencedBy().compareTo(slice.fence()) >= 0;
         long patienceMs = FIRST_CLAIM_LEASES * state.config().controlLeaseMs();
-        boolean refused = !slice.holdsRow() && nowMs - slice.takenMs() > patienceMs && nowMs - slice.authorityUntilMs() > patienceMs;
+        boolean refused = !slice.holdsRow()
+                && nowMs - slice.takenMs() > patienceMs
+                && nowMs - slice.authorityUntilMs() > patienceMs;
         if (fenced || refused) {
             giveUp(slice, outbox);
         }
--- a/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
@@ -116,12 +116,7 @@
                 start.spec(),
                 state.config().taskLeaseMs());
         long leaseEndedMs = link.leaseEndedMs();
-        outbox.call(
-                nowMs,
-                link.worker(),
-                link.address(),
-                command,
-                reply -> answered(slice, task, leaseEndedMs, reply));
+        outbox.call(nowMs, link.worker(), link.address(), command, reply -> answered(slice, task, leaseEndedMs, reply));
     }
 
     private boolean mayStart(OwnedSlice slice, Decision.Start start, long nowMs) {
@@ -129,7 +124,7 @@
         HomedJob job = slice.jobs().get(start.task().job());
         boolean worker = link != null
                 && link.hasLease(nowMs)
-                && link.state().equals(java.util.Optional.of(WorkerState.READY));
+                && link.state().filter(WorkerState.READY::equals).isPresent();
         boolean wanted = job != null && job.placed() && !job.row().cancelled();
         boolean exclusive = !start.spec().exclusive()
                 || (slice.scanned()
@@ -150,8 +145,13 @@
                 task.confirm(nowMs);
                 slice.placement().started(task.task(), task.attempt(), nowMs);
             }
-            case WorkerReply.Refused refused when refused.code().startsWith(ALREADY) -> task.unresolved(nowMs);
-            case WorkerReply.Refused ignored -> refuse(slice, task, nowMs);
+            case WorkerReply.Refused refused -> {
+                if (refused.code().startsWith(ALREADY)) {
+                    task.unresolved(nowMs);
+                } else {
+                    refuse(slice, task, nowMs);
+                }
+            }
             case WorkerReply.Fenced ignored -> refuse(slice, task, nowMs);
             case WorkerReply.Lost ignored -> task.unresolved(leaseEndedMs);
             case WorkerReply.Claimed ignored -> throw new IllegalStateException("a start was answered by claimed");
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
@@ -50,8 +50,7 @@
 
     /** Takes the row of a slice that was taken over without the table. */
     void join(OwnedSlice slice, SliceRow row, long version, long nowMs, Outbox outbox) {
-        SliceRow taken =
-                row.takenBy(state.config().host(), state.config().incarnation());
+        SliceRow taken = row.takenBy(state.config().host(), state.config().incarnation());
         write(slice, taken, version, nowMs, outbox);
     }
 
@@ -154,8 +153,7 @@
 
     private Progress progress(OwnedSlice slice) {
         return progress.compute(
-                slice.id(),
-                (id, present) -> present != null && present.slice == slice ? present : new Progress(slice));
+                slice.id(), (id, present) -> present != null && present.slice == slice ? present : new Progress(slice));
     }
 
     private static final class Progress {
--- a/coordination/src/main/java/org/acaciafold/coordination/SubmitSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SubmitSystem.java
@@ -41,14 +41,11 @@
 
     @Override
     public void apply(Event event, Outbox outbox) {
-        switch (event) {
-            case Event.ClientCalled called when called.body() instanceof ClientCall.Submit submit ->
-                submit(called.call(), submit, outbox);
-            case Event.PeerReceived received when received.message() instanceof PeerMessage.JobKnown known ->
-                notices.remove(known.job());
-            default -> {
-                // events of other systems
-            }
+        if (event instanceof Event.ClientCalled called && called.body() instanceof ClientCall.Submit submit) {
+            submit(called.call(), submit, outbox);
+        }
+        if (event instanceof Event.PeerReceived received && received.message() instanceof PeerMessage.JobKnown known) {
+            notices.remove(known.job());
         }
     }
 
--- a/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
@@ -126,24 +126,20 @@
     }
 
     private void answered(
-            OwnedSlice slice,
-            WorkerLink link,
-            long sentMs,
-            List<Long> acknowledged,
-            WorkerReply reply,
-            Outbox outbox) {
+            OwnedSlice slice, WorkerLink link, long sentMs, List<Long> acknowledged, WorkerReply reply, Outbox outbox) {
         link.claimInFlight(false);
-        boolean current = state.owned().get(slice.id()) == slice;
+        if (state.owned().get(slice.id()) != slice) {
+            if (reply instanceof WorkerReply.Claimed) {
+                release(slice, link, outbox);
+            }
+            return;
+        }
         switch (reply) {
-            case WorkerReply.Claimed claimed when current -> {
+            case WorkerReply.Claimed claimed -> {
                 link.ends().keySet().removeAll(acknowledged);
                 claimed(slice, link, sentMs, claimed);
             }
-            case WorkerReply.Claimed ignored -> release(slice, link, outbox);
-            case WorkerReply.Fenced fenced when current -> fenced(slice, link, fenced);
-            case WorkerReply.Fenced ignored -> {
-                // the slice was given up
-            }
+            case WorkerReply.Fenced fenced -> fenced(slice, link, fenced);
             case WorkerReply.Done ignored -> throw new IllegalStateException("a claim was answered by done");
             case WorkerReply.Refused ignored -> {
                 // the next claim tries again
