--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -84,7 +84,7 @@
                     summary.reserved(),
                     slice.largestWorker(),
                     summary.waiting(),
-                    List.of()));
+                    slice.services()));
         }
         return summaries;
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -38,6 +38,7 @@
     private long scanRequests;
     private boolean settled;
     private Fence fencedBy = Fence.none();
+    private List<ServiceSummary> services = List.of();
 
     private OwnedSlice(SliceId id, Fence fence, PlacementPlane placement) {
         this.id = id;
@@ -190,6 +191,15 @@
         return true;
     }
 
+    /** Returns the services with replicas in this slice; written by the slot system. */
+    List<ServiceSummary> services() {
+        return services;
+    }
+
+    void services(List<ServiceSummary> value) {
+        services = value;
+    }
+
     /** Returns whether every member has told what runs on it, or can run nothing any more; written by the worker system. */
     boolean settled() {
         return settled;
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -29,7 +29,8 @@
                 CommitSystem.of(commits),
                 ClaimSystem.of(state),
                 AllotmentSystem.of(state),
-                PlacementSystem.of(state));
+                PlacementSystem.of(state),
+                SlotSystem.of(state));
     }
 
     /** Returns a number above the attempts of all owners with lower fencing tokens. */
