--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -18,6 +18,7 @@
     private final Outbox outbox;
     private final RegistrationGate gate;
     private final List<HostSystem> systems;
+    private boolean stopped;
 
     private HostCore(HostState state, Outbox outbox, List<HostSystem> systems) {
         this.clock = state.clock();
@@ -91,12 +92,35 @@
         }
         long nowMs = clock.nowMs();
         outbox.expire(nowMs);
+        state.tableAnswers(outbox.tableAnswers());
         for (HostSystem system : systems) {
             system.tick(nowMs, outbox);
         }
+        stopWhenIdle();
         return outbox.drain();
     }
 
+    /** Lets slices be handed over when all other systems are idle, and ends when that is done. */
+    private void stopWhenIdle() {
+        if (!state.stopping() || stopped) {
+            return;
+        }
+        boolean drained = true;
+        boolean handedOver = true;
+        for (HostSystem system : systems) {
+            if (system instanceof OwnershipSystem) {
+                handedOver = system.idle();
+            } else {
+                drained &= system.idle();
+            }
+        }
+        state.drained(drained);
+        if (drained && handedOver) {
+            stopped = true;
+            outbox.stopped();
+        }
+    }
+
     private void apply(Event event) {
         switch (event) {
             case Event.TableAnswered answered -> outbox.deliver(answered.call(), answered.reply());
