--- /dev/null
+++ b/cli/src/main/java/org/acaciafold/cli/Invocation.java
@@ -0,0 +1,114 @@
+package org.acaciafold.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.apache.commons.cli.CommandLine;
+
+/** A command line with the streams and the environment it runs in. */
+final class Invocation {
+    /** The environment variable of the hosts. */
+    static final String HOST_VARIABLE = "ACACIAFOLD_HOST";
+
+    /** The environment variable of the key. */
+    static final String KEY_VARIABLE = "ACACIAFOLD_KEY";
+
+    private static final int DEFAULT_TIMEOUT_SECONDS = 30;
+    private static final String STANDARD_INPUT = "-";
+
+    private final CommandLine line;
+    private final Map<String, String> environment;
+    private final PrintStream out;
+    private final PrintStream err;
+    private final InputStream in;
+
+    Invocation(CommandLine line, Map<String, String> environment, InputStream in, PrintStream out, PrintStream err) {
+        this.line = line;
+        this.environment = environment;
+        this.in = in;
+        this.out = out;
+        this.err = err;
+    }
+
+    /** Returns an argument by its place, from 0. */
+    String argument(int index) {
+        return line.getArgList().get(index);
+    }
+
+    /** Returns a client of the given hosts. */
+    HostClient client() throws CommandException {
+        String hosts = option("host", HOST_VARIABLE);
+        return HostClient.of(List.of(hosts.split(",")), option("key", KEY_VARIABLE), timeout());
+    }
+
+    /** Returns the identifier of an edit, a new one unless it was given. */
+    String editId() {
+        return value("edit").orElseGet(() -> UUID.randomUUID().toString());
+    }
+
+    boolean has(String option) {
+        return line.hasOption(option);
+    }
+
+    boolean json() throws CommandException {
+        String output = value("output").orElse("text");
+        if (!output.equals("text") && !output.equals("json")) {
+            throw new CommandException(ExitCode.USAGE, "--output must be text or json, not " + output);
+        }
+        return output.equals("json");
+    }
+
+    /** Writes a line of the result. */
+    void print(String text) {
+        out.println(text);
+    }
+
+    /** Writes text of the result as it is. */
+    void printRaw(String text) {
+        out.print(text);
+        out.flush();
+    }
+
+    /** Writes a line that is not part of the result. */
+    void note(String text) {
+        err.println(text);
+    }
+
+    /** Reads a file, or standard input for {@code -}. */
+    String read(String file) throws CommandException {
+        try {
+            return file.equals(STANDARD_INPUT)
+                    ? new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                    : Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new CommandException(ExitCode.USAGE, file + " cannot be read: " + e, e);
+        }
+    }
+
+    Duration timeout() throws CommandException {
+        String text = value("timeout").orElse(String.valueOf(DEFAULT_TIMEOUT_SECONDS));
+        if (!text.matches("[1-9][0-9]{0,4}")) {
+            throw new CommandException(ExitCode.USAGE, "--timeout must be whole seconds from 1, not " + text);
+        }
+        return Duration.ofSeconds(Long.parseLong(text));
+    }
+
+    Optional<String> value(String option) {
+        return Optional.ofNullable(line.getOptionValue(option));
+    }
+
+    private String option(String name, String variable) throws CommandException {
+        Optional<String> given = value(name).or(() -> Optional.ofNullable(environment.get(variable)));
+        return given.filter(text -> !text.isBlank())
+                .orElseThrow(() -> new CommandException(ExitCode.USAGE, "give --" + name + " or set " + variable));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/acaciafold/cli/KeyCommands.java
@@ -0,0 +1,75 @@
+package org.acaciafold.cli;
+
+import java.security.SecureRandom;
+import java.util.List;
+
+import io.netty.handler.codec.http.HttpMethod;
+import org.acaciafold.coordination.ClientReply;
+import org.acaciafold.settings.Keys;
+import org.acaciafold.settings.NewKey;
+import org.apache.commons.cli.Options;
+
+/** The commands that create and withdraw keys. */
+final class KeyCommands {
+    private KeyCommands() {}
+
+    static List<Command> all() {
+        return List.of(
+                new Command(
+                        "key create",
+                        "TEAM",
+                        "create a key of a team and print its only copy",
+                        CommandOptions.editing(),
+                        KeyCommands::create),
+                new Command(
+                        "key withdraw",
+                        "TEAM KEYID",
+                        "withdraw a key of a team",
+                        CommandOptions.editing(),
+                        KeyCommands::withdraw),
+                new Command(
+                        "key operator",
+                        "",
+                        "make an operator key and the line for the settings file of entry hosts",
+                        new Options(),
+                        KeyCommands::operator));
+    }
+
+    private static ExitCode create(Invocation invocation) throws CommandException {
+        HostClient client = invocation.client();
+        HostReply reply = client.call(HostRequest.of(HttpMethod.POST, path(invocation)));
+        if (reply.isError()) {
+            return Replies.error(invocation, reply);
+        }
+        Created created = HostClient.decode(reply, Created.class);
+        invocation.print(invocation.json() ? reply.text() : created.key());
+        ClientReply.EditState state = created.edit();
+        return invocation.json() ? ExitCode.DONE : SettingsCommands.finishEdit(invocation, client, state);
+    }
+
+    private static ExitCode operator(Invocation invocation) {
+        NewKey key = Keys.create(new SecureRandom());
+        invocation.print("key: " + key.text());
+        invocation.print("operator-key = " + Keys.formatHash(key.hash()));
+        return ExitCode.DONE;
+    }
+
+    private static String path(Invocation invocation) {
+        return "/v1/teams/" + invocation.argument(0) + "/keys";
+    }
+
+    private static ExitCode withdraw(Invocation invocation) throws CommandException {
+        HostClient client = invocation.client();
+        String path = path(invocation) + "/" + invocation.argument(1);
+        return SettingsCommands.finishEdit(invocation, client, client.call(HostRequest.of(HttpMethod.DELETE, path)));
+    }
+
+    /**
+     * A key that was just created.
+     *
+     * @param key the whole key
+     * @param id its public part
+     * @param edit the state of the edit that adds it
+     */
+    record Created(String key, String id, ClientReply.EditState edit) {}
+}
--- a/settings/src/main/java/org/acaciafold/settings/Addresses.java
+++ b/settings/src/main/java/org/acaciafold/settings/Addresses.java
@@ -2,42 +2,43 @@
 
 import java.net.Inet4Address;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Optional;
 
-/** Checks addresses that are an IP number and a port. */
-final class Addresses {
+/** Reads addresses that are an IP number and a port; nothing is ever looked up. */
+public final class Addresses {
     private static final int MAX_PORT = 65_535;
 
     private Addresses() {}
 
     /**
-     * Tells whether a text is an IP number and a port; nothing is looked up.
+     * Reads an address.
      *
      * @param text such as {@code 10.0.0.1:8080} or {@code [fd00::1]:8080}
-     * @return true when it is
+     * @return the address, empty when the text is not an IP number and a port
      */
-    static boolean valid(String text) {
+    public static Optional<InetSocketAddress> parse(String text) {
         int colon = text.lastIndexOf(':');
-        return colon > 0 && validHost(text.substring(0, colon)) && validPort(text.substring(colon + 1));
+        if (colon < 1 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+            return Optional.empty();
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return port > 0 && port <= MAX_PORT
+                ? parseHost(text.substring(0, colon)).map(host -> new InetSocketAddress(host, port))
+                : Optional.empty();
     }
 
-    private static boolean validHost(String host) {
+    private static Optional<InetAddress> parseHost(String host) {
         boolean bracketed = host.startsWith("[") && host.endsWith("]");
         String literal = bracketed ? host.substring(1, host.length() - 1) : host;
         try {
             InetAddress address = InetAddress.ofLiteral(literal);
-            return address instanceof Inet4Address
+            boolean inOneForm = address instanceof Inet4Address
                     ? !bracketed && address.getHostAddress().equals(literal)
                     : bracketed;
+            return inOneForm ? Optional.of(address) : Optional.empty();
         } catch (IllegalArgumentException e) {
-            return false;
-        }
-    }
-
-    private static boolean validPort(String text) {
-        if (!text.matches("[0-9]{1,5}")) {
-            return false;
+            return Optional.empty();
         }
-        int port = Integer.parseInt(text);
-        return port > 0 && port <= MAX_PORT;
     }
 }
--- a/settings/src/main/java/org/acaciafold/settings/SectionReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/SectionReader.java
@@ -46,7 +46,7 @@
     /** Reads an IP number and a port. */
     String address(String name) {
         String text = text(name);
-        if (!text.isEmpty() && !Addresses.valid(text)) {
+        if (!text.isEmpty() && Addresses.parse(text).isEmpty()) {
             problem(name, text + " is not an IP number and a port, such as 10.0.0.1:8080 or [fd00::1]:8080");
         }
         return text;
