--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.acaciafold.core.model.Clock;
+import org.acaciafold.settings.FleetSettings;
 
 /**
  * The whole of an entry host's decisions as a deterministic state machine.
@@ -13,13 +14,15 @@
  */
 public final class HostCore {
     private final Clock clock;
+    private final HostState state;
     private final Outbox outbox;
     private final RegistrationGate gate;
     private final List<HostSystem> systems;
 
-    private HostCore(Clock clock, Outbox outbox, RegistrationGate gate, List<HostSystem> systems) {
-        this.clock = clock;
-        this.gate = gate;
+    private HostCore(HostState state, Outbox outbox, List<HostSystem> systems) {
+        this.clock = state.clock();
+        this.state = state;
+        this.gate = RegistrationGate.of(state);
         this.outbox = outbox;
         this.systems = systems;
     }
@@ -37,8 +40,43 @@
 
     /** Creates the state machine over tables that a test can look into. */
     static HostCore of(HostState state) {
-        Outbox outbox = Outbox.of(state.config().callTimeoutMs());
-        return new HostCore(state.clock(), outbox, RegistrationGate.of(state), Systems.inOrder(state));
+        return new HostCore(state, Outbox.of(state.config().callTimeoutMs()), Systems.inOrder(state));
+    }
+
+    /**
+     * Returns how many answers of the table service and of workers came after their timeout.
+     *
+     * @return the count since the start
+     */
+    public long lateAnswers() {
+        return outbox.lateAnswers();
+    }
+
+    /**
+     * Returns how many slices this host owns.
+     *
+     * @return the number of slices
+     */
+    public int ownedSlices() {
+        return state.owned().size();
+    }
+
+    /**
+     * Returns the settings in force at this host.
+     *
+     * @return the whole settings tree
+     */
+    public FleetSettings settings() {
+        return state.settings();
+    }
+
+    /**
+     * Returns whether the settings tree was read since the start.
+     *
+     * @return false while the host cannot tell a key that is in force from another
+     */
+    public boolean settingsKnown() {
+        return state.settingsKnown();
     }
 
     /**
