A lowered limit is acknowledged only under the settings that lowered it

Cause: the registration of the host that put the edit in force read limitsInForce as computed in the tick before, under the old limits; a host that had not read the row counted as within the limit, too. Ruled out: the shares (their sum never exceeded the issued limit). Now the flag names the settings version it was computed under, and rows that are unknown or have an unconfirmed write are not within.

--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -68,13 +68,16 @@
                 balance(nowMs, team, slice, outbox);
             }
         }
-        state.limitsInForce(allWithinLimits());
+        if (allWithinLimits()) {
+            state.limitsVersion(state.settings().version());
+        }
     }
 
     private boolean allWithinLimits() {
         for (TeamSettings team : state.settings().teams().values()) {
             KnownRow known = rows.get(team.team());
-            if (known != null && !known.row().issued().fitsIn(team.limit())) {
+            boolean certain = known != null && !unconfirmed.contains(team.team()) && !writing.contains(team.team());
+            if (!certain || !known.row().issued().fitsIn(team.limit())) {
                 return false;
             }
         }
--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -25,7 +25,7 @@
     private final Map<HostId, PeerEntry> peers = new TreeMap<>();
     private final Map<SliceId, OwnedSlice> owned = new TreeMap<>();
     private FleetSettings settings = FleetSettings.empty();
-    private boolean limitsInForce;
+    private long limitsVersion = -1;
     private boolean settingsKnown;
     private boolean tableAnswers;
     private boolean registered;
@@ -71,13 +71,14 @@
         return entryHosts;
     }
 
-    /** Returns whether no team holds more allotments than its limit; written by {@link AllotmentSystem}. */
+    /** Returns whether no team holds more than its limit in the settings in force here. */
     boolean limitsInForce() {
-        return limitsInForce;
+        return limitsVersion == settings.version();
     }
 
-    void limitsInForce(boolean value) {
-        limitsInForce = value;
+    /** Notes the version of the settings under which no team holds more than its limit; see {@link AllotmentSystem}. */
+    void limitsVersion(long value) {
+        limitsVersion = value;
     }
 
     /** Returns the slices that this host owns; written by the ownership system. */
