Wire between entry hosts is tested: framing, proof of the secret, relays

Found by the tests: a connection that ended within a frame was not reported, because the decoder's exception reached the link after the end of the connection; the decoder now reports it first.

--- a/wire/src/main/java/org/acaciafold/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/acaciafold/wire/FrameDecoder.java
@@ -31,7 +31,9 @@
         if (in.isReadable()) {
             int left = in.readableBytes();
             in.skipBytes(left);
-            throw new CorruptedFrameException("the connection ended within a frame, after " + left + " bytes of it");
+            String message = "the connection ended within a frame, after " + left + " bytes of it";
+            // thrown from here it would reach the link only after the end of the connection
+            context.fireExceptionCaught(new CorruptedFrameException(message));
         }
     }
 
--- /dev/null
+++ b/wire/src/test/java/org/acaciafold/wire/TcpPeerTransportTest.java
@@ -0,0 +1,420 @@
+package org.acaciafold.wire;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.Outcome;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import reactor.core.Disposable;
+import reactor.core.Exceptions;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.test.StepVerifier;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class TcpPeerTransportTest {
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final String SECRET = "a secret of the cluster";
+    private static final long DEADLINE_MS = 15_000;
+    private static final HostId SERVER = HostId.of("server");
+
+    private final WireCounters counters = WireCounters.create();
+    private final List<String> messages = new CopyOnWriteArrayList<>();
+    private volatile RelayHandler handler = TcpPeerTransportTest::echo;
+    private TcpPeerTransport transport;
+    private PeerServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        transport = TcpPeerTransport.create(new WireIdentity(HostId.of("client"), SECRET), Clock.system(), counters);
+        server = PeerServer.start(
+                "127.0.0.1:0",
+                new WireIdentity(SERVER, SECRET),
+                counters,
+                (from, bytes) -> messages.add(new String(bytes, StandardCharsets.UTF_8)),
+                request -> handler.handle(request));
+    }
+
+    @AfterEach
+    void stop() {
+        transport.close().block(LIMIT);
+        server.stop(Duration.ZERO).block(LIMIT);
+    }
+
+    // -- relay
+
+    @Test
+    void shouldReturnTheWholeResponseOfEachRequestWhenManyAreUnderWay() {
+        List<String> bodies = Flux.range(0, 200)
+                .flatMap(i -> relayText("r" + i, "body of " + i), 200)
+                .collectList()
+                .block(LIMIT);
+
+        List<String> expected = IntStream.range(0, 200)
+                .mapToObj(i -> "r" + i + ":body of " + i)
+                .sorted()
+                .toList();
+        assertEquals(expected, bodies.stream().sorted().toList());
+    }
+
+    @Test
+    void shouldRelayBodiesThatAreLargerThanTheWindow() {
+        byte[] part = new byte[300_000];
+        Flux<byte[]> body = Flux.range(0, 20).map(i -> part);
+
+        Long length = transport
+                .relay(server.address(), new RelayRequest(head("large"), body))
+                .flatMapMany(RelayResponse::body)
+                .map(bytes -> (long) bytes.length)
+                .reduce(0L, Long::sum)
+                .block(LIMIT);
+
+        assertEquals(20L * part.length, length);
+    }
+
+    @Test
+    void shouldAskTheSourceForNoMoreWhenTheConsumerDoesNotRead() {
+        AtomicLong asked = new AtomicLong();
+        byte[] part = new byte[64 * 1024];
+        Flux<byte[]> endless =
+                Flux.<byte[]>generate(sink -> sink.next(part)).doOnNext(bytes -> asked.addAndGet(bytes.length));
+        handler = request -> Mono.just(new RelayResponse(status("stalled"), endless));
+
+        RelayResponse response = transport
+                .relay(server.address(), new RelayRequest(head("stalled"), Flux.empty()))
+                .block(LIMIT);
+        handler = TcpPeerTransportTest::echo;
+        String other = relayBlocking("other");
+
+        long window = BodyReceiver.WINDOW_BYTES;
+        await().until(() -> asked.get() >= window);
+        assertTrue(asked.get() <= window + part.length, "asked for " + asked.get());
+        assertEquals(0, counters.rejectedConnections());
+        assertTrue(other.startsWith("other"));
+        response.body().subscribe().dispose();
+    }
+
+    @Test
+    void shouldStopTheHandlerWhenTheCallerGoesAway() {
+        AtomicBoolean cancelled = new AtomicBoolean();
+        handler = request -> Mono.<RelayResponse>never().doOnCancel(() -> cancelled.set(true));
+        Disposable call = transport
+                .relay(server.address(), new RelayRequest(head("gone"), Flux.empty()))
+                .subscribe();
+        await().until(() -> server.inProgress() == 1);
+
+        call.dispose();
+
+        await().untilTrue(cancelled);
+        await().until(() -> server.inProgress() == 0);
+    }
+
+    @Test
+    void shouldStopTheResponseWhenItsReaderGoesAway() {
+        AtomicBoolean cancelled = new AtomicBoolean();
+        handler = request -> Mono.just(new RelayResponse(
+                status(request.head().requestId()),
+                Flux.just(new byte[10]).concatWith(Flux.never()).doOnCancel(() -> cancelled.set(true))));
+
+        transport
+                .relay(server.address(), new RelayRequest(head("gone"), Flux.empty()))
+                .flatMapMany(RelayResponse::body)
+                .blockFirst(LIMIT);
+
+        await().untilTrue(cancelled);
+    }
+
+    @Test
+    void shouldTellAnUnknownOutcomeWhenTheHandlerFails() {
+        handler = request ->
+                Mono.error(new AcaciafoldException(Failure.notRun(Step.WORKER, "w1", "worker-failed", "it broke")));
+
+        Failure failure = relayFailure("failing");
+
+        assertEquals("worker-failed", failure.code());
+        assertEquals(Outcome.UNKNOWN, failure.outcome());
+    }
+
+    @Test
+    void shouldFailTheBodyWhenItsSourceFailsMidway() {
+        handler = request -> Mono.just(new RelayResponse(
+                status(request.head().requestId()),
+                Flux.just(new byte[10]).concatWith(Flux.error(new IllegalStateException("cut")))));
+
+        Flux<byte[]> body = transport
+                .relay(server.address(), new RelayRequest(head("cut"), Flux.empty()))
+                .flatMapMany(RelayResponse::body);
+
+        StepVerifier.create(body)
+                .expectNextCount(1)
+                .expectErrorSatisfies(
+                        error -> assertEquals(Outcome.UNKNOWN, failure(error).outcome()))
+                .verify(LIMIT);
+    }
+
+    @Test
+    void shouldFailTheRequestBodyAtThePeerWhenTheCallerCutsIt() {
+        Sinks.One<Throwable> seen = Sinks.one();
+        handler = request -> request.body().doOnError(seen::tryEmitValue).then(Mono.never());
+        Flux<byte[]> body = Flux.just(new byte[5]).concatWith(Flux.error(new IllegalStateException("caller left")));
+
+        StepVerifier.create(transport.relay(server.address(), new RelayRequest(head("cut"), body)))
+                .expectErrorSatisfies(
+                        error -> assertEquals("request-cut", failure(error).code()))
+                .verify(LIMIT);
+
+        assertEquals("request-cut", failure(seen.asMono().block(LIMIT)).code());
+    }
+
+    @Test
+    void shouldGiveUpWithAnUnknownOutcomeWhenTheDeadlinePasses() {
+        handler = request -> Mono.never();
+        RelayHead head = head("late", 100);
+
+        StepVerifier.create(transport.relay(server.address(), new RelayRequest(head, Flux.empty())))
+                .expectErrorSatisfies(
+                        error -> assertEquals(Outcome.UNKNOWN, failure(error).outcome()))
+                .verify(LIMIT);
+    }
+
+    @Test
+    void shouldTellNotRunWhenThePeerCannotBeReached() throws Exception {
+        String unused;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.ofLiteral("127.0.0.1"))) {
+            unused = "127.0.0.1:" + socket.getLocalPort();
+        }
+        Mono<RelayResponse> call = transport.relay(unused, new RelayRequest(head("unsent"), Flux.empty()));
+
+        for (int attempt = 0; attempt < 2; attempt++) {
+            StepVerifier.create(call)
+                    .expectErrorSatisfies(error ->
+                            assertEquals(Outcome.NOT_RUN, failure(error).outcome()))
+                    .verify(LIMIT);
+        }
+    }
+
+    @Test
+    void shouldTellNotRunWhenThePeerIsStopping() {
+        handler = request -> Mono.never();
+        Disposable held = transport
+                .relay(server.address(), new RelayRequest(head("held"), Flux.empty()))
+                .subscribe();
+        await().until(() -> server.inProgress() == 1);
+        Mono<Boolean> stopped = server.stop(LIMIT).cache();
+        stopped.subscribe();
+
+        RelayStatus refused = transport
+                .relay(server.address(), new RelayRequest(head("refused"), Flux.empty()))
+                .block(LIMIT)
+                .head();
+
+        assertEquals(Outcome.NOT_RUN, refused.failure().orElseThrow().outcome());
+        held.dispose();
+        assertEquals(Boolean.FALSE, stopped.block(LIMIT));
+    }
+
+    // -- relay to a peer that breaks the protocol
+
+    @Test
+    void shouldMatchResponsesByStreamAndCorrelationIdWhenTheyAreCrossed() throws Exception {
+        try (ServerSocket socket = serverSocket()) {
+            Mono<String> first = rawRelay(socket, "first").cache();
+            Mono<String> second = rawRelay(socket, "second").cache();
+            first.subscribe();
+            second.subscribe();
+            try (RawPeer peer = RawPeer.accept(socket)) {
+                peer.welcome(SERVER, ClusterSecret.of(SECRET));
+                FrameHead.RequestHead a = peer.readRequest();
+                FrameHead.RequestHead b = peer.readRequest();
+
+                respond(peer, a.stream(), b.head().requestId());
+                respond(peer, 99, a.head().requestId());
+                respond(peer, b.stream(), b.head().requestId());
+                respond(peer, a.stream(), a.head().requestId());
+                respond(peer, a.stream(), a.head().requestId());
+
+                assertEquals("first", first.block(LIMIT));
+                assertEquals("second", second.block(LIMIT));
+            }
+            await().until(() -> counters.droppedFrames() == 9);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 4, 6})
+    void shouldFailTheBodyWhenItsLengthDiffers(long told) throws Exception {
+        try (ServerSocket socket = serverSocket()) {
+            Mono<String> call = rawRelay(socket, "cut").cache();
+            call.subscribe(text -> {}, error -> {});
+            try (RawPeer peer = RawPeer.accept(socket)) {
+                peer.welcome(SERVER, ClusterSecret.of(SECRET));
+                FrameHead.RequestHead request = peer.readRequest();
+                peer.write(Frame.of(new FrameHead.ResponseHead(request.stream(), status("cut"))));
+                peer.write(new Frame(new FrameHead.Chunk(request.stream()), new byte[5]));
+                peer.write(Frame.of(new FrameHead.End(request.stream(), told)));
+
+                Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
+
+                assertEquals("body-cut", failure(Exceptions.unwrap(error)).code());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void shouldTellAnUnknownOutcomeWhenTheConnectionIsLostAfterTheRequestLeft(boolean midBody) throws Exception {
+        try (ServerSocket socket = serverSocket()) {
+            Mono<String> call = rawRelay(socket, "lost").cache();
+            call.subscribe(text -> {}, error -> {});
+            try (RawPeer peer = RawPeer.accept(socket)) {
+                peer.welcome(SERVER, ClusterSecret.of(SECRET));
+                FrameHead.RequestHead request = peer.readRequest();
+                if (midBody) {
+                    peer.write(Frame.of(new FrameHead.ResponseHead(request.stream(), status("lost"))));
+                    peer.write(new Frame(new FrameHead.Chunk(request.stream()), new byte[5]));
+                }
+            }
+            Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
+
+            assertEquals(Outcome.UNKNOWN, failure(Exceptions.unwrap(error)).outcome());
+        }
+    }
+
+    @Test
+    void shouldSendNothingWhenThePeerDoesNotKnowTheSecret() throws Exception {
+        try (ServerSocket socket = serverSocket()) {
+            Mono<String> call = rawRelay(socket, "unsent").cache();
+            call.subscribe(text -> {}, error -> {});
+            try (RawPeer peer = RawPeer.accept(socket)) {
+                peer.welcome(SERVER, ClusterSecret.of("not the secret of the cluster"));
+
+                assertTrue(peer.closedByPeer());
+            }
+            Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
+
+            assertEquals(Outcome.NOT_RUN, failure(Exceptions.unwrap(error)).outcome());
+            assertEquals("wrong-secret", failure(Exceptions.unwrap(error)).code());
+        }
+    }
+
+    // -- send
+
+    @Test
+    void shouldDeliverMessagesInOrderWhenTheyWereSentWhileConnecting() {
+        IntStream.range(0, 50).forEach(i -> transport.send(server.address(), text("m" + i)));
+
+        await().until(() -> messages.size() == 50);
+        assertEquals(IntStream.range(0, 50).mapToObj(i -> "m" + i).toList(), messages);
+    }
+
+    @Test
+    void shouldDropAndCountWhenThePeerCannotBeReached() throws Exception {
+        String address = server.address();
+        server.stop(Duration.ZERO).block(LIMIT);
+
+        transport.send(address, text("lost"));
+
+        await().until(() -> counters.droppedMessages() == 1);
+    }
+
+    @Test
+    void shouldConnectAgainWhenThePeerIsBack() throws Exception {
+        String address = server.address();
+        relayBlocking("before");
+        server.stop(Duration.ZERO).block(LIMIT);
+        server = PeerServer.start(
+                address,
+                new WireIdentity(SERVER, SECRET),
+                counters,
+                (from, bytes) -> messages.add(new String(bytes, StandardCharsets.UTF_8)),
+                request -> handler.handle(request));
+
+        await().ignoreExceptions().until(() -> relayBlocking("after").startsWith("after"));
+    }
+
+    private Mono<String> rawRelay(ServerSocket socket, String id) {
+        return relayText("127.0.0.1:" + socket.getLocalPort(), id, "");
+    }
+
+    private String relayBlocking(String id) {
+        return relayText(server.address(), id, "x").block(LIMIT);
+    }
+
+    private Failure relayFailure(String id) {
+        Throwable error = assertThrows(RuntimeException.class, () -> relayBlocking(id));
+        return failure(Exceptions.unwrap(error));
+    }
+
+    private Mono<String> relayText(String id, String body) {
+        return relayText(server.address(), id, body);
+    }
+
+    private Mono<String> relayText(String address, String id, String body) {
+        return transport
+                .relay(address, new RelayRequest(head(id), Flux.just(text(body))))
+                .flatMapMany(RelayResponse::body)
+                .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
+                .collectList()
+                .map(parts -> String.join("", parts));
+    }
+
+    private static Mono<RelayResponse> echo(RelayRequest request) {
+        String id = request.head().requestId();
+        Flux<byte[]> body =
+                id.equals("large") ? request.body() : Flux.concat(Mono.just(text(id + ":")), request.body());
+        return Mono.just(new RelayResponse(status(id), body));
+    }
+
+    private static Failure failure(Throwable error) {
+        return ((AcaciafoldException) error).failure();
+    }
+
+    private static RelayHead head(String id) {
+        return head(id, DEADLINE_MS);
+    }
+
+    private static RelayHead head(String id, long deadlineMs) {
+        return new RelayHead(id, TeamId.of("north"), "catalogue", "POST", "/", List.of(), deadlineMs, "", false);
+    }
+
+    private static void respond(RawPeer peer, long stream, String id) throws Exception {
+        peer.write(Frame.of(new FrameHead.ResponseHead(stream, status(id))));
+        peer.write(new Frame(new FrameHead.Chunk(stream), text(id)));
+        peer.write(Frame.of(new FrameHead.End(stream, id.length())));
+    }
+
+    private static ServerSocket serverSocket() throws Exception {
+        return new ServerSocket(0, 5, InetAddress.ofLiteral("127.0.0.1"));
+    }
+
+    private static RelayStatus status(String id) {
+        return new RelayStatus(id, 200, List.of(), Optional.empty());
+    }
+
+    private static byte[] text(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
