--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -1,11 +1,7 @@
 package org.acaciafold.coordination;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.WorkerId;
-import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostList;
 
@@ -41,7 +37,7 @@
         }
         nextHeartbeatMs = nowMs + state.config().heartbeatMs();
         PeerMessage heartbeat = new PeerMessage.Heartbeat(
-                state.config().incarnation(), state.settings().version(), summaries());
+                state.config().incarnation(), state.settings().version(), StatusSystem.ownedSlices(state));
         for (HostEntry entry : state.entryHosts().values()) {
             HostId peer = HostId.of(entry.id());
             if (!peer.equals(state.config().host())) {
@@ -69,23 +65,4 @@
             }
         }
     }
-
-    private List<SliceSummary> summaries() {
-        List<SliceSummary> summaries = new ArrayList<>();
-        for (OwnedSlice slice : state.owned().values()) {
-            if (!slice.holdsRow() && !slice.hasAuthority(state.clock().nowMs())) {
-                continue;
-            }
-            PlacementSummary summary = slice.placement().summary();
-            summaries.add(new SliceSummary(
-                    slice.id(),
-                    slice.fence(),
-                    summary.capacity(),
-                    summary.reserved(),
-                    slice.largestWorker(),
-                    summary.waiting(),
-                    slice.services()));
-        }
-        return summaries;
-    }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -33,7 +33,8 @@
                 ClaimSystem.of(state),
                 AllotmentSystem.of(state),
                 PlacementSystem.of(state),
-                SlotSystem.of(state));
+                SlotSystem.of(state),
+                StatusSystem.of(state));
     }
 
     /** Returns a number above the attempts of all owners with lower fencing tokens. */
--- a/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
@@ -7,6 +7,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,7 +17,6 @@
 import org.acaciafold.coordination.ClientReply;
 import org.acaciafold.coordination.Effect;
 import org.acaciafold.coordination.Event;
-import org.acaciafold.coordination.HostCore;
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Step;
 import org.acaciafold.core.port.HostEntry;
@@ -44,7 +44,7 @@
     private static final long RETRY_AFTER_MS = 1_000;
     private static final String SELF = "entry-host";
 
-    private final HostCore core;
+    private final StateMachine core;
     private final EffectRunner effects;
     private final HostMetrics metrics;
     private final Scheduler thread = Schedulers.newSingle("core");
@@ -57,7 +57,7 @@
     private volatile HostSnapshot snapshot = HostSnapshot.empty();
     private volatile List<HostEntry> hosts = List.of();
 
-    private CoreLoop(HostCore core, EffectRunner effects, HostMetrics metrics) {
+    private CoreLoop(StateMachine core, EffectRunner effects, HostMetrics metrics) {
         this.core = core;
         this.effects = effects;
         this.metrics = metrics;
@@ -71,7 +71,7 @@
      * @param metrics where ticks and queues are counted
      * @return the running loop
      */
-    static CoreLoop start(HostCore core, EffectRunner effects, HostMetrics metrics) {
+    static CoreLoop start(StateMachine core, EffectRunner effects, HostMetrics metrics) {
         CoreLoop loop = new CoreLoop(core, effects, metrics);
         metrics.watch(loop);
         loop.thread.schedulePeriodically(loop::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
@@ -234,8 +234,7 @@
         long startNanos = System.nanoTime();
         try {
             List<Effect> outcome = core.tick(drain());
-            snapshot = new HostSnapshot(
-                    core.settings(), hosts, core.ownedSlices(), core.lateAnswers(), core.settingsKnown(), false);
+            snapshot = core.snapshot(hosts);
             outcome.forEach(this::carryOut);
         } catch (RuntimeException e) {
             fail(e);
@@ -244,8 +243,13 @@
     }
 
     private void wake() {
-        if (tickDue.compareAndSet(false, true)) {
+        if (!tickDue.compareAndSet(false, true)) {
+            return;
+        }
+        try {
             thread.schedule(this::tick);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("event after the end of the loop", e);
         }
     }
 
--- a/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
@@ -169,7 +169,8 @@
         tracing = Tracing.create(settings.observation(), settings.host());
         transport = TcpPeerTransport.create(identity, builder.clock, counters);
         HostCore core = HostCore.of(config(settings), builder.clock);
-        loop = CoreLoop.start(core, EffectRunner.of(builder.clients, transport, metrics, tracing), metrics);
+        loop = CoreLoop.start(
+                StateMachine.of(core), EffectRunner.of(builder.clients, transport, metrics, tracing), metrics);
         RequestPlane plane = builder.requestPlane.create(
                 new RequestContext(settings, loop, transport, loop::snapshot, metrics, tracing, builder.clock));
         peers = PeerServer.start(
--- a/daemon/src/main/java/org/acaciafold/daemon/FailureStatus.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/FailureStatus.java
@@ -31,7 +31,7 @@
         return switch (failure.code()) {
             case "malformed", "bad-request" -> BAD_REQUEST;
             case "no-key", "wrong-key" -> UNAUTHORIZED;
-            case "other-team" -> FORBIDDEN;
+            case "forbidden", "other-team" -> FORBIDDEN;
             case "not-found", "unknown-job", "unknown-team", "unknown-service", "unknown-edit", "unknown-key" ->
                 NOT_FOUND;
             case "method" -> METHOD_NOT_ALLOWED;
