Live requests through entry host, owner and worker

An attempt is repeated only when it provably did not run, or for GET and HEAD; the outcome of the last answer covers all attempts, so that a refusal after an attempt without an answer is unknown and not not-run. A body that stops short of its length is an error on each hop.

--- a/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
@@ -17,12 +17,12 @@
 import org.acaciafold.core.port.TaskPhase;
 import org.acaciafold.core.port.TaskView;
 import org.acaciafold.core.port.WorkerView;
-import org.acaciafold.core.request.RequestPlane;
 import org.acaciafold.core.request.ServiceKey;
 import org.acaciafold.core.request.ServiceLoad;
 import org.acaciafold.core.request.SlotAsk;
 import org.acaciafold.core.request.SlotDecision;
 import org.acaciafold.core.request.SlotEnd;
+import org.acaciafold.core.request.SlotPlane;
 import org.acaciafold.core.request.SlotWorker;
 
 /**
@@ -39,7 +39,7 @@
     private static final int PARKED_LIMIT = 1_024;
 
     private final HostState state;
-    private final RequestPlane plane;
+    private final SlotPlane plane;
     private final SlotRouting routing;
     private final Map<WorkerId, Seen> seen = new TreeMap<>();
     private final Map<ServiceKey, Long> lastKnownMs = new TreeMap<>();
@@ -47,7 +47,7 @@
     private long settingsVersion = -1;
     private long nextSummaryMs = Long.MIN_VALUE;
 
-    private SlotSystem(HostState state, RequestPlane plane) {
+    private SlotSystem(HostState state, SlotPlane plane) {
         this.state = state;
         this.plane = plane;
         this.routing = SlotRouting.of(state);
@@ -55,7 +55,7 @@
 
     static SlotSystem of(HostState state) {
         long lateArrivalMs = state.config().controlLeaseMs() + state.config().clockMarginMs();
-        return new SlotSystem(state, RequestPlane.of(state.config().seed(), lateArrivalMs));
+        return new SlotSystem(state, SlotPlane.of(state.config().seed(), lateArrivalMs));
     }
 
     @Override
--- a/core/src/main/java/org/acaciafold/core/request/SlotDecision.java
+++ b/core/src/main/java/org/acaciafold/core/request/SlotDecision.java
@@ -12,7 +12,7 @@
     long call();
 
     /**
-     * The slot is reserved until {@link RequestPlane#release}.
+     * The slot is reserved until {@link SlotPlane#release}.
      *
      * @param call the number of the ask
      * @param slot the number of the slot
--- a/core/src/main/java/org/acaciafold/core/request/RequestPlane.java
+++ b/core/src/main/java/org/acaciafold/core/request/SlotPlane.java
@@ -23,7 +23,7 @@
  * {@link #release} alone; when that never comes, it is freed after the caller's deadline once a report of the worker
  * shows that it is not in use.
  */
-public final class RequestPlane {
+public final class SlotPlane {
     private static final int DEFAULT_QUEUE_LIMIT = 256;
     private static final long LEAST_RETRY_MS = 100;
 
@@ -42,7 +42,7 @@
     private final List<SlotDecision> refused = new ArrayList<>();
     private long lastSlot;
 
-    private RequestPlane(long seed, long lateArrivalMs) {
+    private SlotPlane(long seed, long lateArrivalMs) {
         this.random = new SplittableRandom(seed);
         this.lateArrivalMs = lateArrivalMs;
     }
@@ -54,8 +54,8 @@
      * @param lateArrivalMs how long after a grant a worker may still accept the request, in milliseconds
      * @return the plane
      */
-    public static RequestPlane of(long seed, long lateArrivalMs) {
-        return new RequestPlane(seed, lateArrivalMs);
+    public static SlotPlane of(long seed, long lateArrivalMs) {
+        return new SlotPlane(seed, lateArrivalMs);
     }
 
     /**
--- a/core/src/test/java/org/acaciafold/core/request/RequestPlaneTest.java
+++ b/core/src/test/java/org/acaciafold/core/request/SlotPlaneTest.java
@@ -21,7 +21,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-class RequestPlaneTest {
+class SlotPlaneTest {
     private static final TeamId NORTH = TeamId.of("north");
     private static final TeamId SOUTH = TeamId.of("south");
     private static final ServiceKey SHOP = new ServiceKey(NORTH, "shop");
@@ -29,7 +29,7 @@
     private static final long LATE_MS = 100;
     private static final long FAR_MS = 1_000_000;
 
-    private final RequestPlane plane = RequestPlane.of(1, LATE_MS);
+    private final SlotPlane plane = SlotPlane.of(1, LATE_MS);
     private long lastCall;
 
     // -- ask
@@ -152,7 +152,7 @@
         SplittableRandom random = new SplittableRandom(seed);
         List<Long> granted = new ArrayList<>();
         Map<Long, WorkerId> running = new HashMap<>();
-        RequestPlane any = RequestPlane.of(seed, LATE_MS);
+        SlotPlane any = SlotPlane.of(seed, LATE_MS);
         for (long nowMs = 0; nowMs < 2_000; nowMs += 10) {
             any.ask(new SlotAsk(++lastCall, NORTH, SHOP, nowMs + 1 + random.nextInt(300)), nowMs);
             for (String worker : List.of("a", "b")) {
@@ -178,7 +178,7 @@
 
     /** Ends a request at its worker, at its holder, or at both. */
     private static void endOne(
-            RequestPlane plane, SplittableRandom random, List<Long> granted, Map<Long, WorkerId> running, long nowMs) {
+            SlotPlane plane, SplittableRandom random, List<Long> granted, Map<Long, WorkerId> running, long nowMs) {
         long slot = granted.get(random.nextInt(granted.size()));
         switch (random.nextInt(3)) {
             case 0 -> running.remove(slot);
--- a/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
@@ -9,6 +9,7 @@
 import org.acaciafold.coordination.HostCore;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Clock;
+import org.acaciafold.daemon.request.LiveRequestPlane;
 import org.acaciafold.settings.HostSettings;
 import org.acaciafold.settings.HostTimings;
 import org.acaciafold.wire.PeerServer;
@@ -253,7 +254,7 @@
                 clients = PlatformClients.http(settings);
             }
             if (requestPlane == null) {
-                requestPlane = NoRequestPlane::create;
+                requestPlane = LiveRequestPlane::create;
             }
             EntryHost host = new EntryHost();
             try {
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/AttemptResult.java
@@ -0,0 +1,21 @@
+package org.acaciafold.daemon.request;
+
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.wire.RelayResponse;
+
+/** How one attempt at a live request went. */
+sealed interface AttemptResult {
+    /**
+     * A replica responded, so that the request ran.
+     *
+     * @param response the response, whose body may still be cut
+     */
+    record Answered(RelayResponse response) implements AttemptResult {}
+
+    /**
+     * No replica responded.
+     *
+     * @param failure why, and whether the request may have run
+     */
+    record Failed(Failure failure) implements AttemptResult {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/Attempts.java
@@ -0,0 +1,138 @@
+package org.acaciafold.daemon.request;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+
+import org.acaciafold.coordination.ClientCall;
+import org.acaciafold.coordination.ClientReply;
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.Outcome;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.request.RetryBudget;
+import org.acaciafold.daemon.RequestContext;
+import org.acaciafold.wire.RelayHead;
+import org.acaciafold.wire.RelayRequest;
+import org.acaciafold.wire.RelayResponse;
+import reactor.core.publisher.Mono;
+
+/**
+ * Carries a live request to a replica, here or through the owner of its worker, and repeats it where that is safe.
+ *
+ * <p>An attempt is repeated only when it provably did not run, or when the request may run twice; always under the
+ * retry budget and within the deadline.
+ */
+final class Attempts {
+    private static final int MAX_ATTEMPTS = 4;
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(10);
+    private static final double RETRY_RATIO = 0.2;
+    private static final double RETRY_CAPACITY = 20;
+
+    /** Refusals that another attempt would only add to. */
+    private static final Set<String> FINAL = Set.of(
+            "queue-full", "too-busy", "deadline", "other-team", "overloaded", "too-long", "request-cut", "body-cut");
+
+    private final RequestContext context;
+    private final WorkerRequests workers;
+    private final RetryBudget budget = RetryBudget.of(RETRY_RATIO, RETRY_CAPACITY);
+
+    private Attempts(RequestContext context, WorkerRequests workers) {
+        this.context = context;
+        this.workers = workers;
+    }
+
+    static Attempts of(RequestContext context, WorkerRequests workers) {
+        return new Attempts(context, workers);
+    }
+
+    /**
+     * Carries a request out.
+     *
+     * @param head its head
+     * @param body its body
+     * @param deadline when the caller gives up
+     * @return how the last attempt went; the outcome of a failure covers all attempts
+     */
+    Mono<AttemptResult> run(RelayHead head, RequestBody body, Deadline deadline) {
+        budget.requested();
+        return attempt(head, body, deadline, 1, false);
+    }
+
+    private Mono<AttemptResult> attempt(
+            RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun) {
+        RelayHead numbered = Heads.withRequestId(head, head.requestId() + "." + number);
+        return context.core()
+                .call(new ClientCall.AcquireSlot(head.team(), head.service(), deadline.leftMs(), false))
+                .flatMap(reply -> send(numbered, body, deadline, reply))
+                .flatMap(result -> switch (result) {
+                    case AttemptResult.Answered answered -> Mono.just(answered);
+                    case AttemptResult.Failed failed ->
+                        again(head, body, deadline, number, mayHaveRun, failed.failure());
+                });
+    }
+
+    private Mono<AttemptResult> again(
+            RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun, Failure failure) {
+        boolean ranNow = failure.outcome() != Outcome.NOT_RUN;
+        boolean mayRun = mayHaveRun || ranNow;
+        boolean safe = !ranNow || head.repeatable();
+        boolean useful = !FINAL.contains(failure.code()) && number < MAX_ATTEMPTS && !deadline.passed();
+        if (safe && useful && body.replayable() && budget.tryRetry()) {
+            Duration pause = FIRST_PAUSE.multipliedBy(1L << number);
+            return Mono.delay(pause).then(Mono.defer(() -> attempt(head, body, deadline, number + 1, mayRun)));
+        }
+        return Mono.just(new AttemptResult.Failed(mayRun ? unknown(failure) : failure));
+    }
+
+    private Mono<AttemptResult> relay(RelayHead head, RequestBody body, Deadline deadline, HostId owner) {
+        Optional<String> address = context.snapshot().get().peerAddress(owner);
+        if (address.isEmpty()) {
+            return failed(Failure.notRun(Step.ROUTING, owner.value(), "unknown-peer", "the host list lacks the owner"));
+        }
+        RelayHead timed = Heads.withDeadline(head, deadline.leftMs());
+        return context.peers()
+                .relay(address.get(), new RelayRequest(timed, body.content()))
+                .map(response -> relayed(response))
+                .onErrorResume(error -> failed(relayFailure(owner, error)));
+    }
+
+    private Mono<AttemptResult> send(RelayHead head, RequestBody body, Deadline deadline, ClientReply reply) {
+        return switch (reply) {
+            case ClientReply.SlotGranted granted -> {
+                SlotLease lease = SlotLease.of(context.core(), context.clock(), granted);
+                yield workers.send(new RelayRequest(head, body.content()), lease, deadline);
+            }
+            case ClientReply.SlotElsewhere elsewhere -> relay(head, body, deadline, elsewhere.owner());
+            case ClientReply.Failed refused -> failed(refused.failure());
+            default ->
+                failed(Failure.notRun(
+                        Step.ROUTING,
+                        context.settings().host().value(),
+                        "internal",
+                        "unexpected reply to a slot request"));
+        };
+    }
+
+    private static Mono<AttemptResult> failed(Failure failure) {
+        return Mono.just(new AttemptResult.Failed(failure));
+    }
+
+    private static AttemptResult relayed(RelayResponse response) {
+        return response.head()
+                .failure()
+                .<AttemptResult>map(AttemptResult.Failed::new)
+                .orElseGet(() -> new AttemptResult.Answered(response));
+    }
+
+    private static Failure relayFailure(HostId owner, Throwable error) {
+        return error instanceof AcaciafoldException typed
+                ? typed.failure()
+                : Failure.unknown(Step.PEER, owner.value(), "relay-failed", String.valueOf(error.getMessage()));
+    }
+
+    private static Failure unknown(Failure last) {
+        return new Failure(last.step(), last.peer(), Outcome.UNKNOWN, last.code(), last.message(), last.retryAfterMs());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/Heads.java
@@ -0,0 +1,47 @@
+package org.acaciafold.daemon.request;
+
+import org.acaciafold.wire.RelayHead;
+
+/** Copies of request heads for the next hop. */
+final class Heads {
+    private Heads() {}
+
+    static RelayHead withDeadline(RelayHead head, long leftMs) {
+        return new RelayHead(
+                head.requestId(),
+                head.team(),
+                head.service(),
+                head.method(),
+                head.path(),
+                head.headers(),
+                leftMs,
+                head.traceparent(),
+                head.repeatable());
+    }
+
+    static RelayHead withRequestId(RelayHead head, String requestId) {
+        return new RelayHead(
+                requestId,
+                head.team(),
+                head.service(),
+                head.method(),
+                head.path(),
+                head.headers(),
+                head.deadlineLeftMs(),
+                head.traceparent(),
+                head.repeatable());
+    }
+
+    static RelayHead withTrace(RelayHead head, String traceparent) {
+        return new RelayHead(
+                head.requestId(),
+                head.team(),
+                head.service(),
+                head.method(),
+                head.path(),
+                head.headers(),
+                head.deadlineLeftMs(),
+                traceparent,
+                head.repeatable());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/LiveHeaders.java
@@ -0,0 +1,79 @@
+package org.acaciafold.daemon.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.acaciafold.wire.Header;
+
+/** The headers of live requests: their names, and which of them are passed on. */
+final class LiveHeaders {
+    static final String REQUEST = "acaciafold-request";
+    static final String OUTCOME = "acaciafold-outcome";
+    static final String FENCE = "acaciafold-fence";
+    static final String LEASE = "acaciafold-lease";
+    static final String DEADLINE = "acaciafold-deadline-ms";
+    static final String KEY = "idempotency-key";
+    static final String TRACEPARENT = "traceparent";
+    static final String LENGTH = "content-length";
+    static final String TYPE = "content-type";
+    static final String NOT_RUN = "not-run";
+
+    /** Those that concern one connection, and those that each hop writes itself. */
+    private static final Set<String> OWN = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "host",
+            "expect",
+            "authorization",
+            REQUEST,
+            OUTCOME,
+            FENCE,
+            LEASE,
+            DEADLINE,
+            TRACEPARENT);
+
+    private LiveHeaders() {}
+
+    /** Returns the first value of a header. */
+    static Optional<String> find(List<Header> headers, String name) {
+        return headers.stream()
+                .filter(header -> header.name().equals(name))
+                .map(Header::value)
+                .findFirst();
+    }
+
+    /** Returns the declared length of a body in bytes, empty when there is none or it is malformed. */
+    static OptionalLong length(List<Header> headers) {
+        Optional<String> text = find(headers, LENGTH);
+        try {
+            return text.isPresent() ? OptionalLong.of(Long.parseLong(text.get().trim())) : OptionalLong.empty();
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
+    /** Returns the headers that are passed on to the next hop. */
+    static List<Header> passedOn(HttpHeaders headers) {
+        List<Header> passed = new ArrayList<>();
+        for (Map.Entry<String, String> entry : headers) {
+            String name = entry.getKey().toLowerCase(Locale.ROOT);
+            if (!OWN.contains(name)) {
+                passed.add(new Header(name, entry.getValue()));
+            }
+        }
+        return passed;
+    }
+}
