--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -16,11 +16,14 @@
     private final Clock clock;
     private final HostState state;
     private final Outbox outbox;
+    private final RegistrationGate gate;
     private final List<HostSystem> systems;
+    private boolean stopped;
 
-    private HostCore(Clock clock, HostState state, Outbox outbox, List<HostSystem> systems) {
-        this.clock = clock;
+    private HostCore(HostState state, Outbox outbox, List<HostSystem> systems) {
+        this.clock = state.clock();
         this.state = state;
+        this.gate = RegistrationGate.of(state);
         this.outbox = outbox;
         this.systems = systems;
     }
@@ -33,8 +36,12 @@
      * @return the state machine
      */
     public static HostCore of(HostConfig config, Clock clock) {
-        HostState state = HostState.of(config, clock);
-        return new HostCore(clock, state, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+        return of(HostState.of(config, clock));
+    }
+
+    /** Creates the state machine over tables that a test can look into. */
+    static HostCore of(HostState state) {
+        return new HostCore(state, Outbox.of(state.config().callTimeoutMs()), Systems.inOrder(state));
     }
 
     /**
@@ -85,17 +92,44 @@
         }
         long nowMs = clock.nowMs();
         outbox.expire(nowMs);
+        state.tableAnswers(outbox.tableAnswers());
         for (HostSystem system : systems) {
             system.tick(nowMs, outbox);
         }
+        stopWhenIdle();
         return outbox.drain();
     }
 
+    /** Lets slices be handed over when all other systems are idle, and ends when that is done. */
+    private void stopWhenIdle() {
+        if (!state.stopping() || stopped) {
+            return;
+        }
+        boolean drained = true;
+        boolean handedOver = true;
+        for (HostSystem system : systems) {
+            if (system instanceof OwnershipSystem) {
+                handedOver = system.idle();
+            } else {
+                drained &= system.idle();
+            }
+        }
+        state.drained(drained);
+        if (drained && handedOver) {
+            stopped = true;
+            outbox.stopped();
+        }
+    }
+
     private void apply(Event event) {
         switch (event) {
             case Event.TableAnswered answered -> outbox.deliver(answered.call(), answered.reply());
             case Event.WorkerAnswered answered -> outbox.deliver(answered.call(), answered.reply());
-            default -> systems.forEach(system -> system.apply(event, outbox));
+            default -> {
+                if (gate.admits(event, outbox)) {
+                    systems.forEach(system -> system.apply(event, outbox));
+                }
+            }
         }
     }
 }
