--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -20,7 +20,10 @@
                 MembershipSystem.of(state),
                 SettingsSystem.of(state),
                 OwnershipSystem.of(
-                        state, (slice, fence) -> TablePlane.of(state.config().seed(), lastAttempt(fence))),
+                        state,
+                        (slice, fence) -> TablePlane.builder(state.config().seed())
+                                .lastAttempt(lastAttempt(fence))
+                                .build()),
                 WorkerSystem.of(state),
                 jobs,
                 submissions,
