--- a/cli/src/main/java/org/acaciafold/cli/Main.java
+++ b/cli/src/main/java/org/acaciafold/cli/Main.java
@@ -60,6 +60,7 @@
 
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
+        commands.add(ServeCommand.command());
         commands.add(CheckCommand.command());
         commands.addAll(SettingsCommands.all());
         commands.addAll(KeyCommands.all());
