--- /dev/null
+++ b/standin/src/main/java/org/acaciafold/standin/Demo.java
@@ -0,0 +1,272 @@
+package org.acaciafold.standin;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.acaciafold.core.model.AcaciafoldException;
+
+/**
+ * The caller and operator of {@code bin/demo}: two teams with keys, each with a service, a batch run and an all-at-once
+ * job, and live requests through the entry host of another failure domain than the worker's.
+ */
+final class Demo {
+    private static final long WAIT_MS = 60_000;
+    private static final long POLL_MS = 50;
+    private static final int TIMED_REQUESTS = 500;
+    private static final List<String> TEAMS = List.of("catalogue", "booking");
+    private static final String TEAM_SETTINGS = """
+            [team]
+            weight = 1
+            limit-cpu = 96cores
+            limit-memory = 256GiB
+            limit-accelerators = 0
+            rehome-after = 10min
+            queue-limit = 256
+            """;
+
+    private final DemoHttp http = new DemoHttp();
+    private final List<Host> hosts = new ArrayList<>();
+    private final Map<String, String> keys = new HashMap<>();
+    private final Map<String, String> jobs = new HashMap<>();
+    private final String operatorKey;
+    private int wrong;
+
+    private Demo(StandinSettings settings) throws AcaciafoldException {
+        operatorKey = settings.text("operator-key");
+        for (String domain : settings.text("domains").split("\\s+")) {
+            String[] addresses = settings.text(domain).split("\\s+");
+            hosts.add(new Host(domain, addresses[0], addresses[1]));
+        }
+    }
+
+    /**
+     * Runs the demo.
+     *
+     * @param settings the section {@code [demo]}: {@code operator-key}, {@code domains}, and for each failure domain the
+     *     addresses of an entry host for callers and for operators
+     * @return how many answers were wrong
+     * @throws AcaciafoldException when the settings are wrong
+     * @throws IOException when an entry host does not answer
+     * @throws InterruptedException when interrupted
+     */
+    static int run(StandinSettings settings) throws AcaciafoldException, IOException, InterruptedException {
+        Demo demo = new Demo(settings);
+        demo.awaitHosts();
+        demo.createTeams();
+        demo.submitJobs();
+        for (String team : TEAMS) {
+            demo.callService(team);
+            demo.holdOnce(team);
+        }
+        demo.checkRefusals();
+        demo.awaitJobs();
+        demo.measure(TEAMS.getFirst());
+        return demo.wrong;
+    }
+
+    private void awaitHosts() throws IOException, InterruptedException {
+        for (Host host : hosts) {
+            await("entry host of " + host.domain(), () -> status("GET", host.operators(), "/readyz", Map.of()) == 200);
+        }
+    }
+
+    private void createTeams() throws IOException, InterruptedException {
+        Host host = hosts.getFirst();
+        for (String team : TEAMS) {
+            Map<String, String> headers = operator();
+            headers.put("If-Match", "0");
+            headers.put("Content-Type", "text/plain");
+            DemoHttp.Reply put =
+                    http.send("PUT", host.operators(), "/v1/settings/team/" + team, headers, TEAM_SETTINGS);
+            check("settings of team " + team, put.status() == 202, put);
+            awaitAccepted(host, put.json().path("editId").asText());
+            DemoHttp.Reply key = http.send("POST", host.operators(), "/v1/teams/" + team + "/keys", operator(), "");
+            check("key of team " + team, key.status() == 201, key);
+            keys.put(team, key.json().path("key").asText());
+            awaitKnown(team);
+        }
+    }
+
+    private void awaitAccepted(Host host, String edit) throws IOException, InterruptedException {
+        long startMs = System.nanoTime() / 1_000_000;
+        await(
+                "edit " + edit,
+                () -> http.send("GET", host.operators(), "/v1/edits/" + edit, operator(), "")
+                        .json()
+                        .path("accepted")
+                        .asBoolean());
+        System.out.println("    in force everywhere after " + (System.nanoTime() / 1_000_000 - startMs) + " ms");
+    }
+
+    private void awaitKnown(String team) throws IOException, InterruptedException {
+        for (Host host : hosts) {
+            await("key of " + team, () -> status("GET", host.callers(), "/v1/jobs/none", caller(team)) != 401);
+        }
+    }
+
+    private void submitJobs() throws IOException, InterruptedException {
+        for (String team : TEAMS) {
+            Host host = hosts.get(TEAMS.indexOf(team));
+            submit(host, team, "desk", "{\"type\":\"Service\",\"tasks\":1}", "hold");
+            submit(host, team, "nightly", "{\"type\":\"Batch\",\"tasks\":4,\"finishWithinMs\":60000}", "run=300");
+            submit(host, team, "rebuild", "{\"type\":\"Gang\",\"tasks\":3}", "run=300");
+        }
+        for (String team : TEAMS) {
+            Host host = hosts.get(TEAMS.indexOf(team));
+            submit(host, team, "echo", "{\"type\":\"Service\",\"tasks\":1}", "");
+        }
+    }
+
+    private void submit(Host host, String team, String name, String kind, String payload)
+            throws IOException, InterruptedException {
+        String job = "{\"name\":\"" + name + "\",\"kind\":" + kind
+                + ",\"demand\":{\"cpuMillis\":1000,\"memoryMib\":256,\"accelerators\":0}"
+                + ",\"priority\":\"NORMAL\",\"exclusive\":false,\"runTimeMs\":1000,\"payload\":\"" + payload + "\"}";
+        Map<String, String> headers = caller(team);
+        headers.put("Content-Type", "application/json");
+        DemoHttp.Reply reply = http.send("POST", host.callers(), "/v1/jobs", headers, job);
+        check(team + " submits " + name, reply.status() == 202, reply);
+        jobs.put(team + "/" + name, reply.json().path("job").asText());
+    }
+
+    private void callService(String team) throws IOException, InterruptedException {
+        String path = "/v1/services/echo/greeting";
+        for (Host host : hosts) {
+            await(
+                    team + " echo",
+                    () -> http.send("POST", host.callers(), path, caller(team), "ready?")
+                                    .status()
+                            == 200);
+            String text = "hello from " + host.domain();
+            DemoHttp.Reply reply = http.send("POST", host.callers(), path, caller(team), text);
+            String route = team + " calls echo through " + host.domain() + ", answered by " + reply.worker();
+            check(route, reply.status() == 200 && reply.body().equals(text), reply);
+        }
+    }
+
+    private void holdOnce(String team) throws IOException, InterruptedException {
+        String path = "/v1/services/desk/holds";
+        await(team + " desk", () -> status("GET", hosts.getFirst().callers(), path, caller(team)) == 200);
+        Map<String, String> headers = caller(team);
+        headers.put("Idempotency-Key", "hold-1");
+        String expected = "{\"key\":\"hold-1\",\"execution\":1}";
+        for (Host host : hosts) {
+            String what = team + " sends the same hold through " + host.domain();
+            DemoHttp.Reply reply = http.send("POST", host.callers(), path, headers, "lamp 7");
+            check(what, reply.status() == 200 && reply.body().equals(expected), reply);
+        }
+    }
+
+    private void checkRefusals() throws IOException, InterruptedException {
+        Host host = hosts.getFirst();
+        DemoHttp.Reply none = http.send("POST", host.callers(), "/v1/services/echo/", Map.of(), "x");
+        check(
+                "a call without a key is refused",
+                none.status() == 401 && none.outcome().equals("not-run"),
+                none);
+        Map<String, String> forged = Map.of("Authorization", "Bearer nobody.secret");
+        DemoHttp.Reply wrongKey = http.send("GET", host.callers(), "/v1/jobs/none", forged, "");
+        check("a wrong key is refused", wrongKey.status() == 401, wrongKey);
+    }
+
+    private void awaitJobs() throws IOException, InterruptedException {
+        for (String team : TEAMS) {
+            Host host = hosts.getLast();
+            for (String name : List.of("nightly", "rebuild")) {
+                String path = "/v1/jobs/" + jobs.get(team + "/" + name);
+                await(team + " " + name, () -> !phase(host, team, path).matches("WAITING|RUNNING|"));
+                DemoHttp.Reply result = http.send("GET", host.callers(), path + "/result", caller(team), "");
+                String what = team + "'s " + name + " ended, asked through " + host.domain();
+                check(what, result.json().path("phase").asText().equals("SUCCEEDED"), result);
+            }
+        }
+    }
+
+    private void measure(String team) throws IOException, InterruptedException {
+        String path = "/v1/services/echo/timed";
+        for (Host host : hosts) {
+            String worker = http.send("POST", host.callers(), path, caller(team), "where")
+                    .worker();
+            if (worker.startsWith(host.domain())) {
+                continue;
+            }
+            long[] tookMicros = new long[TIMED_REQUESTS];
+            for (int index = 0; index < TIMED_REQUESTS; index++) {
+                long start = System.nanoTime();
+                DemoHttp.Reply reply = http.send("POST", host.callers(), path, caller(team), "x" + index);
+                tookMicros[index] = (System.nanoTime() - start) / 1_000;
+                if (!reply.body().equals("x" + index)) {
+                    check("timed request", false, reply);
+                }
+            }
+            Arrays.sort(tookMicros);
+            System.out.printf(
+                    "%d live requests one after the other, caller > %s > owner > %s: p50 %.2f ms, p99 %.2f ms%n",
+                    TIMED_REQUESTS,
+                    host.domain(),
+                    worker,
+                    tookMicros[TIMED_REQUESTS / 2] / 1_000.0,
+                    tookMicros[TIMED_REQUESTS * 99 / 100] / 1_000.0);
+            return;
+        }
+        System.out.println("WRONG  no entry host is in another failure domain than the worker");
+        wrong++;
+    }
+
+    private String phase(Host host, String team, String path) throws IOException, InterruptedException {
+        return http.send("GET", host.callers(), path, caller(team), "")
+                .json()
+                .path("phase")
+                .asText();
+    }
+
+    private int status(String method, String address, String path, Map<String, String> headers)
+            throws IOException, InterruptedException {
+        return http.send(method, address, path, headers, "").status();
+    }
+
+    private Map<String, String> caller(String team) {
+        return new HashMap<>(Map.of("Authorization", "Bearer " + keys.get(team)));
+    }
+
+    private Map<String, String> operator() {
+        return new HashMap<>(Map.of("Authorization", "Bearer " + operatorKey));
+    }
+
+    private void check(String what, boolean right, DemoHttp.Reply reply) {
+        System.out.println((right ? "ok     " : "WRONG  ") + what);
+        if (!right) {
+            wrong++;
+            System.out.println("       " + reply);
+        }
+    }
+
+    private static void await(String what, Condition condition) throws IOException, InterruptedException {
+        long untilMs = System.nanoTime() / 1_000_000 + WAIT_MS;
+        while (System.nanoTime() / 1_000_000 < untilMs) {
+            try {
+                if (condition.holds()) {
+                    return;
+                }
+            } catch (ConnectException e) {
+                // not listening yet
+            }
+            Thread.sleep(POLL_MS);
+        }
+        throw new IOException("waited " + WAIT_MS + " ms in vain for: " + what);
+    }
+
+    /** Something to wait for. */
+    @FunctionalInterface
+    private interface Condition {
+        boolean holds() throws IOException, InterruptedException;
+    }
+
+    /** An entry host. */
+    private record Host(String domain, String callers, String operators) {}
+}
--- a/standin/src/main/java/org/acaciafold/standin/Main.java
+++ b/standin/src/main/java/org/acaciafold/standin/Main.java
@@ -16,14 +16,15 @@
 
 /**
  * The command {@code bin/standin}: {@code platform} and {@code worker} serve until they are ended, {@code ports COUNT}
- * prints free ports.
+ * prints free ports, {@code demo} calls the entry hosts that {@code bin/demo} has started.
  *
- * <p>Exit codes: 0 ended as asked, 2 wrong usage or settings, 3 port in use.
+ * <p>Exit codes: 0 ended as asked, 1 a wrong answer in the demo, 2 wrong usage or settings, 3 port in use.
  */
 public final class Main {
+    private static final int EXIT_WRONG = 1;
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_PORT_IN_USE = 3;
-    private static final String USAGE = "usage: standin platform|worker --settings FILE, or standin ports COUNT";
+    private static final String USAGE = "usage: standin platform|worker|demo --settings FILE, or standin ports COUNT";
 
     private Main() {}
 
@@ -58,6 +59,10 @@
             throw new ParseException("--settings is missing");
         }
         Path file = Path.of(line.getOptionValue("settings"));
+        if ("demo".equals(role)) {
+            runDemo(file);
+            return;
+        }
         List<DisposableServer> servers =
                 switch (role) {
                     case "platform" ->
@@ -70,6 +75,17 @@
         servers.getFirst().onDispose().block();
     }
 
+    private static void runDemo(Path file) throws AcaciafoldException, IOException {
+        try {
+            int wrong = Demo.run(StandinSettings.read(file, "demo"));
+            System.out.println(wrong == 0 ? "every answer was right" : wrong + " answers were wrong");
+            System.exit(wrong == 0 ? 0 : EXIT_WRONG);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            System.exit(EXIT_WRONG);
+        }
+    }
+
     private static void printFreePorts(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         try {
