--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Actions.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Actions.java
@@ -5,6 +5,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.RandomDistribution;
 import net.jqwik.api.Tuple;
 
 /** Generators of fuzz cases. */
@@ -14,14 +15,14 @@
 
     private Actions() {}
 
-    /** Returns cases of up to 40 steps, work and faults mixed. */
+    /** Returns cases of 10 to 60 steps, work and faults mixed. */
     static Arbitrary<List<Action>> cases() {
-        return step().list().ofMinSize(1).ofMaxSize(40);
+        return step().list().ofMinSize(10).ofMaxSize(60).withSizeDistribution(RandomDistribution.uniform());
     }
 
     private static Arbitrary<Action> step() {
         return Arbitraries.frequencyOf(
-                Tuple.of(8, submit()),
+                Tuple.of(12, submit()),
                 Tuple.of(1, between(2, 5).map(Action.CancelWave::new)),
                 Tuple.of(4, Combinators.combine(between(0, 9), index()).as(Action.Hold::new)),
                 Tuple.of(
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
@@ -142,6 +142,7 @@
             ClientCall.Claim claim = new ClientCall.Claim(team(0), name, "digest-" + name);
             SimHost host = world.anyHost();
             call(host, claim, reply -> {
+                world.counts().add(FuzzCounts.Kind.HOLDS_REPEATED);
                 heldKeys.put(name, "answered " + reply.getClass().getSimpleName());
                 switch (reply) {
                     case ClientReply.Claimed ignored -> execute(name, host);
@@ -219,6 +220,7 @@
         TeamId team = team(what.team());
         call(host, new ClientCall.Submit(team, key, request(what)), reply -> {
             if (reply instanceof ClientReply.Submitted submitted) {
+                world.counts().add(FuzzCounts.Kind.JOBS_ACCEPTED);
                 accepted.put(submitted.job(), new Accepted(team, what.shape(), what.tasks()));
                 if (!key.isEmpty()) {
                     probesAccepted.add(key);
@@ -260,6 +262,7 @@
 
     private void execute(String name, SimHost host) {
         oracle.executed(world.nowMs(), name);
+        world.counts().add(FuzzCounts.Kind.HOLDS_EXECUTED);
         StoredOutcome outcome = new StoredOutcome(Outcome.RAN, HTTP_OK, "text/plain", new byte[0]);
         call(host, new ClientCall.Settle(team(0), name, outcome), ignored -> {});
     }
@@ -269,6 +272,7 @@
             return;
         }
         if (state.accepted()) {
+            world.counts().add(FuzzCounts.Kind.EDITS_ACCEPTED);
             sent.accepted(order);
             return;
         }
@@ -297,12 +301,24 @@
             return;
         }
         switch (found.status().phase()) {
-            case SUCCEEDED, FAILED, CANCELLED -> ended.put(job, found.status().phase());
+            case SUCCEEDED, FAILED, CANCELLED -> noteEnd(job, found.status().phase());
             case WAITING, RUNNING -> world.noteStatus(job, found.status());
             default -> throw new IllegalStateException("unknown phase");
         }
     }
 
+    private void noteEnd(JobId job, JobPhase phase) {
+        if (ended.put(job, phase) == null) {
+            world.counts()
+                    .add(
+                            switch (phase) {
+                                case SUCCEEDED -> FuzzCounts.Kind.JOBS_SUCCEEDED;
+                                case CANCELLED -> FuzzCounts.Kind.JOBS_CANCELLED;
+                                default -> FuzzCounts.Kind.JOBS_FAILED;
+                            });
+        }
+    }
+
     private static JobRequest request(Action.Submit what) {
         int tasks = what.tasks();
         JobKind kind =
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzMain.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzMain.java
@@ -16,6 +16,7 @@
 
     private final int domains;
     private final boolean trace;
+    private final FuzzCounts counts = new FuzzCounts();
 
     private FuzzMain(int domains, boolean trace) {
         this.domains = domains;
@@ -29,6 +30,7 @@
         FuzzMain main = new FuzzMain(domains, List.of(arguments).contains("--trace"));
         int[] failed = {0};
         JqwikSession.run(() -> failed[0] = main.runAll(seed, cases));
+        System.out.println(main.counts);
         System.out.println((cases - failed[0]) + " passed, " + failed[0] + " failed");
         System.exit(failed[0] == 0 ? 0 : 1);
     }
@@ -61,7 +63,10 @@
     }
 
     private Optional<FuzzCase.Finding> run(long seed, List<Action> steps) {
-        return FuzzCase.of(seed, domains, steps).run();
+        FuzzCase fuzzCase = FuzzCase.of(seed, domains, steps);
+        Optional<FuzzCase.Finding> finding = fuzzCase.run();
+        counts.add(fuzzCase.world().counts());
+        return finding;
     }
 
     /** Follows shrunk cases that still fail, for a bounded number of attempts. */
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -44,6 +44,7 @@
     private final Map<JobId, JobStatus> lastStatus = new TreeMap<>();
     private final List<String> trace = new ArrayList<>();
     private final Traffic traffic = new Traffic();
+    private final FuzzCounts counts = new FuzzCounts();
     private final Map<String, Long> lastStartMs = new TreeMap<>();
     private HostList listed = new HostList(List.of());
     private Action.TableFault tableFault;
@@ -80,6 +81,10 @@
         return clients;
     }
 
+    FuzzCounts counts() {
+        return counts;
+    }
+
     List<String> domains() {
         return domains;
     }
@@ -211,6 +216,7 @@
     private void answerTable(SimHost host, Effect.CallTable call, boolean lost) {
         TableReply reply = table.call(call.request());
         if (call.request() instanceof TableRequest.Commit commit) {
+            countTakeover(commit, reply);
             note(host.id() + " commits "
                     + commit.writes().stream().map(write -> write.key()).toList() + " -> "
                     + reply.getClass().getSimpleName());
@@ -221,6 +227,13 @@
         }
     }
 
+    private void countTakeover(TableRequest.Commit commit, TableReply reply) {
+        boolean slice = commit.writes().stream().anyMatch(write -> write.key().startsWith("slice/"));
+        if (slice && reply instanceof TableReply.Committed) {
+            counts.add(FuzzCounts.Kind.SLICE_WRITES);
+        }
+    }
+
     private void callWorker(SimHost host, Effect.CallWorker call) {
         SimWorker worker = workers.get(call.worker());
         network.send(host.domain(), worker.domain(), () -> {
@@ -228,6 +241,9 @@
                 return;
             }
             WorkerReply reply = worker.command(call.command(), nowMs());
+            if (reply instanceof WorkerReply.Fenced) {
+                counts.add(FuzzCounts.Kind.FENCED_COMMANDS);
+            }
             noteCommand(host, worker, call, reply);
             noteStart(worker, call, reply);
             oracle.answered(nowMs(), worker, call.command(), reply);
@@ -239,6 +255,7 @@
     private void noteStart(SimWorker worker, Effect.CallWorker call, WorkerReply reply) {
         if (call.command() instanceof WorkerCommand.Start && reply instanceof WorkerReply.Done) {
             lastStartMs.put(worker.domain(), nowMs());
+            counts.add(FuzzCounts.Kind.TASK_STARTS);
         }
     }
 
