--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -5,7 +5,11 @@
 import org.acaciafold.core.model.Fence;
 import org.acaciafold.core.placement.TablePlane;
 
-/** The order in which the systems of an entry host run in each tick. */
+/**
+ * The order in which the systems of an entry host run in each tick.
+ *
+ * <p>Limits are compared with new settings before the settings are acknowledged, and placement sees both.
+ */
 final class Systems {
     private static final int EPOCH_SHIFT_BITS = 32;
     private static final int COUNTER_SHIFT_BITS = 20;
@@ -18,7 +22,6 @@
         SubmitSystem submissions = SubmitSystem.of(state, commits, jobs);
         return List.of(
                 MembershipSystem.of(state),
-                SettingsSystem.of(state),
                 OwnershipSystem.of(
                         state,
                         (slice, fence) -> TablePlane.builder(state.config().seed())
@@ -32,6 +35,7 @@
                 CommitSystem.of(commits),
                 ClaimSystem.of(state),
                 AllotmentSystem.of(state),
+                SettingsSystem.of(state),
                 PlacementSystem.of(state),
                 SlotSystem.of(state));
     }
