Liveness of blocked queues, gangs and probed workers

Cause: random chains with new owners and long waits left jobs waiting for ever in three cases: a gang above its allotment blocked single tasks of the same size in one queue; a job that became stuck left its queue blocked; an undone gang left a probed worker waiting for a probe. Gangs have queues of their own by size, a job that leaves wakes its queue, and an undone start returns the probe. Wake-ups from undone starts are ignored, which would rescan each tick.

--- a/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
@@ -22,6 +22,7 @@
     private final Map<Resources, Group> byRoom = new LinkedHashMap<>();
     private final Map<TeamRow, Group> byTeam = new HashMap<>();
     private final List<Group> due = new ArrayList<>();
+    private boolean muted;
 
     private static final class Group {
         final boolean forRoom;
@@ -35,10 +36,15 @@
         }
     }
 
+    /** Ignores what is freed while a start is undone, which leaves no more room than there was before it. */
+    void mute(boolean value) {
+        muted = value;
+    }
+
     /** Tells that a team holds less or may hold more than before. */
     void allotmentFreed(TeamRow team) {
         Group group = byTeam.get(team);
-        if (group != null) {
+        if (group != null && !muted) {
             retryAll(group);
         }
     }
@@ -65,6 +71,9 @@
 
     /** Tells how much a worker has free. */
     void roomFreed(Resources free) {
+        if (muted) {
+            return;
+        }
         for (Group group : byRoom.values()) {
             if (group.toRetry < group.queues.size() && group.least.fitsIn(free)) {
                 retryAll(group);
--- a/core/src/main/java/org/acaciafold/core/placement/ClassQueue.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ClassQueue.java
@@ -10,27 +10,35 @@
 final class ClassQueue {
     final TeamRow team;
 
-    private final Map<Resources, ShapeQueue> shapes = new HashMap<>();
+    private final Map<Shape, ShapeQueue> shapes = new HashMap<>();
     private final TreeSet<ShapeQueue> ready = new TreeSet<>(ShapeQueue.BY_HEAD);
 
     ClassQueue(TeamRow team) {
         this.team = team;
     }
 
+    /** The demand of each task and how many tasks must start at once. */
+    private record Shape(Resources demand, int atOnce) {
+        static Shape of(JobRow job) {
+            return new Shape(job.spec.demand(), job.gang() ? job.spec.kind().tasks() : 1);
+        }
+    }
+
     /** Adds a job with a task to start; a lower key comes first. */
     void add(JobRow job, long key) {
         if (job.queued) {
             return;
         }
         job.queued = true;
-        ShapeQueue shape = shapes.computeIfAbsent(job.spec.demand(), demand -> new ShapeQueue(this, demand));
-        if (shape.blocked) {
-            shape.add(job, key);
+        ShapeQueue queue =
+                shapes.computeIfAbsent(Shape.of(job), shape -> new ShapeQueue(this, shape.demand(), shape.atOnce()));
+        if (queue.blocked) {
+            queue.add(job, key);
             return;
         }
-        ready.remove(shape);
-        shape.add(job, key);
-        insert(shape);
+        ready.remove(queue);
+        queue.add(job, key);
+        insert(queue);
     }
 
     /** Takes a queue out until it is unblocked. */
@@ -63,9 +71,17 @@
         insert(shape);
     }
 
+    /** Lets the queue of a job try again when it is blocked by that job, which may start no more. */
+    void leave(JobRow job) {
+        ShapeQueue shape = shapes.get(Shape.of(job));
+        if (shape != null && shape.blocked && shape.startsWith(job)) {
+            unblock(shape);
+        }
+    }
+
     private void insert(ShapeQueue shape) {
         if (shape.head() == null) {
-            shapes.remove(shape.demand);
+            shapes.remove(new Shape(shape.demand, shape.atOnce), shape);
             return;
         }
         shape.refreshOrder();
--- a/core/src/main/java/org/acaciafold/core/placement/FailureTracker.java
+++ b/core/src/main/java/org/acaciafold/core/placement/FailureTracker.java
@@ -50,14 +50,6 @@
         }
     }
 
-    /** Records an end that says nothing about the worker. */
-    void undecided(WorkerRow worker) {
-        if (worker.trust == WorkerRow.Trust.PROBING) {
-            worker.trust = WorkerRow.Trust.PROBE;
-            tables.reindex(worker);
-        }
-    }
-
     /** Records a success. */
     void succeeded(JobRow job, WorkerRow worker) {
         clear(worker);
--- a/core/src/main/java/org/acaciafold/core/placement/JobRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/JobRow.java
@@ -41,6 +41,9 @@
     long blockedSinceMs;
 
     long heldUntilMs;
+    /** The time in milliseconds before which no room is kept for the job. */
+    long reserveAtMs;
+
     int waiting;
     int delayed;
     int running;
--- a/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
@@ -14,6 +14,7 @@
     private static final double PROBABLE_RUN_TIME = 0.9;
     private static final int CANDIDATES_PER_TASK = 4;
     private static final int FEWEST_CANDIDATES = 64;
+    private static final long RETRY_MS = 1_000;
     private static final long SHORTEST_HOLD_MS = 30_000;
 
     private final Tables tables;
@@ -51,7 +52,8 @@
 
     private static boolean due(JobRow job, long nowMs) {
         return switch (job.team.terms.gang()) {
-            case GangPolicy.Reserve reserve -> nowMs - job.blockedSinceMs >= reserve.afterMs();
+            case GangPolicy.Reserve reserve ->
+                nowMs >= Math.max(job.blockedSinceMs + reserve.afterMs(), job.reserveAtMs);
             case GangPolicy.WhenFree free -> false;
         };
     }
@@ -62,6 +64,7 @@
         }
         List<Place> places = places(job, nowMs);
         if (places.size() < job.waiting) {
+            job.reserveAtMs = nowMs + RETRY_MS;
             tables.waitingGangs.add(job);
             return;
         }
@@ -85,7 +88,10 @@
         List<Place> places = new ArrayList<>();
         for (int i = 0; i < looked; i++) {
             WorkerRow worker = tables.slots.get((first + i) % slots);
-            if (worker != null && worker.usable() && worker.heldFor == null) {
+            if (worker != null
+                    && worker.usable()
+                    && worker.trust == WorkerRow.Trust.TRUSTED
+                    && worker.heldFor == null) {
                 addPlaces(places, worker, job, nowMs);
             }
         }
--- a/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
@@ -5,7 +5,7 @@
 
 import org.acaciafold.core.model.Resources;
 
-/** The jobs of one team and class whose tasks demand the same; all are blocked when one does not fit. */
+/** The jobs of one team and class whose tasks demand the same and that start as many tasks at once; all are blocked when one does not fit. */
 final class ShapeQueue {
     /** Orders queues by their first jobs. */
     static final Comparator<ShapeQueue> BY_HEAD =
@@ -16,6 +16,7 @@
 
     final ClassQueue parent;
     final Resources demand;
+    final int atOnce;
     /** Whether the queue waits for room or for allotment, outside the ready queues of its parent. */
     boolean blocked;
 
@@ -28,7 +29,8 @@
     private long headKey;
     private long headSequence;
 
-    ShapeQueue(ClassQueue parent, Resources demand) {
+    ShapeQueue(ClassQueue parent, Resources demand, int atOnce) {
+        this.atOnce = atOnce;
         this.parent = parent;
         this.demand = demand;
     }
@@ -52,6 +54,10 @@
         return null;
     }
 
+    boolean startsWith(JobRow job) {
+        return !entries.isEmpty() && entries.peek().job() == job;
+    }
+
     /** Tells whether the first job is another than when the order was last read. */
     boolean orderChanged() {
         Entry first = entries.peek();
--- a/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
@@ -125,7 +125,9 @@
             WorkerRow worker = choice.choose(task, tick.nowMs);
             if (worker == null) {
                 job.retries.addFirst(task);
+                tables.blocked.mute(true);
                 attempts.forEach(this::undo);
+                tables.blocked.mute(false);
                 return false;
             }
             attempts.add(reserve(tick, task, worker));
@@ -179,6 +181,7 @@
     private void undo(AttemptRow attempt) {
         TaskRow task = attempt.task;
         tables.release(attempt);
+        tables.undecided(attempt.worker);
         task.current = null;
         task.job.running--;
         task.job.retries.add(task);
--- a/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
@@ -131,6 +131,7 @@
         tables.releaseHolds(row);
         tables.tooLarge.remove(row);
         row.team.aboveAllotment.remove(row);
+        row.team.queue(row.jobClass).leave(row);
     }
 
     @Override
--- a/core/src/main/java/org/acaciafold/core/placement/Tables.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Tables.java
@@ -95,6 +95,7 @@
         job.problem = Optional.of(reason);
         stuckReports.add(new Decision.JobStuck(job.spec.id(), reason, largest));
         releaseHolds(job);
+        job.team.queue(job.jobClass).leave(job);
         if (!counted && job.counted) {
             job.counted = false;
             addWanted(job, -job.waiting);
@@ -190,6 +191,14 @@
         }
     }
 
+    /** Lets a worker be probed again after a probe that told nothing. */
+    void undecided(WorkerRow worker) {
+        if (worker.trust == WorkerRow.Trust.PROBING) {
+            worker.trust = WorkerRow.Trust.PROBE;
+            reindex(worker);
+        }
+    }
+
     /** Gives back a worker that is kept for a job. */
     void unhold(WorkerRow worker) {
         worker.heldFor.held.remove(worker);
--- a/core/src/main/java/org/acaciafold/core/placement/TaskFacts.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TaskFacts.java
@@ -88,7 +88,7 @@
                 failures.succeeded(job, attempt.worker);
             }
             case FAILED -> failures.failed(job, attempt.worker, end.ranMs(), nowMs);
-            case CHECKPOINTED, STOPPED, EXPIRED -> failures.undecided(attempt.worker);
+            case CHECKPOINTED, STOPPED, EXPIRED -> tables.undecided(attempt.worker);
             default -> throw new IllegalStateException("unknown reason " + end.reason());
         }
     }
@@ -113,6 +113,7 @@
         tables.releaseHolds(job);
         tables.tooLarge.remove(job);
         job.team.aboveAllotment.remove(job);
+        job.team.queue(job.jobClass).leave(job);
         job.tasks.values().removeIf(task -> task.current == null && task.strays.isEmpty());
         job.nextFresh = 0;
         job.ended.clear();
@@ -189,7 +190,7 @@
         }
         boolean current = attempt.current();
         free(attempt);
-        failures.undecided(attempt.worker);
+        tables.undecided(attempt.worker);
         if (current) {
             attempt.task.lastFailedOn = retryAfterMs > 0 ? attempt.worker : attempt.task.lastFailedOn;
             waitAgain(attempt.task, nowMs, nowMs + retryAfterMs);
--- a/core/src/main/java/org/acaciafold/core/placement/WorkerChoice.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WorkerChoice.java
@@ -14,6 +14,7 @@
     private final Tables tables;
     private final boolean tightFit;
     private boolean exhausted;
+    private boolean avoidsProbes;
 
     WorkerChoice(Tables tables, Set<PlaneFeature> features) {
         this.tables = tables;
@@ -23,6 +24,7 @@
     /** Finds a worker with room for a task, null when there is none. */
     WorkerRow choose(TaskRow task, long nowMs) {
         exhausted = true;
+        avoidsProbes = task.job.gang() || task.job.jobClass == JobClass.URGENT;
         WorkerRow found = heldFor(task);
         if (found == null && spreads(task.job)) {
             found = bestOfAll(task, slot -> spreadsOn(tables.slots.get(slot), task.job));
@@ -33,6 +35,10 @@
         if (found == null) {
             found = bestOfAll(task, slot -> true);
         }
+        if (found == null && avoidsProbes) {
+            avoidsProbes = false;
+            found = bestOfAll(task, slot -> true);
+        }
         return found == null ? backFill(task, nowMs) : found;
     }
 
@@ -88,10 +94,9 @@
     private WorkerRow candidate(WorkerIndex index, TaskRow task, IntPredicate accept) {
         Resources demand = task.job.spec.demand();
         int from = tables.random.nextInt(index.size());
-        boolean mayProbe = !task.job.gang() && task.job.jobClass != JobClass.URGENT;
         int slot = index.find(demand, from, candidate -> {
             boolean trusted = tables.slots.get(candidate).trust == WorkerRow.Trust.TRUSTED;
-            return (trusted || mayProbe) && accept.test(candidate);
+            return (trusted || !avoidsProbes) && accept.test(candidate);
         });
         if (slot == WorkerIndex.UNKNOWN) {
             exhausted = false;
--- a/core/src/test/java/org/acaciafold/core/placement/SliceModel.java
+++ b/core/src/test/java/org/acaciafold/core/placement/SliceModel.java
@@ -19,6 +19,8 @@
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.StopMode;
 import org.acaciafold.core.port.TaskEnd;
+import org.acaciafold.core.port.TaskPhase;
+import org.acaciafold.core.port.TaskView;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -29,7 +31,7 @@
     static final Resources ALLOTMENT = Resources.of(40_000, 4_000, 4);
     private static final long TICK_MS = 20;
 
-    final PlacementPlane plane;
+    PlacementPlane plane;
     final Map<WorkerId, WorkerSpec> workers = new LinkedHashMap<>();
     final Map<WorkerId, WorkerState> states = new HashMap<>();
     final Map<JobId, JobSpec> jobs = new LinkedHashMap<>();
@@ -40,13 +42,14 @@
     final Set<TaskId> succeeded = new HashSet<>();
     boolean open = true;
     long nowMs = 1_000;
+    final List<String> history = new ArrayList<>();
     private long endId;
+    private long epoch;
+    private final long seed;
 
     SliceModel(long seed) {
-        plane = TablePlane.of(seed);
-        for (int i = 0; i < 3; i++) {
-            plane.team(TeamId.of("team" + i), terms(ALLOTMENT));
-        }
+        this.seed = seed;
+        newPlane();
         for (int i = 0; i < 4; i++) {
             putWorker(i, WorkerState.READY);
         }
@@ -65,6 +68,7 @@
     }
 
     void putWorker(int index, WorkerState state) {
+        history.add("worker " + index + " " + state);
         WorkerId id = WorkerId.of("w" + index);
         Resources capacity = Resources.of(8_000 + 4_000 * (index % 2), 1_000, index % 2);
         workers.put(id, new WorkerSpec(id, "rack" + index % 2, capacity));
@@ -72,7 +76,46 @@
         plane.putWorker(workers.get(id), state);
     }
 
+    /** Gives the slice to a new owner, which reads the workers and the jobs. */
+    void takeOver() {
+        history.add("take over");
+        newPlane();
+        plane.open(open);
+        workers.forEach((id, spec) -> plane.putWorker(spec, states.get(id)));
+        running.forEach((task, run) -> plane.adopt(
+                run.worker(),
+                new TaskView(
+                        task,
+                        run.attempt(),
+                        run.spec(),
+                        1_000,
+                        run.stopping() ? TaskPhase.CHECKPOINTING : TaskPhase.RUNNING)));
+        for (JobSpec spec : jobs.values()) {
+            BitSet ended = new BitSet();
+            succeeded.stream().filter(task -> task.job().equals(spec.id())).forEach(task -> ended.set(task.index()));
+            plane.submit(spec, ended, nowMs);
+            if (cancelled.contains(spec.id())) {
+                plane.cancel(spec.id());
+            }
+        }
+    }
+
+    void sleep(long byMs) {
+        history.add("sleep " + byMs);
+        nowMs += byMs;
+        tick();
+    }
+
+    private void newPlane() {
+        plane = TablePlane.builder(seed).lastAttempt(epoch++ << 20).build();
+        for (int i = 0; i < 3; i++) {
+            plane.team(TeamId.of("team" + i), terms(ALLOTMENT));
+        }
+    }
+
     void submit(JobSpec spec) {
+        history.add("submit " + spec.id() + " " + spec.team() + " " + spec.kind() + " " + spec.demand() + " "
+                + spec.priority());
         jobs.put(spec.id(), spec);
         plane.submit(spec, new BitSet(), nowMs);
     }
@@ -80,12 +123,14 @@
     void cancel(int choice) {
         if (!jobs.isEmpty()) {
             JobId id = List.copyOf(jobs.keySet()).get(choice % jobs.size());
+            history.add("cancel " + id);
             cancelled.add(id);
             plane.cancel(id);
         }
     }
 
     void open(boolean value) {
+        history.add("open " + value);
         open = value;
         plane.open(value);
     }
@@ -99,6 +144,7 @@
     }
 
     void end(TaskId task, EndReason reason) {
+        history.add("end " + task + " " + reason);
         Running run = running.remove(task);
         if (reason == EndReason.SUCCEEDED && !(run.spec().kind() instanceof JobKind.Service)) {
             succeeded.add(task);
@@ -110,6 +156,7 @@
     }
 
     void refuse(int choice) {
+        history.add("refuse " + choice);
         if (!running.isEmpty()) {
             TaskId task = List.copyOf(running.keySet()).get(choice % running.size());
             plane.refused(task, running.remove(task).attempt(), nowMs);
@@ -117,6 +164,7 @@
     }
 
     void lose(int choice) {
+        history.add("lose " + choice);
         if (!running.isEmpty()) {
             TaskId task = List.copyOf(running.keySet()).get(choice % running.size());
             plane.lost(task, running.remove(task).attempt());
@@ -125,6 +173,7 @@
 
     /** Runs the systems once and checks every decision. */
     void tick() {
+        history.add("tick");
         nowMs += TICK_MS;
         Set<JobId> before = new HashSet<>();
         running.keySet().forEach(task -> before.add(task.job()));
@@ -186,7 +235,9 @@
     }
 
     private void assertSettled(JobSpec spec) {
-        assertTrue(done(spec), () -> "fits and did not run: " + spec + " " + plane.progress(spec.id()));
+        assertTrue(
+                done(spec),
+                () -> "fits and did not run: " + spec + " " + plane.progress(spec.id()) + " after " + history);
     }
 
     private boolean fits(JobSpec spec) {
@@ -223,6 +274,7 @@
         assertFalse(succeeded.contains(task), "a task that ended does not start");
         assertEquals(WorkerState.READY, states.get(start.worker()));
         assertTrue(start.attempt() > attempts.getOrDefault(task, 0L), "attempts increase");
+        history.add("start " + task + " on " + start.worker());
         attempts.put(task, start.attempt());
         running.put(task, new Running(start.attempt(), start.worker(), start.spec(), false));
         assertTrue(held(start.worker()).fitsIn(workers.get(start.worker()).capacity()), "no worker above capacity");
--- a/core/src/test/java/org/acaciafold/core/placement/TablePlanePropertyTest.java
+++ b/core/src/test/java/org/acaciafold/core/placement/TablePlanePropertyTest.java
@@ -38,7 +38,9 @@
                 .withAction(1, change(choices().map(choice -> model -> model.lose(choice))))
                 .withAction(1, change(workers()))
                 .withAction(1, change(Arbitraries.of(true, true, false).map(open -> model -> model.open(open))))
-                .withMaxTransformations(80);
+                .withAction(1, change(Arbitraries.of(300L, 3_000L, 40_000L).map(wait -> model -> model.sleep(wait))))
+                .withAction(1, change(Arbitraries.of(SliceModel::takeOver)))
+                .withMaxTransformations(100);
     }
 
     /** A change of the model. */
@@ -47,7 +49,7 @@
     }
 
     private static Action.Independent<SliceModel> change(Arbitrary<Change> changes) {
-        return () -> changes.map(change -> Transformer.mutate("change", change::apply));
+        return () -> changes.map(change -> Transformer.mutate(change.toString(), change::apply));
     }
 
     private static Arbitrary<Integer> choices() {
