--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.acaciafold.core.model.Clock;
+import org.acaciafold.settings.FleetSettings;
 
 /**
  * The whole of an entry host's decisions as a deterministic state machine.
@@ -13,11 +14,16 @@
  */
 public final class HostCore {
     private final Clock clock;
+    private final HostState state;
     private final Outbox outbox;
+    private final RegistrationGate gate;
     private final List<HostSystem> systems;
+    private boolean stopped;
 
-    private HostCore(Clock clock, Outbox outbox, List<HostSystem> systems) {
-        this.clock = clock;
+    private HostCore(HostState state, Outbox outbox, List<HostSystem> systems) {
+        this.clock = state.clock();
+        this.state = state;
+        this.gate = RegistrationGate.of(state);
         this.outbox = outbox;
         this.systems = systems;
     }
@@ -30,8 +36,48 @@
      * @return the state machine
      */
     public static HostCore of(HostConfig config, Clock clock) {
-        HostState state = HostState.of(config, clock);
-        return new HostCore(clock, Outbox.of(config.callTimeoutMs()), Systems.inOrder(state));
+        return of(HostState.of(config, clock));
+    }
+
+    /** Creates the state machine over tables that a test can look into. */
+    static HostCore of(HostState state) {
+        return new HostCore(state, Outbox.of(state.config().callTimeoutMs()), Systems.inOrder(state));
+    }
+
+    /**
+     * Returns how many answers of the table service and of workers came after their timeout.
+     *
+     * @return the count since the start
+     */
+    public long lateAnswers() {
+        return outbox.lateAnswers();
+    }
+
+    /**
+     * Returns how many slices this host owns.
+     *
+     * @return the number of slices
+     */
+    public int ownedSlices() {
+        return state.owned().size();
+    }
+
+    /**
+     * Returns the settings in force at this host.
+     *
+     * @return the whole settings tree
+     */
+    public FleetSettings settings() {
+        return state.settings();
+    }
+
+    /**
+     * Returns whether the settings tree was read since the start.
+     *
+     * @return false while the host cannot tell a key that is in force from another
+     */
+    public boolean settingsKnown() {
+        return state.settingsKnown();
     }
 
     /**
@@ -46,17 +92,44 @@
         }
         long nowMs = clock.nowMs();
         outbox.expire(nowMs);
+        state.tableAnswers(outbox.tableAnswers());
         for (HostSystem system : systems) {
             system.tick(nowMs, outbox);
         }
+        stopWhenIdle();
         return outbox.drain();
     }
 
+    /** Lets slices be handed over when all other systems are idle, and ends when that is done. */
+    private void stopWhenIdle() {
+        if (!state.stopping() || stopped) {
+            return;
+        }
+        boolean drained = true;
+        boolean handedOver = true;
+        for (HostSystem system : systems) {
+            if (system instanceof OwnershipSystem) {
+                handedOver = system.idle();
+            } else {
+                drained &= system.idle();
+            }
+        }
+        state.drained(drained);
+        if (drained && handedOver) {
+            stopped = true;
+            outbox.stopped();
+        }
+    }
+
     private void apply(Event event) {
         switch (event) {
             case Event.TableAnswered answered -> outbox.deliver(answered.call(), answered.reply());
             case Event.WorkerAnswered answered -> outbox.deliver(answered.call(), answered.reply());
-            default -> systems.forEach(system -> system.apply(event, outbox));
+            default -> {
+                if (gate.admits(event, outbox)) {
+                    systems.forEach(system -> system.apply(event, outbox));
+                }
+            }
         }
     }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -2,11 +2,42 @@
 
 import java.util.List;
 
+import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.placement.TablePlane;
+
 /** The order in which the systems of an entry host run in each tick. */
 final class Systems {
+    private static final int EPOCH_SHIFT_BITS = 32;
+    private static final int COUNTER_SHIFT_BITS = 20;
+
     private Systems() {}
 
     static List<HostSystem> inOrder(HostState state) {
-        return List.of(MembershipSystem.of(state), ClaimSystem.of(state), AllotmentSystem.of(state));
+        GroupCommit commits = GroupCommit.empty();
+        JobSystem jobs = JobSystem.of(state, commits);
+        SubmitSystem submissions = SubmitSystem.of(state, commits, jobs);
+        return List.of(
+                MembershipSystem.of(state),
+                SettingsSystem.of(state),
+                OwnershipSystem.of(
+                        state,
+                        (slice, fence) -> TablePlane.builder(state.config().seed())
+                                .lastAttempt(lastAttempt(fence))
+                                .build()),
+                WorkerSystem.of(state),
+                jobs,
+                submissions,
+                CancelSystem.of(state, commits, submissions),
+                JobQuerySystem.of(state),
+                CommitSystem.of(commits),
+                ClaimSystem.of(state),
+                AllotmentSystem.of(state),
+                PlacementSystem.of(state),
+                SlotSystem.of(state));
+    }
+
+    /** Returns a number above the attempts of all owners with lower fencing tokens. */
+    private static long lastAttempt(Fence fence) {
+        return (fence.epoch() << EPOCH_SHIFT_BITS) + (fence.counter() << COUNTER_SHIFT_BITS);
     }
 }
