Live requests name the team whose service is meant

Two teams may have services of one name on the same worker. Only the name went along, so the demo's second team was answered by the replica of the first: an answer of another team, seen as execution 2 of its first hold.

--- a/coordination/src/main/java/org/acaciafold/coordination/ClientReply.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ClientReply.java
@@ -8,6 +8,7 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.SliceId;
+import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
 
 /** The answer to a call. */
@@ -59,8 +60,9 @@
      * @param address where the worker takes live requests
      * @param fence the fencing token to send along
      * @param leaseSequence the sequence of the control lease to send along
+     * @param serviceTeam the team whose service it is
      */
-    record SlotGranted(long slot, WorkerId worker, String address, Fence fence, long leaseSequence)
+    record SlotGranted(long slot, WorkerId worker, String address, Fence fence, long leaseSequence, TeamId serviceTeam)
             implements ClientReply {}
 
     /**
--- a/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
@@ -117,7 +117,8 @@
                                 granted.worker(),
                                 link.requestAddress(),
                                 worker.fence(),
-                                link.leaseSequence()));
+                                link.leaseSequence(),
+                                granted.service().team()));
             }
             case SlotDecision.Refused refused -> {
                 Failure failure =
--- a/core/src/main/java/org/acaciafold/core/request/SlotDecision.java
+++ b/core/src/main/java/org/acaciafold/core/request/SlotDecision.java
@@ -17,8 +17,9 @@
      * @param call the number of the ask
      * @param slot the number of the slot
      * @param worker the worker
+     * @param service the service
      */
-    record Granted(long call, long slot, WorkerId worker) implements SlotDecision {}
+    record Granted(long call, long slot, WorkerId worker, ServiceKey service) implements SlotDecision {}
 
     /**
      * No slot is given.
--- a/core/src/main/java/org/acaciafold/core/request/SlotPlane.java
+++ b/core/src/main/java/org/acaciafold/core/request/SlotPlane.java
@@ -254,7 +254,7 @@
         held.put(slot.slot(), slot);
         byExpiry.add(slot);
         return new SlotDecision.Granted(
-                ask.call(), slot.slot(), replica.worker().id());
+                ask.call(), slot.slot(), replica.worker().id(), ask.service());
     }
 
     private boolean hasRoom(
--- a/standin/src/main/java/org/acaciafold/standin/HeldTask.java
+++ b/standin/src/main/java/org/acaciafold/standin/HeldTask.java
@@ -2,6 +2,7 @@
 
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.TaskId;
+import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.port.TaskPhase;
 import org.acaciafold.core.port.TaskView;
 
@@ -29,8 +30,11 @@
         this.endsMs = runMs == Long.MAX_VALUE ? Long.MAX_VALUE : nowMs + runMs;
     }
 
-    boolean answers(String service) {
-        return phase == TaskPhase.RUNNING && !draining && spec.name().equals(service);
+    boolean answers(TeamId team, String service) {
+        return phase == TaskPhase.RUNNING
+                && !draining
+                && spec.team().equals(team)
+                && spec.name().equals(service);
     }
 
     long attempt() {
--- a/standin/src/main/java/org/acaciafold/standin/LiveServer.java
+++ b/standin/src/main/java/org/acaciafold/standin/LiveServer.java
@@ -13,6 +13,7 @@
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Fence;
 import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -87,7 +88,7 @@
                 .aggregate()
                 .asByteArray()
                 .defaultIfEmpty(new byte[0])
-                .map(body -> work.holds() ? execute(header(request, "idempotency-key")) : body)
+                .map(body -> work.holds() ? execute(request) : body)
                 .delayElement(Duration.ofMillis(sleepMs))
                 .flatMap(body -> response.header("content-length", Integer.toString(body.length))
                         .sendByteArray(Mono.just(body))
@@ -109,8 +110,9 @@
         }
     }
 
-    private byte[] execute(String key) {
-        int count = executions.merge(key, 1, Integer::sum);
+    private byte[] execute(HttpServerRequest request) {
+        String key = header(request, "idempotency-key");
+        int count = executions.merge(header(request, "acaciafold-team") + "/" + key, 1, Integer::sum);
         return ("{\"key\":\"" + key + "\",\"execution\":" + count + "}").getBytes(StandardCharsets.UTF_8);
     }
 
@@ -128,6 +130,7 @@
         String service = path.split("[/?]", 2)[0];
         return new LiveCall(
                 header(request, "acaciafold-request"),
+                teamOf(request),
                 service,
                 fenceOf(header(request, "acaciafold-fence")),
                 numberOf(header(request, "acaciafold-lease")),
@@ -152,6 +155,11 @@
         }
     }
 
+    private static TeamId teamOf(HttpServerRequest request) {
+        String team = header(request, "acaciafold-team");
+        return TeamId.of(team.isBlank() ? "none" : team);
+    }
+
     private static String parameter(QueryStringDecoder query, String name, String otherwise) {
         return query.parameters().getOrDefault(name, List.of(otherwise)).getFirst();
     }
--- a/standin/src/main/java/org/acaciafold/standin/WorkerAgent.java
+++ b/standin/src/main/java/org/acaciafold/standin/WorkerAgent.java
@@ -99,7 +99,7 @@
     public Admission begin(LiveCall call, long nowMs) {
         advance(nowMs);
         Optional<Failure> refusal = refusal(call, nowMs);
-        Optional<HeldTask> replica = replicaOf(call.service());
+        Optional<HeldTask> replica = replicaOf(call);
         if (refusal.isPresent() || replica.isEmpty()) {
             Failure failure = refusal.orElseGet(() -> refused("no-replica", "no replica of " + call.service()));
             record(nowMs, JournalEntry.Kind.REQUEST_REFUSED, call.requestId(), 0, failure.code());
@@ -310,8 +310,8 @@
         }
     }
 
-    private Optional<HeldTask> replicaOf(String service) {
-        Predicate<HeldTask> answers = task -> task.answers(service);
+    private Optional<HeldTask> replicaOf(LiveCall call) {
+        Predicate<HeldTask> answers = task -> task.answers(call.team(), call.service());
         return tasks.values().stream().filter(answers).min((a, b) -> Integer.compare(a.requests(), b.requests()));
     }
 
--- a/standin/src/test/java/org/acaciafold/standin/StandinServerTest.java
+++ b/standin/src/test/java/org/acaciafold/standin/StandinServerTest.java
@@ -145,6 +145,7 @@
                 .headers(headers -> headers.set("acaciafold-fence", "1.0")
                         .set("acaciafold-lease", sent)
                         .set("acaciafold-request", "r1")
+                        .set("acaciafold-team", "t")
                         .set("idempotency-key", "k1"))
                 .post()
                 .uri("http://" + Listener.address(worker.get(1)) + "/v1/serve/shop/x")
--- a/standin/src/test/java/org/acaciafold/standin/WorkerAgentTest.java
+++ b/standin/src/test/java/org/acaciafold/standin/WorkerAgentTest.java
@@ -173,6 +173,14 @@
         assertEquals(2, agent.peak().slots());
     }
 
+    @Test
+    void shouldRefuseRequestWhenReplicaIsOfOtherTeam() {
+        long sequence = claim(OLD, A, 0, 0);
+        start(OLD, sequence, service(), 1, 0);
+        LiveCall call = new LiveCall("r", TeamId.of("other"), "shop", OLD, sequence, "");
+        assertRejected("no-replica", agent.begin(call, 1));
+    }
+
     @Test
     void shouldRefuseRequestWhenLeaseLapsed() {
         long sequence = claim(OLD, A, 0, 0);
@@ -190,7 +198,7 @@
     }
 
     private Admission request(long sequence, long nowMs) {
-        return agent.begin(new LiveCall("r", "shop", OLD, sequence, ""), nowMs);
+        return agent.begin(new LiveCall("r", TeamId.of("t"), "shop", OLD, sequence, ""), nowMs);
     }
 
     private static void assertRefused(String code, WorkerReply reply) {
