Tests of live requests against a worker that refuses, crosses, cuts and hangs

The fakes cut a response by an error of its body; closing the channel after the body had ended left the connection open until the deadline.

--- /dev/null
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/FakeCore.java
@@ -0,0 +1,72 @@
+package org.acaciafold.daemon.request;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.acaciafold.coordination.ClientCall;
+import org.acaciafold.coordination.ClientReply;
+import org.acaciafold.coordination.StoredOutcome;
+import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.daemon.CoreCalls;
+import reactor.core.publisher.Mono;
+
+/** A state machine that grants every slot, or answers as told, and records what it is asked. */
+final class FakeCore implements CoreCalls {
+    private final List<ClientCall> calls = new CopyOnWriteArrayList<>();
+    private final Deque<Mono<ClientReply>> slots = new ArrayDeque<>();
+    private final AtomicLong lastSlot = new AtomicLong();
+    private volatile Mono<ClientReply> claim = Mono.just(new ClientReply.Claimed());
+    private volatile String worker = "";
+
+    @Override
+    public Mono<ClientReply> call(ClientCall call) {
+        calls.add(call);
+        return switch (call) {
+            case ClientCall.AcquireSlot ignored -> nextSlot();
+            case ClientCall.Claim ignored -> claim;
+            case ClientCall.Settle ignored -> Mono.just(new ClientReply.Settled());
+            case ClientCall.ReleaseSlot ignored -> Mono.just(new ClientReply.Released());
+            default -> Mono.error(new IllegalStateException("unexpected " + call));
+        };
+    }
+
+    void answerClaims(Mono<ClientReply> reply) {
+        claim = reply;
+    }
+
+    synchronized void answerSlot(Mono<ClientReply> reply) {
+        slots.add(reply);
+    }
+
+    ClientReply grant(String address) {
+        return new ClientReply.SlotGranted(
+                lastSlot.incrementAndGet(), WorkerId.of("w"), address, Fence.of(3, 1), 7, TeamId.of("north"));
+    }
+
+    List<ClientCall.ReleaseSlot> releases() {
+        return calls.stream()
+                .filter(ClientCall.ReleaseSlot.class::isInstance)
+                .map(ClientCall.ReleaseSlot.class::cast)
+                .toList();
+    }
+
+    List<StoredOutcome> settled() {
+        return calls.stream()
+                .filter(ClientCall.Settle.class::isInstance)
+                .map(call -> ((ClientCall.Settle) call).outcome())
+                .toList();
+    }
+
+    void worker(String address) {
+        worker = address;
+    }
+
+    private synchronized Mono<ClientReply> nextSlot() {
+        return slots.isEmpty() ? Mono.fromSupplier(() -> grant(worker)) : slots.poll();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/FakeWorker.java
@@ -0,0 +1,107 @@
+package org.acaciafold.daemon.request;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.netty.buffer.Unpooled;
+import org.acaciafold.core.codec.Codec;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.Step;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** A worker that answers each request as told next, and by an echo when told nothing. */
+final class FakeWorker implements AutoCloseable {
+    /** How it answers. */
+    enum Way {
+        ECHO,
+        FAIL,
+        REFUSE,
+        CROSS,
+        CUT,
+        CLOSE,
+        SLEEP
+    }
+
+    private final Deque<Way> ways = new ArrayDeque<>();
+    private final List<String> bodies = new CopyOnWriteArrayList<>();
+    private final List<String> fences = new CopyOnWriteArrayList<>();
+    private final DisposableServer server =
+            HttpServer.create().host("127.0.0.1").port(0).handle(this::serve).bindNow();
+
+    @Override
+    public void close() {
+        server.disposeNow();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.port();
+    }
+
+    synchronized void answer(Way... next) {
+        ways.addAll(List.of(next));
+    }
+
+    /** The bodies of the requests that it ran or cut. */
+    List<String> bodies() {
+        return bodies;
+    }
+
+    List<String> fences() {
+        return fences;
+    }
+
+    private Mono<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+        Way way = next();
+        String id = request.requestHeaders().get("acaciafold-request");
+        fences.add(request.requestHeaders().get("acaciafold-fence") + "/"
+                + request.requestHeaders().get("acaciafold-lease"));
+        response.header("acaciafold-request", way == Way.CROSS ? "other" : id);
+        return request.receive().aggregate().asString().defaultIfEmpty("").flatMap(body -> answer(way, body, response));
+    }
+
+    private Mono<Void> answer(Way way, String body, HttpServerResponse response) {
+        if (way == Way.REFUSE) {
+            Failure failure = Failure.notRun(Step.WORKER, "w", "no-slot", "full");
+            return response.status(503)
+                    .header("acaciafold-outcome", "not-run")
+                    .sendByteArray(Mono.just(Codec.json().encode(failure, Failure.class)))
+                    .then();
+        }
+        bodies.add(body);
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return switch (way) {
+            case ECHO, CROSS ->
+                response.header("content-length", Integer.toString(bytes.length))
+                        .sendByteArray(Mono.just(bytes))
+                        .then();
+            case FAIL -> response.status(500).send();
+            case SLEEP -> Mono.delay(Duration.ofSeconds(20)).then(response.send());
+            case CLOSE ->
+                Mono.fromRunnable(() -> response.withConnection(
+                        connection -> connection.channel().close()));
+            case CUT ->
+                response.header("content-length", "1000")
+                        .send(
+                                Flux.concat(
+                                        Mono.just(Unpooled.wrappedBuffer(new byte[500])),
+                                        Mono.error(new IOException("the worker cuts its response"))),
+                                part -> true)
+                        .then();
+            case REFUSE -> throw new IllegalStateException("answered above");
+        };
+    }
+
+    private synchronized Way next() {
+        return ways.isEmpty() ? Way.ECHO : ways.poll();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
@@ -0,0 +1,275 @@
+package org.acaciafold.daemon.request;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.acaciafold.coordination.ClientReply;
+import org.acaciafold.coordination.StoredOutcome;
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.core.model.DomainId;
+import org.acaciafold.core.model.Failure;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.Outcome;
+import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.daemon.HostMetrics;
+import org.acaciafold.daemon.HostSnapshot;
+import org.acaciafold.daemon.RequestContext;
+import org.acaciafold.daemon.RequestPlane;
+import org.acaciafold.daemon.Tracing;
+import org.acaciafold.settings.HostAddresses;
+import org.acaciafold.settings.HostSettings;
+import org.acaciafold.settings.HostTimings;
+import org.acaciafold.settings.KeyHash;
+import org.acaciafold.settings.Observation;
+import org.acaciafold.settings.TraceExport;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+class LiveRequestsTest {
+    private static final int MAX_BODY_BYTES = 1_000_000;
+    private static final StoredOutcome FIRST =
+            new StoredOutcome(Outcome.RAN, 200, "text/plain", "first".getBytes(StandardCharsets.UTF_8));
+
+    private final FakeCore core = new FakeCore();
+    private final FakeWorker worker = new FakeWorker();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private Optional<TeamId> team = Optional.of(TeamId.of("north"));
+    private DisposableServer entry;
+
+    @BeforeEach
+    void start() {
+        core.worker(worker.address());
+        RequestPlane plane = LiveRequestPlane.create(context());
+        entry = HttpServer.create()
+                .host("127.0.0.1")
+                .port(0)
+                .handle((request, response) -> plane.live().handle(request, response, team))
+                .bindNow();
+    }
+
+    @AfterEach
+    void stop() {
+        entry.disposeNow();
+        worker.close();
+        client.close();
+    }
+
+    // -- handle
+
+    @ParameterizedTest
+    @CsvSource({"0", "5", "300000", "900000"})
+    void shouldReturnWholeBodyWhenReplicaEchoes(int length) throws Exception {
+        String body = "x".repeat(length);
+        HttpResponse<String> response = send("POST", body, Map.of());
+        assertEquals(200, response.statusCode());
+        assertEquals(body, response.body());
+        assertEquals("ran", outcome(response));
+        assertEquals(List.of("3.1/7"), worker.fences());
+        awaitReleases(1);
+        assertTrue(core.releases().getFirst().ended());
+    }
+
+    static Stream<Arguments> attempts() {
+        return Stream.of(
+                arguments("POST", "FAIL", 500, "ran", 1),
+                arguments("POST", "REFUSE ECHO", 200, "ran", 1),
+                arguments("POST", "REFUSE REFUSE REFUSE REFUSE", 502, "not-run", 0),
+                arguments("POST", "CLOSE", 502, "unknown", 1),
+                arguments("POST", "CROSS", 502, "unknown", 1),
+                arguments("GET", "CLOSE ECHO", 200, "ran", 2),
+                arguments("GET", "CROSS ECHO", 200, "ran", 2),
+                arguments("GET", "CLOSE REFUSE REFUSE REFUSE", 502, "unknown", 1));
+    }
+
+    @ParameterizedTest
+    @MethodSource("attempts")
+    void shouldTellTrueOutcomeWhenWorkerMisbehaves(String method, String ways, int status, String outcome, int ran)
+            throws Exception {
+        FakeWorker.Way[] next =
+                Arrays.stream(ways.split(" ")).map(FakeWorker.Way::valueOf).toArray(FakeWorker.Way[]::new);
+        worker.answer(next);
+        HttpResponse<String> response = send(method, method.equals("GET") ? "" : "body", Map.of());
+        assertEquals(status, response.statusCode());
+        assertEquals(outcome, outcome(response));
+        assertEquals(ran, worker.bodies().size());
+        awaitReleases(next.length);
+    }
+
+    @Test
+    void shouldNotSayNotRunWhenBodyStreamWasCutInTheWorker() throws Exception {
+        worker.answer(FakeWorker.Way.CUT);
+        assertThrows(IOException.class, () -> send("POST", "body", Map.of()));
+        awaitReleases(1);
+        assertEquals(false, core.releases().getFirst().ended());
+    }
+
+    @Test
+    void shouldSayNotRunWhenNobodyListens() throws Exception {
+        try (ServerSocket closed = new ServerSocket(0)) {
+            core.worker("127.0.0.1:" + closed.getLocalPort());
+        }
+        HttpResponse<String> response = send("POST", "body", Map.of());
+        assertEquals("not-run", outcome(response));
+        assertEquals(502, response.statusCode());
+    }
+
+    @Test
+    void shouldAnswerAtDeadlineWhenWorkerSleeps() throws Exception {
+        worker.answer(FakeWorker.Way.SLEEP);
+        HttpResponse<String> response = send("POST", "body", Map.of("Acaciafold-Deadline-Ms", "200"));
+        assertEquals(504, response.statusCode());
+        assertEquals("unknown", outcome(response));
+        assertTrue(response.headers().firstValue("retry-after").isPresent());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"queue-full, 429", "too-busy, 503", "deadline, 504", "other-team, 403"})
+    void shouldNotTryAgainWhenAdmissionRefuses(String code, int status) throws Exception {
+        Failure failure = Failure.notRun(Step.ADMISSION, "h", code, "no");
+        core.answerSlot(Mono.just(new ClientReply.Failed(failure)));
+        HttpResponse<String> response = send("POST", "body", Map.of());
+        assertEquals(status, response.statusCode());
+        assertEquals("not-run", outcome(response));
+        assertEquals(0, worker.bodies().size());
+    }
+
+    @Test
+    void shouldStopRetryingWhenBudgetIsSpent() throws Exception {
+        worker.answer(Collections.nCopies(200, FakeWorker.Way.REFUSE).toArray(FakeWorker.Way[]::new));
+        for (int request = 0; request < 25; request++) {
+            send("POST", "body", Map.of());
+        }
+        int retries = worker.fences().size() - 25;
+        assertTrue(retries >= 20 && retries <= 25, "retries: " + retries);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"Acaciafold-Deadline-Ms, soon, 400", "Acaciafold-Deadline-Ms, 0, 400", "Idempotency-Key, a/b, 400"})
+    void shouldRefuseWhenHeaderIsMalformed(String name, String value, int status) throws Exception {
+        assertEquals(status, send("POST", "body", Map.of(name, value)).statusCode());
+    }
+
+    @Test
+    void shouldRefuseWhenCallerHasNoKeyAndServiceIsNotOpen() throws Exception {
+        team = Optional.empty();
+        assertEquals(401, send("POST", "body", Map.of()).statusCode());
+    }
+
+    @Test
+    void shouldRefuseWhenBodyIsTooLong() throws Exception {
+        assertEquals(413, send("POST", "x".repeat(MAX_BODY_BYTES + 1), Map.of()).statusCode());
+        assertEquals(0, worker.bodies().size());
+    }
+
+    // -- idempotency
+
+    static Stream<Arguments> claims() {
+        Failure down = Failure.notRun(Step.CLAIM, "table", "claim-unavailable", "no");
+        return Stream.of(
+                arguments(new ClientReply.Claimed(), 200, "ran", "body", 1),
+                arguments(new ClientReply.Repeated(Optional.of(FIRST)), 200, "ran", "first", 0),
+                arguments(new ClientReply.Repeated(Optional.empty()), 503, "unknown", "", 0),
+                arguments(new ClientReply.Failed(down), 503, "not-run", "", 0));
+    }
+
+    @ParameterizedTest
+    @MethodSource("claims")
+    void shouldRunOnlyWhenKeyIsClaimed(ClientReply claim, int status, String outcome, String body, int ran)
+            throws Exception {
+        core.answerClaims(Mono.just(claim));
+        HttpResponse<String> response = send("POST", "body", Map.of("Idempotency-Key", "k"));
+        assertEquals(status, response.statusCode());
+        assertEquals(outcome, outcome(response));
+        assertEquals(ran, worker.bodies().size());
+        if (!body.isEmpty()) {
+            assertEquals(body, response.body());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"ECHO, RAN, 200", "FAIL, RAN, 500", "CLOSE, UNKNOWN, 0", "CUT, RAN, 200"})
+    void shouldSettleFirstOutcomeWhenClaimed(FakeWorker.Way way, Outcome outcome, int status) throws Exception {
+        worker.answer(way);
+        try {
+            send("POST", "body", Map.of("Idempotency-Key", "k"));
+        } catch (IOException e) {
+            assertEquals(FakeWorker.Way.CUT, way);
+        }
+        Awaitility.await().until(() -> core.settled().size() == 1);
+        assertEquals(outcome, core.settled().getFirst().outcome());
+        assertEquals(status, core.settled().getFirst().status());
+        assertEquals(1, worker.bodies().size());
+    }
+
+    @Test
+    void shouldSettleAsNotRunWhenClaimComesAfterDeadline() throws Exception {
+        core.answerClaims(Mono.delay(Duration.ofMillis(400)).<ClientReply>map(tick -> new ClientReply.Claimed()));
+        HttpResponse<String> response =
+                send("POST", "body", Map.of("Idempotency-Key", "k", "Acaciafold-Deadline-Ms", "100"));
+        assertEquals("not-run", outcome(response));
+        Awaitility.await().until(() -> core.settled().size() == 1);
+        assertEquals(Outcome.NOT_RUN, core.settled().getFirst().outcome());
+        assertEquals(0, worker.bodies().size());
+    }
+
+    private void awaitReleases(int count) {
+        Awaitility.await().until(() -> core.releases().size() == count);
+    }
+
+    private RequestContext context() {
+        HostSettings settings = new HostSettings(
+                HostId.of("h"),
+                DomainId.of("d"),
+                new HostAddresses("", "", "", ""),
+                "",
+                new KeyHash("", "", ""),
+                new HostTimings(1, 1, 1, 1, 1),
+                new Observation(false, TraceExport.NONE, ""),
+                MAX_BODY_BYTES);
+        return new RequestContext(
+                settings, core, null, HostSnapshot::empty, HostMetrics.create(), Tracing.none(), Clock.system());
+    }
+
+    private HttpResponse<String> send(String method, String body, Map<String, String> headers)
+            throws IOException, InterruptedException {
+        HttpRequest.BodyPublisher content =
+                body.isEmpty() ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body);
+        HttpRequest.Builder request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + entry.port() + "/v1/services/shop/x?y=1"))
+                .timeout(Duration.ofSeconds(15))
+                .method(method, content);
+        headers.forEach(request::header);
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static String outcome(HttpResponse<?> response) {
+        return response.headers().firstValue("acaciafold-outcome").orElse("");
+    }
+}
--- a/standin/src/main/java/org/acaciafold/standin/LiveServer.java
+++ b/standin/src/main/java/org/acaciafold/standin/LiveServer.java
@@ -1,11 +1,13 @@
 package org.acaciafold.standin;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.acaciafold.core.codec.Codec;
@@ -98,10 +100,9 @@
     private Mono<Void> cut(HttpServerResponse response) {
         byte[] half = new byte[CUT_BYTES / 2];
         response.header("content-length", Integer.toString(CUT_BYTES));
-        return response.send(Mono.just(Unpooled.wrappedBuffer(half)), part -> true)
-                .then()
-                .doFinally(signal -> response.withConnection(
-                        connection -> connection.channel().close()));
+        Flux<ByteBuf> body = Flux.concat(
+                Mono.just(Unpooled.wrappedBuffer(half)), Mono.error(new IOException("the response is cut as asked")));
+        return response.send(body, part -> true).then();
     }
 
     private void end(long number) {
