--- /dev/null
+++ b/coordination/src/test/java/org/acaciafold/coordination/SettingsFuzzTest.java
@@ -0,0 +1,213 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.acaciafold.core.model.Outcome;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Random faults against an oracle that knows only what operators were told and what is in force at each host.
+ */
+class SettingsFuzzTest {
+    private static final int HOSTS = 4;
+    private static final long IN_FORCE_WITHIN_MS = 14_000;
+    private static final long OUTAGE_END_MS = 4_000;
+
+    enum Kind {
+        EDIT,
+        REPEAT,
+        CUT,
+        JOIN,
+        PAUSE,
+        RESUME,
+        RESTART,
+        TABLE_DOWN,
+        TABLE_UP,
+        LOSE_ANSWERS,
+        STALE_READS,
+        FRESH_READS
+    }
+
+    record Action(Kind kind, int host, int subtree, int runMs) {}
+
+    // -- EditSettings
+
+    @Property(tries = 150, seed = "20")
+    void shouldKeepWhatOperatorsWereToldWhenFaultsOccur(@ForAll("actions") List<Action> actions) {
+        Run run = new Run();
+        for (Action action : actions) {
+            run.act(action);
+        }
+        run.heal();
+    }
+
+    @Provide
+    Arbitrary<List<Action>> actions() {
+        Arbitrary<Kind> kinds = Arbitraries.frequencyOf(
+                Tuple.of(4, Arbitraries.of(Kind.EDIT)), Tuple.of(6, Arbitraries.of(Kind.class)));
+        return Combinators.combine(
+                        kinds,
+                        Arbitraries.integers().between(0, HOSTS - 1),
+                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.of(0, 10, 20, 50, 200, 1_000, 5_000))
+                .as(Action::new)
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(60);
+    }
+
+    /** One case: the fleet, and what operators were told. */
+    private static final class Run {
+        private final TestFleet fleet = new TestFleet();
+        private final Map<Long, ClientCall.EditSettings> sent = new HashMap<>();
+        private final Map<String, Set<Outcome>> outcomes = new HashMap<>();
+        private final Map<String, Long> written = new HashMap<>();
+        private final Set<String> accepted = new HashSet<>();
+        private final Set<String> bases = new HashSet<>();
+        private final Map<TestHost, Long> versions = new HashMap<>();
+        private final List<ClientCall.EditSettings> edits = new ArrayList<>();
+
+        Run() {
+            for (int i = 0; i < HOSTS; i++) {
+                fleet.start("h" + i, "d" + i % 2);
+            }
+            fleet.run(1_000);
+        }
+
+        void act(Action action) {
+            String host = "h" + action.host();
+            switch (action.kind()) {
+                case EDIT -> edit(host, action.subtree());
+                case REPEAT -> repeat(host);
+                case CUT -> fleet.cut(host, true);
+                case JOIN -> fleet.cut(host, false);
+                case PAUSE -> fleet.pause(host, true);
+                case RESUME -> fleet.pause(host, false);
+                case RESTART -> fleet.start(host, "d" + action.host() % 2);
+                case TABLE_DOWN -> fleet.table().down(true);
+                case TABLE_UP -> fleet.table().down(false);
+                case LOSE_ANSWERS -> fleet.table().loseCommitAnswers(1 + action.subtree());
+                case STALE_READS -> fleet.table().stale(true);
+                case FRESH_READS -> fleet.table().stale(false);
+                default -> throw new IllegalStateException("unknown " + action.kind());
+            }
+            pass(action.runMs());
+        }
+
+        void heal() {
+            fleet.table().down(false);
+            fleet.table().stale(false);
+            fleet.table().loseCommitAnswers(0);
+            for (int i = 0; i < HOSTS; i++) {
+                fleet.cut("h" + i, false);
+                fleet.pause("h" + i, false);
+            }
+            pass(OUTAGE_END_MS);
+            pass(IN_FORCE_WITHIN_MS);
+            long version = fleet.table()
+                    .row(SettingsRows.HEAD)
+                    .map(row -> row.version())
+                    .orElse(0L);
+            for (TestHost host : fleet.hosts().values()) {
+                assertTrue(host.state().registered(), host.id() + " is not registered");
+                assertEquals(version, host.version(), host.id() + " lags");
+            }
+            written.forEach((edit, at) -> assertEquals(
+                    new ClientReply.EditState(edit, at, true, List.of()),
+                    fleet.call("h0", new ClientCall.QueryEdit(edit))));
+            outcomes.forEach((edit, seen) -> {
+                boolean refused = seen.equals(Set.of(Outcome.NOT_RUN));
+                assertTrue(
+                        !refused || fleet.table().row(SettingsRows.edit(edit)).isEmpty(), edit + " was written");
+            });
+        }
+
+        private void check() {
+            for (TestHost host : fleet.hosts().values()) {
+                long before = versions.getOrDefault(host, 0L);
+                assertTrue(host.version() >= before, host.id() + " went back");
+                versions.put(host, host.version());
+                for (String edit : accepted) {
+                    assertTrue(
+                            !host.state().registered() || host.version() >= written.get(edit),
+                            edit + " was accepted without " + host.id());
+                }
+            }
+        }
+
+        private void edit(String host, int subtree) {
+            String path = "domain/x" + subtree;
+            long expected = fleet.table()
+                    .row(SettingsRows.subtree(path))
+                    .map(row -> row.version())
+                    .orElse(0L);
+            String text = "[domain]\nslices = " + (1 + edits.size() % 9) + "\n";
+            ClientCall.EditSettings edit =
+                    new ClientCall.EditSettings("e" + edits.size(), path, expected, Optional.of(text));
+            edits.add(edit);
+            sent.put(fleet.send(host, edit), edit);
+        }
+
+        private void learn(ClientCall.EditSettings edit, ClientReply reply) {
+            Outcome outcome =
+                    switch (reply) {
+                        case ClientReply.EditState state -> {
+                            learnWritten(edit, state);
+                            yield Outcome.RAN;
+                        }
+                        case ClientReply.EditConflict ignored -> Outcome.NOT_RUN;
+                        case ClientReply.Failed failed -> failed.failure().outcome();
+                        default -> throw new IllegalStateException("unexpected " + reply);
+                    };
+            outcomes.computeIfAbsent(edit.editId(), id -> new HashSet<>()).add(outcome);
+        }
+
+        private void learnWritten(ClientCall.EditSettings edit, ClientReply.EditState state) {
+            Long before = written.put(edit.editId(), state.version());
+            if (before == null) {
+                assertTrue(bases.add(edit.subtree() + "@" + edit.expected()), "two edits won over one version");
+            } else {
+                assertEquals(before, state.version(), "an edit was written twice");
+            }
+            if (state.accepted()) {
+                accepted.add(edit.editId());
+            }
+        }
+
+        private void pass(long ms) {
+            for (long passed = 0; passed <= ms; passed += TestFleet.STEP_MS) {
+                fleet.run(TestFleet.STEP_MS);
+                sent.entrySet().removeIf(entry -> {
+                    ClientReply reply = fleet.reply(entry.getKey());
+                    if (reply != null) {
+                        learn(entry.getValue(), reply);
+                    }
+                    return reply != null;
+                });
+                check();
+            }
+        }
+
+        private void repeat(String host) {
+            if (!edits.isEmpty()) {
+                ClientCall.EditSettings edit = edits.getLast();
+                sent.put(fleet.send(host, edit), edit);
+            }
+        }
+    }
+}
