--- a/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
@@ -203,7 +203,7 @@
     public static final class Builder {
         private final HostSettings settings;
         private PlatformClients clients;
-        private RequestPlane.Factory requestPlane;
+        private RequestPlane.Factory requestPlane = LiveRequestPlane::create;
         private Clock clock = Clock.system();
 
         private Builder(HostSettings settings) {
