--- a/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
@@ -45,7 +45,7 @@
     private static final Duration LIMIT = Duration.ofSeconds(20);
     private static final ClientCall QUERY = new ClientCall.QueryEdit("e1");
     private static final ClientReply.SlotGranted GRANTED =
-            new ClientReply.SlotGranted(7, WorkerId.of("w1"), "127.0.0.1:1", Fence.of(1, 0), 1);
+            new ClientReply.SlotGranted(7, WorkerId.of("w1"), "127.0.0.1:1", Fence.of(1, 0), 1, TeamId.of("north"));
 
     private final ScriptedMachine machine = new ScriptedMachine();
     private final RecordingTransport transport = new RecordingTransport();
