--- a/daemon/src/main/java/org/acaciafold/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/LogSetup.java
@@ -23,7 +23,13 @@
      */
     public static void apply(Observation observation) {
         ILoggerFactory factory = LoggerFactory.getILoggerFactory();
-        if (!observation.jsonLogs() || !(factory instanceof LoggerContext context)) {
+        if (factory instanceof LoggerContext context) {
+            apply(observation, context);
+        }
+    }
+
+    static void apply(Observation observation, LoggerContext context) {
+        if (!observation.jsonLogs()) {
             return;
         }
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
--- a/daemon/src/test/java/org/acaciafold/daemon/TestHost.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/TestHost.java
@@ -34,11 +34,12 @@
     private static final WorkerView WORKER =
             new WorkerView(Resources.of(32_000, 128 * 1024, 0), "rack-1", 8, 64, 0, false, List.of());
 
-    final FakeTable table = new FakeTable();
+    final FakeTable table;
     final EntryHost host;
     private final AtomicLong leases = new AtomicLong();
 
-    private TestHost(RequestPlane.Factory plane) throws AcaciafoldException {
+    private TestHost(FakeTable table, RequestPlane.Factory plane) throws AcaciafoldException {
+        this.table = table;
         HostList list = new HostList(List.of(entry(ID.value(), HostRole.ENTRY), entry("w1", HostRole.WORKER)));
         PlatformClients clients = new PlatformClients(
                 table, () -> Mono.just(list), (address, command) -> Mono.fromSupplier(() -> command(command)));
@@ -49,7 +50,11 @@
     }
 
     static TestHost start(RequestPlane.Factory plane) throws AcaciafoldException {
-        return new TestHost(plane);
+        return start(new FakeTable(), plane);
+    }
+
+    static TestHost start(FakeTable table, RequestPlane.Factory plane) throws AcaciafoldException {
+        return new TestHost(table, plane);
     }
 
     static HostSettings settings(String callers) {
