Silent peers are found by unanswered pings; a quiet state machine ticks less often

Ticks without events follow after 20 ms while calls wait or the last tick decided something, else after 100 ms.

--- a/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
@@ -32,12 +32,14 @@
 /**
  * Runs the state machine on one thread of its own: feeds it events, ticks it and has its effects carried out.
  *
- * <p>A tick follows promptly after each event, and after {@value #TICK_MS} ms without one. An exception of the state
- * machine ends it, because its tables may then be half written: its leases lapse and another entry host takes over.
+ * <p>A tick follows promptly after each event. Without events it follows after {@value #TICK_MS} ms while calls wait or
+ * the last tick decided something, else after {@value #QUIET_TICKS} times as long. An exception of the state machine ends
+ * it, because its tables may then be half written: its leases lapse and another entry host takes over.
  */
 public final class CoreLoop implements CoreCalls {
     private static final Logger LOG = LoggerFactory.getLogger(CoreLoop.class);
     private static final long TICK_MS = 20;
+    private static final int QUIET_TICKS = 5;
     private static final int EVENTS_PER_TICK = 4_096;
     private static final int INBOX_LIMIT = 20_000;
     private static final long REPLY_LIMIT_MS = 30_000;
@@ -54,6 +56,8 @@
     private final AtomicLong lastCall = new AtomicLong();
     private final Map<Long, MonoSink<ClientReply>> waiting = new ConcurrentHashMap<>();
     private final Sinks.Empty<Void> stopped = Sinks.empty();
+    private int quietTicks;
+    private boolean decided;
     private volatile HostSnapshot snapshot = HostSnapshot.empty();
     private volatile List<HostEntry> hosts = List.of();
 
@@ -74,7 +78,7 @@
     static CoreLoop start(StateMachine core, EffectRunner effects, HostMetrics metrics) {
         CoreLoop loop = new CoreLoop(core, effects, metrics);
         metrics.watch(loop);
-        loop.thread.schedulePeriodically(loop::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+        loop.thread.schedulePeriodically(loop::tickWhenDue, 0, TICK_MS, TimeUnit.MILLISECONDS);
         return loop;
     }
 
@@ -231,10 +235,12 @@
             return;
         }
         tickDue.set(false);
+        quietTicks = 0;
         long startNanos = System.nanoTime();
         try {
             List<Effect> outcome = core.tick(drain());
             snapshot = core.snapshot(hosts);
+            decided = !outcome.isEmpty();
             outcome.forEach(this::carryOut);
         } catch (RuntimeException e) {
             fail(e);
@@ -242,6 +248,13 @@
         metrics.tick(Duration.ofNanos(System.nanoTime() - startNanos));
     }
 
+    private void tickWhenDue() {
+        quietTicks++;
+        if (decided || !waiting.isEmpty() || quietTicks >= QUIET_TICKS) {
+            tick();
+        }
+    }
+
     private void wake() {
         if (!tickDue.compareAndSet(false, true)) {
             return;
--- a/wire/src/main/java/org/acaciafold/wire/Link.java
+++ b/wire/src/main/java/org/acaciafold/wire/Link.java
@@ -26,13 +26,12 @@
  */
 final class Link extends SimpleChannelInboundHandler<ByteBuf> {
     private static final Logger LOG = LoggerFactory.getLogger(Link.class);
-    private static final long PROOF_TIMEOUT_MS = 5_000;
-    private static final long PING_INTERVAL_MS = 2_000;
     private static final int MAX_SILENT_INTERVALS = 3;
 
     private final Channel channel;
     private final FrameDecoder decoder;
     private final WireCounters counters;
+    private final LinkTimings timings;
     private final String peer;
     private final LinkListener listener;
     private ScheduledFuture<?> watch;
@@ -41,10 +40,16 @@
     private boolean heard;
     private int silentIntervals;
 
-    private Link(Channel channel, FrameDecoder decoder, WireCounters counters, Function<Link, LinkListener> listener) {
+    private Link(
+            Channel channel,
+            FrameDecoder decoder,
+            WireCounters counters,
+            LinkTimings timings,
+            Function<Link, LinkListener> listener) {
         this.channel = channel;
         this.decoder = decoder;
         this.counters = counters;
+        this.timings = timings;
         this.peer = name(channel.remoteAddress());
         this.listener = listener.apply(this);
     }
@@ -54,12 +59,14 @@
      *
      * @param connection the connection
      * @param counters where bytes and rejected peers are counted
+     * @param timings how long it waits for the peer
      * @param listener creates the listener of the link
      * @return the link
      */
-    static Link attach(Connection connection, WireCounters counters, Function<Link, LinkListener> listener) {
+    static Link attach(
+            Connection connection, WireCounters counters, LinkTimings timings, Function<Link, LinkListener> listener) {
         FrameDecoder decoder = new FrameDecoder();
-        Link link = new Link(connection.channel(), decoder, counters, listener);
+        Link link = new Link(connection.channel(), decoder, counters, timings, listener);
         connection.addHandlerLast("frames", decoder).addHandlerLast("link", link);
         connection.channel().config().setAutoRead(true);
         link.execute(link::startWatch);
@@ -215,9 +222,9 @@
                         reject(failure("proof-timeout", "the peer has not proven the cluster secret in time"));
                     }
                 },
-                PROOF_TIMEOUT_MS);
-        watch = channel.eventLoop()
-                .scheduleWithFixedDelay(this::watchSilence, PING_INTERVAL_MS, PING_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                timings.proofTimeoutMs());
+        long everyMs = timings.silenceCheckMs();
+        watch = channel.eventLoop().scheduleWithFixedDelay(this::watchSilence, everyMs, everyMs, TimeUnit.MILLISECONDS);
     }
 
     private void take(Frame frame) throws AcaciafoldException {
--- a/wire/src/main/java/org/acaciafold/wire/PeerLink.java
+++ b/wire/src/main/java/org/acaciafold/wire/PeerLink.java
@@ -100,6 +100,7 @@
                     .doOnConnected(connection -> Link.attach(
                             connection,
                             context.counters(),
+                            context.timings(),
                             link -> ClientSession.open(
                                     link, context.self(), context.secret(), this::attach, this::lost)))
                     .connect()
@@ -185,6 +186,7 @@
      * @param secret the secret of its cluster
      * @param clock the clock of the process
      * @param counters where frames and dropped messages are counted
+     * @param timings how long a connection waits for its peer
      */
-    record Context(HostId self, ClusterSecret secret, Clock clock, WireCounters counters) {}
+    record Context(HostId self, ClusterSecret secret, Clock clock, WireCounters counters, LinkTimings timings) {}
 }
--- a/wire/src/main/java/org/acaciafold/wire/PeerServer.java
+++ b/wire/src/main/java/org/acaciafold/wire/PeerServer.java
@@ -60,6 +60,17 @@
     public static PeerServer start(
             String address, WireIdentity self, WireCounters counters, PeerHandler peers, RelayHandler relays)
             throws AcaciafoldException {
+        return start(address, self, counters, LinkTimings.DEFAULT, peers, relays);
+    }
+
+    static PeerServer start(
+            String address,
+            WireIdentity self,
+            WireCounters counters,
+            LinkTimings timings,
+            PeerHandler peers,
+            RelayHandler relays)
+            throws AcaciafoldException {
         InetSocketAddress socket = Addresses.parse(address);
         PeerServer server = new PeerServer(self.host(), ClusterSecret.of(self.secret()), peers, relays);
         try {
@@ -67,8 +78,8 @@
                     .bindAddress(() -> socket)
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, SEND_BUFFER)
-                    .doOnConnection(connection ->
-                            server.links.add(Link.attach(connection, counters, link -> ServerSession.of(link, server))))
+                    .doOnConnection(connection -> server.links.add(
+                            Link.attach(connection, counters, timings, link -> ServerSession.of(link, server))))
                     .bindNow();
         } catch (RuntimeException e) {
             String message = "cannot listen for peers: " + e.getMessage();
--- a/wire/src/main/java/org/acaciafold/wire/TcpPeerTransport.java
+++ b/wire/src/main/java/org/acaciafold/wire/TcpPeerTransport.java
@@ -35,8 +35,13 @@
      */
     public static TcpPeerTransport create(WireIdentity self, Clock clock, WireCounters counters)
             throws AcaciafoldException {
+        return create(self, clock, counters, LinkTimings.DEFAULT);
+    }
+
+    static TcpPeerTransport create(WireIdentity self, Clock clock, WireCounters counters, LinkTimings timings)
+            throws AcaciafoldException {
         return new TcpPeerTransport(
-                new PeerLink.Context(self.host(), ClusterSecret.of(self.secret()), clock, counters));
+                new PeerLink.Context(self.host(), ClusterSecret.of(self.secret()), clock, counters, timings));
     }
 
     @Override
--- a/wire/src/test/java/org/acaciafold/wire/PeerServerTest.java
+++ b/wire/src/test/java/org/acaciafold/wire/PeerServerTest.java
@@ -132,6 +132,22 @@
         assertEquals(List.of("peer:whole"), messages);
     }
 
+    @Test
+    void shouldRejectTheConnectionWhenTheProofDoesNotCome() throws Exception {
+        PeerServer impatient = PeerServer.start(
+                "127.0.0.1:0",
+                new WireIdentity(SELF, SECRET),
+                counters,
+                new LinkTimings(50, 2_000),
+                (from, bytes) -> {},
+                request -> Mono.never());
+        try (RawPeer peer = RawPeer.connect(impatient.address())) {
+            assertTrue(peer.closedByPeer());
+        }
+        assertEquals(1, counters.rejectedConnections());
+        impatient.stop(Duration.ZERO).block();
+    }
+
     @Test
     void shouldDropAndCountWhenAFrameBelongsToNoRequest() throws Exception {
         try (RawPeer peer = RawPeer.connect(server.address())) {
--- a/wire/src/test/java/org/acaciafold/wire/TcpPeerTransportTest.java
+++ b/wire/src/test/java/org/acaciafold/wire/TcpPeerTransportTest.java
@@ -320,6 +320,44 @@
         }
     }
 
+    @Test
+    void shouldCloseTheConnectionWhenThePeerIsSilent() throws Exception {
+        TcpPeerTransport impatient = TcpPeerTransport.create(
+                new WireIdentity(HostId.of("client"), SECRET), Clock.system(), counters, new LinkTimings(5_000, 50));
+        try (ServerSocket socket = serverSocket()) {
+            String address = "127.0.0.1:" + socket.getLocalPort();
+            Mono<RelayResponse> call = impatient
+                    .relay(address, new RelayRequest(head("silent"), Flux.empty()))
+                    .cache();
+            call.subscribe(response -> {}, error -> {});
+            try (RawPeer peer = RawPeer.accept(socket)) {
+                peer.welcome(SERVER, ClusterSecret.of(SECRET));
+                peer.readRequest();
+
+                Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
+
+                assertEquals("peer-silent", failure(Exceptions.unwrap(error)).code());
+                assertTrue(peer.closedByPeer());
+            }
+        }
+        impatient.close().block(LIMIT);
+    }
+
+    @Test
+    void shouldKeepTheConnectionWhenAnIdlePeerAnswersPings() throws Exception {
+        LinkTimings timings = new LinkTimings(5_000, 20);
+        TcpPeerTransport impatient = TcpPeerTransport.create(
+                new WireIdentity(HostId.of("client"), SECRET), Clock.system(), counters, timings);
+        handler = request -> Mono.delay(Duration.ofMillis(500)).then(echo(request));
+
+        RelayResponse response = impatient
+                .relay(server.address(), new RelayRequest(head("slow"), Flux.empty()))
+                .block(LIMIT);
+
+        assertEquals("slow", response.head().requestId());
+        impatient.close().block(LIMIT);
+    }
+
     // -- send
 
     @Test
