Oracle: an earlier limit accepted late does not replace a later one

Seen: FuzzTest, t2 above 2 cores. Trace: edit-4 (2 cores) and edit-5 (29 cores) both took effect, in this order; the caller heard of edit-5 first, and the oracle then fell back to the limit of edit-4. The case is allowed: the tree holds 29.

--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Oracle.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Oracle.java
@@ -22,6 +22,7 @@
     private final List<String> violations = new ArrayList<>();
     private final Map<TeamId, Resources> limits = new TreeMap<>();
     private final Map<TeamId, TreeMap<Long, Resources>> pendingLimits = new HashMap<>();
+    private final Map<TeamId, Long> acceptedOrder = new HashMap<>();
     private final Map<String, Integer> executions = new TreeMap<>();
     private final Map<String, Long> returnsSent = new HashMap<>();
     private final Set<String> takenOut = new HashSet<>();
@@ -100,7 +101,10 @@
 
     /** Notes that a limit was accepted; those sent before it are no longer in force. */
     void limitAccepted(TeamId team, Resources limit, long order) {
-        limits.put(team, limit);
+        if (order > acceptedOrder.getOrDefault(team, 0L)) {
+            acceptedOrder.put(team, order);
+            limits.put(team, limit);
+        }
         pendingLimits.getOrDefault(team, new TreeMap<>()).headMap(order, true).clear();
     }
 
