Fuzz: cuts between single nodes, longer tasks

Weak before: mutations of the owner's authority were hardly noticed, since inside a domain every host reached every worker, and no task outlived a lease.

--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Action.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Action.java
@@ -16,7 +16,7 @@
         LOSE_ANSWERS
     }
 
-    record Submit(int team, Shape shape, int tasks, int host) implements Action {}
+    record Submit(int team, Shape shape, int tasks, int seconds, int host) implements Action {}
 
     record CancelWave(int every) implements Action {}
 
@@ -40,6 +40,8 @@
 
     record CutDomains(int first, int second, int ms) implements Action {}
 
+    record CutHost(int host, int other, int ms) implements Action {}
+
     record CutPlatform(int domain, int ms) implements Action {}
 
     record BreakTable(TableFault fault, int ms) implements Action {}
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Actions.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Actions.java
@@ -35,6 +35,7 @@
                 Tuple.of(1, Combinators.combine(index(), duration()).as(Action.FailWorker::new)),
                 Tuple.of(1, index().map(Action.LeaveWorker::new)),
                 Tuple.of(2, Combinators.combine(index(), index(), duration()).as(Action.CutDomains::new)),
+                Tuple.of(3, Combinators.combine(index(), index(), duration()).as(Action.CutHost::new)),
                 Tuple.of(2, Combinators.combine(index(), duration()).as(Action.CutPlatform::new)),
                 Tuple.of(2, breakTable()),
                 Tuple.of(2, disturb()),
@@ -42,7 +43,7 @@
     }
 
     private static Arbitrary<Action> submit() {
-        return Combinators.combine(index(), Arbitraries.of(Action.Shape.class), between(1, 6), index())
+        return Combinators.combine(index(), Arbitraries.of(Action.Shape.class), between(1, 6), between(1, 60), index())
                 .as(Action.Submit::new);
     }
 
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
@@ -205,7 +205,7 @@
             for (Action.Shape shape : PROBES) {
                 String key = "probe-" + team + "-" + shape;
                 if (!probesAccepted.contains(key)) {
-                    submit(new Action.Submit(team, shape, 2, 0), world.anyHost(), key);
+                    submit(new Action.Submit(team, shape, 2, 2, 0), world.anyHost(), key);
                 }
             }
         }
@@ -330,7 +330,7 @@
         long cores = what.shape() == Action.Shape.TOO_LARGE ? 1_000 : 1;
         Resources demand = Resources.of(cores * 1_000, MEMORY_MIB_PER_CORE, 0);
         boolean exclusive = what.shape() == Action.Shape.EXCLUSIVE;
-        long runMs = 500L * (1 + what.tasks());
+        long runMs = 1_000L * what.seconds();
         String name = what.shape().name().toLowerCase(java.util.Locale.ROOT) + what.tasks();
         return new JobRequest(name, kind, demand, Priority.NORMAL, exclusive, runMs, "run=" + runMs);
     }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -86,6 +86,7 @@
             case Action.LeaveWorker leave -> world.worker(leave.worker()).leaving(true);
             case Action.CutDomains cut ->
                 world.network().cut(domain(cut.first()), domain(cut.second()), nowMs + cut.ms());
+            case Action.CutHost cut -> cutHost(world.host(cut.host()), cut.other(), nowMs + cut.ms());
             case Action.CutPlatform cut ->
                 world.network().cut(domain(cut.domain()), Network.PLATFORM, nowMs + cut.ms());
             case Action.BreakTable broken -> world.breakTable(broken.fault(), broken.ms());
@@ -98,6 +99,15 @@
         return world.domains().get(index % world.domains().size());
     }
 
+    private void cutHost(SimHost host, int other, long untilMs) {
+        List<String> places = new ArrayList<>();
+        places.add(Network.PLATFORM);
+        world.workers().stream()
+                .filter(worker -> worker.domain().equals(host.domain()))
+                .forEach(worker -> places.add(worker.id().value()));
+        world.network().cut(host.id().value(), places.get(other % places.size()), untilMs);
+    }
+
     private void failWorker(SimWorker worker, long ms) {
         worker.failsEverything(true);
         world.network().later(ms, () -> worker.failsEverything(false));
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Network.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Network.java
@@ -47,7 +47,7 @@
         nowMs = toMs;
     }
 
-    /** Lets nothing pass between two places for a while. */
+    /** Lets nothing pass between two domains, or between two nodes, for a while. */
     void cut(String first, String second, long untilMs) {
         if (!first.equals(second)) {
             cuts.merge(pair(first, second), untilMs, Math::max);
@@ -74,17 +74,15 @@
     }
 
     /** Sends a message; the action runs at the receiver, perhaps twice or never. */
-    void send(String from, String to, Runnable action) {
+    void send(Place from, Place to, Runnable action) {
         sent++;
-        Set<String> pair = pair(from, to);
-        boolean cut = cuts.getOrDefault(pair, 0L) > nowMs;
         boolean disturbed = disturbedUntilMs > nowMs;
-        if (cut || disturbed && random.nextInt(PERCENT) < dropPercent) {
+        if (isCut(from, to) || disturbed && random.nextInt(PERCENT) < dropPercent) {
             return;
         }
-        later(delay(disturbed), () -> deliver(pair, action));
+        later(delay(disturbed), () -> deliver(from, to, action));
         if (disturbed && random.nextInt(PERCENT) < duplicatePercent) {
-            later(delay(true), () -> deliver(pair, action));
+            later(delay(true), () -> deliver(from, to, action));
         }
     }
 
@@ -93,12 +91,18 @@
         return sent;
     }
 
-    private void deliver(Set<String> pair, Runnable action) {
-        if (cuts.getOrDefault(pair, 0L) <= nowMs) {
+    private void deliver(Place from, Place to, Runnable action) {
+        if (!isCut(from, to)) {
             action.run();
         }
     }
 
+    private boolean isCut(Place from, Place to) {
+        long domainsUntilMs = cuts.getOrDefault(pair(from.domain(), to.domain()), 0L);
+        long nodesUntilMs = cuts.getOrDefault(pair(from.node(), to.node()), 0L);
+        return Math.max(domainsUntilMs, nodesUntilMs) > nowMs;
+    }
+
     private long delay(boolean disturbed) {
         int extra = disturbed && delayMs > 0 ? random.nextInt(delayMs) : 0;
         return BASE_DELAY_MS + random.nextInt(SPREAD_MS) + extra;
@@ -111,5 +115,8 @@
         return pair;
     }
 
+    /** Where a message comes from or goes to. */
+    record Place(String domain, String node) {}
+
     private record Delivery(long atMs, long order, Runnable action) {}
 }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/SimHost.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimHost.java
@@ -66,6 +66,10 @@
         return nowMs < pausedUntilMs;
     }
 
+    Network.Place place() {
+        return new Network.Place(domain, id.value());
+    }
+
     void receive(Event event) {
         if (alive) {
             inbox.add(event);
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
@@ -78,6 +78,10 @@
         agent.leaving(value);
     }
 
+    Network.Place place() {
+        return new Network.Place(domain, id.value());
+    }
+
     /** Brings the worker back without tasks, leases or memory of fences. */
     void restart() {
         incarnation++;
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -24,6 +24,7 @@
 
 /** Several entry hosts, workers and the platform on one clock, with faults. */
 final class World {
+    private static final Network.Place PLATFORM = new Network.Place(Network.PLATFORM, Network.PLATFORM);
     private static final long TICK_MS = 20;
     private static final long LIST_INTERVAL_MS = 1_000;
     private static final long LIST_LAG_MS = 2_000;
@@ -200,7 +201,7 @@
     }
 
     private void callTable(SimHost host, Effect.CallTable call) {
-        network.send(host.domain(), Network.PLATFORM, () -> {
+        network.send(host.place(), PLATFORM, () -> {
             boolean broken = nowMs() < tableFaultUntilMs;
             if (broken && tableFault == Action.TableFault.DOWN) {
                 return;
@@ -222,8 +223,7 @@
                     + reply.getClass().getSimpleName());
         }
         if (!lost) {
-            network.send(
-                    Network.PLATFORM, host.domain(), () -> host.receive(new Event.TableAnswered(call.call(), reply)));
+            network.send(PLATFORM, host.place(), () -> host.receive(new Event.TableAnswered(call.call(), reply)));
         }
     }
 
@@ -236,7 +236,7 @@
 
     private void callWorker(SimHost host, Effect.CallWorker call) {
         SimWorker worker = workers.get(call.worker());
-        network.send(host.domain(), worker.domain(), () -> {
+        network.send(host.place(), worker.place(), () -> {
             if (!worker.alive()) {
                 return;
             }
@@ -248,7 +248,7 @@
             noteStart(worker, call, reply);
             oracle.answered(nowMs(), worker, call.command(), reply);
             network.send(
-                    worker.domain(), host.domain(), () -> host.receive(new Event.WorkerAnswered(call.call(), reply)));
+                    worker.place(), host.place(), () -> host.receive(new Event.WorkerAnswered(call.call(), reply)));
         });
     }
 
@@ -272,9 +272,7 @@
                 .filter(host -> host.id().equals(send.to()))
                 .findFirst()
                 .ifPresent(to -> network.send(
-                        from.domain(),
-                        to.domain(),
-                        () -> to.receive(new Event.PeerReceived(from.id(), send.message()))));
+                        from.place(), to.place(), () -> to.receive(new Event.PeerReceived(from.id(), send.message()))));
     }
 
     private void publishHosts() {
@@ -298,7 +296,7 @@
             publishHosts();
             for (SimHost host : hosts) {
                 HostList list = listed;
-                network.send(Network.PLATFORM, host.domain(), () -> host.receive(new Event.HostsListed(list)));
+                network.send(PLATFORM, host.place(), () -> host.receive(new Event.HostsListed(list)));
             }
         }
         for (SimHost host : List.copyOf(hosts)) {
