Spans of table calls belong to the requests that they serve

One request that came with a tick becomes the parent of the table's span; several are linked, because a group commit serves them together. A call whose write waits for a commit in flight is not linked. The trace context travels in Reactor's context, so that calls to the state machine keep their signature.

--- a/daemon/src/main/java/org/acaciafold/daemon/CallerApi.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CallerApi.java
@@ -120,7 +120,9 @@
             String parent = request.requestHeaders().get("traceparent", "");
             Span span = tracing.start("entry " + name, SpanKind.SERVER, parent);
             try {
-                return handler.handle(request, response).doFinally(signal -> end(span, response));
+                return handler.handle(request, response)
+                        .contextWrite(tracing.within(span))
+                        .doFinally(signal -> end(span, response));
             } catch (AcaciafoldException e) {
                 tracing.end(span, e.failure().code(), true);
                 throw e;
--- a/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -41,6 +42,7 @@
     private static final long TICK_MS = 20;
     private static final int QUIET_TICKS = 5;
     private static final int EVENTS_PER_TICK = 4_096;
+    private static final int MAX_LINKS = 32;
     private static final int INBOX_LIMIT = 20_000;
     private static final long REPLY_LIMIT_MS = 30_000;
     private static final long RETRY_AFTER_MS = 1_000;
@@ -55,6 +57,7 @@
     private final AtomicBoolean tickDue = new AtomicBoolean();
     private final AtomicLong lastCall = new AtomicLong();
     private final Map<Long, MonoSink<ClientReply>> waiting = new ConcurrentHashMap<>();
+    private final Map<Long, String> traces = new ConcurrentHashMap<>();
     private final Sinks.Empty<Void> stopped = Sinks.empty();
     private int quietTicks;
     private boolean decided;
@@ -161,10 +164,10 @@
         }
     }
 
-    private void carryOut(Effect effect) {
+    private void carryOut(Effect effect, List<String> requests) {
         switch (effect) {
             case Effect.AnswerClient answer -> answer(answer);
-            case Effect.CallTable call -> effects.callTable(call, this::offer);
+            case Effect.CallTable call -> effects.callTable(call, requests, this::offer);
             case Effect.CallWorker call -> effects.callWorker(call, this::offer);
             case Effect.SendPeer send -> effects.sendPeer(send);
             case Effect.Stopped ignored -> stopped.tryEmitEmpty();
@@ -217,11 +220,16 @@
     private void register(ClientCall call, MonoSink<ClientReply> sink) {
         long number = lastCall.incrementAndGet();
         waiting.put(number, sink);
+        String trace = Tracing.current(sink.contextView());
+        if (!trace.isEmpty()) {
+            traces.put(number, trace);
+        }
         Disposable timer =
                 Schedulers.parallel().schedule(() -> expire(number), replyLimitMs(call), TimeUnit.MILLISECONDS);
         sink.onDispose(() -> {
             timer.dispose();
             waiting.remove(number);
+            traces.remove(number);
         });
         if (!offer(new Event.ClientCalled(number, call)) && waiting.remove(number) != null) {
             Failure failure = Failure.notRun(Step.ADMISSION, SELF, "overloaded", "the entry host cannot take the call")
@@ -238,10 +246,12 @@
         quietTicks = 0;
         long startNanos = System.nanoTime();
         try {
-            List<Effect> outcome = core.tick(drain());
+            List<Event> events = drain();
+            List<String> requests = traces(events);
+            List<Effect> outcome = core.tick(events);
             snapshot = core.snapshot(hosts);
             decided = !outcome.isEmpty();
-            outcome.forEach(this::carryOut);
+            outcome.forEach(effect -> carryOut(effect, requests));
         } catch (RuntimeException e) {
             fail(e);
         }
@@ -255,6 +265,19 @@
         }
     }
 
+    /** Returns the trace contexts of the calls among some events, a few at most. */
+    private List<String> traces(List<Event> events) {
+        if (traces.isEmpty()) {
+            return List.of();
+        }
+        return events.stream()
+                .filter(Event.ClientCalled.class::isInstance)
+                .map(event -> traces.get(((Event.ClientCalled) event).call()))
+                .filter(Objects::nonNull)
+                .limit(MAX_LINKS)
+                .toList();
+    }
+
     private void wake() {
         if (!tickDue.compareAndSet(false, true)) {
             return;
--- a/daemon/src/main/java/org/acaciafold/daemon/EffectRunner.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/EffectRunner.java
@@ -1,5 +1,6 @@
 package org.acaciafold.daemon;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -33,9 +34,16 @@
         return new EffectRunner(clients, peers, metrics, tracing);
     }
 
-    void callTable(Effect.CallTable effect, Consumer<Event> then) {
+    /**
+     * Sends a request to the table service.
+     *
+     * @param effect the request
+     * @param requests the trace contexts of the calls that came with the tick
+     * @param then where the answer goes
+     */
+    void callTable(Effect.CallTable effect, List<String> requests, Consumer<Event> then) {
         String kind = effect.request().getClass().getSimpleName();
-        Span span = tracing.startRoot("table " + kind);
+        Span span = tracing.start("table " + kind, requests);
         long startNanos = System.nanoTime();
         Mono.defer(() -> clients.table().call(effect.request()))
                 .onErrorResume(error -> Mono.just(new TableReply.Unavailable(String.valueOf(error.getMessage()))))
@@ -47,9 +55,15 @@
                 });
     }
 
+    /**
+     * Sends a command to a worker.
+     *
+     * @param effect the command
+     * @param then where the answer goes
+     */
     void callWorker(Effect.CallWorker effect, Consumer<Event> then) {
         String kind = effect.command().getClass().getSimpleName();
-        Span span = tracing.startRoot("worker " + kind);
+        Span span = tracing.start("worker " + kind, List.of());
         span.setAttribute("worker", effect.worker().value());
         long startNanos = System.nanoTime();
         Mono.defer(() -> clients.workers().command(effect.address(), effect.command()))
@@ -62,6 +76,11 @@
                 });
     }
 
+    /**
+     * Sends a message to a peer.
+     *
+     * @param effect the message
+     */
     void sendPeer(Effect.SendPeer effect) {
         metrics.peerMessageSent(effect.message().getClass().getSimpleName());
         peers.send(effect.address(), encoded(effect.message()));
--- a/daemon/src/main/java/org/acaciafold/daemon/Tracing.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/Tracing.java
@@ -1,10 +1,12 @@
 package org.acaciafold.daemon;
 
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 import io.opentelemetry.api.OpenTelemetry;
 import io.opentelemetry.api.common.AttributeKey;
 import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanBuilder;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.StatusCode;
 import io.opentelemetry.api.trace.Tracer;
@@ -21,6 +23,7 @@
 import io.opentelemetry.sdk.trace.export.SpanExporter;
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.settings.Observation;
+import reactor.util.context.ContextView;
 
 /**
  * Records a span for each hop and passes the W3C trace context on.
@@ -124,12 +127,40 @@
         return value.toString();
     }
 
-    /** Starts a span of the state machine, whose calls serve many requests together. */
-    Span startRoot(String name) {
-        return tracer.spanBuilder(name)
-                .setSpanKind(SpanKind.CLIENT)
-                .setNoParent()
-                .startSpan();
+    /**
+     * Makes a span the one that the calls to the state machine within a subscription belong to.
+     *
+     * @param span the span
+     * @return what to pass to {@code contextWrite}
+     */
+    public UnaryOperator<reactor.util.context.Context> within(Span span) {
+        String value = traceparent(span);
+        return context -> value.isEmpty() ? context : context.put(TRACEPARENT, value);
+    }
+
+    /** Returns the trace context that a subscription belongs to, empty for none. */
+    static String current(ContextView view) {
+        return view.getOrDefault(TRACEPARENT, "");
+    }
+
+    /**
+     * Starts a span of the state machine, whose calls may serve many requests together.
+     *
+     * @param name the name of the hop
+     * @param requests the trace contexts of the requests served: one is the parent, several are linked
+     * @return the span, to be ended once
+     */
+    Span start(String name, List<String> requests) {
+        if (requests.size() == 1) {
+            return start(name, SpanKind.CLIENT, requests.getFirst());
+        }
+        SpanBuilder builder =
+                tracer.spanBuilder(name).setSpanKind(SpanKind.CLIENT).setNoParent();
+        for (String request : requests) {
+            Context linked = W3C.extract(Context.root(), request, GETTER);
+            builder.addLink(Span.fromContext(linked).getSpanContext());
+        }
+        return builder.startSpan();
     }
 
     private static Tracing exporting(SpanProcessor processor, HostId host) {
--- a/daemon/src/main/java/org/acaciafold/daemon/request/CallerRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/CallerRequests.java
@@ -61,6 +61,7 @@
         Span span = context.tracing().start("entry", SpanKind.SERVER, parent);
         return parse(request, team, context.tracing().traceparent(span))
                 .flatMap(call -> run(call, request))
+                .contextWrite(context.tracing().within(span))
                 .onErrorResume(AcaciafoldException.class, error -> Mono.just(new AttemptResult.Failed(error.failure())))
                 .flatMap(result -> {
                     record(span, result, startMs);
--- a/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
@@ -7,6 +7,9 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.sdk.trace.data.SpanData;
 import org.acaciafold.coordination.ClientCall;
 import org.acaciafold.coordination.ClientReply;
 import org.acaciafold.coordination.Effect;
@@ -31,6 +34,8 @@
 import org.acaciafold.wire.RelayResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 
@@ -141,6 +146,28 @@
         assertInstanceOf(TableReply.Unavailable.class, table.reply());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void shouldConnectTheSpanOfTheTableWithItsRequestsWhenTheyCameTogether(int requests) throws Exception {
+        List<SpanData> ended = new CopyOnWriteArrayList<>();
+        machine.onCall = call -> List.of(new Effect.CallTable(call.call(), new TableRequest.Read(List.of("a"))));
+        try (Tracing tracing = Tracing.exporting(TracingTest.exporter(ended), HostId.of("h1"))) {
+            start(tracing);
+            machine.pause();
+            loop.call(new ClientCall.QueryStatus()).subscribe();
+            for (int i = 0; i < requests; i++) {
+                Span span = tracing.start("entry", SpanKind.SERVER, "");
+                loop.call(QUERY).contextWrite(tracing.within(span)).subscribe();
+            }
+            machine.resume();
+            await().until(() -> ended.size() == requests + 1);
+        }
+        boolean child = ended.getLast().getParentSpanContext().isValid();
+        int links = ended.getLast().getLinks().size();
+        assertEquals(requests == 1, child);
+        assertEquals(requests == 1 ? 0 : requests, links);
+    }
+
     @Test
     void shouldSendTheEncodedMessageWhenTheStateMachineSendsToAPeer() throws AcaciafoldException {
         PeerMessage message = new PeerMessage.SettingsChanged(5);
@@ -202,12 +229,16 @@
     }
 
     private void start() {
+        start(Tracing.none());
+    }
+
+    private void start(Tracing tracing) {
         PlatformClients clients = new PlatformClients(
                 request -> Mono.error(new IllegalStateException("down")),
                 Mono::never,
                 (address, command) -> Mono.just(new WorkerReply.Done()));
         HostMetrics metrics = HostMetrics.create();
-        loop = CoreLoop.start(machine, EffectRunner.of(clients, transport, metrics, Tracing.none()), metrics);
+        loop = CoreLoop.start(machine, EffectRunner.of(clients, transport, metrics, tracing), metrics);
     }
 
     /** Answers calls as a test says. */
--- a/daemon/src/test/java/org/acaciafold/daemon/TracingTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/TracingTest.java
@@ -24,7 +24,8 @@
     private static final String PARENT = "b7ad6b7169203331";
     private static final String CALLER = "00-" + TRACE + "-" + PARENT + "-01";
 
-    private final Spans spans = new Spans();
+    private final List<SpanData> ended = new CopyOnWriteArrayList<>();
+    private final SpanExporter spans = exporter(ended);
 
     // -- start
 
@@ -38,9 +39,9 @@
             entry.end(first, "200", false);
         }
 
-        assertEquals(2, spans.ended.size());
-        SpanData owner = spans.ended.get(0);
-        SpanData entry = spans.ended.get(1);
+        assertEquals(2, ended.size());
+        SpanData owner = ended.get(0);
+        SpanData entry = ended.get(1);
         assertEquals(TRACE, owner.getTraceId());
         assertEquals(entry.getSpanId(), owner.getParentSpanId());
         assertEquals(PARENT, entry.getParentSpanId());
@@ -55,8 +56,8 @@
             tracing.end(tracing.start("entry", SpanKind.SERVER, traceparent), "200", false);
         }
 
-        assertNotEquals(TRACE, spans.ended.getFirst().getTraceId());
-        assertEquals("0000000000000000", spans.ended.getFirst().getParentSpanId());
+        assertNotEquals(TRACE, ended.getFirst().getTraceId());
+        assertEquals("0000000000000000", ended.getFirst().getParentSpanId());
     }
 
     // -- traceparent
@@ -72,23 +73,24 @@
         assertTrue(withoutCaller.isEmpty(), withoutCaller);
     }
 
-    private static final class Spans implements SpanExporter {
-        private final List<SpanData> ended = new CopyOnWriteArrayList<>();
-
-        @Override
-        public CompletableResultCode export(Collection<SpanData> batch) {
-            ended.addAll(batch);
-            return CompletableResultCode.ofSuccess();
-        }
-
-        @Override
-        public CompletableResultCode flush() {
-            return CompletableResultCode.ofSuccess();
-        }
-
-        @Override
-        public CompletableResultCode shutdown() {
-            return CompletableResultCode.ofSuccess();
-        }
+    /** Returns an exporter that collects what has ended. */
+    static SpanExporter exporter(List<SpanData> ended) {
+        return new SpanExporter() {
+            @Override
+            public CompletableResultCode export(Collection<SpanData> batch) {
+                ended.addAll(batch);
+                return CompletableResultCode.ofSuccess();
+            }
+
+            @Override
+            public CompletableResultCode flush() {
+                return CompletableResultCode.ofSuccess();
+            }
+
+            @Override
+            public CompletableResultCode shutdown() {
+                return CompletableResultCode.ofSuccess();
+            }
+        };
     }
 }
