Jobs move between failure domains; authority that lapsed counts again only after a renewal

Planned moves: the owner moves jobs with nothing running in one transaction with a row that names the new home, a service at once. Unplanned: the row of a silent slice is watched by the receiving owner's own clock and checked in the same transaction. An owner that was paused past its leases must renew its row before leases count again.

--- a/coordination/src/main/java/org/acaciafold/coordination/CancellationWrite.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/CancellationWrite.java
@@ -40,8 +40,12 @@
     }
 
     @Override
-    public List<Write> writes() {
+    public void sending() {
         cancellation.sent();
+    }
+
+    @Override
+    public List<Write> writes() {
         return List.of(
                 new Write(key(), Optional.of(found.row().withCancellation().encoded())));
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/GroupCommit.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/GroupCommit.java
@@ -56,6 +56,7 @@
         List<Check> checks = new ArrayList<>();
         List<Write> writes = new ArrayList<>();
         for (TableWrite change : batch) {
+            change.sending();
             checks.addAll(change.checks());
             writes.addAll(change.writes());
         }
@@ -66,14 +67,18 @@
         });
     }
 
-    /** Takes changes in order, leaving out those that touch a row of an earlier one. */
+    /** Takes changes in order, leaving out those whose rows an earlier one writes, or that write its conditions. */
     private List<TableWrite> nextBatch() {
         List<TableWrite> batch = new ArrayList<>();
-        Set<String> keys = new HashSet<>();
+        Set<String> checked = new HashSet<>();
+        Set<String> written = new HashSet<>();
         for (TableWrite change : queue) {
-            List<String> own = change.checks().stream().map(Check::key).toList();
-            boolean free = own.stream().noneMatch(keys::contains);
-            keys.addAll(own);
+            List<String> checks = change.checks().stream().map(Check::key).toList();
+            List<String> writes = change.writes().stream().map(Write::key).toList();
+            boolean free = checks.stream().noneMatch(written::contains)
+                    && writes.stream().noneMatch(checked::contains);
+            checked.addAll(checks);
+            written.addAll(writes);
             if (free) {
                 batch.add(change);
             }
--- a/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.placement.PlacementSummary;
@@ -35,6 +36,30 @@
                 .map(SliceSummary::slice);
     }
 
+    /**
+     * Chooses the slice to which a job moves, so that many jobs spread over the slices that fit them.
+     *
+     * @param state the tables of this host
+     * @param job the job
+     * @param from the slice that it leaves
+     * @param nowMs the time in milliseconds
+     * @return the freer one of two slices that the job's identifier picks, empty when no other slice fits
+     */
+    static Optional<SliceId> spread(HostState state, JobSpec job, SliceId from, long nowMs) {
+        List<SliceSummary> fitting = open(state, nowMs).stream()
+                .filter(summary -> !summary.slice().equals(from))
+                .filter(summary -> job.demand().fitsIn(summary.largest()))
+                .sorted(Comparator.comparing(SliceSummary::slice))
+                .toList();
+        if (fitting.isEmpty()) {
+            return Optional.empty();
+        }
+        long hash = StableHash.of(job.id().value());
+        SliceSummary first = fitting.get((int) Long.remainderUnsigned(hash, fitting.size()));
+        SliceSummary second = fitting.get((int) Long.remainderUnsigned(Long.rotateLeft(hash, 32), fitting.size()));
+        return Optional.of(freePart(first) >= freePart(second) ? first.slice() : second.slice());
+    }
+
     private static double freePart(SliceSummary summary) {
         Resources reserved = summary.reserved();
         double waiting = (double) summary.waiting() / (1 + summary.capacity().cpuMillis() / 1_000);
--- a/coordination/src/main/java/org/acaciafold/coordination/HomedJob.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomedJob.java
@@ -15,6 +15,7 @@
     private boolean placed;
     private boolean dirty;
     private boolean writing;
+    private boolean moving;
 
     private HomedJob(JobRow row, long version) {
         this.id = row.spec().id();
@@ -46,6 +47,15 @@
         return id;
     }
 
+    /** Returns whether the job is on its way to another slice. */
+    boolean moving() {
+        return moving;
+    }
+
+    void moving(boolean value) {
+        moving = value;
+    }
+
     /** Returns whether placement has the job. */
     boolean placed() {
         return placed;
--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -28,6 +28,7 @@
     private long limitsVersion = -1;
     private boolean settingsKnown;
     private boolean tableAnswers;
+    private long tableAnsweredMs;
     private boolean registered;
     private boolean stopping;
     private boolean drained;
@@ -36,6 +37,7 @@
     private HostState(HostConfig config, Clock clock) {
         this.config = config;
         this.clock = clock;
+        this.tableAnsweredMs = clock.nowMs();
     }
 
     /**
@@ -180,6 +182,14 @@
 
     void tableAnswers(boolean value) {
         tableAnswers = value;
+        if (value) {
+            tableAnsweredMs = clock.nowMs();
+        }
+    }
+
+    /** Returns until when the table service was known to answer, in milliseconds; the start at first. */
+    long tableAnsweredMs() {
+        return tableAnsweredMs;
     }
 
     /** Returns the workers of the host list, in all failure domains; written by {@link MembershipSystem}. */
--- a/coordination/src/main/java/org/acaciafold/coordination/JobCreation.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobCreation.java
@@ -120,8 +120,12 @@
     }
 
     @Override
-    public List<Write> writes() {
+    public void sending() {
         sent = true;
+    }
+
+    @Override
+    public List<Write> writes() {
         List<Write> writes = new ArrayList<>();
         writes.add(new Write(JobRow.key(home, job()), Optional.of(row.encoded())));
         submissionKey.ifPresent(key ->
--- a/coordination/src/main/java/org/acaciafold/coordination/JobSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobSystem.java
@@ -12,6 +12,7 @@
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.StopMode;
 import org.acaciafold.core.port.TableReply;
 import org.acaciafold.core.port.TableRequest;
 import org.acaciafold.core.port.TaskEnd;
@@ -81,6 +82,7 @@
             recordEnds(slice);
             if (review) {
                 reviewJobs(slice, nowMs);
+                stopUnknown(slice);
             }
         }
     }
@@ -133,12 +135,26 @@
         for (HomedJob job : slice.jobs().values()) {
             place(slice, job, nowMs);
             finalPhase(slice, job).ifPresent(phase -> job.change(job.row().withPhase(phase)));
-            if (job.dirty() && !job.writing()) {
+            if (job.dirty() && !job.writing() && !job.moving()) {
                 commits.add(JobWrite.of(state, slice, job));
             }
         }
     }
 
+    /** Stops what runs of jobs that have ended or are homed elsewhere. */
+    private void stopUnknown(OwnedSlice slice) {
+        if (!slice.scanned()) {
+            return;
+        }
+        for (PlacedTask task : slice.tasks().values()) {
+            boolean unknown = !slice.jobs().containsKey(task.task().job());
+            if (unknown && task.stop().isEmpty()) {
+                boolean service = task.spec().kind() instanceof JobKind.Service;
+                slice.stop(task, service ? StopMode.DRAIN : StopMode.CHECKPOINT);
+            }
+        }
+    }
+
     /** Gives a job to placement, or takes an exclusive one back that may not start here now. */
     private void place(OwnedSlice slice, HomedJob job, long nowMs) {
         boolean may = mayPlace(slice, job, nowMs);
@@ -156,6 +172,9 @@
     }
 
     private boolean mayPlace(OwnedSlice slice, HomedJob job, long nowMs) {
+        if (job.moving()) {
+            return false;
+        }
         if (!job.row().spec().exclusive()) {
             return true;
         }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -28,7 +28,11 @@
     private final Map<AttemptId, PlacedTask> stops = new TreeMap<>();
     private final Map<JobId, HomedJob> jobs = new TreeMap<>();
     private final List<PendingEnd> newEnds = new ArrayList<>();
-    private long authorityUntilMs;
+    private long authorityUntilMs = Times.NEVER_MS;
+    private long lastAuthorityMs = Times.NEVER_MS;
+    private boolean granted;
+    private boolean suspended;
+    private long suspendedSinceMs;
     private long tableContactMs = Times.NEVER_MS;
     private SliceRow row;
     private long rowVersion;
@@ -60,8 +64,35 @@
         return authorityUntilMs;
     }
 
-    void authorityUntilMs(long value) {
-        authorityUntilMs = value;
+    /** Lets authority that has lapsed count again, after a renewal of the row that was sent later. */
+    void resume(long renewalSentMs) {
+        if (suspended && renewalSentMs >= suspendedSinceMs) {
+            suspended = false;
+        }
+    }
+
+    /**
+     * Computes the authority from the control leases of the members.
+     *
+     * <p>Once it has lapsed it stays so until the row was renewed: a paused owner must not count leases that workers
+     * granted again, because others may have owned the slice meanwhile.
+     *
+     * @param nowMs the time in milliseconds
+     */
+    void updateAuthority(long nowMs) {
+        if (granted && nowMs >= authorityUntilMs) {
+            granted = false;
+            suspended = true;
+            suspendedSinceMs = nowMs;
+        }
+        authorityUntilMs = suspended ? Times.NEVER_MS : majorityUntilMs();
+        granted = nowMs < authorityUntilMs;
+        lastAuthorityMs = granted ? authorityUntilMs : lastAuthorityMs;
+    }
+
+    /** Returns when authority ended last, or will end; the takeover when there was none yet, in milliseconds. */
+    long lastAuthorityMs() {
+        return Math.max(lastAuthorityMs, takenMs);
     }
 
     Fence fence() {
@@ -120,7 +151,7 @@
      *
      * @return a time in milliseconds, {@link Long#MIN_VALUE} when there are no members
      */
-    long majorityUntilMs() {
+    private long majorityUntilMs() {
         long until = Long.MAX_VALUE;
         for (List<WorkerId> members : row.memberSets()) {
             if (!members.isEmpty()) {
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
@@ -41,7 +41,7 @@
     private long nextReadMs;
     private boolean readInFlight;
     private long nextReviewMs = Times.NEVER_MS;
-    private long lastReadMs = Times.NEVER_MS;
+    private boolean begun;
 
     private OwnershipSystem(HostState state, BiFunction<SliceId, Fence, PlacementPlane> planes) {
         this.state = state;
@@ -81,8 +81,8 @@
 
     @Override
     public void tick(long nowMs, Outbox outbox) {
-        if (lastReadMs == Times.NEVER_MS) {
-            lastReadMs = nowMs;
+        if (!begun) {
+            begun = true;
             Slices.local(state).forEach(slice -> watch(slice).ownerHeardMs(nowMs));
         }
         if (state.stopping()) {
@@ -104,7 +104,7 @@
         }
         for (OwnedSlice slice : List.copyOf(state.owned().values())) {
             if (review || !slice.hasAuthority(nowMs)) {
-                slice.authorityUntilMs(slice.majorityUntilMs());
+                slice.updateAuthority(nowMs);
             }
             renewal.tick(slice, nowMs, outbox);
             giveUpWhenFenced(slice, nowMs, outbox);
@@ -131,7 +131,6 @@
         outbox.call(nowMs, new TableRequest.Read(keys), reply -> {
             readInFlight = false;
             if (reply instanceof TableReply.Rows rows) {
-                lastReadMs = state.clock().nowMs();
                 applyRows(wanted, rows.rows(), nowMs, outbox);
             } else {
                 wanted.forEach(slice -> watch(slice).interrupt());
@@ -240,7 +239,7 @@
     }
 
     private void takeOverAtWorkers(SliceId slice, SliceWatch watch, long delayMs, long nowMs) {
-        boolean tableAway = nowMs - lastReadMs >= validityMs();
+        boolean tableAway = nowMs - state.tableAnsweredMs() >= validityMs();
         boolean ownerAway = nowMs - watch.ownerHeardMs() >= validityMs() + delayMs;
         if (!tableAway || !ownerAway || watch.row().isEmpty()) {
             return;
@@ -283,9 +282,8 @@
         }
         boolean fenced = slice.fencedBy().compareTo(slice.fence()) >= 0;
         long patienceMs = FIRST_CLAIM_LEASES * state.config().controlLeaseMs();
-        boolean refused = !slice.holdsRow()
-                && nowMs - slice.takenMs() > patienceMs
-                && nowMs - slice.authorityUntilMs() > patienceMs;
+        boolean away = !slice.holdsRow() || nowMs - state.tableAnsweredMs() >= validityMs();
+        boolean refused = away && nowMs > slice.lastAuthorityMs() + patienceMs;
         if (fenced || refused) {
             giveUp(slice, outbox);
         }
@@ -298,6 +296,7 @@
         long nowMs = state.clock().nowMs();
         LOG.info("slice {} given up with fence {}", slice.id(), slice.fence());
         SliceWatch watch = watch(slice.id());
+        watch.keep(slice.row(), slice.rowVersion());
         watch.restart(nowMs);
         watch.raise(slice.fencedBy());
         watch.ownerHeardMs(nowMs);
--- a/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
@@ -125,7 +125,8 @@
         boolean worker = link != null
                 && link.hasLease(nowMs)
                 && link.state().filter(WorkerState.READY::equals).isPresent();
-        boolean wanted = job != null && job.placed() && !job.row().cancelled();
+        boolean wanted =
+                job != null && job.placed() && !job.moving() && !job.row().cancelled();
         boolean exclusive = !start.spec().exclusive()
                 || (slice.scanned()
                         && slice.settled()
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
@@ -100,6 +100,7 @@
             slice.requestScan();
         }
         slice.tableContactMs(sentMs);
+        slice.resume(sentMs);
     }
 
     private void conflicted(OwnedSlice slice, SliceRow written, List<Row> current, Outbox outbox) {
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceWatch.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceWatch.java
@@ -62,6 +62,15 @@
         }
     }
 
+    /** Keeps the row that this host knew as the owner. */
+    void keep(SliceRow value, long rowVersion) {
+        if (rowVersion > version) {
+            row = value;
+            version = rowVersion;
+            known = true;
+        }
+    }
+
     /** Starts the wait anew, as after a slice was given up. */
     void restart(long nowMs) {
         unchangedSinceMs = nowMs;
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -32,6 +32,8 @@
                 submissions,
                 CancelSystem.of(state, commits, submissions),
                 JobQuerySystem.of(state),
+                ReleaseSystem.of(state, commits, submissions),
+                RehomeSystem.of(state, commits, submissions),
                 CommitSystem.of(commits),
                 ClaimSystem.of(state),
                 AllotmentSystem.of(state),
--- a/coordination/src/main/java/org/acaciafold/coordination/TableWrite.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/TableWrite.java
@@ -31,6 +31,11 @@
      */
     void conflicted(Map<String, Row> current);
 
+    /** Tells that the change is about to be sent. */
+    default void sending() {
+        // most changes need not know
+    }
+
     /** Tells that no answer came; the change may have taken effect and is sent again unless it is abandoned. */
     default void unanswered() {
         // most changes are repeated until they are answered
--- a/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
@@ -163,7 +163,7 @@
         if (order > 0 || (order == 0 && other)) {
             slice.fencedBy(fenced.highest());
             link.loseLease();
-            slice.authorityUntilMs(slice.majorityUntilMs());
+            slice.updateAuthority(state.clock().nowMs());
         }
     }
 
@@ -225,7 +225,7 @@
     /** Checkpoints exclusive tasks whose leases are no longer renewed, while there is time for it. */
     private void stopUnboundExclusive(OwnedSlice slice, long nowMs) {
         long graceMs = state.config().taskLeaseMs() / LOST_AUTHORITY_LEASE_PARTS;
-        boolean authorityGone = nowMs > Math.max(slice.authorityUntilMs(), slice.takenMs()) + graceMs;
+        boolean authorityGone = nowMs > slice.lastAuthorityMs() + graceMs;
         for (PlacedTask task : slice.tasks().values()) {
             boolean outOfBound = slice.hasAuthority(nowMs)
                     && !ExclusiveBound.holds(state, slice, task.spec().team(), nowMs);
