Count the wait for former owners from the first authority, and focused tests of failures

A former owner may renew leases until the new one has its majority, so the bound counted from the takeover was too short when the former owner kept its workers for a while (a host cut inside its domain).

--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -31,6 +31,8 @@
     private long authorityUntilMs = Times.NEVER_MS;
     private long lastAuthorityMs = Times.NEVER_MS;
     private boolean granted;
+    private boolean everGranted;
+    private long firstAuthorityMs;
     private boolean suspended;
     private long suspendedSinceMs;
     private long tableContactMs = Times.NEVER_MS;
@@ -87,9 +89,27 @@
         }
         authorityUntilMs = suspended ? Times.NEVER_MS : majorityUntilMs();
         granted = nowMs < authorityUntilMs;
+        if (granted && !everGranted) {
+            everGranted = true;
+            firstAuthorityMs = nowMs;
+        }
         lastAuthorityMs = granted ? authorityUntilMs : lastAuthorityMs;
     }
 
+    /**
+     * Tells whether everything that former owners started has ended, also where this owner never got an answer.
+     *
+     * <p>A former owner may have renewed leases until this one first had authority.
+     *
+     * @param nowMs the time in milliseconds
+     * @param config the durations of the leases
+     * @return whether all those leases have run out
+     */
+    boolean outlivesFormerOwners(long nowMs, HostConfig config) {
+        long leasesMs = config.controlLeaseMs() + config.taskLeaseMs() + config.clockMarginMs();
+        return everGranted && nowMs > firstAuthorityMs + leasesMs;
+    }
+
     /** Returns when authority ended last, or will end; the takeover when there was none yet, in milliseconds. */
     long lastAuthorityMs() {
         return Math.max(lastAuthorityMs, takenMs);
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
@@ -135,8 +135,10 @@
     private boolean isSilent(OwnedSlice slice, WorkerId worker, long nowMs) {
         HostConfig config = state.config();
         WorkerLink link = slice.links().get(worker);
-        long sinceMs = link == null ? slice.takenMs() : Math.max(slice.takenMs(), link.leaseEndedMs());
-        return nowMs > sinceMs + config.controlLeaseMs() + config.taskLeaseMs() + config.clockMarginMs();
+        if (link == null || link.leaseSequence() == 0) {
+            return slice.outlivesFormerOwners(nowMs, config);
+        }
+        return nowMs > link.leaseEndedMs() + config.taskLeaseMs() + config.clockMarginMs();
     }
 
     private boolean isKnownEverywhere(SliceId slice, long generation) {
--- a/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
@@ -61,9 +61,7 @@
     }
 
     private void settle(OwnedSlice slice, long nowMs) {
-        HostConfig config = state.config();
-        long boundMs = slice.takenMs() + config.controlLeaseMs() + config.taskLeaseMs() + config.clockMarginMs();
-        if (nowMs > boundMs || slice.everyMemberSeen()) {
+        if (slice.everyMemberSeen() || slice.outlivesFormerOwners(nowMs, state.config())) {
             slice.settled(true);
         }
     }
--- /dev/null
+++ b/coordination/src/test/java/org/acaciafold/coordination/JobTest.java
@@ -0,0 +1,206 @@
+package org.acaciafold.coordination;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.Outcome;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.WorkerCommand;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class JobTest {
+    private Cell cell;
+    private CellHost owner;
+    private CellHost other;
+
+    @BeforeEach
+    void start() {
+        cell = Cell.of(2, 3, "east");
+        owner = cell.owner("east");
+        other = cell.other(owner);
+    }
+
+    // -- submit
+
+    @Test
+    void shouldSayUnknownWhenTheTableNeverAnswered() {
+        cell.tableUp(false);
+
+        ClientReply reply = cell.call(other, submit("", 1));
+
+        assertEquals(Outcome.UNKNOWN, failure(reply).failure().outcome());
+    }
+
+    @Test
+    void shouldSayNotRunWhenNoOwnerIsKnown() {
+        Cell empty = Cell.of(1, 0, "east");
+        CellHost host = empty.addHost("lonely", "west");
+        empty.pass(100);
+
+        ClientReply reply = empty.call(host, submit("", 1));
+
+        assertEquals(Outcome.NOT_RUN, failure(reply).failure().outcome());
+    }
+
+    @Test
+    void shouldFindTheFirstJobWhenASubmissionIsRepeatedAtAnotherHost() {
+        ClientReply.Submitted first = (ClientReply.Submitted) cell.call(owner, submit("k", 1));
+        ClientReply.Submitted second = (ClientReply.Submitted) cell.call(other, submit("k", 1));
+
+        assertEquals(first.job(), second.job());
+        cell.await(10_000, () -> cell.status(owner, first.job()).phase() == JobPhase.SUCCEEDED);
+        assertEquals(1, cell.starts(first.job()));
+    }
+
+    @Test
+    void shouldRefuseAnotherSubmissionUnderTheSameKey() {
+        cell.call(owner, submit("k", 1));
+
+        assertEquals(
+                "key-reused",
+                failure(cell.call(other, submit("k", 2))).failure().code());
+    }
+
+    @Test
+    void shouldCreateTheJobOnceWhenTheAnswerIsLost() {
+        AtomicInteger lost = new AtomicInteger();
+        cell.loseTableAnswers(request -> writes(request, "job/") && lost.getAndIncrement() == 0);
+
+        JobId job = cell.submit(other, Cell.batch(1, true, "run=100"));
+        cell.await(10_000, () -> cell.status(other, job).phase() == JobPhase.SUCCEEDED);
+
+        assertEquals(1, cell.starts(job));
+    }
+
+    // -- ends
+
+    @Test
+    void shouldAcknowledgeAnEndOnlyWhenItIsRecorded() {
+        JobId job = cell.submit(other, Cell.batch(1, false, "run=2000 result=ok"));
+        cell.await(10_000, () -> cell.starts(job) == 1);
+        cell.tableUp(false);
+        cell.pass(10_000);
+
+        owner.kill();
+        cell.pass(10_000);
+        cell.tableUp(true);
+        cell.await(20_000, () -> cell.status(other, job).phase() == JobPhase.SUCCEEDED);
+
+        assertEquals(1, cell.starts(job));
+        assertEquals(List.of("ok"), cell.status(other, job).results());
+    }
+
+    @Test
+    void shouldRecordTheEndOnceWhenTheAnswerIsLost() {
+        AtomicInteger lost = new AtomicInteger();
+        cell.loseTableAnswers(request -> writes(request, "ended/") && lost.getAndIncrement() == 0);
+        JobId job = cell.submit(other, Cell.batch(2, false, "run=100 result=ok"));
+
+        cell.await(20_000, () -> cell.status(other, job).phase() == JobPhase.SUCCEEDED);
+
+        assertEquals(List.of("ok", "ok"), cell.status(other, job).results());
+        assertEquals(2, cell.starts(job));
+    }
+
+    // -- start
+
+    @Test
+    void shouldKeepTheReservationWhenTheAnswerToAStartIsLost() {
+        cell.loseWorkerAnswers(command -> command instanceof WorkerCommand.Start);
+        JobId job = cell.submit(other, Cell.batch(3, true, "run=10000"));
+
+        cell.await(20_000, () -> cell.running(job, "east") == 3);
+        cell.pass(5_000);
+
+        assertEquals(3, cell.starts(job));
+        assertEquals(3, cell.status(other, job).running());
+    }
+
+    @Test
+    void shouldStartAgainOnlyWhenTheLeaseOfADeadWorkerIsOver() {
+        JobId job = cell.submit(other, Cell.batch(1, true, "run=500000"));
+        cell.await(10_000, () -> cell.running(job, "east") == 1);
+        String worker = cell.workerOf(job);
+        cell.kill(worker);
+
+        cell.pass(20_000);
+        assertEquals(1, cell.starts(job));
+        cell.await(30_000, () -> cell.starts(job) == 2);
+        assertNotEquals(worker, cell.workerOf(job));
+    }
+
+    // -- query
+
+    @Test
+    void shouldRefuseAnotherTeamsJob() {
+        JobId job = cell.submit(owner, Cell.service(1));
+        TeamId stranger = TeamId.of("south");
+
+        for (CellHost host : List.of(owner, other)) {
+            ClientReply asked = cell.call(host, new ClientCall.QueryJob(stranger, job));
+            ClientReply cancelled = cell.call(host, new ClientCall.Cancel(stranger, job));
+            assertEquals("forbidden", failure(asked).failure().code());
+            assertEquals("forbidden", failure(cancelled).failure().code());
+        }
+    }
+
+    @Test
+    void shouldSayNotFoundWhenThereIsNoSuchJob() {
+        ClientReply reply = cell.call(other, new ClientCall.QueryJob(Cell.TEAM, JobId.of("east.0~x.1.1")));
+
+        assertEquals("not-found", failure(reply).failure().code());
+    }
+
+    // -- cancel
+
+    @Test
+    void shouldStopAndRecordACancelledJob() {
+        JobId job = cell.submit(other, Cell.service(2));
+        cell.await(10_000, () -> cell.running(job, "east") == 2);
+
+        assertInstanceOf(ClientReply.Cancelling.class, cell.call(other, new ClientCall.Cancel(Cell.TEAM, job)));
+        cell.await(10_000, () -> cell.status(other, job).phase() == JobPhase.CANCELLED);
+
+        assertEquals(0, cell.running(job, "east"));
+    }
+
+    // -- stuck
+
+    @Test
+    void shouldTellWhatWouldFitWhenAJobCanNeverRun() {
+        JobRequest large = new JobRequest(
+                "large",
+                new org.acaciafold.core.model.JobKind.Gang(1),
+                org.acaciafold.core.model.Resources.of(100_000, 256, 0),
+                org.acaciafold.core.model.Priority.NORMAL,
+                false,
+                1_000,
+                "");
+        JobId job = cell.submit(other, large);
+
+        cell.await(20_000, () -> cell.status(other, job).phase() == JobPhase.FAILED);
+
+        assertTrue(cell.status(other, job).problem().orElseThrow().contains("the largest task that fits has"));
+    }
+
+    private static ClientReply.Failed failure(ClientReply reply) {
+        return assertInstanceOf(ClientReply.Failed.class, reply);
+    }
+
+    private static ClientCall submit(String key, int tasks) {
+        return new ClientCall.Submit(Cell.TEAM, key, Cell.batch(tasks, true, "run=100"));
+    }
+
+    private static boolean writes(TableRequest request, String prefix) {
+        return request instanceof TableRequest.Commit commit
+                && commit.writes().stream().anyMatch(write -> write.key().startsWith(prefix));
+    }
+}
