Drop former members only when every registered host of the domain knows, or can run nothing exclusive any more

The host list may drop a host that lives and reaches the workers but not the platform; with the list alone such a host could own the slice by the former members while the owner counted the present ones.

--- a/coordination/src/main/java/org/acaciafold/coordination/ExclusiveBound.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ExclusiveBound.java
@@ -5,7 +5,8 @@
 
 /** Until when the owner of a slice may run exclusive tasks without an answer of the table. */
 final class ExclusiveBound {
-    private static final long DEFAULT_REHOME_AFTER_MS = 600_000;
+    /** The time in milliseconds for teams without settings. */
+    static final long DEFAULT_REHOME_AFTER_MS = 600_000;
 
     private ExclusiveBound() {}
 
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
@@ -0,0 +1,108 @@
+package org.acaciafold.coordination;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.settings.TeamSettings;
+
+/**
+ * Finds out when the former members of a slice may be dropped from its row.
+ *
+ * <p>Every registered entry host of the failure domain may take the slice over without the table, by a majority of the
+ * members that it has read. So each of them must have told that it has read the present ones. One that has not, such as
+ * a host that died, may run nothing exclusive once its last contact with the table is long enough ago; a host that had
+ * contact after the change was written has read it.
+ */
+final class MemberChange {
+    private static final long SCAN_INTERVAL_MS = 2_000;
+    private static final int LEASE_MARGINS = 4;
+    private static final int MAX_HOSTS = 10_000;
+
+    private final HostState state;
+    private final Map<HostId, Long> acknowledged = new HashMap<>();
+    private long generation = -1;
+    private long sinceMs;
+    private long nextScanMs;
+    private Optional<Set<HostId>> registered = Optional.empty();
+
+    private MemberChange(HostState state) {
+        this.state = state;
+    }
+
+    static MemberChange of(HostState state) {
+        return new MemberChange(state);
+    }
+
+    /** Records that a host has read a generation of the members. */
+    void acknowledged(HostId host, long known) {
+        acknowledged.merge(host, known, Math::max);
+    }
+
+    /**
+     * Tells whether the former members may be dropped.
+     *
+     * @param row the row of the slice, as it is in the table
+     * @param nowMs the time in milliseconds
+     * @param outbox where calls go
+     * @return true when nobody can act on former members alone
+     */
+    boolean isKnownEverywhere(SliceRow row, long nowMs, Outbox outbox) {
+        if (row.generation() != generation) {
+            generation = row.generation();
+            sinceMs = nowMs;
+            nextScanMs = nowMs;
+            registered = Optional.empty();
+        }
+        if (nowMs >= nextScanMs) {
+            scan(nowMs, outbox);
+        }
+        boolean allKnow = registered.isPresent()
+                && registered.get().stream().allMatch(host -> acknowledged.getOrDefault(host, -1L) >= generation);
+        return allKnow || nowMs > sinceMs + unknownHostBoundMs();
+    }
+
+    private void scan(long nowMs, Outbox outbox) {
+        nextScanMs = nowMs + SCAN_INTERVAL_MS;
+        long scanned = generation;
+        outbox.call(nowMs, new TableRequest.Scan(SettingsRows.HOSTS, "", MAX_HOSTS), reply -> {
+            if (reply instanceof TableReply.Rows rows && scanned == generation) {
+                Set<HostId> hosts = new HashSet<>();
+                rows.rows().forEach(row -> peer(row).ifPresent(hosts::add));
+                registered = Optional.of(hosts);
+            }
+        });
+    }
+
+    /** Returns the host of a registration if it may take over slices of this host's failure domain. */
+    private Optional<HostId> peer(Row row) {
+        HostId host = HostId.of(row.key().substring(SettingsRows.HOSTS.length()));
+        if (host.equals(state.config().host())) {
+            return Optional.empty();
+        }
+        try {
+            boolean local = SettingsRows.decode(row, SettingsRows.HostRow.class)
+                    .domain()
+                    .equals(state.config().domain());
+            return local ? Optional.of(host) : Optional.empty();
+        } catch (AcaciafoldException e) {
+            return Optional.of(host);
+        }
+    }
+
+    private long unknownHostBoundMs() {
+        HostConfig config = state.config();
+        long rehomeAfterMs = state.settings().teams().values().stream()
+                .mapToLong(TeamSettings::rehomeAfterMs)
+                .max()
+                .orElse(ExclusiveBound.DEFAULT_REHOME_AFTER_MS);
+        return rehomeAfterMs + config.controlLeaseMs() + config.taskLeaseMs() + LEASE_MARGINS * config.clockMarginMs();
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
@@ -42,6 +42,7 @@
     private boolean readInFlight;
     private long nextReviewMs = Times.NEVER_MS;
     private boolean begun;
+    private long registeredMs = Times.NEVER_MS;
 
     private OwnershipSystem(HostState state, BiFunction<SliceId, Fence, PlacementPlane> planes) {
         this.state = state;
@@ -92,14 +93,17 @@
                     release.handOver(slice, nowMs, outbox);
                 });
             }
-        } else {
+        } else if (state.registered()) {
+            registeredMs = nowMs;
             readRows(nowMs, outbox);
+        } else {
+            actWithoutRegistration(nowMs, outbox);
         }
         boolean review = nowMs >= nextReviewMs;
         if (review) {
             nextReviewMs = nowMs + REVIEW_INTERVAL_MS;
         }
-        if (review && !state.stopping()) {
+        if (review && !state.stopping() && state.registered()) {
             Slices.local(state).forEach(slice -> considerTakeover(slice, nowMs, outbox));
         }
         for (OwnedSlice slice : List.copyOf(state.owned().values())) {
@@ -111,6 +115,14 @@
         }
     }
 
+    /** Forgets the rows, which may change while nobody waits for this host, and gives the slices up after a while. */
+    private void actWithoutRegistration(long nowMs, Outbox outbox) {
+        watches.values().forEach(SliceWatch::forget);
+        if (nowMs - registeredMs > validityMs()) {
+            List.copyOf(state.owned().values()).forEach(slice -> giveUp(slice, outbox));
+        }
+    }
+
     private void readRows(long nowMs, Outbox outbox) {
         if (readInFlight || nowMs < nextReadMs) {
             return;
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceRenewal.java
@@ -13,7 +13,6 @@
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.port.Check;
-import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.Row;
 import org.acaciafold.core.port.TableReply;
 import org.acaciafold.core.port.TableRequest;
@@ -23,8 +22,7 @@
  * Renews the rows of owned slices and changes their members.
  *
  * <p>A change of the members first joins the former set in the row. The former set is dropped when every entry host of
- * the failure domain has told that it has read the row, because each of them may take the slice over without the table
- * and would then ask a majority of the sets that it knows.
+ * the failure domain has told that it has read the row; see {@link MemberChange}.
  */
 final class SliceRenewal {
     private static final int INTERVAL_HEARTBEATS = 2;
@@ -32,7 +30,7 @@
     private final HostState state;
     private final BiConsumer<OwnedSlice, Outbox> giveUp;
     private final Map<SliceId, Progress> progress = new HashMap<>();
-    private final Map<SliceId, Map<HostId, Long>> acknowledged = new HashMap<>();
+    private final Map<SliceId, MemberChange> changes = new HashMap<>();
 
     private SliceRenewal(HostState state, BiConsumer<OwnedSlice, Outbox> giveUp) {
         this.state = state;
@@ -45,7 +43,7 @@
 
     /** Records that a host has read a generation of the members of a slice. */
     void acknowledged(HostId host, SliceId slice, long generation) {
-        acknowledged.computeIfAbsent(slice, ignored -> new HashMap<>()).merge(host, generation, Math::max);
+        change(slice).acknowledged(host, generation);
     }
 
     /** Takes the row of a slice that was taken over without the table. */
@@ -57,7 +55,7 @@
     /** Renews the row when it is due. */
     void tick(OwnedSlice slice, long nowMs, Outbox outbox) {
         if (slice.holdsRow() && nowMs >= progress(slice).nextMs) {
-            SliceRow next = withChangedMembers(slice, nowMs).renewed();
+            SliceRow next = withChangedMembers(slice, nowMs, outbox).renewed();
             write(slice, next, slice.rowVersion(), nowMs, outbox);
         }
     }
@@ -119,10 +117,11 @@
         }
     }
 
-    private SliceRow withChangedMembers(OwnedSlice slice, long nowMs) {
+    private SliceRow withChangedMembers(OwnedSlice slice, long nowMs, Outbox outbox) {
         SliceRow row = slice.row();
         if (row.memberSets().size() > 1) {
-            return isKnownEverywhere(slice.id(), row.generation()) ? row.withoutFormerMembers() : row;
+            boolean known = change(slice.id()).isKnownEverywhere(row, nowMs, outbox);
+            return known ? row.withoutFormerMembers() : row;
         }
         Set<WorkerId> members = new TreeSet<>(row.members());
         Set<WorkerId> listed = Slices.workers(state, slice.id());
@@ -141,17 +140,8 @@
         return nowMs > link.leaseEndedMs() + config.taskLeaseMs() + config.clockMarginMs();
     }
 
-    private boolean isKnownEverywhere(SliceId slice, long generation) {
-        Map<HostId, Long> known = acknowledged.getOrDefault(slice, Map.of());
-        for (HostEntry entry : state.entryHosts().values()) {
-            HostId host = HostId.of(entry.id());
-            boolean peer = entry.domain().equals(state.config().domain())
-                    && !host.equals(state.config().host());
-            if (peer && known.getOrDefault(host, -1L) < generation) {
-                return false;
-            }
-        }
-        return true;
+    private MemberChange change(SliceId slice) {
+        return changes.computeIfAbsent(slice, ignored -> MemberChange.of(state));
     }
 
     private Progress progress(OwnedSlice slice) {
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceWatch.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceWatch.java
@@ -62,6 +62,12 @@
         }
     }
 
+    /** Forgets the row, so that nothing is taken over before it was read again. */
+    void forget() {
+        known = false;
+        pendingEpoch = -1;
+    }
+
     /** Keeps the row that this host knew as the owner. */
     void keep(SliceRow value, long rowVersion) {
         if (rowVersion > version) {
