--- a/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
@@ -10,7 +10,6 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.placement.PlacementSummary;
 
 /** Chooses the slice in which a new job is homed. */
 final class HomeChoice {
@@ -69,7 +68,7 @@
     private static List<SliceSummary> open(HostState state, long nowMs) {
         List<SliceSummary> known = new ArrayList<>();
         for (OwnedSlice slice : state.owned().values()) {
-            known.add(summary(slice));
+            known.add(slice.summary());
         }
         for (Map.Entry<HostId, PeerEntry> peer : state.peers().entrySet()) {
             if (state.heardLately(peer.getKey(), nowMs)) {
@@ -79,16 +78,4 @@
         known.removeIf(summary -> state.settings().takenOut(Slices.domain(summary.slice())));
         return known;
     }
-
-    private static SliceSummary summary(OwnedSlice slice) {
-        PlacementSummary own = slice.placement().summary();
-        return new SliceSummary(
-                slice.id(),
-                slice.fence(),
-                own.capacity(),
-                own.reserved(),
-                slice.largestWorker(),
-                own.waiting(),
-                List.of());
-    }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/HomedJob.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomedJob.java
@@ -47,6 +47,13 @@
         return id;
     }
 
+    /** Returns whether nothing has to be decided about the job: it is placed and its row is as recorded. */
+    boolean isQuiet() {
+        boolean stops =
+                row.cancelled() || row.problem().isPresent() || row.spec().exclusive();
+        return placed && !dirty && !moving && !stops;
+    }
+
     /** Returns whether the job is on its way to another slice. */
     boolean moving() {
         return moving;
--- a/coordination/src/main/java/org/acaciafold/coordination/JobSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobSystem.java
@@ -9,6 +9,7 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.HostEntry;
@@ -81,6 +82,7 @@
             scan(slice).tick(nowMs, outbox);
             recordEnds(slice);
             if (review) {
+                keepServices(slice, nowMs);
                 reviewJobs(slice, nowMs);
                 stopUnknown(slice);
             }
@@ -133,6 +135,9 @@
 
     private void reviewJobs(OwnedSlice slice, long nowMs) {
         for (HomedJob job : slice.jobs().values()) {
+            if (job.isQuiet()) {
+                continue;
+            }
             place(slice, job, nowMs);
             finalPhase(slice, job).ifPresent(phase -> job.change(job.row().withPhase(phase)));
             if (job.dirty() && !job.writing() && !job.moving()) {
@@ -141,6 +146,25 @@
         }
     }
 
+    /**
+     * Keeps the services going that are seen running while the table does not answer and their rows are not known.
+     *
+     * <p>Other jobs wait, because it is not known which of their tasks have ended.
+     */
+    private void keepServices(OwnedSlice slice, long nowMs) {
+        boolean away = nowMs - state.tableAnsweredMs() > state.config().controlLeaseMs();
+        if (slice.scanned() || slice.holdsRow() || !away) {
+            return;
+        }
+        for (PlacedTask task : slice.tasks().values()) {
+            JobSpec spec = task.spec();
+            boolean service = spec.kind() instanceof JobKind.Service && !spec.exclusive();
+            if (service && task.stop().isEmpty()) {
+                slice.jobs().computeIfAbsent(spec.id(), id -> HomedJob.of(JobRow.of(spec), 0));
+            }
+        }
+    }
+
     /** Stops what runs of jobs that have ended or are homed elsewhere. */
     private void stopUnknown(OwnedSlice slice) {
         if (!slice.scanned()) {
--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -5,7 +5,6 @@
 
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.WorkerId;
-import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostList;
 
@@ -73,18 +72,9 @@
     private List<SliceSummary> summaries() {
         List<SliceSummary> summaries = new ArrayList<>();
         for (OwnedSlice slice : state.owned().values()) {
-            if (!slice.holdsRow() && !slice.hasAuthority(state.clock().nowMs())) {
-                continue;
+            if (slice.holdsRow() || slice.hasAuthority(state.clock().nowMs())) {
+                summaries.add(slice.summary());
             }
-            PlacementSummary summary = slice.placement().summary();
-            summaries.add(new SliceSummary(
-                    slice.id(),
-                    slice.fence(),
-                    summary.capacity(),
-                    summary.reserved(),
-                    slice.largestWorker(),
-                    summary.waiting(),
-                    slice.services()));
         }
         return summaries;
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -14,6 +14,7 @@
 import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.placement.PlacementPlane;
+import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.StopMode;
 
 /** A slice that this host owns, with its placement, its workers, its jobs and the allotments of its teams. */
@@ -149,7 +150,7 @@
     }
 
     /** Returns the largest amount of each resource that one reachable worker has. */
-    Resources largestWorker() {
+    private Resources largestWorker() {
         Resources largest = Resources.empty();
         for (WorkerLink link : links.values()) {
             Resources capacity = link.view().map(view -> view.capacity()).orElse(Resources.empty());
@@ -296,6 +297,13 @@
         return stops.values();
     }
 
+    /** Returns what peers and operators are told of the slice. */
+    SliceSummary summary() {
+        PlacementSummary known = placement.summary();
+        return new SliceSummary(
+                id, fence, known.capacity(), known.reserved(), largestWorker(), known.waiting(), services);
+    }
+
     /** Returns the tasks that run or may run on the workers of the slice. */
     Map<AttemptId, PlacedTask> tasks() {
         return tasks;
--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/StatusSystem.java
@@ -0,0 +1,49 @@
+package org.acaciafold.coordination;
+
+import java.util.List;
+
+import org.acaciafold.core.model.HostId;
+
+/** Answers what an entry host knows, for operators. */
+final class StatusSystem implements HostSystem {
+    private final HostState state;
+
+    private StatusSystem(HostState state) {
+        this.state = state;
+    }
+
+    static StatusSystem of(HostState state) {
+        return new StatusSystem(state);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        if (event instanceof Event.ClientCalled called && called.body() instanceof ClientCall.QueryStatus) {
+            outbox.answer(called.call(), new ClientReply.StatusFound(status()));
+        }
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        // answers at once
+    }
+
+    private HostStatus status() {
+        long nowMs = state.clock().nowMs();
+        List<HostId> heard = state.peers().keySet().stream()
+                .filter(peer -> state.heardLately(peer, nowMs))
+                .toList();
+        List<SliceSummary> known = heard.stream()
+                .flatMap(peer -> state.peers().get(peer).slices().stream())
+                .toList();
+        return new HostStatus(
+                state.config().host(),
+                state.config().domain(),
+                state.registered() && state.settingsKnown() && !state.stopping(),
+                state.tableAnswers(),
+                state.settings().version(),
+                state.owned().values().stream().map(OwnedSlice::summary).toList(),
+                known,
+                heard);
+    }
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -39,7 +39,8 @@
                 AllotmentSystem.of(state),
                 SettingsSystem.of(state),
                 PlacementSystem.of(state),
-                SlotSystem.of(state));
+                SlotSystem.of(state),
+                StatusSystem.of(state));
     }
 
     /** Returns a number above the attempts of all owners with lower fencing tokens. */
--- a/coordination/src/test/java/org/acaciafold/coordination/OwnershipTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/OwnershipTest.java
@@ -55,6 +55,22 @@
                 () -> cell.row("east").owner().equals(other.id().value()));
     }
 
+    @Test
+    void shouldReplaceReplicasWhenOwnerWorkerAndTableAreAway() {
+        Cell cell = Cell.of(2, 3, "east");
+        CellHost owner = cell.owner("east");
+        JobId service = cell.submit(owner, Cell.service(2));
+        cell.await(10_000, () -> cell.running(service, "east") == 2);
+
+        cell.tableUp(false);
+        owner.kill();
+        cell.await(2 * URGENT_START_MS, () -> cell.other(owner).core().ownedSlices() == 1);
+        cell.pass(CONTROL_LEASE_MS);
+        cell.kill(cell.workerOf(service));
+
+        cell.await(60_000, () -> cell.starts(service) == 3);
+    }
+
     @Test
     void shouldNotTakeOverWhenOnlyTheTableIsAway() {
         Cell cell = Cell.of(2, 3, "east");
