--- a/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
@@ -7,9 +7,9 @@
 import java.util.Optional;
 
 import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.placement.PlacementSummary;
 
 /** Chooses the slice in which a new job is homed. */
 final class HomeChoice {
@@ -35,6 +35,30 @@
                 .map(SliceSummary::slice);
     }
 
+    /**
+     * Chooses the slice to which a job moves, so that many jobs spread over the slices that fit them.
+     *
+     * @param state the tables of this host
+     * @param job the job
+     * @param from the slice that it leaves
+     * @param nowMs the time in milliseconds
+     * @return the freer one of two slices that the job's identifier picks, empty when no other slice fits
+     */
+    static Optional<SliceId> spread(HostState state, JobSpec job, SliceId from, long nowMs) {
+        List<SliceSummary> fitting = open(state, nowMs).stream()
+                .filter(summary -> !summary.slice().equals(from))
+                .filter(summary -> job.demand().fitsIn(summary.largest()))
+                .sorted(Comparator.comparing(SliceSummary::slice))
+                .toList();
+        if (fitting.isEmpty()) {
+            return Optional.empty();
+        }
+        long hash = StableHash.of(job.id().value());
+        SliceSummary first = fitting.get((int) Long.remainderUnsigned(hash, fitting.size()));
+        SliceSummary second = fitting.get((int) Long.remainderUnsigned(Long.rotateLeft(hash, 32), fitting.size()));
+        return Optional.of(freePart(first) >= freePart(second) ? first.slice() : second.slice());
+    }
+
     private static double freePart(SliceSummary summary) {
         Resources reserved = summary.reserved();
         double waiting = (double) summary.waiting() / (1 + summary.capacity().cpuMillis() / 1_000);
@@ -44,7 +68,7 @@
     private static List<SliceSummary> open(HostState state, long nowMs) {
         List<SliceSummary> known = new ArrayList<>();
         for (OwnedSlice slice : state.owned().values()) {
-            known.add(summary(slice));
+            known.add(slice.summary());
         }
         for (Map.Entry<HostId, PeerEntry> peer : state.peers().entrySet()) {
             if (state.heardLately(peer.getKey(), nowMs)) {
@@ -54,16 +78,4 @@
         known.removeIf(summary -> state.settings().takenOut(Slices.domain(summary.slice())));
         return known;
     }
-
-    private static SliceSummary summary(OwnedSlice slice) {
-        PlacementSummary own = slice.placement().summary();
-        return new SliceSummary(
-                slice.id(),
-                slice.fence(),
-                own.capacity(),
-                own.reserved(),
-                slice.largestWorker(),
-                own.waiting(),
-                List.of());
-    }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/HomedJob.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomedJob.java
@@ -15,6 +15,7 @@
     private boolean placed;
     private boolean dirty;
     private boolean writing;
+    private boolean moving;
 
     private HomedJob(JobRow row, long version) {
         this.id = row.spec().id();
@@ -46,6 +47,22 @@
         return id;
     }
 
+    /** Returns whether nothing has to be decided about the job: it is placed and its row is as recorded. */
+    boolean isQuiet() {
+        boolean stops =
+                row.cancelled() || row.problem().isPresent() || row.spec().exclusive();
+        return placed && !dirty && !moving && !stops;
+    }
+
+    /** Returns whether the job is on its way to another slice. */
+    boolean moving() {
+        return moving;
+    }
+
+    void moving(boolean value) {
+        moving = value;
+    }
+
     /** Returns whether placement has the job. */
     boolean placed() {
         return placed;
--- a/coordination/src/main/java/org/acaciafold/coordination/StatusSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/StatusSystem.java
@@ -1,13 +1,10 @@
 package org.acaciafold.coordination;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 
 import org.acaciafold.core.model.HostId;
-import org.acaciafold.core.placement.PlacementSummary;
 
-/** Tells operators what this host knows, and summarizes its slices for them and for peers. */
+/** Answers what an entry host knows, for operators. */
 final class StatusSystem implements HostSystem {
     private final HostState state;
 
@@ -21,13 +18,11 @@
 
     /** Returns the slices that this host may speak for. */
     static List<SliceSummary> ownedSlices(HostState state) {
-        List<SliceSummary> summaries = new ArrayList<>();
-        for (OwnedSlice slice : state.owned().values()) {
-            if (slice.holdsRow() || slice.hasAuthority(state.clock().nowMs())) {
-                summaries.add(summary(slice));
-            }
-        }
-        return summaries;
+        long nowMs = state.clock().nowMs();
+        return state.owned().values().stream()
+                .filter(slice -> slice.holdsRow() || slice.hasAuthority(nowMs))
+                .map(OwnedSlice::summary)
+                .toList();
     }
 
     @Override
@@ -39,48 +34,25 @@
 
     @Override
     public void tick(long nowMs, Outbox outbox) {
-        // only answers calls
-    }
-
-    private List<HostId> heardPeers(long nowMs) {
-        return state.peers().keySet().stream()
-                .filter(peer -> state.heardLately(peer, nowMs))
-                .toList();
-    }
-
-    private List<SliceSummary> peerSlices(long nowMs) {
-        List<SliceSummary> slices = new ArrayList<>();
-        for (Map.Entry<HostId, PeerEntry> peer : state.peers().entrySet()) {
-            if (state.heardLately(peer.getKey(), nowMs)) {
-                slices.addAll(peer.getValue().slices());
-            }
-        }
-        return slices;
+        // answers at once
     }
 
     private HostStatus status() {
         long nowMs = state.clock().nowMs();
-        boolean ready = state.settingsKnown() && !state.entryHosts().isEmpty() && !state.stopping();
+        List<HostId> heard = state.peers().keySet().stream()
+                .filter(peer -> state.heardLately(peer, nowMs))
+                .toList();
+        List<SliceSummary> known = heard.stream()
+                .flatMap(peer -> state.peers().get(peer).slices().stream())
+                .toList();
         return new HostStatus(
                 state.config().host(),
                 state.config().domain(),
-                ready,
+                state.registered() && state.settingsKnown() && !state.stopping(),
                 state.tableAnswers(),
                 state.settings().version(),
                 ownedSlices(state),
-                peerSlices(nowMs),
-                heardPeers(nowMs));
-    }
-
-    private static SliceSummary summary(OwnedSlice slice) {
-        PlacementSummary summary = slice.placement().summary();
-        return new SliceSummary(
-                slice.id(),
-                slice.fence(),
-                summary.capacity(),
-                summary.reserved(),
-                slice.largestWorker(),
-                summary.waiting(),
-                slice.services());
+                known,
+                heard);
     }
 }
