Replay of policies against baselines

Cause: nothing told how well the plane decides. bin/bench policy replays workloads of the two deployments and of 1,500 workers, with wrong run times, peaks, a moving domain, workers that fail everything and a cancellation wave, against first-fit FIFO, least-loaded and the plane without its later parts.

--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/Main.java
@@ -0,0 +1,87 @@
+package org.acaciafold.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+
+import org.acaciafold.core.model.AcaciafoldException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** The command line of the benchmarks: {@code policy} or {@code decisions}. */
+public final class Main {
+    private static final Options OPTIONS = new Options()
+            .addOption(Option.builder()
+                    .longOpt("write")
+                    .hasArg()
+                    .argName("DIR")
+                    .desc("also write tables and plots there")
+                    .get())
+            .addOption(Option.builder()
+                    .longOpt("seed")
+                    .hasArg()
+                    .argName("N")
+                    .desc("seed of the workloads, 1 by default")
+                    .get());
+    private static final String USAGE = "usage: bin/bench policy|decisions [--seed N] [--write DIR]";
+
+    private Main() {}
+
+    /**
+     * Runs a benchmark.
+     *
+     * @param args the name of the benchmark and its options
+     * @throws IOException when the results cannot be written
+     * @throws AcaciafoldException when a benchmark fails
+     */
+    public static void main(String[] args) throws IOException, AcaciafoldException {
+        try {
+            CommandLine line = new DefaultParser().parse(OPTIONS, args);
+            List<String> names = line.getArgList();
+            long seed = Long.parseLong(line.getOptionValue("seed", "1"));
+            if (names.size() != 1) {
+                throw new ParseException("one benchmark expected");
+            }
+            List<ResultTable> tables =
+                    switch (names.getFirst()) {
+                        case "policy" -> PolicyBench.run(seed);
+                        case "decisions" -> DecisionsBench.run(seed);
+                        default -> throw new ParseException("unknown benchmark " + names.getFirst());
+                    };
+            String command = "bin/bench " + String.join(" ", args);
+            report(names.getFirst(), command, tables, line.getOptionValue("write"));
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            System.err.println(USAGE);
+            System.exit(2);
+        }
+    }
+
+    private static void report(String name, String command, List<ResultTable> tables, String directory)
+            throws IOException {
+        StringBuilder page = new StringBuilder("# Results of `" + command + "`\n\n");
+        for (ResultTable table : tables) {
+            page.append(table.text());
+        }
+        System.out.print(page);
+        if (directory == null) {
+            return;
+        }
+        Path target = Files.createDirectories(Path.of(directory));
+        for (int i = 0; i < tables.size(); i++) {
+            String file = String.format(Locale.ROOT, "%s-%02d.svg", name, i + 1);
+            Files.writeString(target.resolve(file), BarChart.svg(tables.get(i)));
+            page.append("![")
+                    .append(tables.get(i).title())
+                    .append("](")
+                    .append(file)
+                    .append(")\n");
+        }
+        Files.writeString(target.resolve(name + ".md"), page);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/Replay.java
@@ -0,0 +1,307 @@
+package org.acaciafold.bench;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
+import org.acaciafold.core.model.ManualClock;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.placement.BatchPolicy;
+import org.acaciafold.core.placement.Decision;
+import org.acaciafold.core.placement.GangPolicy;
+import org.acaciafold.core.placement.JobProgress;
+import org.acaciafold.core.placement.PlacementPlane;
+import org.acaciafold.core.placement.ServicePolicy;
+import org.acaciafold.core.placement.TeamTerms;
+import org.acaciafold.core.placement.WorkerSpec;
+import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.port.EndReason;
+import org.acaciafold.core.port.StopMode;
+import org.acaciafold.core.port.TaskEnd;
+
+/** Replays a workload against one plane for each failure domain, with fakes in the place of workers. */
+final class Replay {
+    private static final long CHECKPOINT_MS = 1_000;
+    private static final long KILL_MS = 100;
+    private static final long BLACK_HOLE_MS = 200;
+    private static final long FAILING_JOB_MS = 500;
+    private static final long RESTART_MS = 500;
+    private static final long SAMPLE_MS = 1_000;
+
+    private final Workload workload;
+    private final ManualClock clock = ManualClock.of(0);
+    private final List<PlacementPlane> planes = new ArrayList<>();
+    private final boolean[] open;
+    private final Map<JobId, SimJob> jobs = new HashMap<>();
+    private final Map<String, Run> runs = new HashMap<>();
+    private final PriorityQueue<PendingEnd> ends =
+            new PriorityQueue<>(Comparator.comparingLong(PendingEnd::atMs).thenComparingLong(PendingEnd::sequence));
+    private final Measures measures;
+    private int nextArrival;
+    private long sequence;
+    private boolean moved;
+    private boolean returned;
+    private boolean waveDone;
+
+    Replay(Workload workload, Policy policy, long seed) {
+        this.workload = workload;
+        this.open = new boolean[workload.domains().size()];
+        this.measures = new Measures(workload);
+        for (int i = 0; i < workload.domains().size(); i++) {
+            planes.add(plane(policy, seed + i, workload.domains().get(i)));
+            open[i] = true;
+        }
+    }
+
+    private static final class SimJob {
+        final Workload.Arrival arrival;
+        final BitSet ended = new BitSet();
+        final Map<Integer, Long> progressMs = new HashMap<>();
+        int domain;
+
+        SimJob(Workload.Arrival arrival, int domain) {
+            this.arrival = arrival;
+            this.domain = domain;
+        }
+    }
+
+    private record Run(SimJob job, Decision.Start start, int domain, long startMs) {}
+
+    private record PendingEnd(long atMs, long sequence, Run run, EndReason reason) {}
+
+    /** Runs the workload to its end. */
+    Measures run() {
+        long nextSampleMs = 0;
+        while (clock.nowMs() < workload.durationMs()) {
+            submitArrivals();
+            applyEnds();
+            moveDomain();
+            cancelWave();
+            for (int domain = 0; domain < planes.size(); domain++) {
+                tick(domain);
+            }
+            if (clock.nowMs() >= nextSampleMs) {
+                measures.sample(clock.nowMs(), planes, open);
+                nextSampleMs += SAMPLE_MS;
+            }
+            clock.advance(workload.tickMs());
+        }
+        runs.values().forEach(run -> measures.work(run.start().spec(), run.startMs(), clock.nowMs()));
+        jobs.values().forEach(this::censor);
+        return measures;
+    }
+
+    private PlacementPlane plane(Policy policy, long seed, List<WorkerSpec> workers) {
+        PlacementPlane plane = policy.plane(seed);
+        Resources capacity = workers.stream().map(WorkerSpec::capacity).reduce(Resources.empty(), Resources::plus);
+        workload.weights()
+                .forEach((team, weight) -> plane.team(
+                        team,
+                        new TeamTerms(
+                                weight,
+                                capacity,
+                                new ServicePolicy.Spread(2),
+                                new BatchPolicy.DeadlineOrder(1.5),
+                                new GangPolicy.Reserve(5_000))));
+        workers.forEach(worker -> plane.putWorker(worker, WorkerState.READY));
+        return plane;
+    }
+
+    private void submitArrivals() {
+        while (nextArrival < workload.arrivals().size()
+                && workload.arrivals().get(nextArrival).atMs() <= clock.nowMs()) {
+            Workload.Arrival arrival = workload.arrivals().get(nextArrival++);
+            SimJob job = new SimJob(arrival, leastWanted(arrival.spec().id()));
+            jobs.put(arrival.spec().id(), job);
+            measures.arrived(arrival);
+            submit(job);
+        }
+    }
+
+    private void submit(SimJob job) {
+        long begin = System.nanoTime();
+        planes.get(job.domain).submit(job.arrival.spec(), (BitSet) job.ended.clone(), clock.nowMs());
+        measures.cost(System.nanoTime() - begin);
+    }
+
+    /** Chooses among two open domains the one with less waiting and running. */
+    private int leastWanted(JobId job) {
+        int first = openDomain(Math.floorMod(job.hashCode(), planes.size()));
+        int second = openDomain(Math.floorMod(job.hashCode() / planes.size() + first + 1, planes.size()));
+        return wanted(first) <= wanted(second) ? first : second;
+    }
+
+    private int openDomain(int from) {
+        for (int i = 0; i < planes.size(); i++) {
+            int domain = (from + i) % planes.size();
+            if (open[domain]) {
+                return domain;
+            }
+        }
+        return from;
+    }
+
+    private double wanted(int domain) {
+        var summary = planes.get(domain).summary();
+        return summary.waiting() + summary.running();
+    }
+
+    private void applyEnds() {
+        while (!ends.isEmpty() && ends.peek().atMs() <= clock.nowMs()) {
+            PendingEnd end = ends.poll();
+            if (runs.remove(key(end.run().start())) != null) {
+                apply(end);
+            }
+        }
+    }
+
+    private void apply(PendingEnd end) {
+        Run run = end.run();
+        SimJob job = run.job();
+        JobSpec spec = run.start().spec();
+        int index = run.start().task().index();
+        long ranMs = end.atMs() - run.startMs();
+        if (end.reason() == EndReason.SUCCEEDED) {
+            job.ended.set(index);
+            measures.finished(spec, end.atMs() - job.arrival.atMs() - job.arrival.runMs());
+            measures.succeeded(spec, waveDone && workload.cancelled().contains(spec));
+        }
+        if (end.reason() == EndReason.CHECKPOINTED) {
+            job.progressMs.merge(index, Math.max(0, ranMs - CHECKPOINT_MS), Long::sum);
+        }
+        if (end.reason() == EndReason.SUCCEEDED || end.reason() == EndReason.CHECKPOINTED) {
+            measures.work(spec, run.startMs(), end.atMs());
+        }
+        long begin = System.nanoTime();
+        planes.get(run.domain())
+                .ended(
+                        new TaskEnd(sequence, run.start().task(), run.start().attempt(), end.reason(), "", ranMs),
+                        clock.nowMs());
+        measures.cost(System.nanoTime() - begin);
+    }
+
+    private void moveDomain() {
+        if (!moved && clock.nowMs() >= workload.move().fromMs()) {
+            moved = true;
+            open[0] = false;
+            planes.get(0).open(false);
+        }
+        if (moved && !returned) {
+            rehome();
+            if (clock.nowMs() >= workload.move().toMs()) {
+                returned = true;
+                open[0] = true;
+                planes.get(0).open(true);
+            }
+        }
+    }
+
+    /** Moves the jobs of the first domain of which nothing runs to the others. */
+    private void rehome() {
+        for (SimJob job : jobs.values()) {
+            JobId id = job.arrival.spec().id();
+            if (job.domain != 0 || workload.cancelled().contains(job.arrival.spec()) && waveDone) {
+                continue;
+            }
+            JobProgress progress = planes.get(0).progress(id).orElse(null);
+            if (progress != null && progress.running() == 0 && progress.waiting() > 0) {
+                planes.get(0).removeJob(id);
+                job.domain = leastWanted(id);
+                submit(job);
+            }
+        }
+    }
+
+    private void cancelWave() {
+        if (waveDone || clock.nowMs() < workload.cancelAtMs()) {
+            return;
+        }
+        waveDone = true;
+        long begin = System.nanoTime();
+        for (JobSpec spec : workload.cancelled()) {
+            SimJob job = jobs.get(spec.id());
+            if (job != null) {
+                measures.cancelled(job.arrival, job.ended.cardinality());
+                planes.get(job.domain).cancel(spec.id());
+            }
+        }
+        measures.cost(System.nanoTime() - begin);
+    }
+
+    private void tick(int domain) {
+        long begin = System.nanoTime();
+        List<Decision> decisions = planes.get(domain).tick(clock.nowMs());
+        measures.cost(System.nanoTime() - begin);
+        for (Decision decision : decisions) {
+            switch (decision) {
+                case Decision.Start start -> start(domain, start);
+                case Decision.StopTask stop -> stop(stop);
+                case Decision.JobStuck stuck -> measures.stuck();
+                case Decision.WantsAllotment wants -> measures.wanted();
+            }
+        }
+    }
+
+    private void start(int domain, Decision.Start start) {
+        SimJob job = jobs.get(start.spec().id());
+        Run run = new Run(job, start, domain, clock.nowMs());
+        runs.put(key(start), run);
+        measures.started();
+        planes.get(domain).started(start.task(), start.attempt(), clock.nowMs());
+        if (workload.blackHoles().contains(start.worker())) {
+            end(run, BLACK_HOLE_MS, EndReason.FAILED);
+        } else if (job.arrival.hopeless()) {
+            end(run, FAILING_JOB_MS, EndReason.FAILED);
+        } else if (start.spec().kind() instanceof JobKind.Service) {
+            measures.finished(start.spec(), clock.nowMs() - job.arrival.atMs());
+        } else {
+            long done = job.progressMs.getOrDefault(start.task().index(), 0L);
+            long restart = done > 0 ? RESTART_MS : 0;
+            end(run, Math.max(1, job.arrival.runMs() - done) + restart, EndReason.SUCCEEDED);
+        }
+    }
+
+    private void stop(Decision.StopTask stop) {
+        Run run = runs.get(stop.task() + "/" + stop.attempt());
+        if (run == null) {
+            return;
+        }
+        measures.stopped();
+        if (stop.mode() == StopMode.CHECKPOINT) {
+            end(run, clock.nowMs() - run.startMs() + CHECKPOINT_MS, EndReason.CHECKPOINTED);
+        } else {
+            end(run, clock.nowMs() - run.startMs() + KILL_MS, EndReason.STOPPED);
+        }
+    }
+
+    private void end(Run run, long afterMs, EndReason reason) {
+        ends.add(new PendingEnd(run.startMs() + afterMs, sequence++, run, reason));
+    }
+
+    /** Counts the wait so far of tasks that have not ended and do not run. */
+    private void censor(SimJob job) {
+        JobSpec spec = job.arrival.spec();
+        if (job.arrival.hopeless() || workload.cancelled().contains(spec) || spec.kind() instanceof JobKind.Service) {
+            return;
+        }
+        int waiting = planes.get(job.domain)
+                .progress(spec.id())
+                .filter(progress -> progress.problem().isEmpty())
+                .map(JobProgress::waiting)
+                .orElse(0);
+        for (int i = 0; i < waiting; i++) {
+            measures.finished(spec, clock.nowMs() - job.arrival.atMs());
+        }
+    }
+
+    private static String key(Decision.Start start) {
+        return start.task() + "/" + start.attempt();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/Workloads.java
@@ -0,0 +1,228 @@
+package org.acaciafold.bench;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
+import org.acaciafold.core.model.Priority;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.placement.WorkerSpec;
+
+/** Makes workloads of the sizes of the two deployments and of the size aimed at, with all faults in each. */
+final class Workloads {
+    private static final int DOMAINS = 3;
+    private static final int RACK = 8;
+    private static final int HOPELESS_JOBS = 3;
+    private static final double RUN_TIME_ERROR = 0.8;
+    private static final double FLOODING_TEAM_PART = 0.5;
+    private static final double CANCELLED_PART = 0.3;
+    private static final long MINUTE = 60_000;
+
+    private final Shape shape;
+    private final Random random;
+    private final List<Workload.Arrival> arrivals = new ArrayList<>();
+
+    private Workloads(Shape shape, long seed) {
+        this.shape = shape;
+        this.random = new Random(seed);
+    }
+
+    /**
+     * The size of a workload.
+     *
+     * @param urgentPart the part of the jobs that are urgent
+     * @param scaleMs a twentieth of its length in milliseconds
+     */
+    private record Shape(
+            String name,
+            int workers,
+            Resources worker,
+            int teams,
+            int largeTeams,
+            double urgentPart,
+            double peak,
+            long meanRunMs,
+            long scaleMs) {}
+
+    /** Returns the three workloads. */
+    static List<Workload> all(long seed) {
+        Shape qandeel = new Shape("Qandeel", 30, Resources.of(32_000, 128_000, 0), 6, 2, 0.55, 1.6, 40_000, MINUTE);
+        Shape dokhuis = new Shape("Dokhuis", 30, Resources.of(64_000, 256_000, 0), 6, 2, 0.75, 2.2, 30_000, MINUTE);
+        Shape letter =
+                new Shape("1,500 workers", 1_500, Resources.of(32_000, 128_000, 0), 61, 6, 0.5, 1.4, 10_000, 5_000);
+        return List.of(
+                new Workloads(qandeel, seed).build(),
+                new Workloads(dokhuis, seed + 1).build(),
+                new Workloads(letter, seed + 2).build());
+    }
+
+    private Workload build() {
+        List<List<WorkerSpec>> domains = workers();
+        addServices();
+        addJobs();
+        addHopelessJobs();
+        arrivals.sort((a, b) -> Long.compare(a.atMs(), b.atMs()));
+        long scale = shape.scaleMs();
+        return new Workload(
+                shape.name(),
+                20 * scale,
+                50,
+                domains,
+                weights(),
+                arrivals,
+                blackHoles(domains),
+                new Workload.Window(9 * scale, 12 * scale),
+                7 * scale,
+                cancelled(3 * scale, 7 * scale));
+    }
+
+    private List<List<WorkerSpec>> workers() {
+        List<List<WorkerSpec>> domains = new ArrayList<>();
+        for (int domain = 0; domain < DOMAINS; domain++) {
+            List<WorkerSpec> workers = new ArrayList<>();
+            for (int i = 0; i < shape.workers() / DOMAINS; i++) {
+                Resources extra = Resources.of(0, 0, i % 3 == 0 ? 4 : 0);
+                workers.add(new WorkerSpec(
+                        WorkerId.of("d" + domain + "-w" + i),
+                        "d" + domain + "-r" + i / RACK,
+                        shape.worker().plus(extra)));
+            }
+            domains.add(workers);
+        }
+        return domains;
+    }
+
+    private Map<TeamId, Double> weights() {
+        Map<TeamId, Double> weights = new LinkedHashMap<>();
+        for (int i = 0; i < shape.teams(); i++) {
+            weights.put(TeamId.of("team" + i), i < shape.largeTeams() ? 4.0 : 1.0);
+        }
+        return weights;
+    }
+
+    private void addServices() {
+        for (int i = 0; i < shape.teams(); i++) {
+            int replicas = Math.max(2, shape.workers() / shape.teams() / 2);
+            add(0, "service", i, new JobKind.Service(replicas), Resources.of(4_000, 8_000, 0), 1, Priority.NORMAL);
+        }
+    }
+
+    /** Adds jobs until the work offered per second is the wanted part of the capacity. */
+    private void addJobs() {
+        double cores = shape.workers() * shape.worker().cpuMillis() / 1_000.0;
+        double budget = 0;
+        for (long atMs = 0; atMs < 18 * shape.scaleMs(); atMs += 100) {
+            budget += load(atMs) * cores * 0.1;
+            while (budget > 0) {
+                budget -= addJob(atMs);
+            }
+        }
+    }
+
+    private double load(long atMs) {
+        double part = (double) atMs / shape.scaleMs();
+        boolean peak = part >= 3 && part < 6;
+        return peak ? shape.peak() : part >= 14 ? 0.4 : 0.75;
+    }
+
+    /** Adds a job and returns its core seconds. */
+    private double addJob(long atMs) {
+        boolean flooding = random.nextDouble() < FLOODING_TEAM_PART;
+        int team = flooding ? shape.teams() - 1 : random.nextInt(shape.teams());
+        double draw = random.nextDouble();
+        if (draw < shape.urgentPart()) {
+            return add(atMs, "hold", team, batch(1, 0), demand(1), runMs(0.1), Priority.URGENT);
+        }
+        double kind = (draw - shape.urgentPart()) / (1 - shape.urgentPart());
+        if (kind < 0.35) {
+            return add(atMs, "report", team, batch(1 + random.nextInt(20), 0), demand(2), runMs(1), Priority.NORMAL);
+        }
+        if (kind < 0.65) {
+            long finishMs = 4 * shape.meanRunMs();
+            JobKind reconciliation = batch(1 + random.nextInt(30), finishMs);
+            return add(atMs, "reconciliation", team, reconciliation, demand(2), runMs(1), Priority.NORMAL);
+        }
+        if (kind < 0.75) {
+            JobKind gang = new JobKind.Gang(4 + random.nextInt(9));
+            return add(atMs, "pricing", team, gang, demand(6), runMs(1.5), Priority.NORMAL);
+        }
+        if (kind < 0.85) {
+            Resources demand = demand(2).plus(Resources.of(0, 0, 1));
+            return add(atMs, "vision", team, batch(1 + random.nextInt(4), 0), demand, runMs(1), Priority.NORMAL);
+        }
+        return add(atMs, "archive", team, batch(1 + random.nextInt(20), 0), demand(4), runMs(2), Priority.LOW);
+    }
+
+    private void addHopelessJobs() {
+        for (int i = 0; i < HOPELESS_JOBS; i++) {
+            long atMs = (2 + i) * shape.scaleMs();
+            JobSpec large = spec("large" + i, 0, batch(2, 0), Resources.of(1_000_000, 1_000, 0), 1, Priority.NORMAL);
+            arrivals.add(new Workload.Arrival(atMs, large, 1_000, true));
+            JobSpec failing = spec("failing" + i, 0, batch(10, 0), demand(1), 1, Priority.NORMAL);
+            arrivals.add(new Workload.Arrival(atMs, failing, 1_000, true));
+        }
+    }
+
+    private double add(
+            long atMs, String name, int team, JobKind kind, Resources demand, long runMs, Priority priority) {
+        long declaredMs = (long) (runMs * Math.exp(RUN_TIME_ERROR * random.nextGaussian()));
+        JobSpec spec = spec(name, team, kind, demand, Math.max(1, declaredMs), priority);
+        arrivals.add(new Workload.Arrival(atMs, spec, runMs, false));
+        return kind.tasks() * demand.cpuMillis() / 1_000.0 * runMs / 1_000.0;
+    }
+
+    private JobSpec spec(String name, int team, JobKind kind, Resources demand, long declaredMs, Priority priority) {
+        return JobSpec.builder(JobId.of("j" + arrivals.size()), TeamId.of("team" + team), name, kind)
+                .demand(demand)
+                .priority(priority)
+                .exclusive(true)
+                .runTimeMs(declaredMs)
+                .build();
+    }
+
+    private JobKind batch(int tasks, long finishMs) {
+        return new JobKind.Batch(tasks, finishMs > 0 ? OptionalLong.of(finishMs) : OptionalLong.empty());
+    }
+
+    /** Returns a demand of about so many cores, with little or much memory. */
+    private Resources demand(int cores) {
+        long cpu = 500L * (1 + random.nextInt(4 * cores - 1));
+        long perCore = random.nextInt(8) == 0 ? 8_000 : 2_000;
+        return Resources.of(cpu, cpu * perCore / 1_000, 0);
+    }
+
+    private long runMs(double factor) {
+        return (long) (factor * shape.meanRunMs() * (0.3 + 1.4 * random.nextDouble()));
+    }
+
+    private static Set<WorkerId> blackHoles(List<List<WorkerSpec>> domains) {
+        Set<WorkerId> holes = new HashSet<>();
+        for (int i = 1; i < domains.size(); i++) {
+            holes.add(domains.get(i).get(domains.get(i).size() / 2).id());
+        }
+        return holes;
+    }
+
+    private Set<JobSpec> cancelled(long fromMs, long toMs) {
+        Set<JobSpec> cancelled = new HashSet<>();
+        for (Workload.Arrival arrival : arrivals) {
+            boolean batch = arrival.spec().kind() instanceof JobKind.Batch
+                    && arrival.spec().priority() != Priority.URGENT;
+            boolean inWave = arrival.atMs() >= fromMs && arrival.atMs() < toMs && !arrival.hopeless();
+            if (batch && inWave && random.nextDouble() < CANCELLED_PART) {
+                cancelled.add(arrival.spec());
+            }
+        }
+        return cancelled;
+    }
+}
