Holds keep only what they need and end with the need

Reservations kept whole workers, and workers kept for a reclaim stayed kept for 90 s when the task had started elsewhere. Change: others may use what a kept worker has beyond the need at the time of its use, and a job keeps no more workers than it has waiting tasks.

--- a/core/src/main/java/org/acaciafold/core/model/Resources.java
+++ b/core/src/main/java/org/acaciafold/core/model/Resources.java
@@ -82,6 +82,19 @@
                 Math.min(accelerators, that.accelerators));
     }
 
+    /**
+     * Returns the smaller amount of each resource.
+     *
+     * @param that the other amount
+     * @return the least of both
+     */
+    public Resources least(Resources that) {
+        return new Resources(
+                Math.min(cpuMillis, that.cpuMillis),
+                Math.min(memoryMib, that.memoryMib),
+                Math.min(accelerators, that.accelerators));
+    }
+
     /**
      * Returns the amount without another.
      *
--- a/core/src/main/java/org/acaciafold/core/placement/AttemptRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/AttemptRow.java
@@ -21,6 +21,9 @@
     final Resources demand;
     final long startedMs;
     Phase phase = Phase.STARTING;
+    /** The job for which the worker is kept and whose spare room it uses, null when it uses none. */
+    JobRow usesSpareOf;
+
     StopMode stopMode;
     int stopsAsked;
 
--- a/core/src/main/java/org/acaciafold/core/placement/ReclaimSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ReclaimSystem.java
@@ -28,7 +28,7 @@
         this.enabled = enabled;
     }
 
-    private record Plan(WorkerRow worker, List<AttemptRow> victims, double cost) {}
+    private record Plan(WorkerRow worker, List<AttemptRow> victims, Resources spare, double cost) {}
 
     /** Notes a queue whose first job did not fit. */
     void claim(ShapeQueue queue) {
@@ -65,7 +65,7 @@
         }
         String reason = "its room is needed by team " + job.team.id;
         plan.victims().forEach(victim -> tick.stop(victim, StopMode.CHECKPOINT, reason));
-        tables.hold(plan.worker(), job, tick.nowMs);
+        tables.hold(plan.worker(), job, tick.nowMs, plan.spare());
         job.heldUntilMs = tick.nowMs + HOLD_MS;
         tables.timers.add(job.heldUntilMs, new Due.EndHold(job, job.heldUntilMs));
         if (job.held.size() < job.waiting) {
@@ -114,7 +114,8 @@
             free = free.plus(candidate.demand);
             cost += candidate.demand.dominantShare(worker.spec.capacity());
         }
-        return job.spec.demand().fitsIn(free) ? new Plan(worker, victims, cost) : null;
+        Resources spare = free.minus(job.spec.demand());
+        return job.spec.demand().fitsIn(free) ? new Plan(worker, victims, spare, cost) : null;
     }
 
     private boolean mayStop(AttemptRow attempt, JobRow claimant) {
--- a/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -26,8 +27,8 @@
         this.enabled = enabled;
     }
 
-    /** A place for one task that is free from a time on. */
-    private record Place(WorkerRow worker, long fromMs) {}
+    /** A place for one task that is free from a time on, and what is free on its worker then. */
+    private record Place(WorkerRow worker, long fromMs, Resources free) {}
 
     void run(Tick tick) {
         if (!enabled || !tables.open) {
@@ -71,11 +72,16 @@
         places.sort(Comparator.comparingLong(Place::fromMs));
         List<Place> chosen = places.subList(0, job.waiting);
         long startMs = chosen.getLast().fromMs();
+        Map<WorkerRow, Resources> free = new HashMap<>();
+        Map<WorkerRow, Resources> spare = new LinkedHashMap<>();
         for (Place place : chosen) {
-            if (place.worker().heldFor == null) {
-                tables.hold(place.worker(), job, startMs);
-            }
+            Resources before = spare.getOrDefault(place.worker(), Resources.empty());
+            Resources taken = before.minus(job.spec.demand());
+            spare.put(place.worker(), taken);
+            free.put(place.worker(), place.free());
         }
+        spare.forEach((worker, taken) ->
+                tables.hold(worker, job, startMs, free.get(worker).plus(taken)));
         active = job;
         job.heldUntilMs = nowMs + Math.max(SHORTEST_HOLD_MS, 2 * (startMs - nowMs));
         tables.timers.add(job.heldUntilMs, new Due.EndHold(job, job.heldUntilMs));
@@ -103,7 +109,7 @@
         Resources demand = job.spec.demand();
         Resources free = worker.free;
         int count = Places.in(free, demand);
-        add(places, worker, count, nowMs);
+        add(places, worker, count, nowMs, free);
         Map<AttemptRow, Long> ends = new HashMap<>();
         for (AttemptRow attempt : worker.attempts) {
             if (!attempt.task.job.service()) {
@@ -115,14 +121,14 @@
         for (AttemptRow attempt : attempts) {
             free = free.plus(attempt.demand);
             int more = Places.in(free, demand);
-            add(places, worker, more - count, ends.get(attempt));
+            add(places, worker, more - count, ends.get(attempt), free);
             count = more;
         }
     }
 
-    private static void add(List<Place> places, WorkerRow worker, int count, long fromMs) {
+    private static void add(List<Place> places, WorkerRow worker, int count, long fromMs, Resources free) {
         for (int i = 0; i < count; i++) {
-            places.add(new Place(worker, fromMs));
+            places.add(new Place(worker, fromMs, free));
         }
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
@@ -110,6 +110,9 @@
         if (worker.heldFor == job) {
             tables.unhold(worker);
         }
+        while (job.held.size() > job.waiting) {
+            tables.unhold(job.held.getLast());
+        }
         return true;
     }
 
@@ -165,6 +168,7 @@
     private AttemptRow reserve(Tick tick, TaskRow task, WorkerRow worker) {
         task.lastAttempt++;
         AttemptRow attempt = new AttemptRow(task, task.lastAttempt, worker, tick.nowMs);
+        attempt.usesSpareOf = choice.usesSpare() ? worker.heldFor : null;
         task.current = attempt;
         task.job.running++;
         tables.addWaiting(task.job, -1);
--- a/core/src/main/java/org/acaciafold/core/placement/Tables.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Tables.java
@@ -137,6 +137,9 @@
         WorkerRow worker = attempt.worker;
         worker.attempts.add(attempt);
         use(worker, attempt.demand);
+        if (attempt.usesSpareOf != null) {
+            worker.heldSpare = worker.heldSpare.minus(attempt.demand);
+        }
         if (worker.trust == WorkerRow.Trust.PROBE) {
             worker.trust = WorkerRow.Trust.PROBING;
         }
@@ -155,6 +158,9 @@
         WorkerRow worker = attempt.worker;
         worker.attempts.remove(attempt);
         use(worker, Resources.empty().minus(attempt.demand));
+        if (attempt.usesSpareOf != null && attempt.usesSpareOf == worker.heldFor) {
+            worker.heldSpare = worker.heldSpare.plus(attempt.demand);
+        }
         JobRow job = attempt.task.job;
         TeamRow team = job.team;
         team.used = team.used.minus(attempt.demand);
@@ -173,10 +179,11 @@
         }
     }
 
-    /** Keeps a worker for a job. */
-    void hold(WorkerRow worker, JobRow job, long startMs) {
+    /** Keeps a worker for a job, but for what others may use at any time. */
+    void hold(WorkerRow worker, JobRow job, long startMs, Resources spare) {
         worker.heldFor = job;
         worker.heldStartMs = startMs;
+        worker.heldSpare = spare;
         job.held.add(worker);
         reindex(worker);
     }
@@ -235,17 +242,27 @@
         }
     }
 
-    /** Puts a worker into the index that its state asks for. */
+    /** Puts a worker into the indexes that its state asks for. */
     void reindex(WorkerRow worker) {
-        WorkerIndex index = index(worker);
+        WorkerIndex index = worker.accelerated() ? acceleratedIndex : plainIndex;
         if (worker.index != null && worker.index != index) {
             worker.index.clear(worker.slot);
         }
         worker.index = index;
-        if (index != null) {
-            index.set(worker.slot, worker.free);
-            blocked.roomFreed(worker.free);
+        if (!worker.usable()) {
+            index.clear(worker.slot);
+            heldIndex.clear(worker.slot);
+            return;
+        }
+        index.set(worker.slot, worker.open());
+        if (worker.heldFor != null) {
+            heldIndex.set(worker.slot, worker.free);
+            worker.inHeldIndex = true;
+        } else if (worker.inHeldIndex) {
+            heldIndex.clear(worker.slot);
+            worker.inHeldIndex = false;
         }
+        blocked.roomFreed(worker.free);
     }
 
     private void addWanted(JobRow job, int change) {
@@ -274,21 +291,14 @@
         if (worker.trust != WorkerRow.Trust.TRUSTED) {
             workersAside--;
         }
+        plainIndex.clear(worker.slot);
+        acceleratedIndex.clear(worker.slot);
+        heldIndex.clear(worker.slot);
         workers.remove(worker.spec.id());
         slots.set(worker.slot, null);
         freeSlots.add(worker.slot);
     }
 
-    private WorkerIndex index(WorkerRow worker) {
-        if (!worker.usable()) {
-            return null;
-        }
-        if (worker.heldFor != null) {
-            return heldIndex;
-        }
-        return worker.accelerated() ? acceleratedIndex : plainIndex;
-    }
-
     private void use(WorkerRow worker, Resources change) {
         worker.use(change);
         if (worker.ready()) {
--- a/core/src/main/java/org/acaciafold/core/placement/WorkerChoice.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WorkerChoice.java
@@ -15,6 +15,7 @@
     private final boolean tightFit;
     private boolean exhausted;
     private boolean avoidsProbes;
+    private boolean usesSpare;
 
     WorkerChoice(Tables tables, Set<PlaneFeature> features) {
         this.tables = tables;
@@ -39,9 +40,15 @@
             avoidsProbes = false;
             found = bestOfAll(task, slot -> true);
         }
+        usesSpare = found != null && found.heldFor != null && found.heldFor != task.job;
         return found == null ? backFill(task, nowMs) : found;
     }
 
+    /** Tells whether the last choice is a worker kept for another job, of which it uses spare room. */
+    boolean usesSpare() {
+        return usesSpare;
+    }
+
     /** Tells whether the last search saw all workers that might fit. */
     boolean exhausted() {
         return exhausted;
@@ -106,7 +113,7 @@
 
     /** Scores a worker for a job; the lowest is chosen. */
     private double score(WorkerRow worker, JobRow job) {
-        Resources left = worker.free.minus(job.spec.demand());
+        Resources left = worker.open().minus(job.spec.demand());
         double room = left.dominantShare(worker.spec.capacity());
         if (spreads(job)) {
             return job.perRack.getOrDefault(worker.spec.rack(), 0) - room;
--- a/core/src/main/java/org/acaciafold/core/placement/WorkerRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WorkerRow.java
@@ -37,12 +37,16 @@
     int timesAside;
     int failuresInRow;
     long successesBeforeFailures;
-    /** The index that the worker is in, null when it takes no tasks. */
+    /** The index that the worker is in, null before it is in one. */
     WorkerIndex index;
+
+    boolean inHeldIndex;
     /** The job for which the worker is kept, null when it is kept for none. */
     JobRow heldFor;
     /** The time in milliseconds at which that job is expected to use it. */
     long heldStartMs;
+    /** What other jobs may use even when they end after that time. */
+    Resources heldSpare = Resources.empty();
 
     WorkerRow(int slot, WorkerSpec spec, WorkerState state) {
         this.slot = slot;
@@ -64,6 +68,11 @@
         return ready() && (trust == Trust.TRUSTED || trust == Trust.PROBE);
     }
 
+    /** Returns what a job may use that the worker is not kept for. */
+    Resources open() {
+        return heldFor == null ? free : free.least(heldSpare);
+    }
+
     void use(Resources change) {
         used = used.plus(change);
         free = spec.capacity().minus(used);
