--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/SteadySlice.java
@@ -0,0 +1,139 @@
+package org.acaciafold.bench;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+
+import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.placement.BatchPolicy;
+import org.acaciafold.core.placement.Decision;
+import org.acaciafold.core.placement.GangPolicy;
+import org.acaciafold.core.placement.PlacementPlane;
+import org.acaciafold.core.placement.ServicePolicy;
+import org.acaciafold.core.placement.TeamTerms;
+import org.acaciafold.core.placement.WorkerSpec;
+import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.port.EndReason;
+import org.acaciafold.core.port.TaskEnd;
+
+/** A slice that is kept full: whenever tasks end, others start. */
+final class SteadySlice {
+    private static final Resources WORKER = Resources.of(32_000, 128_000, 0);
+    private static final int ACCELERATORS = 4;
+    private static final int RACK = 8;
+    private static final int TASKS_PER_JOB = 4;
+    private static final long TICK_MS = 10;
+    private static final long RAN_MS = 10_000;
+
+    private final PlacementPlane plane;
+    private final Random random;
+    private final int teams;
+    private final int queuedTasks;
+    private final List<Decision.Start> running = new ArrayList<>();
+    private long nowMs;
+    private long jobs;
+
+    private SteadySlice(PlacementPlane plane, int teams, int queuedTasks, long seed) {
+        this.plane = plane;
+        this.teams = teams;
+        this.queuedTasks = queuedTasks;
+        this.random = new Random(seed);
+    }
+
+    /** Makes a slice whose workers are full and whose queue holds so many jobs. */
+    static SteadySlice of(PlacementPlane plane, int workers, int teams, int queuedJobs, long seed) {
+        SteadySlice slice = new SteadySlice(plane, teams, queuedJobs * TASKS_PER_JOB, seed);
+        slice.addWorkers(workers);
+        slice.fill(workers);
+        return slice;
+    }
+
+    /** Returns how many tasks run. */
+    int running() {
+        return running.size();
+    }
+
+    /** Ends some tasks, submits as much new work, runs the systems, and returns how many tasks started. */
+    int step(int ends) {
+        for (int i = 0; i < ends && !running.isEmpty(); i++) {
+            endOne();
+        }
+        while (plane.summary().waiting() < queuedTasks) {
+            submit();
+        }
+        return tick();
+    }
+
+    private void addWorkers(int workers) {
+        Resources all = WORKER.plus(Resources.of(0, 0, ACCELERATORS)).times(workers);
+        for (int i = 0; i < teams; i++) {
+            plane.team(
+                    TeamId.of("team" + i),
+                    new TeamTerms(
+                            1 + i % 3,
+                            all,
+                            new ServicePolicy.Spread(2),
+                            new BatchPolicy.DeadlineOrder(1.5),
+                            new GangPolicy.Reserve(5_000)));
+        }
+        for (int i = 0; i < workers; i++) {
+            Resources capacity = WORKER.plus(Resources.of(0, 0, i % 3 == 0 ? ACCELERATORS : 0));
+            plane.putWorker(new WorkerSpec(WorkerId.of("w" + i), "r" + i / RACK, capacity), WorkerState.READY);
+        }
+    }
+
+    private void fill(int workers) {
+        int started = 1;
+        while (started > 0 || running.size() < workers) {
+            while (plane.summary().waiting() < queuedTasks) {
+                submit();
+            }
+            started = tick();
+        }
+    }
+
+    private void endOne() {
+        int index = random.nextInt(running.size());
+        Decision.Start start = running.get(index);
+        running.set(index, running.getLast());
+        running.removeLast();
+        plane.ended(new TaskEnd(0, start.task(), start.attempt(), EndReason.SUCCEEDED, "", RAN_MS), nowMs);
+    }
+
+    private void submit() {
+        int cores = 2 + random.nextInt(3);
+        boolean accelerated = random.nextInt(20) == 0;
+        int team = random.nextInt(teams);
+        OptionalLong finish =
+                random.nextBoolean() ? OptionalLong.of(RAN_MS * (1 + random.nextInt(60))) : OptionalLong.empty();
+        JobSpec spec = JobSpec.builder(
+                        JobId.of("j" + jobs++),
+                        TeamId.of("team" + team),
+                        "name" + team,
+                        new JobKind.Batch(TASKS_PER_JOB, finish))
+                .demand(Resources.of(cores * 1_000L, 4_000L * (1 + random.nextInt(3)), accelerated ? 1 : 0))
+                .runTimeMs(RAN_MS)
+                .build();
+        plane.submit(spec, new BitSet(), nowMs);
+    }
+
+    private int tick() {
+        nowMs += TICK_MS;
+        int started = 0;
+        for (Decision decision : plane.tick(nowMs)) {
+            if (decision instanceof Decision.Start start) {
+                plane.started(start.task(), start.attempt(), nowMs);
+                running.add(start);
+                started++;
+            }
+        }
+        return started;
+    }
+}
