--- a/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
@@ -125,12 +125,14 @@
         boolean worker = link != null
                 && link.hasLease(nowMs)
                 && link.state().filter(WorkerState.READY::equals).isPresent();
-        boolean wanted = job != null && job.placed() && !job.row().cancelled();
+        boolean wanted =
+                job != null && job.placed() && !job.moving() && !job.row().cancelled();
         boolean exclusive = !start.spec().exclusive()
                 || (slice.scanned()
                         && slice.settled()
                         && ExclusiveBound.holds(state, slice, start.spec().team(), nowMs));
-        boolean open = !state.settings().takenOut(state.config().domain()) && !state.stopping();
+        boolean open =
+                state.registered() && !state.settings().takenOut(state.config().domain()) && !state.stopping();
         return open && worker && wanted && exclusive && slice.hasAuthority(nowMs);
     }
 
