--- a/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
@@ -30,7 +30,7 @@
 public final class EntryHost {
     private static final Logger LOG = LoggerFactory.getLogger(EntryHost.class);
     private static final Duration REQUESTS_LIMIT = Duration.ofSeconds(20);
-    private static final Duration HANDOVER_LIMIT = Duration.ofSeconds(10);
+    private static final Duration HANDOVER_LIMIT = Duration.ofSeconds(30);
     private static final Duration CLOSE_LIMIT = Duration.ofSeconds(2);
 
     private final AtomicBoolean stopping = new AtomicBoolean();
--- a/daemon/src/main/java/org/acaciafold/daemon/FailureStatus.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/FailureStatus.java
@@ -8,7 +8,6 @@
     private static final int UNAUTHORIZED = 401;
     private static final int FORBIDDEN = 403;
     private static final int NOT_FOUND = 404;
-    private static final int METHOD_NOT_ALLOWED = 405;
     private static final int CONFLICT = 409;
     private static final int TOO_LONG = 413;
     private static final int WRONG_TYPE = 415;
@@ -29,13 +28,17 @@
      */
     public static int of(Failure failure) {
         return switch (failure.code()) {
-            case "malformed", "bad-request" -> BAD_REQUEST;
+            case "malformed", "bad-request", "request-cut" -> BAD_REQUEST;
             case "no-key", "wrong-key" -> UNAUTHORIZED;
             case "forbidden", "other-team" -> FORBIDDEN;
-            case "not-found", "unknown-job", "unknown-team", "unknown-service", "unknown-edit", "unknown-key" ->
-                NOT_FOUND;
-            case "method" -> METHOD_NOT_ALLOWED;
-            case "conflict", "key-reused", "not-ended" -> CONFLICT;
+            case "not-found",
+                    "unknown-job",
+                    "unknown-team",
+                    "unknown-service",
+                    "unknown-edit",
+                    "unknown-key",
+                    "unknown-subtree" -> NOT_FOUND;
+            case "conflict", "key-reused", "edit-reused", "not-ended" -> CONFLICT;
             case "too-long" -> TOO_LONG;
             case "content-type" -> WRONG_TYPE;
             case "can-never-run", "invalid-settings" -> UNPROCESSABLE;
@@ -46,6 +49,11 @@
         };
     }
 
+    /** Returns whether callers are told when to come back. */
+    static boolean temporary(int status) {
+        return status == TOO_MANY || status == UNAVAILABLE;
+    }
+
     private static int ofStep(Failure failure) {
         return switch (failure.step()) {
             case AUTHORIZATION -> UNAUTHORIZED;
--- a/daemon/src/main/java/org/acaciafold/daemon/HttpAnswers.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/HttpAnswers.java
@@ -15,6 +15,7 @@
     /** The header that tells whether a request ran: {@code ran}, {@code not-run} or {@code unknown}. */
     public static final String OUTCOME_HEADER = "Acaciafold-Outcome";
 
+    private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
     private static final long MS_PER_SECOND = 1_000;
 
     private HttpAnswers() {}
@@ -27,10 +28,14 @@
      * @return completes when it is written
      */
     public static Mono<Void> failure(HttpServerResponse response, Failure failure) {
-        response.header(OUTCOME_HEADER, outcome(failure.outcome()));
-        failure.retryAfterMs()
+        int status = FailureStatus.of(failure);
+        boolean timeMissing =
+                FailureStatus.temporary(status) && failure.retryAfterMs().isEmpty();
+        Failure told = timeMissing ? failure.withRetryAfterMs(DEFAULT_RETRY_AFTER_MS) : failure;
+        response.header(OUTCOME_HEADER, outcome(told.outcome()));
+        told.retryAfterMs()
                 .ifPresent(ms -> response.header("Retry-After", Long.toString(Math.ceilDiv(ms, MS_PER_SECOND))));
-        return json(response, FailureStatus.of(failure), failure, Failure.class);
+        return json(response, status, told, Failure.class);
     }
 
     /**
