--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/process/ChildProcess.java
@@ -0,0 +1,66 @@
+package org.acaciafold.proof.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A process of the test, started from the class path of the test. */
+final class ChildProcess implements AutoCloseable {
+    private static final long STOP_LIMIT_S = 40;
+
+    private final Process process;
+    private final Path log;
+
+    private ChildProcess(Process process, Path log) {
+        this.process = process;
+        this.log = log;
+    }
+
+    static ChildProcess start(String name, Path directory, List<String> jvmOptions, String... command)
+            throws IOException {
+        Path log = directory.resolve(name + ".log");
+        List<String> line = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "--enable-native-access=ALL-UNNAMED",
+                "--sun-misc-unsafe-memory-access=allow"));
+        line.addAll(jvmOptions);
+        line.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        line.addAll(List.of(command));
+        Process process = new ProcessBuilder(line)
+                .redirectErrorStream(true)
+                .redirectOutput(log.toFile())
+                .start();
+        return new ChildProcess(process, log);
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    /** Sends a signal, such as STOP. */
+    void signal(String name) throws IOException, InterruptedException {
+        Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+        if (kill.waitFor() != 0) {
+            throw new IOException("cannot send SIG" + name);
+        }
+    }
+
+    /** Waits for the end and returns the exit code. */
+    int exitCode() throws IOException, InterruptedException {
+        if (!process.waitFor(STOP_LIMIT_S, TimeUnit.SECONDS)) {
+            throw new IOException("did not end within " + STOP_LIMIT_S + " s:\n" + log());
+        }
+        return process.exitValue();
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/process/Cluster.java
@@ -0,0 +1,286 @@
+package org.acaciafold.proof.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.acaciafold.settings.Keys;
+import org.acaciafold.settings.NewKey;
+import org.awaitility.Awaitility;
+
+/** Entry hosts, workers and a platform stand-in in processes of their own, with one team and its key. */
+final class Cluster implements AutoCloseable {
+    static final long CONTROL_LEASE_MS = 2_000;
+    private static final Duration PATIENCE = Duration.ofSeconds(40);
+    private static final String ENTRY = "org.acaciafold.cli.Main";
+    private static final String STANDIN = "org.acaciafold.standin.Main";
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String TEAM = """
+            [team]
+            weight = 1
+            limit-cpu = 96cores
+            limit-memory = 256GiB
+            limit-accelerators = 0
+            rehome-after = 10min
+            queue-limit = 256
+            """;
+
+    private final Path directory;
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final NewKey operatorKey = Keys.create(new SecureRandom());
+    private final Map<String, ChildProcess> processes = new TreeMap<>();
+    private final Map<String, Entry> entries = new TreeMap<>();
+    private final Map<String, String> workers = new TreeMap<>();
+    private final List<TcpRelay> peerRelays = new ArrayList<>();
+    private final StringBuilder hosts = new StringBuilder("[hosts]\n");
+    private final String platform = freeAddress();
+    private String teamKey = "";
+
+    private Cluster(Path directory) throws IOException {
+        this.directory = directory;
+    }
+
+    /** Starts a cluster; each word names an entry host by its failure domain and number, such as {@code north.1}. */
+    static Cluster start(Path directory, String... names) throws IOException, InterruptedException {
+        Cluster cluster = new Cluster(directory);
+        for (String name : names) {
+            cluster.addEntry(name, name.substring(0, name.indexOf('.')));
+        }
+        for (String domain : List.of(names).stream()
+                .map(name -> name.substring(0, name.indexOf('.')))
+                .distinct()
+                .toList()) {
+            cluster.addWorker(domain + "-worker", domain);
+        }
+        cluster.launch();
+        cluster.createTeam();
+        return cluster;
+    }
+
+    static void await(String what, Condition condition) {
+        Awaitility.await(what)
+                .atMost(PATIENCE)
+                .pollInterval(Duration.ofMillis(50))
+                .ignoreExceptionsMatching(IOException.class::isInstance)
+                .until(condition::holds);
+    }
+
+    @Override
+    public void close() throws IOException {
+        processes.values().forEach(ChildProcess::close);
+        for (TcpRelay relay : peerRelays) {
+            relay.close();
+        }
+        http.close();
+    }
+
+    /** Calls a service with the team's key through an entry host. */
+    HttpResponse<String> call(String entry, String method, String path, Map<String, String> headers, String body)
+            throws IOException, InterruptedException {
+        Map<String, String> all = new HashMap<>(headers);
+        all.put("Authorization", "Bearer " + teamKey);
+        return send(method, entries.get(entry).callers(), path, all, body);
+    }
+
+    /** Cuts the entry hosts from each other, or heals the cut. */
+    void cutPeers(boolean cut) throws IOException {
+        for (TcpRelay relay : peerRelays) {
+            relay.cut(cut);
+        }
+    }
+
+    JsonNode journal(String worker) throws IOException, InterruptedException {
+        return JSON.readTree(
+                send("GET", workers.get(worker), "/admin/journal", Map.of(), "").body());
+    }
+
+    List<String> workers() {
+        return List.copyOf(workers.keySet());
+    }
+
+    /** Returns the first entry host that owns a slice. */
+    String owner() {
+        List<String> found = new ArrayList<>();
+        await("an owner", () -> {
+            for (String entry : entries.keySet()) {
+                if (ownedSlices(entry) > 0) {
+                    found.add(entry);
+                }
+            }
+            return !found.isEmpty();
+        });
+        return found.getFirst();
+    }
+
+    int ownedSlices(String entry) throws IOException, InterruptedException {
+        Entry host = entries.get(entry);
+        HttpResponse<String> status = send("GET", host.operators(), "/v1/status", operator(), "");
+        return JSON.readTree(status.body()).path("owned").size();
+    }
+
+    void platformFault(String mode) throws IOException, InterruptedException {
+        send("POST", platform, "/admin/fault", Map.of(), "{\"mode\":\"" + mode + "\",\"slowMs\":0}");
+    }
+
+    ChildProcess process(String name) {
+        return processes.get(name);
+    }
+
+    /** Submits a job and returns its identifier. */
+    String submit(String entry, String name, String kind, boolean exclusive, String payload)
+            throws IOException, InterruptedException {
+        String job = "{\"name\":\"" + name + "\",\"kind\":" + kind
+                + ",\"demand\":{\"cpuMillis\":1000,\"memoryMib\":256,\"accelerators\":0},\"priority\":\"NORMAL\""
+                + ",\"exclusive\":" + exclusive + ",\"runTimeMs\":1000,\"payload\":\"" + payload + "\"}";
+        HttpResponse<String> reply = call(entry, "POST", "/v1/jobs", Map.of("Content-Type", "application/json"), job);
+        if (reply.statusCode() != 202) {
+            throw new IOException("submission was answered by " + reply.statusCode() + " " + reply.body());
+        }
+        return JSON.readTree(reply.body()).path("job").asText();
+    }
+
+    String phase(String entry, String job) throws IOException, InterruptedException {
+        String body = call(entry, "GET", "/v1/jobs/" + job, Map.of(), "").body();
+        return JSON.readTree(body).path("phase").asText();
+    }
+
+    private void addEntry(String id, String domain) throws IOException {
+        Entry entry = new Entry(freeAddress(), freeAddress());
+        String peers = freeAddress();
+        TcpRelay relay = TcpRelay.start(peers);
+        peerRelays.add(relay);
+        entries.put(id, entry);
+        hosts.append("%s = entry %s r0 %s %s%n".formatted(id, domain, relay.address(), entry.callers()));
+        write(id, """
+                [host]
+                id = %s
+                failure-domain = %s
+                [listen]
+                callers = %s
+                operators = %s
+                peers = %s
+                [platform]
+                address = %s
+                [cluster]
+                secret = a secret of the process tests
+                operator-key = %s
+                [timing]
+                heartbeat = 200ms
+                control-lease = %dms
+                task-lease = 10s
+                """.formatted(
+                        id,
+                        domain,
+                        entry.callers(),
+                        entry.operators(),
+                        peers,
+                        platform,
+                        Keys.formatHash(operatorKey.hash()),
+                        CONTROL_LEASE_MS));
+    }
+
+    private void addWorker(String id, String domain) throws IOException {
+        String commands = freeAddress();
+        String requests = freeAddress();
+        workers.put(id, commands);
+        hosts.append("%s = worker %s r1 %s %s%n".formatted(id, domain, commands, requests));
+        write(id, "[worker]\nid = %s\nlisten = %s\nlisten-requests = %s\n".formatted(id, commands, requests));
+    }
+
+    private void launch() throws IOException {
+        write("platform", "[platform]\nlisten = " + platform + "\nhost-list-lag-ms = 100\n" + hosts);
+        List<String> quiet = List.of("-Dlogback.configurationFile=logback-standin.xml");
+        launch("platform", quiet, STANDIN, "platform");
+        for (String worker : workers.keySet()) {
+            launch(worker, quiet, STANDIN, "worker");
+        }
+        for (String entry : entries.keySet()) {
+            launch(entry, List.of("-Dlogback.configurationFile=logback.xml"), ENTRY, "serve");
+        }
+    }
+
+    private void launch(String name, List<String> options, String main, String role) throws IOException {
+        String settings = directory.resolve(name + ".ini").toString();
+        processes.put(name, ChildProcess.start(name, directory, options, main, role, "--settings", settings));
+    }
+
+    private void createTeam() throws IOException, InterruptedException {
+        for (Entry entry : entries.values()) {
+            await(
+                    "a ready entry host",
+                    () -> send("GET", entry.operators(), "/readyz", Map.of(), "")
+                                    .statusCode()
+                            == 200);
+        }
+        Entry first = entries.values().iterator().next();
+        Map<String, String> headers = new HashMap<>(operator());
+        headers.put("Content-Type", "text/plain");
+        headers.put("If-Match", "0");
+        await(
+                "the team",
+                () -> send("PUT", first.operators(), "/v1/settings/team/desk", headers, TEAM)
+                                .statusCode()
+                        == 202);
+        await("a key", () -> {
+            HttpResponse<String> created = send("POST", first.operators(), "/v1/teams/desk/keys", operator(), "");
+            teamKey = JSON.readTree(created.body()).path("key").asText();
+            return created.statusCode() == 201;
+        });
+        for (String entry : entries.keySet()) {
+            await(
+                    "the key at " + entry,
+                    () -> call(entry, "GET", "/v1/jobs/none", Map.of(), "").statusCode() != 401);
+        }
+    }
+
+    private Map<String, String> operator() {
+        return Map.of("Authorization", "Bearer " + operatorKey.text());
+    }
+
+    private HttpResponse<String> send(
+            String method, String address, String path, Map<String, String> headers, String body)
+            throws IOException, InterruptedException {
+        HttpRequest.BodyPublisher content =
+                body.isEmpty() ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body);
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(Duration.ofSeconds(20))
+                .method(method, content);
+        headers.forEach(request::header);
+        return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void write(String name, String text) throws IOException {
+        Files.writeString(directory.resolve(name + ".ini"), text);
+    }
+
+    private static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    /** Something to wait for. */
+    @FunctionalInterface
+    interface Condition {
+        boolean holds() throws IOException, InterruptedException;
+    }
+
+    /** Where an entry host listens for callers and operators. */
+    private record Entry(String callers, String operators) {}
+}
