--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -28,6 +28,7 @@
             case Event.HostsListed listed -> replaceHosts(listed.hosts());
             case Event.PeerReceived received -> hear(received);
             case Event.StopRequested ignored -> state.stopping(true);
+            case Event.ClientCalled called -> answer(called, outbox);
             default -> {
                 // events of other systems
             }
@@ -50,6 +51,12 @@
         }
     }
 
+    private void answer(Event.ClientCalled called, Outbox outbox) {
+        if (called.body() instanceof ClientCall.QueryStatus) {
+            outbox.answer(called.call(), new ClientReply.StatusFound(status()));
+        }
+    }
+
     private void hear(Event.PeerReceived received) {
         if (received.message() instanceof PeerMessage.Heartbeat heartbeat) {
             PeerEntry entry = new PeerEntry(
@@ -70,6 +77,27 @@
         }
     }
 
+    private HostStatus status() {
+        List<SliceSummary> known = new ArrayList<>();
+        List<HostId> heard = new ArrayList<>();
+        long heardAfterMs = state.clock().nowMs() - state.config().controlLeaseMs();
+        state.peers().forEach((peer, entry) -> {
+            if (entry.heardMs() >= heardAfterMs) {
+                heard.add(peer);
+                known.addAll(entry.slices());
+            }
+        });
+        return new HostStatus(
+                state.config().host(),
+                state.config().domain(),
+                state.registered() && !state.stopping(),
+                state.tableAnswers(),
+                state.settings().version(),
+                summaries(),
+                known,
+                heard);
+    }
+
     private List<SliceSummary> summaries() {
         List<SliceSummary> summaries = new ArrayList<>();
         for (OwnedSlice slice : state.owned().values()) {
--- a/proof/src/test/java/org/acaciafold/proof/process/ProcessFaultTest.java
+++ b/proof/src/test/java/org/acaciafold/proof/process/ProcessFaultTest.java
@@ -72,13 +72,14 @@
     }
 
     @Test
-    void shouldCutNoRequestWhenOwnerIsStopped() throws Exception {
+    void shouldCutNeitherOwnNorRelayedRequestWhenOwnerIsStopped() throws Exception {
         startNorth("echo", "");
         String owner = cluster.owner();
         List<CompletableFuture<HttpResponse<String>>> running = new ArrayList<>();
         for (int index = 0; index < SLOTS - 2; index++) {
             String body = "request " + index;
-            running.add(CompletableFuture.supplyAsync(() -> slowEcho(owner, body), Thread::startVirtualThread));
+            String entry = index % 2 == 0 ? owner : other(owner);
+            running.add(CompletableFuture.supplyAsync(() -> slowEcho(entry, body), Thread::startVirtualThread));
         }
         Cluster.await("requests in progress", () -> slotsInUse() == SLOTS - 2);
         cluster.process(owner).signal("TERM");
