Slot requests of a tick are placed after its reports of workers

A request that arrived in the same tick as the first report of a replica was refused for want of a replica.

--- a/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
@@ -1,9 +1,11 @@
 package org.acaciafold.coordination;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -43,6 +45,7 @@
     private final SlotRouting routing;
     private final Map<WorkerId, Seen> seen = new TreeMap<>();
     private final Map<ServiceKey, Long> lastKnownMs = new TreeMap<>();
+    private final List<Parked> arrived = new ArrayList<>();
     private final Deque<Parked> parked = new ArrayDeque<>();
     private long settingsVersion = -1;
     private long nextSummaryMs = Long.MIN_VALUE;
@@ -66,7 +69,7 @@
         long nowMs = state.clock().nowMs();
         switch (called.body()) {
             case ClientCall.AcquireSlot acquire ->
-                acquire(new Parked(called.call(), acquire, nowMs, nowMs + acquire.waitMs()), nowMs, outbox);
+                arrived.add(new Parked(called.call(), acquire, nowMs, nowMs + acquire.waitMs()));
             case ClientCall.ReleaseSlot release -> {
                 SlotEnd end = new SlotEnd(release.succeeded(), release.ended(), release.tookMs());
                 plane.release(release.slot(), end, nowMs);
@@ -83,6 +86,8 @@
         updateTeams();
         updateWorkers(nowMs);
         retryParked(nowMs, outbox);
+        arrived.forEach(request -> acquire(request, nowMs, outbox));
+        arrived.clear();
         for (SlotDecision decision : plane.tick(nowMs)) {
             answer(decision, outbox);
         }
