--- a/core/src/main/java/org/acaciafold/core/request/FairQueue.java
+++ b/core/src/main/java/org/acaciafold/core/request/FairQueue.java
@@ -101,6 +101,9 @@
      * @return the item, empty when no lane is ready
      */
     public Optional<T> take(Predicate<L> ready) {
+        if (teams.isEmpty()) {
+            return Optional.empty();
+        }
         Comparator<TeamId> fair = Comparator.comparingDouble(team -> teams.get(team).passed);
         List<TeamId> order = teams.keySet().stream().sorted(fair).toList();
         for (TeamId team : order) {
--- a/daemon/src/test/java/org/acaciafold/daemon/request/FakeCore.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/FakeCore.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -10,6 +11,7 @@
 import org.acaciafold.coordination.ClientReply;
 import org.acaciafold.coordination.StoredOutcome;
 import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.daemon.CoreCalls;
@@ -21,13 +23,14 @@
     private final Deque<Mono<ClientReply>> slots = new ArrayDeque<>();
     private final AtomicLong lastSlot = new AtomicLong();
     private volatile Mono<ClientReply> claim = Mono.just(new ClientReply.Claimed());
+    private volatile Optional<HostId> owner = Optional.empty();
     private volatile String worker = "";
 
     @Override
     public Mono<ClientReply> call(ClientCall call) {
         calls.add(call);
         return switch (call) {
-            case ClientCall.AcquireSlot ignored -> nextSlot();
+            case ClientCall.AcquireSlot acquire -> acquire(acquire.relayed());
             case ClientCall.Claim ignored -> claim;
             case ClientCall.Settle ignored -> Mono.just(new ClientReply.Settled());
             case ClientCall.ReleaseSlot ignored -> Mono.just(new ClientReply.Released());
@@ -62,10 +65,23 @@
                 .toList();
     }
 
+    /** Names a peer as the owner of the worker for requests that no peer relayed. */
+    void owner(HostId peer) {
+        owner = Optional.of(peer);
+    }
+
     void worker(String address) {
         worker = address;
     }
 
+    private Mono<ClientReply> acquire(boolean relayed) {
+        return relayed ? nextSlot() : owner.map(this::elsewhere).orElseGet(this::nextSlot);
+    }
+
+    private Mono<ClientReply> elsewhere(HostId peer) {
+        return Mono.just(new ClientReply.SlotElsewhere(peer));
+    }
+
     private synchronized Mono<ClientReply> nextSlot() {
         return slots.isEmpty() ? Mono.fromSupplier(() -> grant(worker)) : slots.poll();
     }
--- a/daemon/src/test/java/org/acaciafold/daemon/request/FakeWorker.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/FakeWorker.java
@@ -35,6 +35,7 @@
     private final Deque<Way> ways = new ArrayDeque<>();
     private final List<String> bodies = new CopyOnWriteArrayList<>();
     private final List<String> fences = new CopyOnWriteArrayList<>();
+    private final List<String> traces = new CopyOnWriteArrayList<>();
     private final DisposableServer server =
             HttpServer.create().host("127.0.0.1").port(0).handle(this::serve).bindNow();
 
@@ -60,11 +61,16 @@
         return fences;
     }
 
+    List<String> traces() {
+        return traces;
+    }
+
     private Mono<Void> serve(HttpServerRequest request, HttpServerResponse response) {
         Way way = next();
         String id = request.requestHeaders().get("acaciafold-request");
         fences.add(request.requestHeaders().get("acaciafold-fence") + "/"
                 + request.requestHeaders().get("acaciafold-lease"));
+        traces.add(request.requestHeaders().get("traceparent", ""));
         response.header("acaciafold-request", way == Way.CROSS ? "other" : id);
         return request.receive().aggregate().asString().defaultIfEmpty("").flatMap(body -> answer(way, body, response));
     }
--- a/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
@@ -1,13 +1,16 @@
 package org.acaciafold.daemon.request;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
@@ -24,17 +27,23 @@
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
 import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.port.HostEntry;
+import org.acaciafold.core.port.HostRole;
 import org.acaciafold.daemon.HostMetrics;
 import org.acaciafold.daemon.HostSnapshot;
 import org.acaciafold.daemon.RequestContext;
 import org.acaciafold.daemon.RequestPlane;
 import org.acaciafold.daemon.Tracing;
+import org.acaciafold.settings.FleetSettings;
 import org.acaciafold.settings.HostAddresses;
 import org.acaciafold.settings.HostSettings;
 import org.acaciafold.settings.HostTimings;
 import org.acaciafold.settings.KeyHash;
 import org.acaciafold.settings.Observation;
 import org.acaciafold.settings.TraceExport;
+import org.acaciafold.wire.PeerTransport;
+import org.acaciafold.wire.RelayRequest;
+import org.acaciafold.wire.RelayResponse;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -43,16 +52,20 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 class LiveRequestsTest {
+    private static final String TRACE = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    private static final HostId OWNER = HostId.of("h2");
     private static final int MAX_BODY_BYTES = 1_000_000;
     private static final StoredOutcome FIRST =
             new StoredOutcome(Outcome.RAN, 200, "text/plain", "first".getBytes(StandardCharsets.UTF_8));
@@ -61,12 +74,13 @@
     private final FakeWorker worker = new FakeWorker();
     private final HttpClient client = HttpClient.newHttpClient();
     private Optional<TeamId> team = Optional.of(TeamId.of("north"));
+    private RequestPlane plane;
     private DisposableServer entry;
 
     @BeforeEach
     void start() {
         core.worker(worker.address());
-        RequestPlane plane = LiveRequestPlane.create(context());
+        plane = LiveRequestPlane.create(context());
         entry = HttpServer.create()
                 .host("127.0.0.1")
                 .port(0)
@@ -84,19 +98,25 @@
     // -- handle
 
     @ParameterizedTest
-    @CsvSource({"0", "5", "300000", "900000"})
-    void shouldReturnWholeBodyWhenReplicaEchoes(int length) throws Exception {
+    @CsvSource({"0, false", "5, false", "300000, false", "900000, false", "5, true", "300000, true", "900000, true"})
+    void shouldReturnWholeBodyWhenReplicaEchoes(int length, boolean relayed) throws Exception {
+        relay(relayed);
         String body = "x".repeat(length);
         HttpResponse<String> response = send("POST", body, Map.of());
         assertEquals(200, response.statusCode());
         assertEquals(body, response.body());
         assertEquals("ran", outcome(response));
         assertEquals(List.of("3.1/7"), worker.fences());
+        assertEquals(List.of(TRACE), worker.traces());
         awaitReleases(1);
         assertTrue(core.releases().getFirst().ended());
     }
 
     static Stream<Arguments> attempts() {
+        return Stream.of(false, true).flatMap(relayed -> ways().map(way -> relayed(way, relayed)));
+    }
+
+    private static Stream<Arguments> ways() {
         return Stream.of(
                 arguments("POST", "FAIL", 500, "ran", 1),
                 arguments("POST", "REFUSE ECHO", 200, "ran", 1),
@@ -110,8 +130,9 @@
 
     @ParameterizedTest
     @MethodSource("attempts")
-    void shouldTellTrueOutcomeWhenWorkerMisbehaves(String method, String ways, int status, String outcome, int ran)
-            throws Exception {
+    void shouldTellTrueOutcomeWhenWorkerMisbehaves(
+            String method, String ways, int status, String outcome, int ran, boolean relayed) throws Exception {
+        relay(relayed);
         FakeWorker.Way[] next =
                 Arrays.stream(ways.split(" ")).map(FakeWorker.Way::valueOf).toArray(FakeWorker.Way[]::new);
         worker.answer(next);
@@ -122,14 +143,46 @@
         awaitReleases(next.length);
     }
 
-    @Test
-    void shouldNotSayNotRunWhenBodyStreamWasCutInTheWorker() throws Exception {
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void shouldBreakConnectionWhenResponseIsCut(boolean relayed) throws Exception {
+        relay(relayed);
         worker.answer(FakeWorker.Way.CUT);
         assertThrows(IOException.class, () -> send("POST", "body", Map.of()));
         awaitReleases(1);
         assertEquals(false, core.releases().getFirst().ended());
     }
 
+    @Test
+    void shouldStreamWhenBodyHasNoLength() throws Exception {
+        byte[] body = new byte[700_000];
+        Arrays.fill(body, (byte) 'y');
+        HttpRequest request = request(
+                        "POST", HttpRequest.BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(body)))
+                .build();
+        HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+        assertArrayEquals(body, response.body());
+    }
+
+    @Test
+    void shouldAnswerWithoutBodyWhenMethodIsHead() throws Exception {
+        HttpResponse<String> response = send("HEAD", "", Map.of());
+        assertEquals(200, response.statusCode());
+        awaitReleases(1);
+    }
+
+    @Test
+    void shouldRunNothingWhenCallerCutsItsBody() throws Exception {
+        try (Socket caller = new Socket("127.0.0.1", entry.port())) {
+            String head = "POST /v1/services/shop/x HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n";
+            caller.getOutputStream().write((head + "z".repeat(1_000)).getBytes(StandardCharsets.US_ASCII));
+            caller.getOutputStream().flush();
+            Awaitility.await().until(() -> worker.fences().size() == 1);
+        }
+        awaitReleases(1);
+        assertEquals(0, worker.bodies().size());
+    }
+
     @Test
     void shouldSayNotRunWhenNobodyListens() throws Exception {
         try (ServerSocket closed = new ServerSocket(0)) {
@@ -243,7 +296,16 @@
         Awaitility.await().until(() -> core.releases().size() == count);
     }
 
+    private void relay(boolean relayed) {
+        if (relayed) {
+            core.owner(OWNER);
+        }
+    }
+
     private RequestContext context() {
+        HostEntry owner = new HostEntry(
+                OWNER.value(), HostRole.ENTRY, DomainId.of("d"), "r", "127.0.0.1:1", "127.0.0.1:2", false);
+        HostSnapshot snapshot = new HostSnapshot(FleetSettings.empty(), List.of(owner), 0, 0, true, false);
         HostSettings settings = new HostSettings(
                 HostId.of("h"),
                 DomainId.of("d"),
@@ -254,17 +316,21 @@
                 new Observation(false, TraceExport.NONE, ""),
                 MAX_BODY_BYTES);
         return new RequestContext(
-                settings, core, null, HostSnapshot::empty, HostMetrics.create(), Tracing.none(), Clock.system());
+                settings, core, new LocalPeers(), () -> snapshot, HostMetrics.create(), Tracing.none(), Clock.system());
+    }
+
+    private HttpRequest.Builder request(String method, HttpRequest.BodyPublisher content) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.port() + "/v1/services/shop/x?y=1"))
+                .timeout(Duration.ofSeconds(15))
+                .header("traceparent", TRACE)
+                .method(method, content);
     }
 
     private HttpResponse<String> send(String method, String body, Map<String, String> headers)
             throws IOException, InterruptedException {
         HttpRequest.BodyPublisher content =
                 body.isEmpty() ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body);
-        HttpRequest.Builder request = HttpRequest.newBuilder(
-                        URI.create("http://127.0.0.1:" + entry.port() + "/v1/services/shop/x?y=1"))
-                .timeout(Duration.ofSeconds(15))
-                .method(method, content);
+        HttpRequest.Builder request = request(method, content);
         headers.forEach(request::header);
         return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
@@ -272,4 +338,28 @@
     private static String outcome(HttpResponse<?> response) {
         return response.headers().firstValue("acaciafold-outcome").orElse("");
     }
+
+    private static Arguments relayed(Arguments way, boolean relayed) {
+        List<Object> all = new ArrayList<>(List.of(way.get()));
+        all.add(relayed);
+        return Arguments.of(all.toArray());
+    }
+
+    /** Relays to the same host without a connection. */
+    private final class LocalPeers implements PeerTransport {
+        @Override
+        public Mono<Void> close() {
+            return Mono.empty();
+        }
+
+        @Override
+        public Mono<RelayResponse> relay(String address, RelayRequest request) {
+            return plane.relays().handle(request);
+        }
+
+        @Override
+        public void send(String address, byte[] message) {
+            throw new IllegalStateException("the request plane sends no messages");
+        }
+    }
 }
--- a/standin/src/main/java/org/acaciafold/standin/LiveServer.java
+++ b/standin/src/main/java/org/acaciafold/standin/LiveServer.java
@@ -91,7 +91,8 @@
                 .asByteArray()
                 .defaultIfEmpty(new byte[0])
                 .map(body -> work.holds() ? execute(request) : body)
-                .delayElement(Duration.ofMillis(sleepMs))
+                .flatMap(body ->
+                        sleepMs > 0 ? Mono.just(body).delayElement(Duration.ofMillis(sleepMs)) : Mono.just(body))
                 .flatMap(body -> response.header("content-length", Integer.toString(body.length))
                         .sendByteArray(Mono.just(body))
                         .then());
