--- a/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
@@ -1,7 +1,9 @@
 package org.acaciafold.coordination;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.acaciafold.core.codec.Codec;
@@ -89,19 +91,22 @@
 
         /** Returns the changes above a version, empty when some of them are no longer remembered. */
         Optional<List<Change>> changesAfter(long known, long version) {
-            List<Change> changes = new ArrayList<>();
-            changes.add(new Change(version, subtree, removed));
-            for (Change change : earlier) {
-                if (change.version() <= known) {
-                    return Optional.of(changes);
-                }
-                boolean repeated =
-                        changes.stream().anyMatch(later -> later.subtree().equals(change.subtree()));
-                if (!repeated) {
-                    changes.add(change);
-                }
-            }
-            return Optional.empty();
+            boolean complete = earlier.stream().anyMatch(change -> change.version() <= known);
+            return complete
+                    ? Optional.of(lastChanges(version).stream()
+                            .filter(change -> change.version() > known)
+                            .toList())
+                    : Optional.empty();
+        }
+
+        /** Returns the last change of each subtree that is remembered. */
+        List<Change> lastChanges(long version) {
+            Map<String, Change> changes = new LinkedHashMap<>();
+            changes.put(subtree, new Change(version, subtree, removed));
+            earlier.stream()
+                    .filter(change -> change.version() > 0)
+                    .forEach(change -> changes.putIfAbsent(change.subtree(), change));
+            return List.copyOf(changes.values());
         }
 
         /** Returns the head after the next change. */
--- a/coordination/src/main/java/org/acaciafold/coordination/TreeLoader.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/TreeLoader.java
@@ -21,7 +21,7 @@
  *
  * <p>The head row names the latest changes with their versions, so a host that lags little reads just these subtrees; a
  * row of another version than the head names shows that the two reads belong to different versions. A host that lags
- * more reads all subtrees between two equal reads of the head.
+ * more reads all subtrees between two equal reads of the head and holds them against the changes that it names.
  */
 final class TreeLoader {
     private static final Logger LOG = LoggerFactory.getLogger(TreeLoader.class);
@@ -116,7 +116,8 @@
             }
             readHead(again -> {
                 boolean same = again.map(Row::version).orElse(0L) == version;
-                then.accept(same ? Optional.of(StoredTree.of(version, head, subtrees)) : Optional.empty());
+                boolean current = head.lastChanges(version).stream().allMatch(change -> shows(change, subtrees));
+                then.accept(same && current ? Optional.of(StoredTree.of(version, head, subtrees)) : Optional.empty());
             });
         });
     }
@@ -131,6 +132,11 @@
         }
     }
 
+    private static boolean shows(SettingsRows.Change change, Map<String, StoredTree.Subtree> subtrees) {
+        StoredTree.Subtree subtree = subtrees.get(change.subtree());
+        return change.removed() ? subtree == null : subtree != null && subtree.version() == change.version();
+    }
+
     private static boolean put(Row row, Map<String, StoredTree.Subtree> subtrees) {
         try {
             String text =
--- a/coordination/src/test/java/org/acaciafold/coordination/SettingsFuzzTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SettingsFuzzTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -15,7 +16,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.Tuple;
+import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Outcome;
+import org.acaciafold.core.port.Row;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -26,6 +29,8 @@
 class SettingsFuzzTest {
     private static final int HOSTS = 4;
     private static final long IN_FORCE_WITHIN_MS = 14_000;
+    private static final int SUBTREES = 3;
+    private static final int ASK_STEPS = 4;
     private static final long OUTAGE_END_MS = 4_000;
 
     enum Kind {
@@ -63,7 +68,7 @@
         return Combinators.combine(
                         kinds,
                         Arbitraries.integers().between(0, HOSTS - 1),
-                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.integers().between(0, SUBTREES - 1),
                         Arbitraries.of(0, 10, 20, 50, 200, 1_000, 5_000))
                 .as(Action::new)
                 .list()
@@ -80,6 +85,9 @@
         private final Set<String> accepted = new HashSet<>();
         private final Set<String> bases = new HashSet<>();
         private final Map<TestHost, Long> versions = new HashMap<>();
+        private final Map<String, TreeMap<Long, Integer>> history = new TreeMap<>();
+        private long asked;
+        private int steps;
         private final List<ClientCall.EditSettings> edits = new ArrayList<>();
 
         Run() {
@@ -102,8 +110,8 @@
                 case TABLE_DOWN -> fleet.table().down(true);
                 case TABLE_UP -> fleet.table().down(false);
                 case LOSE_ANSWERS -> fleet.table().loseCommitAnswers(1 + action.subtree());
-                case STALE_READS -> fleet.table().stale(true);
-                case FRESH_READS -> fleet.table().stale(false);
+                case STALE_READS -> fleet.table().stale(action.subtree() == 0);
+                case FRESH_READS -> fleet.table().fresh();
                 default -> throw new IllegalStateException("unknown " + action.kind());
             }
             pass(action.runMs());
@@ -111,7 +119,7 @@
 
         void heal() {
             fleet.table().down(false);
-            fleet.table().stale(false);
+            fleet.table().fresh();
             fleet.table().loseCommitAnswers(0);
             for (int i = 0; i < HOSTS; i++) {
                 fleet.cut("h" + i, false);
@@ -138,7 +146,16 @@
         }
 
         private void check() {
+            for (int i = 0; i < SUBTREES; i++) {
+                String path = path(i);
+                fleet.table()
+                        .row(SettingsRows.subtree(path))
+                        .ifPresent(row -> history.computeIfAbsent(path, key -> new TreeMap<>())
+                                .computeIfAbsent(row.version(), version -> slices(row)));
+            }
             for (TestHost host : fleet.hosts().values()) {
+                assertEquals(
+                        slicesAt(host.version()), slicesAt(host), host.id() + " has another tree than its version");
                 long before = versions.getOrDefault(host, 0L);
                 assertTrue(host.version() >= before, host.id() + " went back");
                 versions.put(host, host.version());
@@ -151,7 +168,7 @@
         }
 
         private void edit(String host, int subtree) {
-            String path = "domain/x" + subtree;
+            String path = path(subtree);
             long expected = fleet.table()
                     .row(SettingsRows.subtree(path))
                     .map(row -> row.version())
@@ -163,6 +180,47 @@
             sent.put(fleet.send(host, edit), edit);
         }
 
+        /** Asks a host for the edit that is latest known to be written. */
+        private void ask(int host) {
+            if (asked != 0 && fleet.reply(asked) instanceof ClientReply.EditState state && state.accepted()) {
+                accepted.add(state.editId());
+            }
+            written.entrySet().stream()
+                    .max(Map.Entry.comparingByValue())
+                    .ifPresent(latest -> asked = fleet.send("h" + host, new ClientCall.QueryEdit(latest.getKey())));
+        }
+
+        private static int slices(Row row) {
+            try {
+                String text =
+                        SettingsRows.decode(row, SettingsRows.SubtreeRow.class).text();
+                return Integer.parseInt(text.substring(text.indexOf('=') + 1).trim());
+            } catch (AcaciafoldException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        private Map<String, Integer> slicesAt(long version) {
+            Map<String, Integer> slices = new TreeMap<>();
+            history.forEach((path, versions) -> {
+                Map.Entry<Long, Integer> last = versions.floorEntry(version);
+                if (last != null) {
+                    slices.put(path, last.getValue());
+                }
+            });
+            return slices;
+        }
+
+        private static Map<String, Integer> slicesAt(TestHost host) {
+            Map<String, Integer> slices = new TreeMap<>();
+            host.state().settings().domains().forEach((id, domain) -> slices.put("domain/" + id, domain.slices()));
+            return slices;
+        }
+
+        private static String path(int subtree) {
+            return "domain/x" + subtree;
+        }
+
         private void learn(ClientCall.EditSettings edit, ClientReply reply) {
             Outcome outcome =
                     switch (reply) {
@@ -192,6 +250,10 @@
         private void pass(long ms) {
             for (long passed = 0; passed <= ms; passed += TestFleet.STEP_MS) {
                 fleet.run(TestFleet.STEP_MS);
+                steps++;
+                if (steps % ASK_STEPS == 0) {
+                    ask(steps / ASK_STEPS % HOSTS);
+                }
                 sent.entrySet().removeIf(entry -> {
                     ClientReply reply = fleet.reply(entry.getKey());
                     if (reply != null) {
--- a/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
@@ -185,7 +185,7 @@
         fleet.table().stale(true);
         ClientReply.SettingsFound found = assertInstanceOf(
                 ClientReply.SettingsFound.class, fleet.call("h1", new ClientCall.QuerySettings(SUBTREE)));
-        fleet.table().stale(false);
+        fleet.table().fresh();
         ClientReply.EditState second = edited(fleet.call("h2", put("e2", found.version(), IN)));
         fleet.run(2_000);
 
@@ -226,6 +226,25 @@
         assertTrue(fleet.host("h4").state().registered());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8})
+    void shouldNotBeAcceptedWithoutAHostWhenItRegistersMeanwhile(int stepsBefore) {
+        fleet.call("h1", put("e0", 0, IN));
+        long base = edited(fleet.call("h1", new ClientCall.QueryEdit("e0"))).version();
+        fleet.start("h4", "d2");
+        fleet.run(stepsBefore * TestFleet.STEP_MS);
+        fleet.send("h1", put("e1", base, OUT));
+        while (fleet.table().row("host/h4").isEmpty()
+                || fleet.table().row(SettingsRows.edit("e1")).isEmpty()) {
+            fleet.run(TestFleet.STEP_MS);
+        }
+        fleet.cut("h4", true);
+        fleet.run(20_000);
+
+        ClientReply.EditState state = edited(fleet.call("h1", new ClientCall.QueryEdit("e1")));
+        assertEquals(state.accepted(), fleet.host("h4").version() >= state.version());
+    }
+
     @Test
     void shouldReplaceItsOwnRegistrationWhenAHostRestarts() {
         fleet.pause("h3", true);
--- a/coordination/src/test/java/org/acaciafold/coordination/TestTable.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/TestTable.java
@@ -19,6 +19,7 @@
     private long lastVersion;
     private int answersToLose;
     private boolean down;
+    private boolean staleVersion;
 
     TableReply handle(TableRequest request) {
         if (down) {
@@ -40,9 +41,15 @@
         answersToLose = count;
     }
 
-    /** Serves reads of the settings from the present state from now on, or from the newest again. */
-    void stale(boolean value) {
-        staleRows = value ? Optional.of(new TreeMap<>(rows)) : Optional.empty();
+    /** Serves reads of the settings from the present state from now on, of their version only when told so. */
+    void stale(boolean withVersion) {
+        staleVersion = withVersion;
+        staleRows = Optional.of(new TreeMap<>(rows));
+    }
+
+    /** Serves reads from the newest state again. */
+    void fresh() {
+        staleRows = Optional.empty();
     }
 
     Optional<Row> row(String key) {
@@ -72,14 +79,14 @@
     private Map<String, Row> readable() {
         Map<String, Row> readable = new TreeMap<>(rows);
         staleRows.ifPresent(stale -> {
-            readable.keySet().removeIf(TestTable::ofSettings);
-            stale.values().stream().filter(row -> ofSettings(row.key())).forEach(row -> readable.put(row.key(), row));
+            readable.keySet().removeIf(this::isStale);
+            stale.values().stream().filter(row -> isStale(row.key())).forEach(row -> readable.put(row.key(), row));
         });
         return readable;
     }
 
-    private static boolean ofSettings(String key) {
-        return key.startsWith("settings");
+    private boolean isStale(String key) {
+        return key.startsWith(SettingsRows.SUBTREES) || staleVersion && key.equals(SettingsRows.HEAD);
     }
 
     private TableReply commit(TableRequest.Commit commit) {
