--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -2,16 +2,46 @@
 
 import java.util.List;
 
-/** The order in which the systems of an entry host run in each tick. */
+import org.acaciafold.core.model.Fence;
+import org.acaciafold.core.placement.TablePlane;
+
+/**
+ * The order in which the systems of an entry host run in each tick.
+ *
+ * <p>Limits are compared with new settings before the settings are acknowledged, and placement sees both.
+ */
 final class Systems {
+    private static final int EPOCH_SHIFT_BITS = 32;
+    private static final int COUNTER_SHIFT_BITS = 20;
+
     private Systems() {}
 
     static List<HostSystem> inOrder(HostState state) {
+        GroupCommit commits = GroupCommit.empty();
+        JobSystem jobs = JobSystem.of(state, commits);
+        SubmitSystem submissions = SubmitSystem.of(state, commits, jobs);
         return List.of(
                 MembershipSystem.of(state),
+                OwnershipSystem.of(
+                        state,
+                        (slice, fence) -> TablePlane.builder(state.config().seed())
+                                .lastAttempt(lastAttempt(fence))
+                                .build()),
+                WorkerSystem.of(state),
+                jobs,
+                submissions,
+                CancelSystem.of(state, commits, submissions),
+                JobQuerySystem.of(state),
+                CommitSystem.of(commits),
                 ClaimSystem.of(state),
                 AllotmentSystem.of(state),
                 SettingsSystem.of(state),
+                PlacementSystem.of(state),
                 SlotSystem.of(state));
     }
+
+    /** Returns a number above the attempts of all owners with lower fencing tokens. */
+    private static long lastAttempt(Fence fence) {
+        return (fence.epoch() << EPOCH_SHIFT_BITS) + (fence.counter() << COUNTER_SHIFT_BITS);
+    }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
@@ -22,36 +22,47 @@
     private final Map<Resources, Group> byRoom = new LinkedHashMap<>();
     private final Map<TeamRow, Group> byTeam = new HashMap<>();
     private final List<Group> due = new ArrayList<>();
+    private boolean muted;
 
     private static final class Group {
+        final boolean forRoom;
         final Resources least;
         final Deque<ShapeQueue> queues = new ArrayDeque<>();
         int toRetry;
 
-        Group(Resources least) {
+        Group(boolean forRoom, Resources least) {
+            this.forRoom = forRoom;
             this.least = least;
         }
     }
 
+    /** Ignores what is freed while a start is undone, which leaves no more room than there was before it. */
+    void mute(boolean value) {
+        muted = value;
+    }
+
     /** Tells that a team holds less or may hold more than before. */
     void allotmentFreed(TeamRow team) {
         Group group = byTeam.get(team);
-        if (group != null) {
+        if (group != null && !muted) {
             retryAll(group);
         }
     }
 
     /** Keeps a queue until its team may hold more. */
     void blockForAllotment(ShapeQueue queue) {
-        byTeam.computeIfAbsent(queue.parent.team, team -> new Group(Resources.empty()))
+        byTeam.computeIfAbsent(queue.parent.team, team -> new Group(false, Resources.empty()))
                 .queues
                 .add(queue);
     }
 
     /** Keeps a queue until a worker has more room. */
     void blockForRoom(ShapeQueue queue, boolean retryNextTick) {
-        Group group = byRoom.computeIfAbsent(floor(queue.demand), Group::new);
-        group.queues.add(queue);
+        Group group = byRoom.computeIfAbsent(floor(queue.demand), least -> new Group(true, least));
+        if (!queue.listedForRoom) {
+            queue.listedForRoom = true;
+            group.queues.add(queue);
+        }
         if (retryNextTick) {
             group.toRetry++;
             schedule(group);
@@ -60,6 +71,9 @@
 
     /** Tells how much a worker has free. */
     void roomFreed(Resources free) {
+        if (muted) {
+            return;
+        }
         for (Group group : byRoom.values()) {
             if (group.toRetry < group.queues.size() && group.least.fitsIn(free)) {
                 retryAll(group);
@@ -80,7 +94,10 @@
         for (int i = 0; i < RETRIES_PER_TICK && group.toRetry > 0 && !group.queues.isEmpty(); i++) {
             group.toRetry--;
             ShapeQueue queue = group.queues.poll();
-            queue.parent.unblock(queue);
+            unlist(group, queue);
+            if (queue.blocked) {
+                queue.parent.unblock(queue);
+            }
         }
         if (group.queues.isEmpty()) {
             group.toRetry = 0;
@@ -101,6 +118,14 @@
         }
     }
 
+    private static void unlist(Group group, ShapeQueue queue) {
+        if (group.forRoom) {
+            queue.listedForRoom = false;
+        } else {
+            queue.listedForAllotment = false;
+        }
+    }
+
     private static Resources floor(Resources demand) {
         return Resources.of(
                 Long.highestOneBit(demand.cpuMillis()),
