Hosts act only while registered, also after a pause, and registrations of hosts that are gone are removed

A process that was paused for longer than a control lease reads its registration before it acts, since another process may have taken its place. A graceful stop takes the registration back before the process ends, so that no edit waits for it.

--- a/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostCore.java
@@ -87,6 +87,7 @@
      * @return the effects to carry out, in order
      */
     public List<Effect> tick(List<Event> events) {
+        state.beginTick(clock.nowMs());
         for (Event event : events) {
             apply(event);
         }
@@ -107,7 +108,9 @@
         }
         boolean drained = true;
         boolean handedOver = true;
+        boolean released = true;
         for (HostSystem system : systems) {
+            released &= system.released();
             if (system instanceof OwnershipSystem) {
                 handedOver = system.idle();
             } else {
@@ -115,7 +118,7 @@
             }
         }
         state.drained(drained);
-        if (drained && handedOver) {
+        if (drained && handedOver && released) {
             stopped = true;
             outbox.stopped();
         }
--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -32,6 +32,7 @@
     private boolean stopping;
     private boolean drained;
     private long lastAsk;
+    private long lastTickMs = Times.NEVER_MS;
 
     private HostState(HostConfig config, Clock clock) {
         this.config = config;
@@ -66,6 +67,18 @@
         drained = value;
     }
 
+    /**
+     * Notes the start of a tick; after a pause longer than a control lease the host must look its registration up again.
+     *
+     * @param nowMs the time in milliseconds
+     */
+    void beginTick(long nowMs) {
+        if (lastTickMs != Times.NEVER_MS && nowMs - lastTickMs > config.controlLeaseMs()) {
+            registered = false;
+        }
+        lastTickMs = nowMs;
+    }
+
     /** Returns the entry hosts of the host list, this one included; written by {@link MembershipSystem}. */
     Map<HostId, HostEntry> entryHosts() {
         return entryHosts;
--- a/coordination/src/main/java/org/acaciafold/coordination/HostSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostSystem.java
@@ -26,4 +26,13 @@
     default boolean idle() {
         return true;
     }
+
+    /**
+     * Tells whether this system has nothing left that must follow the handover of all slices.
+     *
+     * @return true when the process may end as far as this system is concerned
+     */
+    default boolean released() {
+        return true;
+    }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
@@ -130,7 +130,7 @@
                 || (slice.scanned()
                         && slice.settled()
                         && ExclusiveBound.holds(state, slice, start.spec().team(), nowMs));
-        boolean open = !state.settings().takenOut(state.config().domain()) && !state.stopping();
+        boolean open = !state.settings().takenOut(state.config().domain()) && !state.stopping() && state.registered();
         return open && worker && wanted && exclusive && slice.hasAuthority(nowMs);
     }
 
--- a/coordination/src/main/java/org/acaciafold/coordination/Registration.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Registration.java
@@ -17,16 +17,19 @@
  * Keeps this host's registration, without which it must not act, and writes there which settings are in force.
  *
  * <p>Registering checks in the same transaction that the tree still has the version in force here. A row of another
- * start of the same host is overwritten by the later start; the earlier one then never acts again.
+ * start of the same host is overwritten by the later start; the earlier one then never acts again. After a pause the
+ * host reads its row before it acts.
  */
 final class Registration {
     private static final Logger LOG = LoggerFactory.getLogger(Registration.class);
     private static final long RETRY_MS = 200;
+    private static final int DEREGISTRATION_TIMEOUTS = 2;
 
     private final HostState state;
     private final String key;
     private Optional<SettingsRows.HostRow> row = Optional.empty();
     private long rowVersion;
+    private long deregisteringSinceMs = Times.NEVER_MS;
     private boolean calling;
     private boolean superseded;
     private boolean wasRegistered;
@@ -43,7 +46,10 @@
 
     /** Tells whether the table has no registration of this host that it would have to take back. */
     boolean released() {
-        return row.isEmpty() && !calling;
+        long patienceMs = DEREGISTRATION_TIMEOUTS * state.config().callTimeoutMs();
+        boolean patienceOver =
+                deregisteringSinceMs != Times.NEVER_MS && state.clock().nowMs() - deregisteringSinceMs > patienceMs;
+        return row.isEmpty() && !calling || patienceOver;
     }
 
     /**
@@ -58,8 +64,13 @@
             return;
         }
         if (state.stopping()) {
-            deregister(outbox);
-        } else if (row.isEmpty() && treeKnown) {
+            deregister(nowMs, outbox);
+            return;
+        }
+        if (!state.registered()) {
+            row = Optional.empty();
+        }
+        if (row.isEmpty() && treeKnown) {
             readOwn(outbox);
         } else if (row.isPresent() && !row.get().equals(wanted())) {
             SettingsRows.HostRow next = wanted();
@@ -89,10 +100,13 @@
         }
     }
 
-    private void deregister(Outbox outbox) {
+    private void deregister(long nowMs, Outbox outbox) {
         if (row.isEmpty() || !state.owned().isEmpty()) {
             return;
         }
+        if (deregisteringSinceMs == Times.NEVER_MS) {
+            deregisteringSinceMs = nowMs;
+        }
         state.registered(false);
         TableRequest request =
                 new TableRequest.Commit(List.of(new Check(key, rowVersion)), List.of(new Write(key, Optional.empty())));
@@ -158,8 +172,11 @@
 
     private void call(Outbox outbox, TableRequest request, Consumer<TableReply> then) {
         calling = true;
-        outbox.call(state.clock().nowMs(), request, reply -> {
+        long sentMs = state.clock().nowMs();
+        outbox.call(sentMs, request, answer -> {
             calling = false;
+            boolean late = state.clock().nowMs() - sentMs > state.config().callTimeoutMs();
+            TableReply reply = late ? new TableReply.Unavailable("the answer came after a pause") : answer;
             boolean done = reply instanceof TableReply.Committed || reply instanceof TableReply.Rows;
             notBeforeMs = done ? 0 : state.clock().nowMs() + RETRY_MS;
             then.accept(reply);
--- a/coordination/src/main/java/org/acaciafold/coordination/SettingsSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SettingsSystem.java
@@ -61,6 +61,16 @@
         }
     }
 
+    @Override
+    public boolean idle() {
+        return edits.isEmpty();
+    }
+
+    @Override
+    public boolean released() {
+        return registration.released();
+    }
+
     @Override
     public void tick(long nowMs, Outbox outbox) {
         boolean hinted = heardVersion > Math.max(stored.version(), refusedVersion);
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -36,6 +36,7 @@
                 ClaimSystem.of(state),
                 AllotmentSystem.of(state),
                 SettingsSystem.of(state),
+                RegistrationCleanup.of(state),
                 PlacementSystem.of(state),
                 SlotSystem.of(state));
     }
--- a/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
@@ -226,6 +226,39 @@
         assertTrue(fleet.host("h4").state().registered());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8})
+    void shouldNotActOnOldSettingsWhenItIsPausedWhileItRegisters(int stepsBefore) {
+        fleet.start("h4", "d2");
+        fleet.run(stepsBefore * TestFleet.STEP_MS);
+        fleet.pause("h4", true);
+        long version = edited(fleet.call("h1", put("e1", 0, OUT))).version();
+        fleet.run(4_000);
+        boolean accepted =
+                edited(fleet.call("h1", new ClientCall.QueryEdit("e1"))).accepted();
+        fleet.pause("h4", false);
+
+        for (int i = 0; i < 100; i++) {
+            fleet.run(TestFleet.STEP_MS);
+            boolean acts = fleet.host("h4").state().registered();
+            assertTrue(!accepted || !acts || fleet.host("h4").version() >= version);
+        }
+    }
+
+    @Test
+    void shouldNotActWhenItWakesAfterAnotherProcessTookItsPlace() {
+        fleet.pause("h3", true);
+        TestHost old = fleet.start("h3", "d2");
+        fleet.pause("h3", false);
+        fleet.run(4_000);
+        assertTrue(old.state().registered());
+
+        old.inbox().add(new Event.ClientCalled(99, new ClientCall.Claim(TeamId.of("t"), "key", "digest")));
+        fleet.run(old);
+
+        assertEquals("not-registered", failure(fleet.reply(99)).failure().code());
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8})
     void shouldNotBeAcceptedWithoutAHostWhenItRegistersMeanwhile(int stepsBefore) {
@@ -262,6 +295,35 @@
         assertTrue(fleet.host("h3").state().registered());
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void shouldWaitForASilentHostOnlyWhileItIsListed(boolean listed) {
+        fleet.stop("h2");
+        if (!listed) {
+            fleet.unlist("h2");
+        }
+        fleet.call("h1", put("e1", 0, OUT));
+        fleet.run(60_000);
+
+        ClientReply.EditState state = edited(fleet.call("h1", new ClientCall.QueryEdit("e1")));
+        assertEquals(listed ? List.of("h2") : List.of(), state.waitingFor());
+    }
+
+    @Test
+    void shouldRegisterAgainWhenItsRegistrationWasRemoved() {
+        fleet.unlist("h2");
+        fleet.cut("h2", true);
+        fleet.run(60_000);
+        assertEquals(Optional.empty(), fleet.table().row("host/h2"));
+
+        fleet.cut("h2", false);
+        edited(fleet.call("h1", put("e1", 0, OUT)));
+        fleet.run(5_000);
+
+        assertTrue(fleet.table().row("host/h2").isPresent());
+        assertEquals(fleet.host("h1").version(), fleet.host("h2").version());
+    }
+
     @Test
     void shouldTakeItsRegistrationBackWhenAHostStops() {
         fleet.host("h3").inbox().add(new Event.StopRequested());
