A gang that lacks allotment is given all of it

The plane counts what is missing beyond the allotment, while the allotment system added it to what runs; a gang, which uses nothing until it has all, then never got enough.

--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -101,7 +101,8 @@
         if (share.fence().compareTo(slice.fence()) > 0) {
             return;
         }
-        Resources needed = usage.plus(slice.wanted().getOrDefault(team.team(), Resources.empty()));
+        Resources missing = slice.wanted().getOrDefault(team.team(), Resources.empty());
+        Resources needed = needed(usage, held, missing);
         Resources target = AllotmentTargets.target(known.row(), slice.id(), team.limit(), needed, state.sliceCount());
         Resources lowered = held.min(target);
         slice.allotments().put(team.team(), lowered);
@@ -156,6 +157,14 @@
         }
     }
 
+    /** Returns what runs and waits; what is missing is counted beyond the allotment, of which a gang may use little. */
+    private static Resources needed(Resources usage, Resources held, Resources missing) {
+        return Resources.of(
+                missing.cpuMillis() > 0 ? held.cpuMillis() + missing.cpuMillis() : usage.cpuMillis(),
+                missing.memoryMib() > 0 ? held.memoryMib() + missing.memoryMib() : usage.memoryMib(),
+                missing.accelerators() > 0 ? held.accelerators() + missing.accelerators() : usage.accelerators());
+    }
+
     private void scan(long nowMs, Outbox outbox) {
         scanning = true;
         nextScanMs = nowMs + SCAN_INTERVAL_MS;
