--- a/cli/src/main/java/org/acaciafold/cli/HostClient.java
+++ b/cli/src/main/java/org/acaciafold/cli/HostClient.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.timeout.ReadTimeoutException;
 import org.acaciafold.core.codec.Codec;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Step;
@@ -131,7 +132,7 @@
             boolean neverSent = causedBy(e, ConnectException.class);
             String what = neverSent ? " cannot be reached: " : " did not answer: ";
             ExitCode code = neverSent || request.method().equals(HttpMethod.GET) ? ExitCode.NOT_RUN : ExitCode.UNKNOWN;
-            throw new CommandException(code, host + what + e.getMessage(), e);
+            throw new CommandException(code, host + what + describe(e), e);
         }
     }
 
@@ -148,6 +149,11 @@
         return false;
     }
 
+    private static String describe(RuntimeException error) {
+        boolean timedOut = causedBy(error, ReadTimeoutException.class) || error instanceof IllegalStateException;
+        return timedOut ? "nothing came within " + CALL_TIMEOUT.toSeconds() + " s" : String.valueOf(error.getMessage());
+    }
+
     private void headers(HttpHeaders headers, HostRequest request) {
         headers.set("Authorization", "Bearer " + key);
         request.headers().forEach(headers::set);
