--- a/coordination/src/main/java/org/acaciafold/coordination/SliceWatch.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceWatch.java
@@ -62,6 +62,21 @@
         }
     }
 
+    /** Forgets the row, so that nothing is taken over before it was read again. */
+    void forget() {
+        known = false;
+        pendingEpoch = -1;
+    }
+
+    /** Keeps the row that this host knew as the owner. */
+    void keep(SliceRow value, long rowVersion) {
+        if (rowVersion > version) {
+            row = value;
+            version = rowVersion;
+            known = true;
+        }
+    }
+
     /** Starts the wait anew, as after a slice was given up. */
     void restart(long nowMs) {
         unchangedSinceMs = nowMs;
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -32,13 +32,16 @@
                 submissions,
                 CancelSystem.of(state, commits, submissions),
                 JobQuerySystem.of(state),
+                ReleaseSystem.of(state, commits, submissions),
+                RehomeSystem.of(state, commits, submissions),
                 CommitSystem.of(commits),
                 ClaimSystem.of(state),
                 AllotmentSystem.of(state),
                 SettingsSystem.of(state),
                 RegistrationCleanup.of(state),
                 PlacementSystem.of(state),
-                SlotSystem.of(state));
+                SlotSystem.of(state),
+                StatusSystem.of(state));
     }
 
     /** Returns a number above the attempts of all owners with lower fencing tokens. */
