--- a/coordination/src/main/java/org/acaciafold/coordination/JobSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobSystem.java
@@ -21,11 +21,13 @@
 /** Keeps the jobs of owned slices: reads them, gives them to placement, and records what has ended. */
 final class JobSystem implements HostSystem {
     private static final long REVIEW_INTERVAL_MS = 100;
+    private static final long CLEANING_INTERVAL_MS = 1_000;
 
     private final HostState state;
     private final GroupCommit commits;
     private final Map<SliceId, JobScan> scans = new HashMap<>();
     private long nextReviewMs = Times.NEVER_MS;
+    private long nextCleaningMs = Times.NEVER_MS;
     private long stoppingSinceMs = Times.NEVER_MS;
 
     private JobSystem(HostState state, GroupCommit commits) {
@@ -78,12 +80,18 @@
         if (review) {
             nextReviewMs = nowMs + REVIEW_INTERVAL_MS;
         }
+        boolean clean = nowMs >= nextCleaningMs;
+        if (clean) {
+            nextCleaningMs = nowMs + CLEANING_INTERVAL_MS;
+        }
         for (OwnedSlice slice : state.owned().values()) {
             scan(slice).tick(nowMs, outbox);
             recordEnds(slice);
             if (review) {
                 keepServices(slice, nowMs);
                 reviewJobs(slice, nowMs);
+            }
+            if (clean) {
                 stopUnknown(slice);
             }
         }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.acaciafold.core.model.Fence;
@@ -40,6 +41,7 @@
     private SliceRow row;
     private long rowVersion;
     private boolean holdsRow;
+    private Set<WorkerId> commonMembers = Set.of();
     private long takenMs;
     private boolean scanned;
     private long scanRequests;
@@ -135,6 +137,11 @@
         return nowMs < authorityUntilMs;
     }
 
+    /** Tells whether a worker belongs to each set of members, so that every possible taker would ask it. */
+    boolean isCommonMember(WorkerId worker) {
+        return commonMembers.contains(worker);
+    }
+
     /** Returns whether the row names this host as far as it knows. */
     boolean holdsRow() {
         return holdsRow;
@@ -210,6 +217,7 @@
         row = value;
         rowVersion = version;
         holdsRow = held;
+        commonMembers = row.commonMembers();
     }
 
     /** Returns whether all jobs of the slice were read from the table since the takeover. */
--- a/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
@@ -171,7 +171,7 @@
         if (job == null || job.row().problem().isPresent()) {
             return;
         }
-        if (!slice.everyMemberSeen()) {
+        if (!slice.settled()) {
             slice.placement().removeJob(job.id());
             job.placed(false);
             return;
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceRow.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceRow.java
@@ -1,6 +1,7 @@
 package org.acaciafold.coordination;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -59,9 +60,11 @@
         return owner.equals(host.host().value()) && incarnation == host.incarnation();
     }
 
-    /** Tells whether a worker belongs to each set, so that every possible taker of the slice would ask it. */
-    boolean isMemberOfAll(WorkerId worker) {
-        return !memberSets.isEmpty() && memberSets.stream().allMatch(set -> set.contains(worker));
+    /** Returns the workers that belong to each set. */
+    Set<WorkerId> commonMembers() {
+        Set<WorkerId> common = new HashSet<>(members());
+        memberSets.forEach(set -> common.retainAll(new HashSet<>(set)));
+        return common;
     }
 
     boolean isReleased() {
--- a/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
@@ -16,11 +16,13 @@
 
 /** Holds the control leases of the workers of owned slices and keeps placement told of what they run. */
 final class WorkerSystem implements HostSystem {
+    private static final long COMPARE_INTERVAL_MS = 100;
     private static final long STOP_REPEAT_MS = 1_000;
     private static final int LOST_AUTHORITY_LEASE_PARTS = 3;
 
     private final HostState state;
     private long nextReviewMs = Times.NEVER_MS;
+    private long nextCompareMs = Times.NEVER_MS;
 
     private WorkerSystem(HostState state) {
         this.state = state;
@@ -41,14 +43,20 @@
         if (review) {
             nextReviewMs = nowMs + state.config().heartbeatMs();
         }
+        boolean compare = nowMs >= nextCompareMs;
+        if (compare) {
+            nextCompareMs = nowMs + COMPARE_INTERVAL_MS;
+        }
         for (OwnedSlice slice : state.owned().values()) {
             if (review || slice.links().isEmpty()) {
                 updateLinks(slice);
             }
             for (WorkerLink link : slice.links().values()) {
                 claimWhenDue(slice, link, nowMs, outbox);
-                dropExpired(slice, link, nowMs);
-                tellState(slice, link, nowMs);
+                if (compare) {
+                    dropExpired(slice, link, nowMs);
+                    tellState(slice, link, nowMs);
+                }
             }
             if (!slice.settled()) {
                 settle(slice, nowMs);
@@ -212,7 +220,7 @@
     }
 
     private WorkerState stateOf(OwnedSlice slice, WorkerLink link, WorkerView view, long nowMs) {
-        if (!link.hasLease(nowMs) || !slice.row().isMemberOfAll(link.worker())) {
+        if (!link.hasLease(nowMs) || !slice.isCommonMember(link.worker())) {
             return WorkerState.UNREACHABLE;
         }
         HostEntry entry = state.workers().get(link.worker());
--- a/coordination/src/test/java/org/acaciafold/coordination/OwnershipTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/OwnershipTest.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.acaciafold.core.model.JobId;
+import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.port.TableRequest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -204,7 +205,7 @@
         cell.pass(120_000);
 
         assertEquals(2, cell.row("east").memberSets().size());
-        assertFalse(cell.row("east").isMemberOfAll(org.acaciafold.core.model.WorkerId.of("east-w1")));
+        assertFalse(cell.row("east").commonMembers().contains(WorkerId.of("east-w1")));
         assertTrue(owner.core().ownedSlices() == 1);
     }
 }
