--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -1,8 +1,5 @@
 package org.acaciafold.coordination;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.port.HostEntry;
@@ -40,7 +37,7 @@
         }
         nextHeartbeatMs = nowMs + state.config().heartbeatMs();
         PeerMessage heartbeat = new PeerMessage.Heartbeat(
-                state.config().incarnation(), state.settings().version(), summaries());
+                state.config().incarnation(), state.settings().version(), StatusSystem.ownedSlices(state));
         for (HostEntry entry : state.entryHosts().values()) {
             HostId peer = HostId.of(entry.id());
             if (!peer.equals(state.config().host())) {
@@ -68,14 +65,4 @@
             }
         }
     }
-
-    private List<SliceSummary> summaries() {
-        List<SliceSummary> summaries = new ArrayList<>();
-        for (OwnedSlice slice : state.owned().values()) {
-            if (slice.holdsRow() || slice.hasAuthority(state.clock().nowMs())) {
-                summaries.add(slice.summary());
-            }
-        }
-        return summaries;
-    }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/StatusSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/StatusSystem.java
@@ -16,6 +16,15 @@
         return new StatusSystem(state);
     }
 
+    /** Returns the slices that this host may speak for. */
+    static List<SliceSummary> ownedSlices(HostState state) {
+        long nowMs = state.clock().nowMs();
+        return state.owned().values().stream()
+                .filter(slice -> slice.holdsRow() || slice.hasAuthority(nowMs))
+                .map(OwnedSlice::summary)
+                .toList();
+    }
+
     @Override
     public void apply(Event event, Outbox outbox) {
         if (event instanceof Event.ClientCalled called && called.body() instanceof ClientCall.QueryStatus) {
@@ -42,7 +51,7 @@
                 state.registered() && state.settingsKnown() && !state.stopping(),
                 state.tableAnswers(),
                 state.settings().version(),
-                state.owned().values().stream().map(OwnedSlice::summary).toList(),
+                ownedSlices(state),
                 known,
                 heard);
     }
