Blocked queues wait in groups of one size

Cause: each end of a task let up to 16 queues of each group try again although there was room for one task. Change: queues that wait for the same room form a group; as many try as the freed room has places, those first that come first in the order of starts.

--- a/core/src/main/java/org/acaciafold/core/model/Resources.java
+++ b/core/src/main/java/org/acaciafold/core/model/Resources.java
@@ -105,6 +105,19 @@
         return new Resources(cpuMillis - that.cpuMillis, memoryMib - that.memoryMib, accelerators - that.accelerators);
     }
 
+    /**
+     * Returns the larger amount of each resource.
+     *
+     * @param that the other amount
+     * @return the most of both
+     */
+    public Resources most(Resources that) {
+        return new Resources(
+                Math.max(cpuMillis, that.cpuMillis),
+                Math.max(memoryMib, that.memoryMib),
+                Math.max(accelerators, that.accelerators));
+    }
+
     /**
      * Returns the sum of this amount and another.
      *
--- a/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
@@ -1,37 +1,46 @@
 package org.acaciafold.core.placement;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
 
 /**
  * The queues whose first job did not fit, kept until room or allotment is freed.
  *
- * <p>Queues that wait for room are grouped by the power of two of their demand, so that freed room is compared with few
- * groups. A bounded number of queues of a group try again in each tick.
+ * <p>Queues that wait for the same room form a group, and groups are kept in buckets by the power of two of their
+ * demand, so that freed room is compared with few buckets. As many queues of a group try again as the freed room has
+ * places, those first that come first in the order of starts.
  */
 final class BlockedQueues {
-    private static final int RETRIES_PER_TICK = 16;
+    private static final int GROUPS_PER_TICK = 32;
+    private static final int QUEUES_OF_TEAM_PER_TICK = 16;
+    private static final int MAX_ROOMS = 32;
 
-    private final Map<Resources, Group> byRoom = new LinkedHashMap<>();
-    private final Map<TeamRow, Group> byTeam = new HashMap<>();
-    private final List<Group> due = new ArrayList<>();
+    private final Map<Resources, Bucket> buckets = new LinkedHashMap<>();
+    private final Map<TeamRow, BlockedGroup> byTeam = new HashMap<>();
+    private final Set<Bucket> dueBuckets = new LinkedHashSet<>();
+    /** The teams that hold less than before, with how many of their queues are still to be tried. */
+    private final Map<TeamRow, Integer> dueTeams = new LinkedHashMap<>();
+
+    private final Set<BlockedGroup> dueGroups = new LinkedHashSet<>();
     private boolean muted;
 
-    private static final class Group {
-        final boolean forRoom;
+    /** What a queue waits for. */
+    private record Shape(Resources demand, int atOnce) {}
+
+    private static final class Bucket {
         final Resources least;
-        final Deque<ShapeQueue> queues = new ArrayDeque<>();
-        int toRetry;
+        final Map<Shape, BlockedGroup> groups = new LinkedHashMap<>();
+        final List<Resources> rooms = new ArrayList<>();
+        int groupsLeft;
 
-        Group(boolean forRoom, Resources least) {
-            this.forRoom = forRoom;
+        Bucket(Resources least) {
             this.least = least;
         }
     }
@@ -43,29 +52,25 @@
 
     /** Tells that a team holds less or may hold more than before. */
     void allotmentFreed(TeamRow team) {
-        Group group = byTeam.get(team);
-        if (group != null && !muted) {
-            retryAll(group);
+        if (!muted && byTeam.containsKey(team)) {
+            dueTeams.put(team, byTeam.get(team).queues.size());
         }
     }
 
     /** Keeps a queue until its team may hold more. */
     void blockForAllotment(ShapeQueue queue) {
-        byTeam.computeIfAbsent(queue.parent.team, team -> new Group(false, Resources.empty()))
-                .queues
+        byTeam.computeIfAbsent(queue.parent.team, team -> new BlockedGroup(Resources.empty()))
                 .add(queue);
     }
 
     /** Keeps a queue until a worker has more room. */
     void blockForRoom(ShapeQueue queue, boolean retryNextTick) {
-        Group group = byRoom.computeIfAbsent(floor(queue.demand), least -> new Group(true, least));
-        if (!queue.listedForRoom) {
-            queue.listedForRoom = true;
-            group.queues.add(queue);
-        }
+        Bucket bucket = buckets.computeIfAbsent(floor(queue.demand), Bucket::new);
+        Shape shape = new Shape(queue.demand, queue.atOnce);
+        BlockedGroup group = bucket.groups.computeIfAbsent(shape, key -> new BlockedGroup(key.demand()));
+        group.add(queue);
         if (retryNextTick) {
-            group.toRetry++;
-            schedule(group);
+            dueGroups.add(group);
         }
     }
 
@@ -74,55 +79,75 @@
         if (muted) {
             return;
         }
-        for (Group group : byRoom.values()) {
-            if (group.toRetry < group.queues.size() && group.least.fitsIn(free)) {
-                retryAll(group);
+        for (Bucket bucket : buckets.values()) {
+            if (!bucket.groups.isEmpty() && bucket.least.fitsIn(free)) {
+                addRoom(bucket, free);
             }
         }
     }
 
     /** Lets queues for which room or allotment was freed try again. */
-    void unblock() {
-        List<Group> groups = new ArrayList<>(due);
-        due.clear();
-        for (Group group : groups) {
-            unblockSome(group);
+    void unblock(Resources capacity) {
+        List<BlockedGroup> again = List.copyOf(dueGroups);
+        dueGroups.clear();
+        again.forEach(group -> retry(group, 1, capacity));
+        for (Bucket bucket : List.copyOf(dueBuckets)) {
+            retry(bucket, capacity);
+        }
+        for (TeamRow team : List.copyOf(dueTeams.keySet())) {
+            retry(team);
         }
     }
 
-    private void unblockSome(Group group) {
-        for (int i = 0; i < RETRIES_PER_TICK && group.toRetry > 0 && !group.queues.isEmpty(); i++) {
-            group.toRetry--;
-            ShapeQueue queue = group.queues.poll();
-            unlist(group, queue);
-            if (queue.blocked) {
-                queue.parent.unblock(queue);
-            }
-        }
-        if (group.queues.isEmpty()) {
-            group.toRetry = 0;
-        }
-        if (group.toRetry > 0) {
-            due.add(group);
+    private void addRoom(Bucket bucket, Resources free) {
+        if (bucket.rooms.size() < MAX_ROOMS) {
+            bucket.rooms.add(free);
+        } else {
+            bucket.rooms.set(0, bucket.rooms.getFirst().most(free));
         }
+        bucket.groupsLeft = bucket.groups.size();
+        dueBuckets.add(bucket);
     }
 
-    private void retryAll(Group group) {
-        group.toRetry = group.queues.size();
-        schedule(group);
+    private void retry(Bucket bucket, Resources capacity) {
+        for (int i = 0; i < GROUPS_PER_TICK && bucket.groupsLeft > 0 && !bucket.groups.isEmpty(); i++) {
+            bucket.groupsLeft--;
+            Shape shape = bucket.groups.keySet().iterator().next();
+            BlockedGroup group = bucket.groups.remove(shape);
+            int places = 0;
+            for (Resources room : bucket.rooms) {
+                places += Math.min(group.queues.size(), Places.in(room, group.demand));
+            }
+            if (places > 0) {
+                retry(group, places, capacity);
+            }
+            if (!group.queues.isEmpty()) {
+                bucket.groups.put(shape, group);
+            }
+        }
+        if (bucket.groupsLeft <= 0 || bucket.groups.isEmpty()) {
+            bucket.rooms.clear();
+            dueBuckets.remove(bucket);
+        }
     }
 
-    private void schedule(Group group) {
-        if (!due.contains(group)) {
-            due.add(group);
+    /** Tries some queues of a team in turn, since their demands differ. */
+    private void retry(TeamRow team) {
+        BlockedGroup group = byTeam.get(team);
+        int left = dueTeams.remove(team);
+        for (ShapeQueue queue : group.oldest(Math.min(left, QUEUES_OF_TEAM_PER_TICK))) {
+            queue.parent.unblock(queue);
+        }
+        if (group.queues.isEmpty()) {
+            byTeam.remove(team);
+        } else if (left > QUEUES_OF_TEAM_PER_TICK) {
+            dueTeams.put(team, left - QUEUES_OF_TEAM_PER_TICK);
         }
     }
 
-    private static void unlist(Group group, ShapeQueue queue) {
-        if (group.forRoom) {
-            queue.listedForRoom = false;
-        } else {
-            queue.listedForAllotment = false;
+    private static void retry(BlockedGroup group, int queues, Resources capacity) {
+        for (ShapeQueue queue : group.first(queues, capacity)) {
+            queue.parent.unblock(queue);
         }
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/ClassQueue.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ClassQueue.java
@@ -9,11 +9,13 @@
 /** The waiting jobs of one team and class, grouped by what their tasks demand. */
 final class ClassQueue {
     final TeamRow team;
+    final JobClass jobClass;
 
     private final Map<Shape, ShapeQueue> shapes = new HashMap<>();
     private final TreeSet<ShapeQueue> ready = new TreeSet<>(ShapeQueue.BY_HEAD);
 
-    ClassQueue(TeamRow team) {
+    ClassQueue(TeamRow team, JobClass jobClass) {
+        this.jobClass = jobClass;
         this.team = team;
     }
 
@@ -32,7 +34,7 @@
         job.queued = true;
         ShapeQueue queue =
                 shapes.computeIfAbsent(Shape.of(job), shape -> new ShapeQueue(this, shape.demand(), shape.atOnce()));
-        if (queue.blocked) {
+        if (queue.blocked()) {
             queue.add(job, key);
             return;
         }
@@ -41,10 +43,9 @@
         insert(queue);
     }
 
-    /** Takes a queue out until it is unblocked. */
+    /** Takes a queue out that is blocked from now on. */
     void block(ShapeQueue shape) {
         ready.remove(shape);
-        shape.blocked = true;
     }
 
     /** Returns the queue with the first job that is not blocked, null when there is none. */
@@ -67,14 +68,22 @@
 
     /** Lets a blocked queue try again. */
     void unblock(ShapeQueue shape) {
-        shape.blocked = false;
+        shape.group.remove(shape);
         insert(shape);
     }
 
+    /** Lets the queue of a job try again when it is blocked. */
+    void wake(JobRow job) {
+        ShapeQueue shape = shapes.get(Shape.of(job));
+        if (shape != null && shape.blocked()) {
+            unblock(shape);
+        }
+    }
+
     /** Lets the queue of a job try again when it is blocked by that job, which may start no more. */
     void leave(JobRow job) {
         ShapeQueue shape = shapes.get(Shape.of(job));
-        if (shape != null && shape.blocked && shape.startsWith(job)) {
+        if (shape != null && shape.blocked() && shape.startsWith(job)) {
             unblock(shape);
         }
     }
--- a/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
@@ -17,11 +17,8 @@
     final ClassQueue parent;
     final Resources demand;
     final int atOnce;
-    /** Whether the queue waits for room or for allotment, outside the ready queues of its parent. */
-    boolean blocked;
-
-    boolean listedForRoom;
-    boolean listedForAllotment;
+    /** The group with which the queue is blocked, null when it may try. */
+    BlockedGroup group;
     /** Whether a timer lets the queue try again. */
     boolean timed;
 
@@ -37,6 +34,11 @@
 
     private record Entry(JobRow job, long key) {}
 
+    /** Tells whether the queue waits for room or for allotment, outside the ready queues of its parent. */
+    boolean blocked() {
+        return group != null;
+    }
+
     void add(JobRow job, long key) {
         entries.add(new Entry(job, key));
     }
--- a/core/src/main/java/org/acaciafold/core/placement/Tables.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Tables.java
@@ -258,6 +258,7 @@
         if (worker.heldFor != null) {
             heldIndex.set(worker.slot, worker.free);
             worker.inHeldIndex = true;
+            worker.heldFor.team.queue(worker.heldFor.jobClass).wake(worker.heldFor);
         } else if (worker.inHeldIndex) {
             heldIndex.clear(worker.slot);
             worker.inHeldIndex = false;
--- a/core/src/main/java/org/acaciafold/core/placement/TeamRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TeamRow.java
@@ -32,7 +32,7 @@
     TeamRow(TeamId id) {
         this.id = id;
         for (JobClass jobClass : JobClass.values()) {
-            queues[jobClass.ordinal()] = new ClassQueue(this);
+            queues[jobClass.ordinal()] = new ClassQueue(this, jobClass);
         }
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/TimerSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TimerSystem.java
@@ -47,7 +47,7 @@
 
     private static void tryAgain(ShapeQueue queue) {
         queue.timed = false;
-        if (queue.blocked) {
+        if (queue.blocked()) {
             queue.parent.unblock(queue);
         }
     }
