--- a/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
@@ -144,12 +144,9 @@
     private Failure noReplica(Parked request) {
         ClientCall.AcquireSlot body = request.body();
         ServiceKey service = serviceOf(request);
-        boolean unknown = !lastKnownMs.containsKey(service);
-        if (unknown && routing.ofOtherTeam(body.service(), service.team())) {
-            return failure("other-team", "the service " + body.service() + " belongs to another team");
-        }
         String message = "no replica of " + body.service() + " of team " + service.team() + " runs now";
-        return failure("no-replica", message).withRetryAfterMs(RETRY_AFTER_MS);
+        String hint = routing.ofOtherTeam(body.service(), service.team()) ? "; another team has one of this name" : "";
+        return failure("no-replica", message + hint).withRetryAfterMs(RETRY_AFTER_MS);
     }
 
     /** Queues a request here or names a peer; false when nobody has a replica. */
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
@@ -38,6 +38,10 @@
         }
     }
 
+    WorkerAgent agent() {
+        return agent;
+    }
+
     boolean alive() {
         return alive;
     }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
 
@@ -93,6 +94,10 @@
         return hosts.get(index % hosts.size());
     }
 
+    Optional<SimHost> host(HostId id) {
+        return hosts.stream().filter(host -> host.id().equals(id)).findFirst();
+    }
+
     List<SimHost> hosts() {
         return hosts;
     }
@@ -178,6 +183,10 @@
         return trace;
     }
 
+    SimWorker worker(WorkerId id) {
+        return workers.get(id);
+    }
+
     SimWorker worker(int index) {
         List<SimWorker> all = List.copyOf(workers.values());
         return all.get(index % all.size());
