Long live requests in the fuzz, and slots all free once everything has ended

With requests of up to 12 s the fuzz also catches a new owner that ignores the slots of the one before. Mutations tried with LiveTrafficTest, both red: a slot freed at once when its request is given up on; earlier owners' slots ignored.

--- a/core/src/test/java/org/acaciafold/core/request/SlotPlaneTest.java
+++ b/core/src/test/java/org/acaciafold/core/request/SlotPlaneTest.java
@@ -174,6 +174,16 @@
                 endOne(any, random, granted, running, nowMs);
             }
         }
+        assertEquals(6, freeAfterAllEnded(any), "slots of both workers after everything has ended");
+    }
+
+    private static int freeAfterAllEnded(SlotPlane plane) {
+        long endMs = 10_000;
+        plane.tick(endMs);
+        for (String worker : List.of("a", "b")) {
+            plane.worker(new SlotWorker(WorkerId.of(worker), 3, 0, endMs, true, Set.of(SHOP)));
+        }
+        return plane.load(SHOP).freeSlots();
     }
 
     /** Ends a request at its worker, at its holder, or at both. */
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/LiveTraffic.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/LiveTraffic.java
@@ -33,6 +33,8 @@
     private static final long AWAKE_POLL_MS = 20;
     private static final int LARGEST_BURST = 12;
     private static final int LONGEST_RUN_MS = 1_500;
+    private static final int ONE_LONG_IN = 8;
+    private static final int LONGEST_LONG_RUN_MS = 12_000;
     private static final int LONGEST_DEADLINE_MS = 4_000;
 
     private final World world;
@@ -120,6 +122,10 @@
         return !world.oracle().isCancelled(job) && !world.clients().ended().containsKey(job);
     }
 
+    private long runMs() {
+        return 1 + random.nextInt(random.nextInt(ONE_LONG_IN) == 0 ? LONGEST_LONG_RUN_MS : LONGEST_RUN_MS);
+    }
+
     private void whenAwake(SimHost host, Runnable action) {
         if (host.paused(world.nowMs())) {
             world.network().later(AWAKE_POLL_MS, () -> whenAwake(host, action));
@@ -162,8 +168,7 @@
             String id = "live-" + ++lastRequest;
             LiveCall call = new LiveCall(id, slot.serviceTeam(), service(), slot.fence(), slot.leaseSequence(), "");
             switch (agent.begin(call, world.nowMs())) {
-                case Admission.Admitted admitted ->
-                    world.network().later(1 + random.nextInt(LONGEST_RUN_MS), () -> end(agent, admitted.number()));
+                case Admission.Admitted admitted -> world.network().later(runMs(), () -> end(agent, admitted.number()));
                 case Admission.Rejected rejected -> {
                     if (rejected.failure().code().equals("no-slot")) {
                         String message = "worker " + worker.id() + " was given more requests than it has slots";
