--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -28,14 +28,17 @@
     private long limitsVersion = -1;
     private boolean settingsKnown;
     private boolean tableAnswers;
+    private long tableAnsweredMs;
     private boolean registered;
     private boolean stopping;
     private boolean drained;
     private long lastAsk;
+    private long lastTickMs = Times.NEVER_MS;
 
     private HostState(HostConfig config, Clock clock) {
         this.config = config;
         this.clock = clock;
+        this.tableAnsweredMs = clock.nowMs();
     }
 
     /**
@@ -66,6 +69,18 @@
         drained = value;
     }
 
+    /**
+     * Notes the start of a tick; after a pause longer than a control lease the host must look its registration up again.
+     *
+     * @param nowMs the time in milliseconds
+     */
+    void beginTick(long nowMs) {
+        if (lastTickMs != Times.NEVER_MS && nowMs - lastTickMs > config.controlLeaseMs()) {
+            registered = false;
+        }
+        lastTickMs = nowMs;
+    }
+
     /** Returns the entry hosts of the host list, this one included; written by {@link MembershipSystem}. */
     Map<HostId, HostEntry> entryHosts() {
         return entryHosts;
@@ -180,6 +195,14 @@
 
     void tableAnswers(boolean value) {
         tableAnswers = value;
+        if (value) {
+            tableAnsweredMs = clock.nowMs();
+        }
+    }
+
+    /** Returns until when the table service was known to answer, in milliseconds; the start at first. */
+    long tableAnsweredMs() {
+        return tableAnsweredMs;
     }
 
     /** Returns the workers of the host list, in all failure domains; written by {@link MembershipSystem}. */
--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -1,11 +1,7 @@
 package org.acaciafold.coordination;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.WorkerId;
-import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostList;
 
@@ -28,7 +24,6 @@
             case Event.HostsListed listed -> replaceHosts(listed.hosts());
             case Event.PeerReceived received -> hear(received);
             case Event.StopRequested ignored -> state.stopping(true);
-            case Event.ClientCalled called -> answer(called, outbox);
             default -> {
                 // events of other systems
             }
@@ -42,7 +37,7 @@
         }
         nextHeartbeatMs = nowMs + state.config().heartbeatMs();
         PeerMessage heartbeat = new PeerMessage.Heartbeat(
-                state.config().incarnation(), state.settings().version(), summaries());
+                state.config().incarnation(), state.settings().version(), StatusSystem.ownedSlices(state));
         for (HostEntry entry : state.entryHosts().values()) {
             HostId peer = HostId.of(entry.id());
             if (!peer.equals(state.config().host())) {
@@ -51,12 +46,6 @@
         }
     }
 
-    private void answer(Event.ClientCalled called, Outbox outbox) {
-        if (called.body() instanceof ClientCall.QueryStatus) {
-            outbox.answer(called.call(), new ClientReply.StatusFound(status()));
-        }
-    }
-
     private void hear(Event.PeerReceived received) {
         if (received.message() instanceof PeerMessage.Heartbeat heartbeat) {
             PeerEntry entry = new PeerEntry(
@@ -76,44 +65,4 @@
             }
         }
     }
-
-    private HostStatus status() {
-        List<SliceSummary> known = new ArrayList<>();
-        List<HostId> heard = new ArrayList<>();
-        long heardAfterMs = state.clock().nowMs() - state.config().controlLeaseMs();
-        state.peers().forEach((peer, entry) -> {
-            if (entry.heardMs() >= heardAfterMs) {
-                heard.add(peer);
-                known.addAll(entry.slices());
-            }
-        });
-        return new HostStatus(
-                state.config().host(),
-                state.config().domain(),
-                state.registered() && !state.stopping(),
-                state.tableAnswers(),
-                state.settings().version(),
-                summaries(),
-                known,
-                heard);
-    }
-
-    private List<SliceSummary> summaries() {
-        List<SliceSummary> summaries = new ArrayList<>();
-        for (OwnedSlice slice : state.owned().values()) {
-            if (!slice.holdsRow() && !slice.hasAuthority(state.clock().nowMs())) {
-                continue;
-            }
-            PlacementSummary summary = slice.placement().summary();
-            summaries.add(new SliceSummary(
-                    slice.id(),
-                    slice.fence(),
-                    summary.capacity(),
-                    summary.reserved(),
-                    slice.largestWorker(),
-                    summary.waiting(),
-                    slice.services()));
-        }
-        return summaries;
-    }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
@@ -41,7 +41,8 @@
     private long nextReadMs;
     private boolean readInFlight;
     private long nextReviewMs = Times.NEVER_MS;
-    private long lastReadMs = Times.NEVER_MS;
+    private boolean begun;
+    private long registeredMs = Times.NEVER_MS;
 
     private OwnershipSystem(HostState state, BiFunction<SliceId, Fence, PlacementPlane> planes) {
         this.state = state;
@@ -81,8 +82,8 @@
 
     @Override
     public void tick(long nowMs, Outbox outbox) {
-        if (lastReadMs == Times.NEVER_MS) {
-            lastReadMs = nowMs;
+        if (!begun) {
+            begun = true;
             Slices.local(state).forEach(slice -> watch(slice).ownerHeardMs(nowMs));
         }
         if (state.stopping()) {
@@ -92,25 +93,36 @@
                     release.handOver(slice, nowMs, outbox);
                 });
             }
-        } else {
+        } else if (state.registered()) {
+            registeredMs = nowMs;
             readRows(nowMs, outbox);
+        } else {
+            actWithoutRegistration(nowMs, outbox);
         }
         boolean review = nowMs >= nextReviewMs;
         if (review) {
             nextReviewMs = nowMs + REVIEW_INTERVAL_MS;
         }
-        if (review && !state.stopping()) {
+        if (review && !state.stopping() && state.registered()) {
             Slices.local(state).forEach(slice -> considerTakeover(slice, nowMs, outbox));
         }
         for (OwnedSlice slice : List.copyOf(state.owned().values())) {
             if (review || !slice.hasAuthority(nowMs)) {
-                slice.authorityUntilMs(slice.majorityUntilMs());
+                slice.updateAuthority(nowMs);
             }
             renewal.tick(slice, nowMs, outbox);
             giveUpWhenFenced(slice, nowMs, outbox);
         }
     }
 
+    /** Forgets the rows, which may change while nobody waits for this host, and gives the slices up after a while. */
+    private void actWithoutRegistration(long nowMs, Outbox outbox) {
+        watches.values().forEach(SliceWatch::forget);
+        if (nowMs - registeredMs > validityMs()) {
+            List.copyOf(state.owned().values()).forEach(slice -> giveUp(slice, outbox));
+        }
+    }
+
     private void readRows(long nowMs, Outbox outbox) {
         if (readInFlight || nowMs < nextReadMs) {
             return;
@@ -131,7 +143,6 @@
         outbox.call(nowMs, new TableRequest.Read(keys), reply -> {
             readInFlight = false;
             if (reply instanceof TableReply.Rows rows) {
-                lastReadMs = state.clock().nowMs();
                 applyRows(wanted, rows.rows(), nowMs, outbox);
             } else {
                 wanted.forEach(slice -> watch(slice).interrupt());
@@ -196,7 +207,7 @@
         if (state.ownerOf(slice, nowMs).isPresent()) {
             watch.ownerHeardMs(nowMs);
         }
-        if (owned || watch.callInFlight() || !watch.known() || nowMs < watch.notBeforeMs()) {
+        if (owned || !state.registered() || watch.callInFlight() || !watch.known() || nowMs < watch.notBeforeMs()) {
             return;
         }
         if (state.workers().isEmpty()) {
@@ -240,7 +251,7 @@
     }
 
     private void takeOverAtWorkers(SliceId slice, SliceWatch watch, long delayMs, long nowMs) {
-        boolean tableAway = nowMs - lastReadMs >= validityMs();
+        boolean tableAway = nowMs - state.tableAnsweredMs() >= validityMs();
         boolean ownerAway = nowMs - watch.ownerHeardMs() >= validityMs() + delayMs;
         if (!tableAway || !ownerAway || watch.row().isEmpty()) {
             return;
@@ -283,9 +294,8 @@
         }
         boolean fenced = slice.fencedBy().compareTo(slice.fence()) >= 0;
         long patienceMs = FIRST_CLAIM_LEASES * state.config().controlLeaseMs();
-        boolean refused = !slice.holdsRow()
-                && nowMs - slice.takenMs() > patienceMs
-                && nowMs - slice.authorityUntilMs() > patienceMs;
+        boolean away = !slice.holdsRow() || nowMs - state.tableAnsweredMs() >= validityMs();
+        boolean refused = away && nowMs > slice.lastAuthorityMs() + patienceMs;
         if (fenced || refused) {
             giveUp(slice, outbox);
         }
@@ -298,6 +308,7 @@
         long nowMs = state.clock().nowMs();
         LOG.info("slice {} given up with fence {}", slice.id(), slice.fence());
         SliceWatch watch = watch(slice.id());
+        watch.keep(slice.row(), slice.rowVersion());
         watch.restart(nowMs);
         watch.raise(slice.fencedBy());
         watch.ownerHeardMs(nowMs);
--- a/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
@@ -170,7 +170,8 @@
         tracing = Tracing.create(settings.observation(), settings.host());
         transport = TcpPeerTransport.create(identity, builder.clock, counters);
         HostCore core = HostCore.of(config(settings), builder.clock);
-        loop = CoreLoop.start(core, EffectRunner.of(builder.clients, transport, metrics, tracing), metrics);
+        loop = CoreLoop.start(
+                StateMachine.of(core), EffectRunner.of(builder.clients, transport, metrics, tracing), metrics);
         RequestPlane plane = builder.requestPlane.create(
                 new RequestContext(settings, loop, transport, loop::snapshot, metrics, tracing, builder.clock));
         peers = PeerServer.start(
@@ -202,7 +203,7 @@
     public static final class Builder {
         private final HostSettings settings;
         private PlatformClients clients;
-        private RequestPlane.Factory requestPlane;
+        private RequestPlane.Factory requestPlane = LiveRequestPlane::create;
         private Clock clock = Clock.system();
 
         private Builder(HostSettings settings) {
