--- a/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
@@ -207,7 +207,7 @@
         if (state.ownerOf(slice, nowMs).isPresent()) {
             watch.ownerHeardMs(nowMs);
         }
-        if (owned || !state.registered() || watch.callInFlight() || !watch.known() || nowMs < watch.notBeforeMs()) {
+        if (owned || watch.callInFlight() || !watch.known() || nowMs < watch.notBeforeMs()) {
             return;
         }
         if (state.workers().isEmpty()) {
