A refused over-long body no longer costs the caller the answer

Cause: the connection was closed after 413 while the body was still arriving, which resets it; seen once in HostApiTest as an answer that never came.

--- a/daemon/src/main/java/org/acaciafold/daemon/HttpListener.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/HttpListener.java
@@ -111,11 +111,8 @@
             LOG.warn("response to {} {} was cut: {}", request.method(), request.uri(), error.toString());
             return Mono.error(error);
         }
-        Failure failure = failure(request, error);
-        if (failure.code().equals("too-long")) {
-            response.keepAlive(false);
-        }
-        return HttpAnswers.failure(response, failure);
+        // the connection stays open: closing it with unread bytes could cost the caller the answer
+        return HttpAnswers.failure(response, failure(request, error));
     }
 
     private static Failure failure(HttpServerRequest request, Throwable error) {
