The response to a request with a key ends once its outcome is in the table

Seen: ProcessFaultTest.shouldKeepHoldsAndGoOnWhenOwnerIsKilled: after the owner was killed, a repeat of the first hold was answered unknown for good. Cause: the outcome was recorded after the last byte of the response, so a kill between lost it. Ruled out: the claim (it was durable, nothing ran twice). Now a response of a known length up to 16 KiB is held until the outcome is recorded, a longer or chunked one has its end held; with the table away for at most 500 ms.

--- a/daemon/src/main/java/org/acaciafold/daemon/request/IdempotentRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/IdempotentRequests.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +32,7 @@
     private static final int KEPT_BYTES = 16_384;
     private static final String NOT_KEPT = "application/vnd.acaciafold.not-kept";
     private static final long RETRY_AFTER_MS = 1_000;
+    private static final Duration SETTLE_WAIT = Duration.ofMillis(500);
 
     private final CoreCalls core;
     private final String self;
@@ -98,12 +100,36 @@
                 .doOnCancel(() -> settle(head, key, unknown));
     }
 
+    /**
+     * Returns a response that ends only once its outcome is in the table, so that a repeat after the loss of this entry
+     * host finds it; while the table does not answer, the response ends after a short wait.
+     */
     private RelayResponse recorded(RelayHead head, String key, RelayResponse response) {
         ByteArrayOutputStream kept = new ByteArrayOutputStream();
-        Flux<byte[]> body = response.body()
-                .doOnNext(part -> keep(kept, part))
-                .doFinally(signal -> settle(head, key, outcome(response.head(), kept, signal)));
-        return new RelayResponse(response.head(), body);
+        AtomicBoolean ended = new AtomicBoolean();
+        Flux<byte[]> body = response.body().doOnNext(part -> keep(kept, part));
+        Mono<Void> record = Mono.defer(() -> {
+            ended.set(true);
+            ClientCall settle =
+                    new ClientCall.Settle(head.team(), key, outcome(response.head(), kept, SignalType.ON_COMPLETE));
+            return core.call(settle).timeout(SETTLE_WAIT, Mono.empty()).then();
+        });
+        Flux<byte[]> held = keptWhole(response.head())
+                ? body.collectList().flatMapMany(parts -> record.thenMany(Flux.fromIterable(parts)))
+                : body.concatWith(record.then(Mono.empty()));
+        Flux<byte[]> settled = held.doFinally(signal -> {
+            if (!ended.get()) {
+                settle(head, key, outcome(response.head(), kept, signal));
+            }
+        });
+        return new RelayResponse(response.head(), settled);
+    }
+
+    /** Tells whether a body is short enough to be held back until its outcome is recorded. */
+    private static boolean keptWhole(RelayStatus head) {
+        return LiveHeaders.find(head.headers(), LiveHeaders.LENGTH)
+                .map(length -> Long.parseLong(length) <= KEPT_BYTES)
+                .orElse(false);
     }
 
     private AttemptResult repeat(RelayHead head, Optional<StoredOutcome> first) {
