--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -200,6 +200,11 @@
         }
     }
 
+    /** Begins the wait for an answer of the table anew. */
+    void tableAnswered(long nowMs) {
+        tableAnsweredMs = nowMs;
+    }
+
     /** Returns until when the table service was known to answer, in milliseconds; the start at first. */
     long tableAnsweredMs() {
         return tableAnsweredMs;
--- a/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
@@ -20,6 +20,9 @@
  * members that it has read. So each of them must have told that it has read the present ones. One that has not, such as
  * a host that died, may run nothing exclusive once its last contact with the table is long enough ago; a host that had
  * contact after the change was written has read it.
+ *
+ * <p>A host whose registration was removed as gone is not waited for. It could still act on former members if it reached
+ * a majority of them, but for all that time neither the table nor any peer of its own failure domain.
  */
 final class MemberChange {
     private static final long SCAN_INTERVAL_MS = 2_000;
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnershipSystem.java
@@ -30,6 +30,7 @@
 final class OwnershipSystem implements HostSystem {
     private static final Logger LOG = LoggerFactory.getLogger(OwnershipSystem.class);
     private static final int READ_INTERVAL_HEARTBEATS = 2;
+    private static final int PAUSE_HEARTBEATS = 2;
     private static final long REVIEW_INTERVAL_MS = 50;
     private static final int FIRST_CLAIM_LEASES = 2;
 
@@ -41,7 +42,7 @@
     private long nextReadMs;
     private boolean readInFlight;
     private long nextReviewMs = Times.NEVER_MS;
-    private boolean begun;
+    private long lastTickMs = Times.NEVER_MS;
     private long registeredMs = Times.NEVER_MS;
 
     private OwnershipSystem(HostState state, BiFunction<SliceId, Fence, PlacementPlane> planes) {
@@ -82,10 +83,10 @@
 
     @Override
     public void tick(long nowMs, Outbox outbox) {
-        if (!begun) {
-            begun = true;
-            Slices.local(state).forEach(slice -> watch(slice).ownerHeardMs(nowMs));
+        if (nowMs - lastTickMs > PAUSE_HEARTBEATS * state.config().heartbeatMs()) {
+            restartWaits(nowMs);
         }
+        lastTickMs = nowMs;
         if (state.stopping()) {
             if (state.drained()) {
                 List.copyOf(state.owned().values()).forEach(slice -> {
@@ -115,6 +116,15 @@
         }
     }
 
+    /** Begins all waits anew, at the start and after a pause in which this host could hear nobody. */
+    private void restartWaits(long nowMs) {
+        state.tableAnswered(nowMs);
+        for (SliceId slice : Slices.local(state)) {
+            watch(slice).ownerHeardMs(nowMs);
+            watch(slice).interrupt();
+        }
+    }
+
     /** Forgets the rows, which may change while nobody waits for this host, and gives the slices up after a while. */
     private void actWithoutRegistration(long nowMs, Outbox outbox) {
         watches.values().forEach(SliceWatch::forget);
