Order of blocked queues from shares at the begin of the tick

Cause: a profile with 100,000 queued jobs showed the time in sorting blocked queues by shares that were worked out anew in each comparison, and in looking for room to reclaim for queues for which none had just been found. Change: one number a queue, at most 8 queues of a group at once, a pause of 2 s after a search without result.

--- a/core/src/main/java/org/acaciafold/core/placement/BlockedGroup.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedGroup.java
@@ -1,6 +1,6 @@
 package org.acaciafold.core.placement;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -9,6 +9,8 @@
 
 /** Queues that wait for the same: room for as much, or the allotment of one team. */
 final class BlockedGroup {
+    private static final int CLASSES = JobClass.values().length;
+
     final Resources demand;
     final Set<ShapeQueue> queues = new LinkedHashSet<>();
 
@@ -27,16 +29,16 @@
     }
 
     /** Returns the queues that come first in the order of starts, at most so many. */
-    List<ShapeQueue> first(int most, Resources capacity) {
+    List<ShapeQueue> first(int most) {
         if (most >= queues.size()) {
             return List.copyOf(queues);
         }
-        Comparator<ShapeQueue> order = Comparator.<ShapeQueue>comparingInt(queue -> rank(queue, capacity))
-                .thenComparingDouble(queue -> queue.parent.team.weightedShare(capacity));
-        if (most == 1) {
-            return List.of(queues.stream().min(order).orElseThrow());
+        List<ShapeQueue> first = new ArrayList<>(most + 1);
+        for (ShapeQueue queue : queues) {
+            queue.turn = turn(queue);
+            insert(first, queue, most);
         }
-        return queues.stream().sorted(order).limit(most).toList();
+        return first;
     }
 
     /** Returns the queues that have waited longest, at most so many. */
@@ -44,10 +46,26 @@
         return queues.stream().limit(most).toList();
     }
 
-    private static int rank(ShapeQueue queue, Resources capacity) {
-        int classes = JobClass.values().length;
-        JobClass jobClass = queue.parent.jobClass;
-        boolean later = jobClass != JobClass.URGENT && queue.parent.team.aboveShare(queue.demand, capacity);
-        return jobClass.ordinal() + (later ? classes : 0);
+    private static void insert(List<ShapeQueue> first, ShapeQueue queue, int most) {
+        int position = first.size();
+        while (position > 0 && first.get(position - 1).turn > queue.turn) {
+            position--;
+        }
+        if (position == most) {
+            return;
+        }
+        first.add(position, queue);
+        if (first.size() > most) {
+            first.removeLast();
+        }
+    }
+
+    /** Returns the place of a queue in the order of starts: the rank of its class, then the share of its team. */
+    private static double turn(ShapeQueue queue) {
+        ClassQueue parent = queue.parent;
+        boolean later = parent.jobClass != JobClass.URGENT && parent.team.wasAboveShare;
+        int rank = parent.jobClass.ordinal() + (later ? CLASSES : 0);
+        double share = parent.team.shareBefore;
+        return rank + share / (1 + share);
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
@@ -20,6 +20,7 @@
 final class BlockedQueues {
     private static final int GROUPS_PER_TICK = 32;
     private static final int QUEUES_OF_TEAM_PER_TICK = 16;
+    private static final int MAX_QUEUES_OF_GROUP = 8;
     private static final int MAX_ROOMS = 32;
 
     private final Map<Resources, Bucket> buckets = new LinkedHashMap<>();
@@ -87,12 +88,12 @@
     }
 
     /** Lets queues for which room or allotment was freed try again. */
-    void unblock(Resources capacity) {
+    void unblock() {
         List<BlockedGroup> again = List.copyOf(dueGroups);
         dueGroups.clear();
-        again.forEach(group -> retry(group, 1, capacity));
+        again.forEach(group -> retry(group, 1));
         for (Bucket bucket : List.copyOf(dueBuckets)) {
-            retry(bucket, capacity);
+            retry(bucket);
         }
         for (TeamRow team : List.copyOf(dueTeams.keySet())) {
             retry(team);
@@ -109,7 +110,7 @@
         dueBuckets.add(bucket);
     }
 
-    private void retry(Bucket bucket, Resources capacity) {
+    private void retry(Bucket bucket) {
         for (int i = 0; i < GROUPS_PER_TICK && bucket.groupsLeft > 0 && !bucket.groups.isEmpty(); i++) {
             bucket.groupsLeft--;
             Shape shape = bucket.groups.keySet().iterator().next();
@@ -119,7 +120,7 @@
                 places += Math.min(group.queues.size(), Places.in(room, group.demand));
             }
             if (places > 0) {
-                retry(group, places, capacity);
+                retry(group, Math.min(places, MAX_QUEUES_OF_GROUP));
             }
             if (!group.queues.isEmpty()) {
                 bucket.groups.put(shape, group);
@@ -145,8 +146,8 @@
         }
     }
 
-    private static void retry(BlockedGroup group, int queues, Resources capacity) {
-        for (ShapeQueue queue : group.first(queues, capacity)) {
+    private static void retry(BlockedGroup group, int queues) {
+        for (ShapeQueue queue : group.first(queues)) {
             queue.parent.unblock(queue);
         }
     }
--- a/core/src/main/java/org/acaciafold/core/placement/ReclaimSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ReclaimSystem.java
@@ -51,7 +51,7 @@
         boolean urgent = job.jobClass == JobClass.URGENT;
         Resources claimed = job.spec.demand().times(job.held.size() + 1);
         boolean entitled = job.jobClass != JobClass.LOW && !job.team.aboveShare(claimed, tables.capacity);
-        if (!urgent && !entitled) {
+        if (!urgent && !entitled || tick.nowMs < queue.reclaimAtMs) {
             return;
         }
         if (!urgent && tick.nowMs - job.blockedSinceMs < PATIENCE_MS) {
@@ -60,6 +60,7 @@
         }
         Plan plan = cheapest(job);
         if (plan == null) {
+            queue.reclaimAtMs = tick.nowMs + PATIENCE_MS;
             tryAgain(queue, tick.nowMs + PATIENCE_MS);
             return;
         }
@@ -125,6 +126,7 @@
         }
         boolean low = job.jobClass == JobClass.LOW && claimant.jobClass != JobClass.LOW;
         boolean above = job.team != claimant.team
+                && job.team.wasAboveShare
                 && job.team.aboveShare(Resources.empty().minus(attempt.demand), tables.capacity);
         return low || above;
     }
--- a/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
@@ -19,8 +19,12 @@
     final int atOnce;
     /** The group with which the queue is blocked, null when it may try. */
     BlockedGroup group;
+    /** Its place among the queues of its group, the lowest first. */
+    double turn;
     /** Whether a timer lets the queue try again. */
     boolean timed;
+    /** The time in milliseconds before which no room is reclaimed for the queue again. */
+    long reclaimAtMs;
 
     private final PriorityQueue<Entry> entries = new PriorityQueue<>(BY_KEY);
     private long headKey;
--- a/core/src/main/java/org/acaciafold/core/placement/ShareSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ShareSystem.java
@@ -15,6 +15,8 @@
         }
         for (TeamRow team : tables.teams.values()) {
             team.fairShare = team.active() ? team.terms.weight() / weights : 0;
+            team.shareBefore = team.weightedShare(tables.capacity);
+            team.wasAboveShare = team.shareBefore * team.terms.weight() >= team.fairShare;
         }
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
@@ -43,7 +43,7 @@
             tables.reopened = false;
             ramp.begin(tick.nowMs);
         }
-        tables.blocked.unblock(tables.capacity);
+        tables.blocked.unblock();
         startsLeft = ramp.limit(tick.nowMs, tables.readyWorkers, STARTS_PER_TICK);
         int before = startsLeft;
         startClass(tick, JobClass.URGENT, Pass.ALL);
--- a/core/src/main/java/org/acaciafold/core/placement/TeamRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TeamRow.java
@@ -28,6 +28,10 @@
     Resources waitingDemand = Resources.empty();
     /** The part of the slice that is its share while all teams with work want theirs. */
     double fairShare = 1;
+    /** Its weighted share at the begin of the tick. */
+    double shareBefore;
+    /** Whether it held more than its share at the begin of the tick. */
+    boolean wasAboveShare;
 
     TeamRow(TeamId id) {
         this.id = id;
