--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.acaciafold.core.model.Fence;
@@ -14,6 +15,7 @@
 import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.placement.PlacementPlane;
+import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.StopMode;
 
 /** A slice that this host owns, with its placement, its workers, its jobs and the allotments of its teams. */
@@ -28,11 +30,18 @@
     private final Map<AttemptId, PlacedTask> stops = new TreeMap<>();
     private final Map<JobId, HomedJob> jobs = new TreeMap<>();
     private final List<PendingEnd> newEnds = new ArrayList<>();
-    private long authorityUntilMs;
+    private long authorityUntilMs = Times.NEVER_MS;
+    private long lastAuthorityMs = Times.NEVER_MS;
+    private boolean granted;
+    private boolean everGranted;
+    private long firstAuthorityMs;
+    private boolean suspended;
+    private long suspendedSinceMs;
     private long tableContactMs = Times.NEVER_MS;
     private SliceRow row;
     private long rowVersion;
     private boolean holdsRow;
+    private Set<WorkerId> commonMembers = Set.of();
     private long takenMs;
     private boolean scanned;
     private long scanRequests;
@@ -60,8 +69,53 @@
         return authorityUntilMs;
     }
 
-    void authorityUntilMs(long value) {
-        authorityUntilMs = value;
+    /** Lets authority that has lapsed count again, after a renewal of the row that was sent later. */
+    void resume(long renewalSentMs) {
+        if (suspended && renewalSentMs >= suspendedSinceMs) {
+            suspended = false;
+        }
+    }
+
+    /**
+     * Computes the authority from the control leases of the members.
+     *
+     * <p>Once it has lapsed it stays so until the row was renewed: a paused owner must not count leases that workers
+     * granted again, because others may have owned the slice meanwhile.
+     *
+     * @param nowMs the time in milliseconds
+     */
+    void updateAuthority(long nowMs) {
+        if (granted && nowMs >= authorityUntilMs) {
+            granted = false;
+            suspended = true;
+            suspendedSinceMs = nowMs;
+        }
+        authorityUntilMs = suspended ? Times.NEVER_MS : majorityUntilMs();
+        granted = nowMs < authorityUntilMs;
+        if (granted && !everGranted) {
+            everGranted = true;
+            firstAuthorityMs = nowMs;
+        }
+        lastAuthorityMs = granted ? authorityUntilMs : lastAuthorityMs;
+    }
+
+    /**
+     * Tells whether everything that former owners started has ended, also where this owner never got an answer.
+     *
+     * <p>A former owner may have renewed leases until this one first had authority.
+     *
+     * @param nowMs the time in milliseconds
+     * @param config the durations of the leases
+     * @return whether all those leases have run out
+     */
+    boolean outlivesFormerOwners(long nowMs, HostConfig config) {
+        long leasesMs = config.controlLeaseMs() + config.taskLeaseMs() + config.clockMarginMs();
+        return everGranted && nowMs > firstAuthorityMs + leasesMs;
+    }
+
+    /** Returns when authority ended last, or will end; the takeover when there was none yet, in milliseconds. */
+    long lastAuthorityMs() {
+        return Math.max(lastAuthorityMs, takenMs);
     }
 
     Fence fence() {
@@ -83,6 +137,11 @@
         return nowMs < authorityUntilMs;
     }
 
+    /** Tells whether a worker belongs to each set of members, so that every possible taker would ask it. */
+    boolean isCommonMember(WorkerId worker) {
+        return commonMembers.contains(worker);
+    }
+
     /** Returns whether the row names this host as far as it knows. */
     boolean holdsRow() {
         return holdsRow;
@@ -98,7 +157,7 @@
     }
 
     /** Returns the largest amount of each resource that one reachable worker has. */
-    Resources largestWorker() {
+    private Resources largestWorker() {
         Resources largest = Resources.empty();
         for (WorkerLink link : links.values()) {
             Resources capacity = link.view().map(view -> view.capacity()).orElse(Resources.empty());
@@ -120,7 +179,7 @@
      *
      * @return a time in milliseconds, {@link Long#MIN_VALUE} when there are no members
      */
-    long majorityUntilMs() {
+    private long majorityUntilMs() {
         long until = Long.MAX_VALUE;
         for (List<WorkerId> members : row.memberSets()) {
             if (!members.isEmpty()) {
@@ -158,6 +217,7 @@
         row = value;
         rowVersion = version;
         holdsRow = held;
+        commonMembers = row.commonMembers();
     }
 
     /** Returns whether all jobs of the slice were read from the table since the takeover. */
@@ -245,6 +305,13 @@
         return stops.values();
     }
 
+    /** Returns what peers and operators are told of the slice. */
+    SliceSummary summary() {
+        PlacementSummary known = placement.summary();
+        return new SliceSummary(
+                id, fence, known.capacity(), known.reserved(), largestWorker(), known.waiting(), services);
+    }
+
     /** Returns the tasks that run or may run on the workers of the slice. */
     Map<AttemptId, PlacedTask> tasks() {
         return tasks;
--- a/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CoreLoop.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,7 +18,6 @@
 import org.acaciafold.coordination.ClientReply;
 import org.acaciafold.coordination.Effect;
 import org.acaciafold.coordination.Event;
-import org.acaciafold.coordination.HostCore;
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Step;
 import org.acaciafold.core.port.HostEntry;
@@ -32,19 +33,22 @@
 /**
  * Runs the state machine on one thread of its own: feeds it events, ticks it and has its effects carried out.
  *
- * <p>A tick follows promptly after each event, and after {@value #TICK_MS} ms without one. An exception of the state
- * machine ends it, because its tables may then be half written: its leases lapse and another entry host takes over.
+ * <p>A tick follows promptly after each event. Without events it follows after {@value #TICK_MS} ms while calls wait or
+ * the last tick decided something, else after {@value #QUIET_TICKS} times as long. An exception of the state machine ends
+ * it, because its tables may then be half written: its leases lapse and another entry host takes over.
  */
 public final class CoreLoop implements CoreCalls {
     private static final Logger LOG = LoggerFactory.getLogger(CoreLoop.class);
     private static final long TICK_MS = 20;
+    private static final int QUIET_TICKS = 5;
     private static final int EVENTS_PER_TICK = 4_096;
+    private static final int MAX_LINKS = 32;
     private static final int INBOX_LIMIT = 20_000;
     private static final long REPLY_LIMIT_MS = 30_000;
     private static final long RETRY_AFTER_MS = 1_000;
     private static final String SELF = "entry-host";
 
-    private final HostCore core;
+    private final StateMachine core;
     private final EffectRunner effects;
     private final HostMetrics metrics;
     private final Scheduler thread = Schedulers.newSingle("core");
@@ -53,11 +57,14 @@
     private final AtomicBoolean tickDue = new AtomicBoolean();
     private final AtomicLong lastCall = new AtomicLong();
     private final Map<Long, MonoSink<ClientReply>> waiting = new ConcurrentHashMap<>();
+    private final Map<Long, String> traces = new ConcurrentHashMap<>();
     private final Sinks.Empty<Void> stopped = Sinks.empty();
+    private int quietTicks;
+    private boolean decided;
     private volatile HostSnapshot snapshot = HostSnapshot.empty();
     private volatile List<HostEntry> hosts = List.of();
 
-    private CoreLoop(HostCore core, EffectRunner effects, HostMetrics metrics) {
+    private CoreLoop(StateMachine core, EffectRunner effects, HostMetrics metrics) {
         this.core = core;
         this.effects = effects;
         this.metrics = metrics;
@@ -71,10 +78,10 @@
      * @param metrics where ticks and queues are counted
      * @return the running loop
      */
-    static CoreLoop start(HostCore core, EffectRunner effects, HostMetrics metrics) {
+    static CoreLoop start(StateMachine core, EffectRunner effects, HostMetrics metrics) {
         CoreLoop loop = new CoreLoop(core, effects, metrics);
         metrics.watch(loop);
-        loop.thread.schedulePeriodically(loop::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+        loop.thread.schedulePeriodically(loop::tickWhenDue, 0, TICK_MS, TimeUnit.MILLISECONDS);
         return loop;
     }
 
@@ -157,10 +164,10 @@
         }
     }
 
-    private void carryOut(Effect effect) {
+    private void carryOut(Effect effect, List<String> requests) {
         switch (effect) {
             case Effect.AnswerClient answer -> answer(answer);
-            case Effect.CallTable call -> effects.callTable(call, this::offer);
+            case Effect.CallTable call -> effects.callTable(call, requests, this::offer);
             case Effect.CallWorker call -> effects.callWorker(call, this::offer);
             case Effect.SendPeer send -> effects.sendPeer(send);
             case Effect.Stopped ignored -> stopped.tryEmitEmpty();
@@ -213,11 +220,16 @@
     private void register(ClientCall call, MonoSink<ClientReply> sink) {
         long number = lastCall.incrementAndGet();
         waiting.put(number, sink);
+        String trace = Tracing.current(sink.contextView());
+        if (!trace.isEmpty()) {
+            traces.put(number, trace);
+        }
         Disposable timer =
                 Schedulers.parallel().schedule(() -> expire(number), replyLimitMs(call), TimeUnit.MILLISECONDS);
         sink.onDispose(() -> {
             timer.dispose();
             waiting.remove(number);
+            traces.remove(number);
         });
         if (!offer(new Event.ClientCalled(number, call)) && waiting.remove(number) != null) {
             Failure failure = Failure.notRun(Step.ADMISSION, SELF, "overloaded", "the entry host cannot take the call")
@@ -231,21 +243,49 @@
             return;
         }
         tickDue.set(false);
+        quietTicks = 0;
         long startNanos = System.nanoTime();
         try {
-            List<Effect> outcome = core.tick(drain());
-            snapshot = new HostSnapshot(
-                    core.settings(), hosts, core.ownedSlices(), core.lateAnswers(), core.settingsKnown(), false);
-            outcome.forEach(this::carryOut);
+            List<Event> events = drain();
+            List<String> requests = traces(events);
+            List<Effect> outcome = core.tick(events);
+            snapshot = core.snapshot(hosts);
+            decided = !outcome.isEmpty();
+            outcome.forEach(effect -> carryOut(effect, requests));
         } catch (RuntimeException e) {
             fail(e);
         }
         metrics.tick(Duration.ofNanos(System.nanoTime() - startNanos));
     }
 
+    private void tickWhenDue() {
+        quietTicks++;
+        if (decided || !waiting.isEmpty() || quietTicks >= QUIET_TICKS) {
+            tick();
+        }
+    }
+
+    /** Returns the trace contexts of the calls among some events, a few at most. */
+    private List<String> traces(List<Event> events) {
+        if (traces.isEmpty()) {
+            return List.of();
+        }
+        return events.stream()
+                .filter(Event.ClientCalled.class::isInstance)
+                .map(event -> traces.get(((Event.ClientCalled) event).call()))
+                .filter(Objects::nonNull)
+                .limit(MAX_LINKS)
+                .toList();
+    }
+
     private void wake() {
-        if (tickDue.compareAndSet(false, true)) {
+        if (!tickDue.compareAndSet(false, true)) {
+            return;
+        }
+        try {
             thread.schedule(this::tick);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("event after the end of the loop", e);
         }
     }
 
--- a/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/EntryHost.java
@@ -30,7 +30,7 @@
 public final class EntryHost {
     private static final Logger LOG = LoggerFactory.getLogger(EntryHost.class);
     private static final Duration REQUESTS_LIMIT = Duration.ofSeconds(20);
-    private static final Duration HANDOVER_LIMIT = Duration.ofSeconds(10);
+    private static final Duration HANDOVER_LIMIT = Duration.ofSeconds(30);
     private static final Duration CLOSE_LIMIT = Duration.ofSeconds(2);
 
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -170,7 +170,8 @@
         tracing = Tracing.create(settings.observation(), settings.host());
         transport = TcpPeerTransport.create(identity, builder.clock, counters);
         HostCore core = HostCore.of(config(settings), builder.clock);
-        loop = CoreLoop.start(core, EffectRunner.of(builder.clients, transport, metrics, tracing), metrics);
+        loop = CoreLoop.start(
+                StateMachine.of(core), EffectRunner.of(builder.clients, transport, metrics, tracing), metrics);
         RequestPlane plane = builder.requestPlane.create(
                 new RequestContext(settings, loop, transport, loop::snapshot, metrics, tracing, builder.clock));
         peers = PeerServer.start(
@@ -202,7 +203,7 @@
     public static final class Builder {
         private final HostSettings settings;
         private PlatformClients clients;
-        private RequestPlane.Factory requestPlane;
+        private RequestPlane.Factory requestPlane = LiveRequestPlane::create;
         private Clock clock = Clock.system();
 
         private Builder(HostSettings settings) {
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
@@ -38,6 +38,10 @@
         }
     }
 
+    WorkerAgent agent() {
+        return agent;
+    }
+
     boolean alive() {
         return alive;
     }
@@ -78,6 +82,10 @@
         agent.leaving(value);
     }
 
+    Network.Place place() {
+        return new Network.Place(domain, id.value());
+    }
+
     /** Brings the worker back without tasks, leases or memory of fences. */
     void restart() {
         incarnation++;
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
 
@@ -24,6 +25,7 @@
 
 /** Several entry hosts, workers and the platform on one clock, with faults. */
 final class World {
+    private static final Network.Place PLATFORM = new Network.Place(Network.PLATFORM, Network.PLATFORM);
     private static final long TICK_MS = 20;
     private static final long LIST_INTERVAL_MS = 1_000;
     private static final long LIST_LAG_MS = 2_000;
@@ -93,6 +95,10 @@
         return hosts.get(index % hosts.size());
     }
 
+    Optional<SimHost> host(HostId id) {
+        return hosts.stream().filter(host -> host.id().equals(id)).findFirst();
+    }
+
     List<SimHost> hosts() {
         return hosts;
     }
@@ -178,6 +184,10 @@
         return trace;
     }
 
+    SimWorker worker(WorkerId id) {
+        return workers.get(id);
+    }
+
     SimWorker worker(int index) {
         List<SimWorker> all = List.copyOf(workers.values());
         return all.get(index % all.size());
@@ -200,7 +210,7 @@
     }
 
     private void callTable(SimHost host, Effect.CallTable call) {
-        network.send(host.domain(), Network.PLATFORM, () -> {
+        network.send(host.place(), PLATFORM, () -> {
             boolean broken = nowMs() < tableFaultUntilMs;
             if (broken && tableFault == Action.TableFault.DOWN) {
                 return;
@@ -222,8 +232,7 @@
                     + reply.getClass().getSimpleName());
         }
         if (!lost) {
-            network.send(
-                    Network.PLATFORM, host.domain(), () -> host.receive(new Event.TableAnswered(call.call(), reply)));
+            network.send(PLATFORM, host.place(), () -> host.receive(new Event.TableAnswered(call.call(), reply)));
         }
     }
 
@@ -236,7 +245,7 @@
 
     private void callWorker(SimHost host, Effect.CallWorker call) {
         SimWorker worker = workers.get(call.worker());
-        network.send(host.domain(), worker.domain(), () -> {
+        network.send(host.place(), worker.place(), () -> {
             if (!worker.alive()) {
                 return;
             }
@@ -248,7 +257,7 @@
             noteStart(worker, call, reply);
             oracle.answered(nowMs(), worker, call.command(), reply);
             network.send(
-                    worker.domain(), host.domain(), () -> host.receive(new Event.WorkerAnswered(call.call(), reply)));
+                    worker.place(), host.place(), () -> host.receive(new Event.WorkerAnswered(call.call(), reply)));
         });
     }
 
@@ -272,9 +281,7 @@
                 .filter(host -> host.id().equals(send.to()))
                 .findFirst()
                 .ifPresent(to -> network.send(
-                        from.domain(),
-                        to.domain(),
-                        () -> to.receive(new Event.PeerReceived(from.id(), send.message()))));
+                        from.place(), to.place(), () -> to.receive(new Event.PeerReceived(from.id(), send.message()))));
     }
 
     private void publishHosts() {
@@ -298,7 +305,7 @@
             publishHosts();
             for (SimHost host : hosts) {
                 HostList list = listed;
-                network.send(Network.PLATFORM, host.domain(), () -> host.receive(new Event.HostsListed(list)));
+                network.send(PLATFORM, host.place(), () -> host.receive(new Event.HostsListed(list)));
             }
         }
         for (SimHost host : List.copyOf(hosts)) {
