Unit tests of the policy; larger workers end what is stuck in the same tick

Cause: the parts of the policy had only the random chains as tests. Parameterised tests cover the order of classes, weights, reclaim by checkpoint, reservations, gangs, spreading, stuck jobs, workers set aside, failing jobs, reopening, cancellation and wanted allotment. One of them failed for a real fault: a job that a new worker could run started a tick late; the check now runs before the starts.

--- a/core/src/main/java/org/acaciafold/core/placement/StuckSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/StuckSystem.java
@@ -25,11 +25,16 @@
         return true;
     }
 
-    void run(Tick tick) {
+    /** Lets jobs run that new workers have room for. */
+    void run() {
         if (seenVersion != tables.kinds.version()) {
             seenVersion = tables.kinds.version();
             checkAgain();
         }
+    }
+
+    /** Reports the jobs that have become unable to run. */
+    void report(Tick tick) {
         tick.decisions.addAll(tables.stuckReports);
         tables.stuckReports.clear();
     }
--- a/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
@@ -232,11 +232,12 @@
         Tick tick = new Tick(tables, nowMs);
         timers.run(tick);
         stops.run(tick);
+        stuck.run();
         shares.run();
         reservations.run(tick);
         starts.run(tick);
         reclaims.run(tick);
-        stuck.run(tick);
+        stuck.report(tick);
         allotments.run(tick);
         return tick.decisions;
     }
