--- a/proof/src/test/java/org/acaciafold/proof/fuzz/LiveTraffic.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/LiveTraffic.java
@@ -103,7 +103,7 @@
             case ClientReply.SlotElsewhere elsewhere ->
                 world.host(elsewhere.owner())
                         .ifPresent(owner -> world.network()
-                                .send(host.domain(), owner.domain(), () -> ask(owner, service, deadlineMs, true)));
+                                .send(host.place(), owner.place(), () -> ask(owner, service, deadlineMs, true)));
             case ClientReply.Failed failed -> refused(failed.failure().code());
             default -> throw new IllegalStateException("unexpected " + reply);
         }
@@ -154,7 +154,7 @@
 
         private void send() {
             add(Kind.GRANTED);
-            world.network().send(holder.domain(), worker.domain(), this::arrive);
+            world.network().send(holder.place(), worker.place(), this::arrive);
             long leftMs = Math.max(1, deadlineMs - world.nowMs());
             world.network().later(leftMs, () -> whenAwake(holder, () -> release(Kind.GIVEN_UP, false, false)));
         }
@@ -185,7 +185,7 @@
         }
 
         private void answer(Runnable action) {
-            world.network().send(worker.domain(), holder.domain(), () -> whenAwake(holder, action));
+            world.network().send(worker.place(), holder.place(), () -> whenAwake(holder, action));
         }
 
         private void release(Kind how, boolean succeeded, boolean ended) {
