Registrations of hosts that are gone are marked first and removed once they could run nothing exclusive

The change of a slice's members counts on the registrations of cut hosts, which the host list may have dropped although they live; a marked row frees edits only.

--- a/coordination/src/main/java/org/acaciafold/coordination/EditAcceptance.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAcceptance.java
@@ -62,6 +62,9 @@
     private boolean acknowledged(Row row, long version, boolean changesLimit) {
         try {
             SettingsRows.HostRow registered = SettingsRows.decode(row, SettingsRows.HostRow.class);
+            if (registered.gone()) {
+                return true;
+            }
             long limitsWithin = changesLimit ? registered.limitsWithin() : version;
             return limitsWithin >= version && (registered.acknowledged() >= version || heard(row, registered, version));
         } catch (AcaciafoldException e) {
--- a/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
@@ -41,6 +41,16 @@
         return new MemberChange(state);
     }
 
+    /** Returns after how many milliseconds without the table no host may run anything exclusive any more. */
+    static long unknownHostBoundMs(HostState state) {
+        HostConfig config = state.config();
+        long rehomeAfterMs = state.settings().teams().values().stream()
+                .mapToLong(TeamSettings::rehomeAfterMs)
+                .max()
+                .orElse(ExclusiveBound.DEFAULT_REHOME_AFTER_MS);
+        return rehomeAfterMs + config.controlLeaseMs() + config.taskLeaseMs() + LEASE_MARGINS * config.clockMarginMs();
+    }
+
     /** Records that a host has read a generation of the members. */
     void acknowledged(HostId host, long known) {
         acknowledged.merge(host, known, Math::max);
@@ -66,7 +76,7 @@
         }
         boolean allKnow = registered.isPresent()
                 && registered.get().stream().allMatch(host -> acknowledged.getOrDefault(host, -1L) >= generation);
-        return allKnow || nowMs > sinceMs + unknownHostBoundMs();
+        return allKnow || nowMs > sinceMs + unknownHostBoundMs(state);
     }
 
     private void scan(long nowMs, Outbox outbox) {
@@ -96,13 +106,4 @@
             return Optional.of(host);
         }
     }
-
-    private long unknownHostBoundMs() {
-        HostConfig config = state.config();
-        long rehomeAfterMs = state.settings().teams().values().stream()
-                .mapToLong(TeamSettings::rehomeAfterMs)
-                .max()
-                .orElse(ExclusiveBound.DEFAULT_REHOME_AFTER_MS);
-        return rehomeAfterMs + config.controlLeaseMs() + config.taskLeaseMs() + LEASE_MARGINS * config.clockMarginMs();
-    }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/Registration.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Registration.java
@@ -86,7 +86,10 @@
         rowVersion = found.get().version();
         try {
             SettingsRows.HostRow content = SettingsRows.decode(found.get(), SettingsRows.HostRow.class);
-            if (content.incarnation() == state.config().incarnation()) {
+            boolean own = content.incarnation() == state.config().incarnation();
+            if (own && content.gone()) {
+                lost(rowVersion);
+            } else if (own) {
                 hold(content, rowVersion);
             } else if (wasRegistered) {
                 superseded = true;
@@ -152,7 +155,7 @@
         long limitsBefore = row.map(SettingsRows.HostRow::limitsWithin).orElse(0L);
         long limitsWithin = state.limitsInForce() ? version : limitsBefore;
         return new SettingsRows.HostRow(
-                state.config().incarnation(), state.config().domain(), version, limitsWithin);
+                state.config().incarnation(), state.config().domain(), version, limitsWithin, false);
     }
 
     private void write(SettingsRows.HostRow next, List<Check> checks, Outbox outbox) {
--- a/coordination/src/main/java/org/acaciafold/coordination/RegistrationCleanup.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/RegistrationCleanup.java
@@ -20,10 +20,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Removes the registrations of entry hosts of this failure domain that are gone, so that edits do not wait for them.
+ * Marks the registrations of entry hosts of this failure domain that are gone, so that edits do not wait for them.
  *
- * <p>A host is gone when the host list no longer has it, it was not heard and did not write its registration for the
- * validity of a control lease and the clock margin, and no row of a slice names it as the owner.
+ * <p>A host counts as gone when the host list no longer has it, it was not heard and did not write its registration for
+ * the validity of a control lease and the clock margin, and no row of a slice names it as the owner. The row is removed
+ * only when the host could run nothing exclusive any more even if it lived, cut off.
  */
 final class RegistrationCleanup implements HostSystem {
     private static final Logger LOG = LoggerFactory.getLogger(RegistrationCleanup.class);
@@ -82,8 +83,8 @@
                 seen.add(host);
                 Suspect suspect = suspects.get(host);
                 if (suspect == null || suspect.version() != row.version()) {
-                    suspects.put(host, new Suspect(row.version(), nowMs));
-                } else if (nowMs - suspect.sinceMs() > validityMs()) {
+                    suspects.put(host, suspect(row, nowMs));
+                } else if (nowMs - suspect.sinceMs() > suspect.boundMs()) {
                     gone.put(host, suspect);
                 }
             }
@@ -100,15 +101,28 @@
         }
         PeerEntry peer = state.peers().get(host);
         boolean silent = peer == null || nowMs - peer.heardMs() > validityMs();
+        return silent
+                && read(row)
+                        .filter(registered ->
+                                registered.domain().equals(state.config().domain()))
+                        .isPresent();
+    }
+
+    private static Optional<SettingsRows.HostRow> read(Row row) {
         try {
-            SettingsRows.HostRow registered = SettingsRows.decode(row, SettingsRows.HostRow.class);
-            return silent && registered.domain().equals(state.config().domain());
+            return Optional.of(SettingsRows.decode(row, SettingsRows.HostRow.class));
         } catch (AcaciafoldException e) {
             LOG.error("unreadable registration {}: {}", row.key(), e.getMessage());
-            return false;
+            return Optional.empty();
         }
     }
 
+    private Suspect suspect(Row row, long nowMs) {
+        SettingsRows.HostRow registered = read(row).orElseThrow();
+        long boundMs = registered.gone() ? MemberChange.unknownHostBoundMs(state) : validityMs();
+        return new Suspect(row.version(), nowMs, registered, boundMs);
+    }
+
     private void removeUnlessOwners(Map<HostId, Suspect> gone, List<Row> slices, Outbox outbox) {
         Set<String> owners = new HashSet<>();
         boolean readable = true;
@@ -122,16 +136,19 @@
         }
         gone.forEach((host, suspect) -> {
             if (!owners.contains(host.value())) {
-                remove(host, suspect.version(), outbox);
+                settle(host, suspect, outbox);
             }
         });
     }
 
-    private void remove(HostId host, long version, Outbox outbox) {
-        LOG.info("entry host {} is gone; its registration is removed", host);
+    private void settle(HostId host, Suspect suspect, Outbox outbox) {
         String key = SettingsRows.host(host);
-        TableRequest request =
-                new TableRequest.Commit(List.of(new Check(key, version)), List.of(new Write(key, Optional.empty())));
+        boolean marked = suspect.row().gone();
+        LOG.info("entry host {} is gone; its registration is {}", host, marked ? "removed" : "marked");
+        Write write = marked
+                ? new Write(key, Optional.empty())
+                : SettingsRows.write(key, suspect.row().asGone(), SettingsRows.HostRow.class);
+        TableRequest request = new TableRequest.Commit(List.of(new Check(key, suspect.version())), List.of(write));
         outbox.call(state.clock().nowMs(), request, reply -> suspects.remove(host));
     }
 
@@ -150,5 +167,5 @@
     }
 
     /** A registration that may be of a host that is gone, at the version at which it was first suspected. */
-    private record Suspect(long version, long sinceMs) {}
+    private record Suspect(long version, long sinceMs, SettingsRows.HostRow row, long boundMs) {}
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
@@ -74,8 +74,14 @@
      * @param domain its failure domain
      * @param acknowledged the version of the settings in force there
      * @param limitsWithin the version under which the host has seen all teams within their limits
+     * @param gone whether the other hosts of the domain take it for gone, so that edits do not wait for it
      */
-    record HostRow(long incarnation, DomainId domain, long acknowledged, long limitsWithin) {}
+    record HostRow(long incarnation, DomainId domain, long acknowledged, long limitsWithin, boolean gone) {
+        /** Returns the row as that of a host that is gone. */
+        HostRow asGone() {
+            return new HostRow(incarnation, domain, acknowledged, limitsWithin, true);
+        }
+    }
 
     /**
      * The content of the head row, which names the latest changes so that a host reads only these.
--- a/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
@@ -310,18 +310,38 @@
     }
 
     @Test
-    void shouldRegisterAgainWhenItsRegistrationWasRemoved() {
+    void shouldKeepTheRowOfAHostThatIsGoneWhileItCouldRunExclusiveTasks() {
         fleet.unlist("h2");
         fleet.cut("h2", true);
-        fleet.run(60_000);
+        fleet.run(300_000);
+        assertTrue(fleet.table().row("host/h2").isPresent());
+
+        fleet.run(600_000);
+
         assertEquals(Optional.empty(), fleet.table().row("host/h2"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {60_000, 900_000})
+    void shouldRegisterAgainWhenItWasTakenForGone(long cutMs) {
+        fleet.unlist("h2");
+        fleet.cut("h2", true);
+        fleet.run(cutMs);
+        assertFalse(edited(fleet.call("h1", put("e0", 0, IN))).waitingFor().contains("h2"));
 
         fleet.cut("h2", false);
-        edited(fleet.call("h1", put("e1", 0, OUT)));
+        long base = edited(fleet.call("h1", new ClientCall.QueryEdit("e0"))).version();
+        edited(fleet.call("h1", put("e1", base, OUT)));
         fleet.run(5_000);
 
-        assertTrue(fleet.table().row("host/h2").isPresent());
+        assertTrue(fleet.host("h2").state().registered());
         assertEquals(fleet.host("h1").version(), fleet.host("h2").version());
+        fleet.cut("h2", true);
+        edited(fleet.call("h1", put("e2", fleet.host("h1").version(), IN)));
+        fleet.run(2_000);
+        assertEquals(
+                List.of("h2"),
+                edited(fleet.call("h1", new ClientCall.QueryEdit("e2"))).waitingFor());
     }
 
     @Test
