--- a/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
@@ -29,6 +29,9 @@
  * identifier means that the first took effect, any other conflict that neither can take effect any more.
  */
 final class EditAttempt {
+    /** Edits of a team may repeat a limit that an earlier edit set and that is not in force yet. */
+    private static final String TEAM_PREFIX = "team/";
+
     private static final long DEADLINE_MS = 3_000;
     private static final long RETRY_MS = 50;
     private static final long RETRY_AFTER_MS = 2_000;
@@ -169,7 +172,7 @@
         SettingsTree changed = edit.text()
                 .map(text -> texts.with(edit.subtree(), text))
                 .orElseGet(() -> texts.without(edit.subtree()));
-        boolean changesLimit = changesLimit(texts, changed.check());
+        boolean changesLimit = edit.subtree().startsWith(TEAM_PREFIX) || changesLimit(texts, changed.check());
         SettingsRows.Head head = tree.nextHead(edit.subtree(), edit.text().isEmpty());
         String subtreeKey = SettingsRows.subtree(edit.subtree());
         String editKey = SettingsRows.edit(edit.editId());
