--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Bootstrap.java
@@ -0,0 +1,33 @@
+package org.acaciafold.proof.fuzz;
+
+/** Puts the first settings of a world in force. */
+final class Bootstrap {
+    private static final long LONGEST_MS = 60_000;
+    private static final long STEP_MS = 100;
+    private static final long BETWEEN_EDITS_MS = 2_000;
+    private static final int LIMIT_CORES = 40;
+
+    private final World world;
+
+    private Bootstrap(World world) {
+        this.world = world;
+    }
+
+    static Bootstrap of(World world) {
+        return new Bootstrap(world);
+    }
+
+    void run() {
+        for (int team = 0; team < Clients.TEAMS; team++) {
+            world.clients().setLimit(team, LIMIT_CORES, world.host(0));
+            world.pass(BETWEEN_EDITS_MS);
+        }
+        Oracle oracle = world.oracle();
+        for (long waited = 0; waited < LONGEST_MS && !oracle.limitsAccepted(Clients.TEAMS); waited += STEP_MS) {
+            world.pass(STEP_MS);
+        }
+        if (!oracle.limitsAccepted(Clients.TEAMS)) {
+            oracle.violate(world.nowMs(), "the first settings never came into force");
+        }
+    }
+}
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -6,11 +6,9 @@
 
 /** Runs one case: start, steps with faults, then everything healed until all work has ended. */
 final class FuzzCase {
-    private static final long BOOTSTRAP_MS = 60_000;
     private static final long STEP_MS = 100;
     private static final long POLL_MS = 2_000;
     private static final long END_MS = 600_000;
-    private static final int LIMIT_CORES = 40;
     private static final int FINAL_LIMIT_CORES = 60;
 
     private final World world;
@@ -27,7 +25,7 @@
 
     /** Runs the case; returns what went wrong, empty when nothing did. */
     Optional<Finding> run() {
-        bootstrap();
+        Bootstrap.of(world).run();
         for (Action step : steps) {
             if (!world.oracle().violations().isEmpty()) {
                 break;
@@ -47,21 +45,6 @@
         return world;
     }
 
-    private void bootstrap() {
-        for (int team = 0; team < Clients.TEAMS; team++) {
-            world.clients().setLimit(team, LIMIT_CORES, world.host(0));
-            world.pass(POLL_MS);
-        }
-        for (long waited = 0;
-                waited < BOOTSTRAP_MS && !world.oracle().limitsAccepted(Clients.TEAMS);
-                waited += STEP_MS) {
-            world.pass(STEP_MS);
-        }
-        if (!world.oracle().limitsAccepted(Clients.TEAMS)) {
-            world.oracle().violate(world.nowMs(), "the first settings never came into force");
-        }
-    }
-
     private void apply(Action step) {
         long nowMs = world.nowMs();
         switch (step) {
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCounts.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCounts.java
@@ -28,6 +28,10 @@
         that.counts.forEach((kind, count) -> counts.merge(kind, count, Long::sum));
     }
 
+    long count(Kind kind) {
+        return counts.getOrDefault(kind, 0L);
+    }
+
     @Override
     public String toString() {
         return counts.toString();
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzMain.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzMain.java
@@ -11,8 +11,8 @@
 /** Runs fuzz cases from the command line: {@code FuzzMain --seed N --cases N [--domains N] [--trace]}. */
 public final class FuzzMain {
     private static final int GENERATED_SIZE = 1_000;
-    private static final int SHRINK_ATTEMPTS = 300;
-    private static final int TRACE_LINES = 60;
+    private static final int SHRINK_ATTEMPTS = 150;
+    private static final int TRACE_LINES = 400;
 
     private final int domains;
     private final boolean trace;
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/SimHost.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimHost.java
@@ -53,6 +53,10 @@
         alive = false;
     }
 
+    int ownedSlices() {
+        return alive ? core.ownedSlices() : 0;
+    }
+
     /** Stops the host for a while between deciding and sending: the effects of its next tick leave after the pause. */
     void pause(long nowMs, long untilMs) {
         if (nowMs >= pausedUntilMs) {
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimWorker.java
@@ -4,11 +4,13 @@
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostRole;
 import org.acaciafold.core.port.TaskView;
 import org.acaciafold.core.port.WorkerCommand;
 import org.acaciafold.core.port.WorkerReply;
+import org.acaciafold.standin.JournalEntry;
 import org.acaciafold.standin.WorkerAgent;
 
 /** A worker of the fuzz world: an agent that can die and come back empty. */
@@ -24,6 +26,7 @@
     private WorkerAgent agent;
     private boolean alive = true;
     private boolean leaving;
+    private long succeededBefore;
 
     SimWorker(WorkerId id, String domain, String rack) {
         this.id = id;
@@ -88,17 +91,30 @@
 
     /** Brings the worker back without tasks, leases or memory of fences. */
     void restart() {
+        succeededBefore += successes();
         incarnation++;
         alive = true;
         leaving = false;
         agent = fresh();
     }
 
+    /** Returns how many tasks have succeeded here, before and after restarts. */
+    long succeeded() {
+        return succeededBefore + successes();
+    }
+
     /** Returns the tasks that run now, none when the worker is dead. */
     List<TaskView> tasks(long nowMs) {
         return alive ? agent.view(nowMs).tasks() : List.of();
     }
 
+    private long successes() {
+        return agent.journal().stream()
+                .filter(entry -> entry.kind() == JournalEntry.Kind.TASK_ENDED)
+                .filter(entry -> entry.detail().equals(EndReason.SUCCEEDED.name()))
+                .count();
+    }
+
     private WorkerAgent fresh() {
         return WorkerAgent.of(id, CAPACITY, rack, SLOTS, CONNECTIONS, incarnation);
     }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.acaciafold.coordination.Effect;
 import org.acaciafold.coordination.Event;
@@ -227,8 +228,7 @@
         TableReply reply = table.call(call.request());
         if (call.request() instanceof TableRequest.Commit commit) {
             countTakeover(commit, reply);
-            note(host.id() + " commits "
-                    + commit.writes().stream().map(write -> write.key()).toList() + " -> "
+            note(host.id() + " commits " + describe(commit) + " -> "
                     + reply.getClass().getSimpleName());
         }
         if (!lost) {
@@ -236,6 +236,16 @@
         }
     }
 
+    /** Names the rows of a transaction, with the content of those that limits and settings in force depend on. */
+    private static String describe(TableRequest.Commit commit) {
+        return commit.writes().stream()
+                .map(write ->
+                        write.key().startsWith("allotment/") || write.key().startsWith("host/")
+                                ? write.key() + write.value().map(String::new).orElse(" deleted")
+                                : write.key())
+                .collect(Collectors.joining(", "));
+    }
+
     private void countTakeover(TableRequest.Commit commit, TableReply reply) {
         boolean slice = commit.writes().stream().anyMatch(write -> write.key().startsWith("slice/"));
         if (slice && reply instanceof TableReply.Committed) {
