--- a/wire/src/main/java/org/acaciafold/wire/BodySender.java
+++ b/wire/src/main/java/org/acaciafold/wire/BodySender.java
@@ -1,5 +1,6 @@
 package org.acaciafold.wire;
 
+import java.util.Arrays;
 import java.util.function.Consumer;
 
 import org.reactivestreams.Subscription;
@@ -110,7 +111,7 @@
 
     private void sendPart() {
         int length = (int) Math.min(Math.min(chunk.length - offset, MAX_CHUNK_BYTES), credit);
-        byte[] part = java.util.Arrays.copyOfRange(chunk, offset, offset + length);
+        byte[] part = Arrays.copyOfRange(chunk, offset, offset + length);
         link.send(new Frame(new FrameHead.Chunk(stream), part));
         offset += length;
         sent += length;
--- a/wire/src/test/java/org/acaciafold/wire/TcpPeerTransportTest.java
+++ b/wire/src/test/java/org/acaciafold/wire/TcpPeerTransportTest.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -17,12 +16,9 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.Disposable;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Flux;
@@ -37,8 +33,7 @@
 
 class TcpPeerTransportTest {
     private static final Duration LIMIT = Duration.ofSeconds(20);
-    private static final String SECRET = "a secret of the cluster";
-    private static final long DEADLINE_MS = 15_000;
+    private static final String SECRET = TestRelays.SECRET;
     private static final HostId SERVER = HostId.of("server");
 
     private final WireCounters counters = WireCounters.create();
@@ -86,7 +81,7 @@
         Flux<byte[]> body = Flux.range(0, 20).map(i -> part);
 
         Long length = transport
-                .relay(server.address(), new RelayRequest(head("large"), body))
+                .relay(server.address(), new RelayRequest(TestRelays.head("large"), body))
                 .flatMapMany(RelayResponse::body)
                 .map(bytes -> (long) bytes.length)
                 .reduce(0L, Long::sum)
@@ -101,10 +96,10 @@
         byte[] part = new byte[64 * 1024];
         Flux<byte[]> endless =
                 Flux.<byte[]>generate(sink -> sink.next(part)).doOnNext(bytes -> asked.addAndGet(bytes.length));
-        handler = request -> Mono.just(new RelayResponse(status("stalled"), endless));
+        handler = request -> Mono.just(new RelayResponse(TestRelays.status("stalled"), endless));
 
         RelayResponse response = transport
-                .relay(server.address(), new RelayRequest(head("stalled"), Flux.empty()))
+                .relay(server.address(), new RelayRequest(TestRelays.head("stalled"), Flux.empty()))
                 .block(LIMIT);
         handler = TcpPeerTransportTest::echo;
         String other = relayBlocking("other");
@@ -122,7 +117,7 @@
         AtomicBoolean cancelled = new AtomicBoolean();
         handler = request -> Mono.<RelayResponse>never().doOnCancel(() -> cancelled.set(true));
         Disposable call = transport
-                .relay(server.address(), new RelayRequest(head("gone"), Flux.empty()))
+                .relay(server.address(), new RelayRequest(TestRelays.head("gone"), Flux.empty()))
                 .subscribe();
         await().until(() -> server.inProgress() == 1);
 
@@ -136,11 +131,11 @@
     void shouldStopTheResponseWhenItsReaderGoesAway() {
         AtomicBoolean cancelled = new AtomicBoolean();
         handler = request -> Mono.just(new RelayResponse(
-                status(request.head().requestId()),
+                TestRelays.status(request.head().requestId()),
                 Flux.just(new byte[10]).concatWith(Flux.never()).doOnCancel(() -> cancelled.set(true))));
 
         transport
-                .relay(server.address(), new RelayRequest(head("gone"), Flux.empty()))
+                .relay(server.address(), new RelayRequest(TestRelays.head("gone"), Flux.empty()))
                 .flatMapMany(RelayResponse::body)
                 .blockFirst(LIMIT);
 
@@ -161,17 +156,17 @@
     @Test
     void shouldFailTheBodyWhenItsSourceFailsMidway() {
         handler = request -> Mono.just(new RelayResponse(
-                status(request.head().requestId()),
+                TestRelays.status(request.head().requestId()),
                 Flux.just(new byte[10]).concatWith(Flux.error(new IllegalStateException("cut")))));
 
         Flux<byte[]> body = transport
-                .relay(server.address(), new RelayRequest(head("cut"), Flux.empty()))
+                .relay(server.address(), new RelayRequest(TestRelays.head("cut"), Flux.empty()))
                 .flatMapMany(RelayResponse::body);
 
         StepVerifier.create(body)
                 .expectNextCount(1)
-                .expectErrorSatisfies(
-                        error -> assertEquals(Outcome.UNKNOWN, failure(error).outcome()))
+                .expectErrorSatisfies(error ->
+                        assertEquals(Outcome.UNKNOWN, TestRelays.failure(error).outcome()))
                 .verify(LIMIT);
     }
 
@@ -181,22 +176,23 @@
         handler = request -> request.body().doOnError(seen::tryEmitValue).then(Mono.never());
         Flux<byte[]> body = Flux.just(new byte[5]).concatWith(Flux.error(new IllegalStateException("caller left")));
 
-        StepVerifier.create(transport.relay(server.address(), new RelayRequest(head("cut"), body)))
-                .expectErrorSatisfies(
-                        error -> assertEquals("request-cut", failure(error).code()))
+        StepVerifier.create(transport.relay(server.address(), new RelayRequest(TestRelays.head("cut"), body)))
+                .expectErrorSatisfies(error ->
+                        assertEquals("request-cut", TestRelays.failure(error).code()))
                 .verify(LIMIT);
 
-        assertEquals("request-cut", failure(seen.asMono().block(LIMIT)).code());
+        assertEquals(
+                "request-cut", TestRelays.failure(seen.asMono().block(LIMIT)).code());
     }
 
     @Test
     void shouldGiveUpWithAnUnknownOutcomeWhenTheDeadlinePasses() {
         handler = request -> Mono.never();
-        RelayHead head = head("late", 100);
+        RelayHead head = TestRelays.head("late", 100);
 
         StepVerifier.create(transport.relay(server.address(), new RelayRequest(head, Flux.empty())))
-                .expectErrorSatisfies(
-                        error -> assertEquals(Outcome.UNKNOWN, failure(error).outcome()))
+                .expectErrorSatisfies(error ->
+                        assertEquals(Outcome.UNKNOWN, TestRelays.failure(error).outcome()))
                 .verify(LIMIT);
     }
 
@@ -206,12 +202,12 @@
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.ofLiteral("127.0.0.1"))) {
             unused = "127.0.0.1:" + socket.getLocalPort();
         }
-        Mono<RelayResponse> call = transport.relay(unused, new RelayRequest(head("unsent"), Flux.empty()));
+        Mono<RelayResponse> call = transport.relay(unused, new RelayRequest(TestRelays.head("unsent"), Flux.empty()));
 
         for (int attempt = 0; attempt < 2; attempt++) {
             StepVerifier.create(call)
-                    .expectErrorSatisfies(error ->
-                            assertEquals(Outcome.NOT_RUN, failure(error).outcome()))
+                    .expectErrorSatisfies(error -> assertEquals(
+                            Outcome.NOT_RUN, TestRelays.failure(error).outcome()))
                     .verify(LIMIT);
         }
     }
@@ -220,14 +216,14 @@
     void shouldTellNotRunWhenThePeerIsStopping() {
         handler = request -> Mono.never();
         Disposable held = transport
-                .relay(server.address(), new RelayRequest(head("held"), Flux.empty()))
+                .relay(server.address(), new RelayRequest(TestRelays.head("held"), Flux.empty()))
                 .subscribe();
         await().until(() -> server.inProgress() == 1);
         Mono<Boolean> stopped = server.stop(LIMIT).cache();
         stopped.subscribe();
 
         RelayStatus refused = transport
-                .relay(server.address(), new RelayRequest(head("refused"), Flux.empty()))
+                .relay(server.address(), new RelayRequest(TestRelays.head("refused"), Flux.empty()))
                 .block(LIMIT)
                 .head();
 
@@ -236,113 +232,6 @@
         assertEquals(Boolean.FALSE, stopped.block(LIMIT));
     }
 
-    // -- relay to a peer that breaks the protocol
-
-    @Test
-    void shouldMatchResponsesByStreamAndCorrelationIdWhenTheyAreCrossed() throws Exception {
-        try (ServerSocket socket = serverSocket()) {
-            Mono<String> first = rawRelay(socket, "first").cache();
-            Mono<String> second = rawRelay(socket, "second").cache();
-            first.subscribe();
-            second.subscribe();
-            try (RawPeer peer = RawPeer.accept(socket)) {
-                peer.welcome(SERVER, ClusterSecret.of(SECRET));
-                FrameHead.RequestHead a = peer.readRequest();
-                FrameHead.RequestHead b = peer.readRequest();
-
-                respond(peer, a.stream(), b.head().requestId());
-                respond(peer, 99, a.head().requestId());
-                respond(peer, b.stream(), b.head().requestId());
-                respond(peer, a.stream(), a.head().requestId());
-                respond(peer, a.stream(), a.head().requestId());
-
-                assertEquals("first", first.block(LIMIT));
-                assertEquals("second", second.block(LIMIT));
-            }
-            await().until(() -> counters.droppedFrames() == 9);
-        }
-    }
-
-    @ParameterizedTest
-    @ValueSource(longs = {0, 4, 6})
-    void shouldFailTheBodyWhenItsLengthDiffers(long told) throws Exception {
-        try (ServerSocket socket = serverSocket()) {
-            Mono<String> call = rawRelay(socket, "cut").cache();
-            call.subscribe(text -> {}, error -> {});
-            try (RawPeer peer = RawPeer.accept(socket)) {
-                peer.welcome(SERVER, ClusterSecret.of(SECRET));
-                FrameHead.RequestHead request = peer.readRequest();
-                peer.write(Frame.of(new FrameHead.ResponseHead(request.stream(), status("cut"))));
-                peer.write(new Frame(new FrameHead.Chunk(request.stream()), new byte[5]));
-                peer.write(Frame.of(new FrameHead.End(request.stream(), told)));
-
-                Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
-
-                assertEquals("body-cut", failure(Exceptions.unwrap(error)).code());
-            }
-        }
-    }
-
-    @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void shouldTellAnUnknownOutcomeWhenTheConnectionIsLostAfterTheRequestLeft(boolean midBody) throws Exception {
-        try (ServerSocket socket = serverSocket()) {
-            Mono<String> call = rawRelay(socket, "lost").cache();
-            call.subscribe(text -> {}, error -> {});
-            try (RawPeer peer = RawPeer.accept(socket)) {
-                peer.welcome(SERVER, ClusterSecret.of(SECRET));
-                FrameHead.RequestHead request = peer.readRequest();
-                if (midBody) {
-                    peer.write(Frame.of(new FrameHead.ResponseHead(request.stream(), status("lost"))));
-                    peer.write(new Frame(new FrameHead.Chunk(request.stream()), new byte[5]));
-                }
-            }
-            Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
-
-            assertEquals(Outcome.UNKNOWN, failure(Exceptions.unwrap(error)).outcome());
-        }
-    }
-
-    @Test
-    void shouldSendNothingWhenThePeerDoesNotKnowTheSecret() throws Exception {
-        try (ServerSocket socket = serverSocket()) {
-            Mono<String> call = rawRelay(socket, "unsent").cache();
-            call.subscribe(text -> {}, error -> {});
-            try (RawPeer peer = RawPeer.accept(socket)) {
-                peer.welcome(SERVER, ClusterSecret.of("not the secret of the cluster"));
-
-                assertTrue(peer.closedByPeer());
-            }
-            Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
-
-            assertEquals(Outcome.NOT_RUN, failure(Exceptions.unwrap(error)).outcome());
-            assertEquals("wrong-secret", failure(Exceptions.unwrap(error)).code());
-        }
-    }
-
-    @Test
-    void shouldCloseTheConnectionWhenThePeerIsSilent() throws Exception {
-        TcpPeerTransport impatient = TcpPeerTransport.create(
-                new WireIdentity(HostId.of("client"), SECRET), Clock.system(), counters, new LinkTimings(5_000, 50));
-        try (ServerSocket socket = serverSocket()) {
-            String address = "127.0.0.1:" + socket.getLocalPort();
-            Mono<RelayResponse> call = impatient
-                    .relay(address, new RelayRequest(head("silent"), Flux.empty()))
-                    .cache();
-            call.subscribe(response -> {}, error -> {});
-            try (RawPeer peer = RawPeer.accept(socket)) {
-                peer.welcome(SERVER, ClusterSecret.of(SECRET));
-                peer.readRequest();
-
-                Throwable error = assertThrows(RuntimeException.class, () -> call.block(LIMIT));
-
-                assertEquals("peer-silent", failure(Exceptions.unwrap(error)).code());
-                assertTrue(peer.closedByPeer());
-            }
-        }
-        impatient.close().block(LIMIT);
-    }
-
     @Test
     void shouldKeepTheConnectionWhenAnIdlePeerAnswersPings() throws Exception {
         LinkTimings timings = new LinkTimings(5_000, 150);
@@ -351,7 +240,7 @@
         handler = request -> Mono.delay(Duration.ofMillis(1_200)).then(echo(request));
 
         RelayResponse response = impatient
-                .relay(server.address(), new RelayRequest(head("slow"), Flux.empty()))
+                .relay(server.address(), new RelayRequest(TestRelays.head("slow"), Flux.empty()))
                 .block(LIMIT);
 
         assertEquals("slow", response.head().requestId());
@@ -362,7 +251,7 @@
 
     @Test
     void shouldDeliverMessagesInOrderWhenTheyWereSentWhileConnecting() {
-        IntStream.range(0, 50).forEach(i -> transport.send(server.address(), text("m" + i)));
+        IntStream.range(0, 50).forEach(i -> transport.send(server.address(), TestRelays.text("m" + i)));
 
         await().until(() -> messages.size() == 50);
         assertEquals(IntStream.range(0, 50).mapToObj(i -> "m" + i).toList(), messages);
@@ -373,7 +262,7 @@
         String address = server.address();
         server.stop(Duration.ZERO).block(LIMIT);
 
-        transport.send(address, text("lost"));
+        transport.send(address, TestRelays.text("lost"));
 
         await().until(() -> counters.droppedMessages() == 1);
     }
@@ -393,66 +282,23 @@
         await().ignoreExceptions().until(() -> relayBlocking("after").startsWith("after"));
     }
 
-    private Mono<String> rawRelay(ServerSocket socket, String id) {
-        return relayText("127.0.0.1:" + socket.getLocalPort(), id, "");
-    }
-
     private String relayBlocking(String id) {
-        return relayText(server.address(), id, "x").block(LIMIT);
+        return TestRelays.relay(transport, server.address(), id, "x").block(LIMIT);
     }
 
     private Failure relayFailure(String id) {
         Throwable error = assertThrows(RuntimeException.class, () -> relayBlocking(id));
-        return failure(Exceptions.unwrap(error));
+        return TestRelays.failure(Exceptions.unwrap(error));
     }
 
     private Mono<String> relayText(String id, String body) {
-        return relayText(server.address(), id, body);
-    }
-
-    private Mono<String> relayText(String address, String id, String body) {
-        return transport
-                .relay(address, new RelayRequest(head(id), Flux.just(text(body))))
-                .flatMapMany(RelayResponse::body)
-                .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
-                .collectList()
-                .map(parts -> String.join("", parts));
+        return TestRelays.relay(transport, server.address(), id, body);
     }
 
     private static Mono<RelayResponse> echo(RelayRequest request) {
         String id = request.head().requestId();
         Flux<byte[]> body =
-                id.equals("large") ? request.body() : Flux.concat(Mono.just(text(id + ":")), request.body());
-        return Mono.just(new RelayResponse(status(id), body));
-    }
-
-    private static Failure failure(Throwable error) {
-        return ((AcaciafoldException) error).failure();
-    }
-
-    private static RelayHead head(String id) {
-        return head(id, DEADLINE_MS);
-    }
-
-    private static RelayHead head(String id, long deadlineMs) {
-        return new RelayHead(id, TeamId.of("north"), "catalogue", "POST", "/", List.of(), deadlineMs, "", false);
-    }
-
-    private static void respond(RawPeer peer, long stream, String id) throws Exception {
-        peer.write(Frame.of(new FrameHead.ResponseHead(stream, status(id))));
-        peer.write(new Frame(new FrameHead.Chunk(stream), text(id)));
-        peer.write(Frame.of(new FrameHead.End(stream, id.length())));
-    }
-
-    private static ServerSocket serverSocket() throws Exception {
-        return new ServerSocket(0, 5, InetAddress.ofLiteral("127.0.0.1"));
-    }
-
-    private static RelayStatus status(String id) {
-        return new RelayStatus(id, 200, List.of(), Optional.empty());
-    }
-
-    private static byte[] text(String text) {
-        return text.getBytes(StandardCharsets.UTF_8);
+                id.equals("large") ? request.body() : Flux.concat(Mono.just(TestRelays.text(id + ":")), request.body());
+        return Mono.just(new RelayResponse(TestRelays.status(id), body));
     }
 }
