--- a/coordination/src/test/java/org/acaciafold/coordination/Cell.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/Cell.java
@@ -208,6 +208,12 @@
         lostWorkerAnswer = which;
     }
 
+    /** Replaces a worker's agent by one that remembers nothing. */
+    void restart(String worker) {
+        WorkerId id = WorkerId.of(worker);
+        workers.put(id, WorkerAgent.of(id, CAPACITY, "r", 8, 64, ++lastCall));
+    }
+
     void kill(String worker) {
         dead.add(WorkerId.of(worker));
     }
--- a/coordination/src/test/java/org/acaciafold/coordination/OwnershipTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/OwnershipTest.java
@@ -153,6 +153,35 @@
         });
     }
 
+    @Test
+    void shouldNotCountLeasesOfRestartedWorkersWhenThePausedOwnerResumes() {
+        Cell cell = Cell.of(2, 3, "east");
+        CellHost owner = cell.owner("east");
+        CellHost other = cell.other(owner);
+        JobId job = cell.submit(owner, Cell.batch(1, true, "run=500000"));
+        cell.await(10_000, () -> cell.starts(job) == 1);
+        String worker = cell.workerOf(job);
+        owner.pause();
+        cell.await(30_000, () -> other.core().ownedSlices() == 1);
+        cell.pass(2 * CONTROL_LEASE_MS);
+
+        List.of("east-w0", "east-w1", "east-w2").stream()
+                .filter(each -> !each.equals(worker))
+                .forEach(each -> {
+                    cell.cutFromWorker(other, each);
+                    cell.restart(each);
+                });
+        cell.cutFromTable(owner, true);
+        cell.cutFromPeers(owner);
+        cell.cutFromWorker(owner, worker);
+        owner.resume();
+
+        for (int second = 0; second < 120; second++) {
+            cell.pass(1_000);
+            assertTrue(cell.running(job, "east") <= 1);
+        }
+    }
+
     // -- handover
 
     @Test
