A lowered limit stops the excess, and an edit while limits are exceeded waits for it

A team ran 4 cores after 'limit 3' was accepted. Causes: (1) the plane never stopped what a team ran beyond a lowered allotment; (2) a second edit with the same limit counted as one that changes no limit, and was accepted while the first was pending; (3) a host that had not read the row since the edit could count as within limits. Ruled out: the shares, whose sum matched the row. Now ExcessSystem stops the lowest class first; an edit made while limits are exceeded waits; rows must have been read since the settings came into force. The fuzz demands that limits edited after the faults are accepted.

--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -42,6 +42,9 @@
     private final Set<TeamId> writing = new HashSet<>();
     private final Set<TeamId> unconfirmed = new HashSet<>();
     private final Map<TeamId, Long> nextWriteMs = new HashMap<>();
+    private long comparedVersion = -1;
+    private long comparedSinceMs;
+    private long scannedMs = Times.NEVER_MS;
     private boolean scanning;
     private long nextScanMs;
 
@@ -68,7 +71,12 @@
                 balance(nowMs, team, slice, outbox);
             }
         }
-        if (allWithinLimits()) {
+        if (state.settings().version() != comparedVersion) {
+            comparedVersion = state.settings().version();
+            comparedSinceMs = nowMs;
+            nextScanMs = nowMs;
+        }
+        if (scannedMs >= comparedSinceMs && allWithinLimits()) {
             state.limitsVersion(state.settings().version());
         }
     }
@@ -171,6 +179,7 @@
         outbox.call(nowMs, new TableRequest.Scan(PREFIX, "", SCAN_LIMIT), reply -> {
             scanning = false;
             if (reply instanceof TableReply.Rows found) {
+                scannedMs = nowMs;
                 found.rows().forEach(this::learn);
                 noteMissing();
             }
--- a/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
@@ -169,7 +169,7 @@
         SettingsTree changed = edit.text()
                 .map(text -> texts.with(edit.subtree(), text))
                 .orElseGet(() -> texts.without(edit.subtree()));
-        boolean changesLimit = changesLimit(texts, changed.check());
+        boolean changesLimit = changesLimit(texts, changed.check()) || !state.limitsInForce();
         SettingsRows.Head head = tree.nextHead(edit.subtree(), edit.text().isEmpty());
         String subtreeKey = SettingsRows.subtree(edit.subtree());
         String editKey = SettingsRows.edit(edit.editId());
@@ -189,7 +189,7 @@
         return new PreparedEdit(tree, head, edit, changesLimit, new TableRequest.Commit(checks, writes));
     }
 
-    /** Tells whether work may have to be stopped before the edit is in force. */
+    /** Tells whether the edit changes the limit of a team, so that work may have to be stopped before it is in force. */
     private boolean changesLimit(SettingsTree before, FleetSettings after) {
         try {
             FleetSettings present = before.check();
--- a/core/src/main/java/org/acaciafold/core/placement/StopSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/StopSystem.java
@@ -71,7 +71,8 @@
         return worker.attempts.size();
     }
 
-    private static StopMode gentle(JobRow job) {
+    /** Returns how a task is stopped whose job goes on elsewhere. */
+    static StopMode gentle(JobRow job) {
         return job.service() ? StopMode.DRAIN : StopMode.CHECKPOINT;
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
@@ -31,7 +31,8 @@
     private final ReservationSystem reservations;
     private final ReclaimSystem reclaims;
     private final StuckSystem stuck;
-    private final AllotmentSystem allotments;
+    private final ExcessSystem excess;
+    private final WantSystem wants;
 
     private TablePlane(Builder builder) {
         Set<PlaneFeature> features = builder.features;
@@ -46,7 +47,8 @@
         this.reservations = new ReservationSystem(tables, features.contains(PlaneFeature.RESERVATION));
         this.reclaims = new ReclaimSystem(tables, features.contains(PlaneFeature.RECLAIM));
         this.starts = new StartSystem(tables, stuck, reclaims, features);
-        this.allotments = new AllotmentSystem(tables);
+        this.excess = new ExcessSystem(tables);
+        this.wants = new WantSystem(tables);
     }
 
     /**
@@ -232,13 +234,14 @@
         Tick tick = new Tick(tables, nowMs);
         timers.run(tick);
         stops.run(tick);
+        excess.run(tick);
         stuck.run();
         shares.run();
         reservations.run(tick);
         starts.run(tick);
         reclaims.run(tick);
         stuck.report(tick);
-        allotments.run(tick);
+        wants.run(tick);
         return tick.decisions;
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/AllotmentSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WantSystem.java
@@ -3,10 +3,10 @@
 import org.acaciafold.core.model.Resources;
 
 /** Tells what the waiting tasks of each team need beyond its allotment. */
-final class AllotmentSystem {
+final class WantSystem {
     private final Tables tables;
 
-    AllotmentSystem(Tables tables) {
+    WantSystem(Tables tables) {
         this.tables = tables;
     }
 
--- a/core/src/test/java/org/acaciafold/core/placement/TablePlaneTest.java
+++ b/core/src/test/java/org/acaciafold/core/placement/TablePlaneTest.java
@@ -349,4 +349,23 @@
         team("t", 1, CORE.times(5));
         assertEquals(2, starts(10).size());
     }
+
+    // -- tick: lowered allotments
+
+    @Test
+    void shouldStopTheLowestClassFirstWhenTheAllotmentIsLowered() {
+        team("t", 1, CORE.times(4));
+        workers(1);
+        submit(job("low", "t", batch(2)).priority(Priority.LOW));
+        submit(job("high", "t", batch(2)));
+        starts(10).forEach(start -> plane.started(start.task(), start.attempt(), nowMs));
+
+        team("t", 1, CORE.times(2));
+        List<Decision.StopTask> stops = tick(10, Decision.StopTask.class);
+
+        assertEquals(2, stops.size());
+        assertTrue(stops.stream().allMatch(stop -> stop.task().job().value().equals("low")));
+        assertTrue(stops.stream().allMatch(stop -> stop.mode() == StopMode.CHECKPOINT));
+        assertEquals(List.of(), tick(10, Decision.StopTask.class));
+    }
 }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -3,11 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 /** Runs one case: start, steps with faults, then everything healed until all work has ended. */
 final class FuzzCase {
     private static final long STEP_MS = 100;
     private static final long POLL_MS = 2_000;
+    private static final long EDIT_AGAIN_MS = 20_000;
     private static final long END_MS = 600_000;
     private static final int FINAL_LIMIT_CORES = 60;
 
@@ -100,10 +102,10 @@
         world.heal();
         world.pass(END_MS / 10);
         world.domains().forEach(domain -> world.clients().setDomain(domain, false, world.anyHost()));
-        for (int team = 0; team < Clients.TEAMS; team++) {
-            world.clients().setLimit(team, FINAL_LIMIT_CORES, world.anyHost());
-        }
         for (long waited = 0; waited < END_MS && !done(); waited += POLL_MS) {
+            if (waited % EDIT_AGAIN_MS == 0) {
+                editUnlessAccepted();
+            }
             world.clients().submitProbes();
             world.clients().cancelServices();
             world.clients().pollJobs();
@@ -115,16 +117,32 @@
         }
     }
 
+    private void editUnlessAccepted() {
+        for (int team = 0; team < Clients.TEAMS; team++) {
+            if (!world.oracle().limitIs(Clients.team(team), Clients.limit(FINAL_LIMIT_CORES))) {
+                world.clients().setLimit(team, FINAL_LIMIT_CORES, world.anyHost());
+            }
+        }
+    }
+
+    private boolean limitsAccepted() {
+        return IntStream.range(0, Clients.TEAMS)
+                .allMatch(team -> world.oracle().limitIs(Clients.team(team), Clients.limit(FINAL_LIMIT_CORES)));
+    }
+
     private boolean done() {
         Clients clients = world.clients();
         boolean broken = !world.oracle().violations().isEmpty();
-        boolean ended = clients.probesAccepted() && clients.unfinished().isEmpty();
+        boolean ended = limitsAccepted() && clients.probesAccepted() && clients.unfinished().isEmpty();
         return broken || ended && clients.holdsAnswered();
     }
 
     private String describeUnfinished() {
         List<String> lines = new ArrayList<>();
         world.clients().unfinished().forEach((job, what) -> lines.add(what + " " + world.lastStatus(job)));
+        if (!limitsAccepted()) {
+            lines.add("limits edited after the faults are not accepted");
+        }
         if (!world.clients().probesAccepted()) {
             lines.add("jobs submitted after the faults are not accepted");
         }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Oracle.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Oracle.java
@@ -108,6 +108,11 @@
         pendingLimits.getOrDefault(team, new TreeMap<>()).headMap(order, true).clear();
     }
 
+    /** Tells whether a limit is the last accepted one of a team. */
+    boolean limitIs(TeamId team, Resources limit) {
+        return limit.equals(limits.get(team));
+    }
+
     boolean limitsAccepted(int teams) {
         return limits.size() >= teams;
     }
