--- a/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
@@ -20,6 +20,9 @@
  * members that it has read. So each of them must have told that it has read the present ones. One that has not, such as
  * a host that died, may run nothing exclusive once its last contact with the table is long enough ago; a host that had
  * contact after the change was written has read it.
+ *
+ * <p>A host whose registration was removed as gone is not waited for. It could still act on former members if it reached
+ * a majority of them, but for all that time neither the table nor any peer of its own failure domain.
  */
 final class MemberChange {
     private static final long SCAN_INTERVAL_MS = 2_000;
@@ -41,6 +44,16 @@
         return new MemberChange(state);
     }
 
+    /** Returns after how many milliseconds without the table no host may run anything exclusive any more. */
+    static long unknownHostBoundMs(HostState state) {
+        HostConfig config = state.config();
+        long rehomeAfterMs = state.settings().teams().values().stream()
+                .mapToLong(TeamSettings::rehomeAfterMs)
+                .max()
+                .orElse(ExclusiveBound.DEFAULT_REHOME_AFTER_MS);
+        return rehomeAfterMs + config.controlLeaseMs() + config.taskLeaseMs() + LEASE_MARGINS * config.clockMarginMs();
+    }
+
     /** Records that a host has read a generation of the members. */
     void acknowledged(HostId host, long known) {
         acknowledged.merge(host, known, Math::max);
@@ -66,7 +79,7 @@
         }
         boolean allKnow = registered.isPresent()
                 && registered.get().stream().allMatch(host -> acknowledged.getOrDefault(host, -1L) >= generation);
-        return allKnow || nowMs > sinceMs + unknownHostBoundMs();
+        return allKnow || nowMs > sinceMs + unknownHostBoundMs(state);
     }
 
     private void scan(long nowMs, Outbox outbox) {
@@ -96,13 +109,4 @@
             return Optional.of(host);
         }
     }
-
-    private long unknownHostBoundMs() {
-        HostConfig config = state.config();
-        long rehomeAfterMs = state.settings().teams().values().stream()
-                .mapToLong(TeamSettings::rehomeAfterMs)
-                .max()
-                .orElse(ExclusiveBound.DEFAULT_REHOME_AFTER_MS);
-        return rehomeAfterMs + config.controlLeaseMs() + config.taskLeaseMs() + LEASE_MARGINS * config.clockMarginMs();
-    }
 }
