Retry budgets are a team's own, and a refusal before sending is final

One team's calls of a service that nobody runs spent the retries of all teams of an entry host, and each waited 2.5 s for its refusal. The state machine has already waited as long as that helps. LiveRequestsTest green.

--- a/daemon/src/main/java/org/acaciafold/daemon/request/Attempts.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/Attempts.java
@@ -1,8 +1,10 @@
 package org.acaciafold.daemon.request;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.acaciafold.coordination.ClientCall;
 import org.acaciafold.coordination.ClientReply;
@@ -11,6 +13,7 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
+import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.request.RetryBudget;
 import org.acaciafold.daemon.RequestContext;
 import org.acaciafold.wire.RelayHead;
@@ -21,8 +24,9 @@
 /**
  * Carries a live request to a replica, here or through the owner of its worker, and repeats it where that is safe.
  *
- * <p>An attempt is repeated only when it provably did not run, or when the request may run twice; always under the
- * retry budget and within the deadline. The pauses grow to about 2.5 s in all, which bridges a takeover of a slice.
+ * <p>A refusal by the state machine of this host is final, since it has waited as long as that helps; an attempt that
+ * was sent is repeated only when it provably did not run, or when the request may run twice; always under the
+ * team's retry budget and within the deadline. The pauses grow to about 2.5 s in all, which bridges a takeover of a slice.
  */
 final class Attempts {
     private static final int MAX_ATTEMPTS = 8;
@@ -36,7 +40,7 @@
 
     private final RequestContext context;
     private final WorkerRequests workers;
-    private final RetryBudget budget = RetryBudget.of(RETRY_RATIO, RETRY_CAPACITY);
+    private final Map<TeamId, RetryBudget> budgets = new ConcurrentHashMap<>();
 
     private Attempts(RequestContext context, WorkerRequests workers) {
         this.context = context;
@@ -56,7 +60,7 @@
      * @return how the last attempt went; the outcome of a failure covers all attempts
      */
     Mono<AttemptResult> run(RelayHead head, RequestBody body, Deadline deadline) {
-        budget.requested();
+        budget(head.team()).requested();
         return attempt(head, body, deadline, 1, false);
     }
 
@@ -65,14 +69,22 @@
         RelayHead numbered = Heads.withRequestId(head, head.requestId() + "." + number);
         return context.core()
                 .call(new ClientCall.AcquireSlot(head.team(), head.service(), deadline.leftMs(), false))
-                .flatMap(reply -> send(numbered, body, deadline, reply))
-                .flatMap(result -> switch (result) {
-                    case AttemptResult.Answered answered -> Mono.just(answered);
-                    case AttemptResult.Failed failed ->
-                        again(head, body, deadline, number, mayHaveRun, failed.failure());
+                .flatMap(reply -> switch (reply) {
+                    case ClientReply.Failed refused -> failed(outcomeOfAll(refused.failure(), mayHaveRun));
+                    default ->
+                        send(numbered, body, deadline, reply)
+                                .flatMap(result -> afterSend(head, body, deadline, number, mayHaveRun, result));
                 });
     }
 
+    private Mono<AttemptResult> afterSend(
+            RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun, AttemptResult result) {
+        return switch (result) {
+            case AttemptResult.Answered answered -> Mono.just(answered);
+            case AttemptResult.Failed failed -> again(head, body, deadline, number, mayHaveRun, failed.failure());
+        };
+    }
+
     private Mono<AttemptResult> again(
             RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun, Failure failure) {
         boolean ranNow = failure.outcome() != Outcome.NOT_RUN;
@@ -82,10 +94,14 @@
         boolean useful = !FINAL.contains(failure.code())
                 && number < MAX_ATTEMPTS
                 && deadline.left().compareTo(pause) > 0;
-        if (safe && useful && body.replayable() && budget.tryRetry()) {
+        if (safe && useful && body.replayable() && budget(head.team()).tryRetry()) {
             return Mono.delay(pause).then(Mono.defer(() -> attempt(head, body, deadline, number + 1, mayRun)));
         }
-        return Mono.just(new AttemptResult.Failed(mayRun ? unknown(failure) : failure));
+        return failed(outcomeOfAll(failure, mayRun));
+    }
+
+    private RetryBudget budget(TeamId team) {
+        return budgets.computeIfAbsent(team, key -> RetryBudget.of(RETRY_RATIO, RETRY_CAPACITY));
     }
 
     private Mono<AttemptResult> relay(RelayHead head, RequestBody body, Deadline deadline, HostId owner) {
@@ -107,7 +123,6 @@
                 yield workers.send(new RelayRequest(head, body.content()), lease, deadline);
             }
             case ClientReply.SlotElsewhere elsewhere -> relay(head, body, deadline, elsewhere.owner());
-            case ClientReply.Failed refused -> failed(refused.failure());
             default ->
                 failed(Failure.notRun(
                         Step.ROUTING,
@@ -134,7 +149,11 @@
                 : Failure.unknown(Step.PEER, owner.value(), "relay-failed", String.valueOf(error.getMessage()));
     }
 
-    private static Failure unknown(Failure last) {
-        return new Failure(last.step(), last.peer(), Outcome.UNKNOWN, last.code(), last.message(), last.retryAfterMs());
+    /** Returns the last failure with what is known over all attempts. */
+    private static Failure outcomeOfAll(Failure last, boolean mayHaveRun) {
+        return mayHaveRun
+                ? new Failure(
+                        last.step(), last.peer(), Outcome.UNKNOWN, last.code(), last.message(), last.retryAfterMs())
+                : last;
     }
 }
--- a/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
@@ -203,7 +203,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"queue-full, 429", "too-busy, 503", "deadline, 504", "other-team, 403"})
+    @CsvSource({"queue-full, 429", "too-busy, 503", "deadline, 504", "other-team, 403", "no-replica, 503"})
     void shouldNotTryAgainWhenAdmissionRefuses(String code, int status) throws Exception {
         Failure failure = Failure.notRun(Step.ADMISSION, "h", code, "no");
         core.answerSlot(Mono.just(new ClientReply.Failed(failure)));
@@ -221,6 +221,14 @@
         assertTrue(worker.fences().size() < 8);
     }
 
+    @Test
+    void shouldStayUnknownWhenAdmissionRefusesAfterAnUnknownAttempt() throws Exception {
+        worker.answer(FakeWorker.Way.CLOSE);
+        core.answerSlot(Mono.fromSupplier(() -> core.grant(worker.address())));
+        core.answerSlot(Mono.just(new ClientReply.Failed(Failure.notRun(Step.ADMISSION, "h", "queue-full", "no"))));
+        assertEquals("unknown", outcome(send("GET", "", Map.of())));
+    }
+
     @Test
     void shouldStopRetryingWhenBudgetIsSpent() throws Exception {
         worker.answer(Collections.nCopies(200, FakeWorker.Way.REFUSE).toArray(FakeWorker.Way[]::new));
