--- /dev/null
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditCleanup.java
@@ -0,0 +1,106 @@
+package org.acaciafold.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciafold.core.model.HostId;
+import org.acaciafold.core.port.Check;
+import org.acaciafold.core.port.Row;
+import org.acaciafold.core.port.TableReply;
+import org.acaciafold.core.port.TableRequest;
+import org.acaciafold.core.port.Write;
+
+/**
+ * Removes the rows of edits that took effect long ago, which only repeats and questions need.
+ *
+ * <p>Rows carry no time, so the host notes which version of the tree it had in force when; what is older than the
+ * retention on its own clock is removed. A repeat that comes later still changes nothing, since the version of the
+ * subtree that it expects is gone.
+ */
+final class EditCleanup implements HostSystem {
+    /** How long the result of an edit can be asked for. */
+    static final long RETENTION_MS = 3_600_000;
+
+    private static final long INTERVAL_MS = 300_000;
+    private static final int PAGE = 200;
+
+    private final HostState state;
+    private final Deque<Mark> marks = new ArrayDeque<>();
+    private boolean calling;
+    private long nextRunMs;
+
+    private EditCleanup(HostState state) {
+        this.state = state;
+    }
+
+    static EditCleanup of(HostState state) {
+        return new EditCleanup(state);
+    }
+
+    @Override
+    public void apply(Event event, Outbox outbox) {
+        // works on the tables of other systems only
+    }
+
+    @Override
+    public void tick(long nowMs, Outbox outbox) {
+        if (calling || nowMs < nextRunMs || !state.registered() || state.stopping()) {
+            return;
+        }
+        nextRunMs = nowMs + INTERVAL_MS;
+        marks.add(new Mark(nowMs, state.settings().version()));
+        long forgottenTo = 0;
+        while (nowMs - marks.getFirst().atMs() > RETENTION_MS) {
+            forgottenTo = marks.removeFirst().version();
+        }
+        if (forgottenTo > 0 && isFirst(nowMs)) {
+            scan(forgottenTo, "", outbox);
+        }
+    }
+
+    private boolean isFirst(long nowMs) {
+        return state.entryHosts().keySet().stream()
+                .filter(host -> host.compareTo(state.config().host()) < 0)
+                .noneMatch((HostId host) -> state.heardLately(host, nowMs));
+    }
+
+    private void scan(long forgottenTo, String after, Outbox outbox) {
+        calling = true;
+        TableRequest request = new TableRequest.Scan(SettingsRows.EDITS, after, PAGE);
+        outbox.call(state.clock().nowMs(), request, reply -> {
+            calling = false;
+            if (reply instanceof TableReply.Rows found && !found.rows().isEmpty()) {
+                remove(forgottenTo, found.rows(), outbox);
+            }
+        });
+    }
+
+    private void remove(long forgottenTo, List<Row> rows, Outbox outbox) {
+        List<Check> checks = new ArrayList<>();
+        List<Write> writes = new ArrayList<>();
+        for (Row row : rows) {
+            if (row.version() <= forgottenTo) {
+                checks.add(new Check(row.key(), row.version()));
+                writes.add(new Write(row.key(), Optional.empty()));
+            }
+        }
+        String last = rows.getLast().key();
+        if (writes.isEmpty()) {
+            scan(forgottenTo, last, outbox);
+            return;
+        }
+        calling = true;
+        outbox.call(state.clock().nowMs(), new TableRequest.Commit(checks, writes), reply -> {
+            calling = false;
+            if (reply instanceof TableReply.Committed) {
+                scan(forgottenTo, last, outbox);
+            }
+        });
+    }
+
+    /** The version of the settings in force at a time. */
+    private record Mark(long atMs, long version) {}
+}
--- a/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
@@ -25,7 +25,9 @@
     /** The prefix of the registrations. */
     static final String HOSTS = "host/";
 
-    private static final String EDITS = "edit/";
+    /** The prefix of the edits that took effect. */
+    static final String EDITS = "edit/";
+
     private static final int REMEMBERED_CHANGES = 16;
 
     private SettingsRows() {}
--- a/coordination/src/main/java/org/acaciafold/coordination/Systems.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Systems.java
@@ -39,6 +39,7 @@
                 AllotmentSystem.of(state),
                 SettingsSystem.of(state),
                 RegistrationCleanup.of(state),
+                EditCleanup.of(state),
                 PlacementSystem.of(state),
                 SlotSystem.of(state),
                 StatusSystem.of(state));
--- a/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
@@ -153,6 +153,22 @@
         assertEquals(new ClientReply.SettingsFound(SUBTREE, 0, ""), found);
     }
 
+    @Test
+    void shouldForgetAnEditOnlyWhenTheRetentionHasPassed() {
+        long version = edited(fleet.call("h1", put("e1", 0, OUT))).version();
+        fleet.run(EditCleanup.RETENTION_MS / 2);
+        edited(fleet.call("h1", put("e2", version, IN)));
+        assertEquals(
+                version,
+                edited(fleet.call("h1", new ClientCall.QueryEdit("e1"))).version());
+
+        fleet.run(EditCleanup.RETENTION_MS * 3 / 4);
+
+        assertEquals(Optional.empty(), fleet.table().row(SettingsRows.edit("e1")));
+        assertTrue(fleet.table().row(SettingsRows.edit("e2")).isPresent());
+        assertInstanceOf(ClientReply.EditConflict.class, fleet.call("h1", put("e1", 0, OUT)));
+    }
+
     // -- QueryEdit
 
     @ParameterizedTest
