--- a/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
@@ -192,7 +192,7 @@
         return new PreparedEdit(tree, head, edit, changesLimit, new TableRequest.Commit(checks, writes));
     }
 
-    /** Tells whether work may have to be stopped before the edit is in force. */
+    /** Tells whether the edit changes the limit of a team, so that work may have to be stopped before it is in force. */
     private boolean changesLimit(SettingsTree before, FleetSettings after) {
         try {
             FleetSettings present = before.check();
--- a/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
@@ -120,12 +120,12 @@
         return Stream.of(
                 arguments("POST", "FAIL", 500, "ran", 1),
                 arguments("POST", "REFUSE ECHO", 200, "ran", 1),
-                arguments("POST", "REFUSE REFUSE REFUSE REFUSE", 502, "not-run", 0),
+                arguments("POST", "REFUSE ".repeat(8).trim(), 502, "not-run", 0),
                 arguments("POST", "CLOSE", 502, "unknown", 1),
                 arguments("POST", "CROSS", 502, "unknown", 1),
                 arguments("GET", "CLOSE ECHO", 200, "ran", 2),
                 arguments("GET", "CROSS ECHO", 200, "ran", 2),
-                arguments("GET", "CLOSE REFUSE REFUSE REFUSE", 502, "unknown", 1));
+                arguments("GET", "CLOSE" + " REFUSE".repeat(7), 502, "unknown", 1));
     }
 
     @ParameterizedTest
@@ -203,7 +203,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"queue-full, 429", "too-busy, 503", "deadline, 504", "other-team, 403"})
+    @CsvSource({"queue-full, 429", "too-busy, 503", "deadline, 504", "other-team, 403", "no-replica, 503"})
     void shouldNotTryAgainWhenAdmissionRefuses(String code, int status) throws Exception {
         Failure failure = Failure.notRun(Step.ADMISSION, "h", code, "no");
         core.answerSlot(Mono.just(new ClientReply.Failed(failure)));
@@ -213,6 +213,22 @@
         assertEquals(0, worker.bodies().size());
     }
 
+    @Test
+    void shouldAnswerAtOnceWhenNoAttemptFitsBeforeDeadline() throws Exception {
+        worker.answer(Collections.nCopies(20, FakeWorker.Way.REFUSE).toArray(FakeWorker.Way[]::new));
+        HttpResponse<String> response = send("POST", "body", Map.of("Acaciafold-Deadline-Ms", "300"));
+        assertEquals("not-run", outcome(response));
+        assertTrue(worker.fences().size() < 8);
+    }
+
+    @Test
+    void shouldStayUnknownWhenAdmissionRefusesAfterAnUnknownAttempt() throws Exception {
+        worker.answer(FakeWorker.Way.CLOSE);
+        core.answerSlot(Mono.fromSupplier(() -> core.grant(worker.address())));
+        core.answerSlot(Mono.just(new ClientReply.Failed(Failure.notRun(Step.ADMISSION, "h", "queue-full", "no"))));
+        assertEquals("unknown", outcome(send("GET", "", Map.of())));
+    }
+
     @Test
     void shouldStopRetryingWhenBudgetIsSpent() throws Exception {
         worker.answer(Collections.nCopies(200, FakeWorker.Way.REFUSE).toArray(FakeWorker.Way[]::new));
