Home new jobs by running and waiting work, counting what was homed lately

Summaries carried only the number of waiting tasks and lag by a heartbeat, so jobs submitted in a row all went to one failure domain. The load of a slice is now reserved and waiting resources, from the summary, and those of the jobs which this host has homed there within a control lease. Jobs counted in both for a moment can shift one job to the other side: 6 equal jobs over 2 equal domains went 4 to 2.

--- a/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
@@ -1,7 +1,10 @@
 package org.acaciafold.coordination;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,41 +14,58 @@
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
 
-/** Chooses the slice in which a new job is homed. */
+/**
+ * Chooses the slices in which jobs are homed, by the work that runs and waits there.
+ *
+ * <p>What this host has homed lately is added, because the owners' summaries do not contain it yet.
+ */
 final class HomeChoice {
-    private HomeChoice() {}
+    private final HostState state;
+    private final Deque<Homed> recent = new ArrayDeque<>();
+
+    private HomeChoice(HostState state) {
+        this.state = state;
+    }
+
+    static HomeChoice of(HostState state) {
+        return new HomeChoice(state);
+    }
 
     /**
-     * Chooses the slice with the largest free part among those in open failure domains whose largest worker fits the
-     * demand; without such a slice the one with the largest worker.
+     * Chooses the least loaded slice among those in open failure domains whose largest worker fits the demand; without
+     * such a slice the one with the largest worker.
      *
-     * @param state the tables of this host
      * @param demand the resources of each task
+     * @param tasks the number of tasks
      * @param nowMs the time in milliseconds
      * @return the slice, empty when no owner is known
      */
-    static Optional<SliceId> choose(HostState state, Resources demand, long nowMs) {
-        List<SliceSummary> known = open(state, nowMs);
+    Optional<SliceId> choose(Resources demand, int tasks, long nowMs) {
+        List<SliceSummary> known = open(nowMs);
+        Map<SliceId, Resources> added = addedLately(nowMs);
+        Comparator<SliceSummary> byLoad = Comparator.comparingDouble(summary -> load(summary, added));
         Optional<SliceSummary> fitting = known.stream()
                 .filter(summary -> demand.fitsIn(summary.largest()))
-                .max(Comparator.comparingDouble(HomeChoice::freePart).thenComparing(SliceSummary::slice));
+                .min(byLoad.thenComparing(SliceSummary::slice));
         Comparator<SliceSummary> bySize =
-                Comparator.comparingDouble(summary -> -demand.dominantShare(summary.largest()));
-        return fitting.or(() -> known.stream().max(bySize.thenComparing(SliceSummary::slice)))
+                Comparator.comparingDouble(summary -> demand.dominantShare(summary.largest()));
+        Optional<SliceId> chosen = fitting.or(() -> known.stream().min(bySize.thenComparing(SliceSummary::slice)))
                 .map(SliceSummary::slice);
+        chosen.ifPresent(slice -> recent.add(new Homed(slice, demand.times(tasks), nowMs)));
+        return chosen;
     }
 
     /**
-     * Chooses the slice to which a job moves, so that many jobs spread over the slices that fit them.
+     * Chooses the slice to which a job moves, the same on each host with the same summaries.
      *
      * @param state the tables of this host
      * @param job the job
      * @param from the slice that it leaves
      * @param nowMs the time in milliseconds
-     * @return the freer one of two slices that the job's identifier picks, empty when no other slice fits
+     * @return the less loaded one of two slices that the job's identifier picks, empty when no other slice fits
      */
     static Optional<SliceId> spread(HostState state, JobSpec job, SliceId from, long nowMs) {
-        List<SliceSummary> fitting = open(state, nowMs).stream()
+        List<SliceSummary> fitting = of(state).open(nowMs).stream()
                 .filter(summary -> !summary.slice().equals(from))
                 .filter(summary -> job.demand().fitsIn(summary.largest()))
                 .sorted(Comparator.comparing(SliceSummary::slice))
@@ -56,16 +76,28 @@
         long hash = StableHash.of(job.id().value());
         SliceSummary first = fitting.get((int) Long.remainderUnsigned(hash, fitting.size()));
         SliceSummary second = fitting.get((int) Long.remainderUnsigned(Long.rotateLeft(hash, 32), fitting.size()));
-        return Optional.of(freePart(first) >= freePart(second) ? first.slice() : second.slice());
+        boolean firstIsFreer = load(first, Map.of()) <= load(second, Map.of());
+        return Optional.of(firstIsFreer ? first.slice() : second.slice());
     }
 
-    private static double freePart(SliceSummary summary) {
-        Resources reserved = summary.reserved();
-        double waiting = (double) summary.waiting() / (1 + summary.capacity().cpuMillis() / 1_000);
-        return 1 - reserved.dominantShare(summary.capacity()) - waiting;
+    private Map<SliceId, Resources> addedLately(long nowMs) {
+        long oldestMs = nowMs - state.config().controlLeaseMs();
+        while (!recent.isEmpty() && recent.peek().atMs() < oldestMs) {
+            recent.poll();
+        }
+        Map<SliceId, Resources> added = new HashMap<>();
+        recent.forEach(homed -> added.merge(homed.slice(), homed.demand(), Resources::plus));
+        return added;
+    }
+
+    private static double load(SliceSummary summary, Map<SliceId, Resources> added) {
+        return summary.reserved()
+                .plus(summary.waitingDemand())
+                .plus(added.getOrDefault(summary.slice(), Resources.empty()))
+                .dominantShare(summary.capacity());
     }
 
-    private static List<SliceSummary> open(HostState state, long nowMs) {
+    private List<SliceSummary> open(long nowMs) {
         List<SliceSummary> known = new ArrayList<>();
         for (OwnedSlice slice : state.owned().values()) {
             known.add(slice.summary());
@@ -78,4 +110,7 @@
         known.removeIf(summary -> state.settings().takenOut(Slices.domain(summary.slice())));
         return known;
     }
+
+    /** A job that this host has homed, with the resources of all its tasks. */
+    private record Homed(SliceId slice, Resources demand, long atMs) {}
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -14,6 +14,7 @@
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.placement.JobProgress;
 import org.acaciafold.core.placement.PlacementPlane;
 import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.StopMode;
@@ -309,7 +310,26 @@
     SliceSummary summary() {
         PlacementSummary known = placement.summary();
         return new SliceSummary(
-                id, fence, known.capacity(), known.reserved(), largestWorker(), known.waiting(), services);
+                id,
+                fence,
+                known.capacity(),
+                known.reserved(),
+                largestWorker(),
+                known.waiting(),
+                waitingDemand(),
+                services);
+    }
+
+    private Resources waitingDemand() {
+        Resources sum = Resources.empty();
+        for (HomedJob job : jobs.values()) {
+            int waiting = placement
+                    .progress(job.id())
+                    .map(JobProgress::waiting)
+                    .orElse(job.row().spec().kind().tasks());
+            sum = sum.plus(job.row().spec().demand().times(waiting));
+        }
+        return sum;
     }
 
     /** Returns the tasks that run or may run on the workers of the slice. */
--- a/coordination/src/main/java/org/acaciafold/coordination/SliceSummary.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SliceSummary.java
@@ -15,6 +15,7 @@
  * @param reserved of all tasks that run or are being started or stopped
  * @param largest the largest worker
  * @param waiting tasks that wait
+ * @param waitingDemand of all tasks that wait
  * @param services the services with replicas here
  */
 public record SliceSummary(
@@ -24,4 +25,5 @@
         Resources reserved,
         Resources largest,
         int waiting,
+        Resources waitingDemand,
         List<ServiceSummary> services) {}
--- a/coordination/src/test/java/org/acaciafold/coordination/RehomeTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/RehomeTest.java
@@ -1,5 +1,8 @@
 package org.acaciafold.coordination;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.SliceId;
 import org.junit.jupiter.api.Test;
@@ -16,6 +19,21 @@
     private final Cell cell = Cell.of(2, 3, "east", "west");
     private final CellHost west = cell.owner("west");
 
+    // -- first home
+
+    @Test
+    void shouldSpreadJobsThatAreSubmittedInARow() {
+        List<JobId> jobs = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            jobs.add(cell.submit(west, Cell.batch(20, false, "run=20000")));
+        }
+        long inEast = jobs.stream()
+                .filter(job -> JobIds.firstHome(job).equals(cell.slice("east")))
+                .count();
+
+        assertTrue(inEast >= 2 && inEast <= 4, inEast + " of 6 jobs in one of two equal domains");
+    }
+
     // -- planned
 
     @ParameterizedTest
--- a/coordination/src/test/java/org/acaciafold/coordination/SlotSystemTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SlotSystemTest.java
@@ -157,6 +157,7 @@
                 Resources.empty(),
                 Resources.empty(),
                 0,
+                Resources.empty(),
                 List.of(new ServiceSummary("shop", NORTH, 1, freeSlots, 0)));
         state.peers().put(HostId.of(peer), new PeerEntry(1, clock.nowMs(), 1, List.of(summary)));
     }
