--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -40,7 +40,7 @@
     private final HostState state;
     private final Map<TeamId, KnownRow> rows = new HashMap<>();
     private final Set<TeamId> writing = new HashSet<>();
-    private final Set<TeamId> unconfirmed = new HashSet<>();
+    private final Map<TeamId, Long> unconfirmed = new HashMap<>();
     private final Map<TeamId, Long> nextWriteMs = new HashMap<>();
     private long comparedVersion = -1;
     private long comparedSinceMs;
@@ -84,7 +84,7 @@
     private boolean allWithinLimits() {
         for (TeamSettings team : state.settings().teams().values()) {
             KnownRow known = rows.get(team.team());
-            boolean certain = known != null && !unconfirmed.contains(team.team()) && !writing.contains(team.team());
+            boolean certain = known != null && !unconfirmed.containsKey(team.team()) && !writing.contains(team.team());
             if (!certain || !known.row().issued().fitsIn(team.limit())) {
                 return false;
             }
@@ -115,8 +115,8 @@
         Resources lowered = held.min(target);
         slice.allotments().put(team.team(), lowered);
         AllotmentRow wanted = next(known.row(), slice, team, target, usage);
-        boolean stale =
-                unconfirmed.contains(team.team()) || !target.min(share.amount()).fitsIn(lowered);
+        boolean stale = unconfirmed.containsKey(team.team())
+                || !target.min(share.amount()).fitsIn(lowered);
         if ((stale || !wanted.equals(known.row())) && nowMs >= nextWriteMs.getOrDefault(team.team(), 0L)) {
             write(nowMs, team.team(), known, wanted, outbox);
         }
@@ -153,11 +153,20 @@
         try {
             AllotmentRow content = Codec.json().decode(row.value(), AllotmentRow.class, Step.TABLE, row.key());
             rows.put(team, new KnownRow(content, row.version()));
+            forgetOvertaken(team, row.version());
         } catch (AcaciafoldException e) {
             LOG.error("unreadable allotment row of team {}: {}", team, e.getMessage());
         }
     }
 
+    /** Forgets an unanswered write of a host without slices once the row is newer, so that the write cannot come. */
+    private void forgetOvertaken(TeamId team, long version) {
+        Long checkedVersion = unconfirmed.get(team);
+        if (checkedVersion != null && version > checkedVersion && state.owned().isEmpty()) {
+            unconfirmed.remove(team);
+        }
+    }
+
     /** Notes the teams without a row, so that the first owner that needs one creates it. */
     private void noteMissing() {
         for (TeamId team : state.settings().teams().keySet()) {
@@ -195,11 +204,11 @@
                 List.of(new Check(key, known.version())), List.of(new Write(key, Optional.of(value))));
         outbox.call(nowMs, request, reply -> {
             writing.remove(team);
-            written(team, wanted, reply);
+            written(team, wanted, known.version(), reply);
         });
     }
 
-    private void written(TeamId team, AllotmentRow wanted, TableReply reply) {
+    private void written(TeamId team, AllotmentRow wanted, long checkedVersion, TableReply reply) {
         switch (reply) {
             case TableReply.Committed committed -> {
                 unconfirmed.remove(team);
@@ -207,8 +216,8 @@
                 confirm(team, wanted);
             }
             case TableReply.Conflict conflict -> conflict.current().forEach(this::learn);
-            case TableReply.Unavailable ignored -> unconfirmed.add(team);
-            case TableReply.Rows ignored -> unconfirmed.add(team);
+            case TableReply.Unavailable ignored -> unconfirmed.put(team, checkedVersion);
+            case TableReply.Rows ignored -> unconfirmed.put(team, checkedVersion);
         }
     }
 
