The whole tree is checked before a team's edit is written

Seen: HostApiTest.shouldRefuseSettingsThatAreWrong: '[team' was written. Cause: the check stood behind a short-circuit of the question whether the edit is a team's. Now it runs first.

--- a/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
@@ -172,7 +172,8 @@
         SettingsTree changed = edit.text()
                 .map(text -> texts.with(edit.subtree(), text))
                 .orElseGet(() -> texts.without(edit.subtree()));
-        boolean changesLimit = edit.subtree().startsWith(TEAM_PREFIX) || changesLimit(texts, changed.check());
+        FleetSettings checked = changed.check();
+        boolean changesLimit = edit.subtree().startsWith(TEAM_PREFIX) || changesLimit(texts, checked);
         SettingsRows.Head head = tree.nextHead(edit.subtree(), edit.text().isEmpty());
         String subtreeKey = SettingsRows.subtree(edit.subtree());
         String editKey = SettingsRows.edit(edit.editId());
