Heartbeats to other failure domains go to two hosts in turn, from owners only

Weighed: forwarding inside the domain (more bytes for the same freshness). A remote peer counts as heard for as long as its turn may take.

--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -18,6 +18,9 @@
 
 /** The tables that the systems of an entry host share; each is written by one system and read by all. */
 final class HostState {
+    /** How many hosts of other failure domains an owner tells in each heartbeat. */
+    static final int REMOTE_PER_HEARTBEAT = 2;
+
     private final HostConfig config;
     private final Clock clock;
     private final Map<HostId, HostEntry> entryHosts = new TreeMap<>();
@@ -104,7 +107,25 @@
     /** Tells whether a peer was heard within the validity of a control lease. */
     boolean heardLately(HostId host, long nowMs) {
         PeerEntry peer = peers.get(host);
-        return peer != null && nowMs - peer.heardMs() <= config.controlLeaseMs();
+        return peer != null && nowMs - peer.heardMs() <= config.controlLeaseMs() + heartbeatDelayMs(host);
+    }
+
+    /** Tells whether a machine is in another failure domain than this host. */
+    boolean isRemote(HostEntry entry) {
+        return !entry.domain().equals(config.domain());
+    }
+
+    /** Returns how much later than every heartbeat a host is heard, because remote hosts are told in turn. */
+    private long heartbeatDelayMs(HostId host) {
+        HostEntry entry = entryHosts.get(host);
+        if (entry == null || !isRemote(entry)) {
+            return 0;
+        }
+        long others = entryHosts.values().stream()
+                .filter(other -> !other.domain().equals(entry.domain()))
+                .count();
+        long turns = (others + REMOTE_PER_HEARTBEAT - 1) / REMOTE_PER_HEARTBEAT;
+        return 2 * turns * config.heartbeatMs();
     }
 
     /** Returns a number for a call to a peer that no other call of this host has. */
--- a/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MembershipSystem.java
@@ -1,5 +1,8 @@
 package org.acaciafold.coordination;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.WorkerId;
 import org.acaciafold.core.port.HostEntry;
@@ -9,6 +12,7 @@
 final class MembershipSystem implements HostSystem {
     private final HostState state;
     private long nextHeartbeatMs;
+    private int nextRemote;
 
     private MembershipSystem(HostState state) {
         this.state = state;
@@ -38,12 +42,30 @@
         nextHeartbeatMs = nowMs + state.config().heartbeatMs();
         PeerMessage heartbeat = new PeerMessage.Heartbeat(
                 state.config().incarnation(), state.settings().version(), StatusSystem.ownedSlices(state));
+        List<HostEntry> remote = new ArrayList<>();
         for (HostEntry entry : state.entryHosts().values()) {
-            HostId peer = HostId.of(entry.id());
-            if (!peer.equals(state.config().host())) {
-                outbox.send(peer, entry.address(), heartbeat);
+            if (state.isRemote(entry)) {
+                remote.add(entry);
+            } else if (!entry.id().equals(state.config().host().value())) {
+                send(entry, heartbeat, outbox);
             }
         }
+        if (!state.owned().isEmpty() && !remote.isEmpty()) {
+            tellRemote(remote, heartbeat, outbox);
+        }
+    }
+
+    /** Tells a few hosts of other failure domains in each heartbeat, all in turn, so that the cost does not grow. */
+    private void tellRemote(List<HostEntry> remote, PeerMessage heartbeat, Outbox outbox) {
+        int count = Math.min(HostState.REMOTE_PER_HEARTBEAT, remote.size());
+        for (int i = 0; i < count; i++) {
+            nextRemote = (nextRemote + 1) % remote.size();
+            send(remote.get(nextRemote), heartbeat, outbox);
+        }
+    }
+
+    private static void send(HostEntry entry, PeerMessage heartbeat, Outbox outbox) {
+        outbox.send(HostId.of(entry.id()), entry.address(), heartbeat);
     }
 
     private void hear(Event.PeerReceived received) {
