--- a/bench/src/main/java/org/acaciafold/bench/DecisionsBench.java
+++ b/bench/src/main/java/org/acaciafold/bench/DecisionsBench.java
@@ -45,6 +45,7 @@
     static List<ResultTable> run(long seed) throws AcaciafoldException {
         DecisionsBench bench = new DecisionsBench(seed);
         List<ResultTable> tables = new ArrayList<>();
+        bench.warmUp();
         tables.addAll(bench.slopes("workers", WORKERS, true));
         tables.addAll(bench.slopes("queued jobs", QUEUED, false));
         tables.add(bench.rates());
@@ -52,6 +53,12 @@
         return tables;
     }
 
+    private void warmUp() {
+        for (Policy policy : Policy.values()) {
+            cost(policy, WORKERS[0], QUEUED[0]);
+        }
+    }
+
     private List<ResultTable> slopes(String of, int[] sizes, boolean workers) {
         List<String> columns = new ArrayList<>();
         for (int size : sizes) {
--- a/bench/src/main/java/org/acaciafold/bench/SteadySlice.java
+++ b/bench/src/main/java/org/acaciafold/bench/SteadySlice.java
@@ -105,6 +105,12 @@
         running.set(index, running.getLast());
         running.removeLast();
         plane.ended(new TaskEnd(0, start.task(), start.attempt(), EndReason.SUCCEEDED, "", RAN_MS), nowMs);
+        boolean over = plane.progress(start.spec().id())
+                .filter(progress -> progress.succeeded() == TASKS_PER_JOB)
+                .isPresent();
+        if (over) {
+            plane.removeJob(start.spec().id());
+        }
     }
 
     private void submit() {
