Room is kept for single large tasks as for gangs

Cause: a task as large as a worker could wait for ever behind small tasks of its team that take each freed core. Change: the reservation of gangs also serves, one at a time, the job with a task of more than a quarter of an average worker that has waited 20 s, unless it is low or above its team's share. The new case of shouldKeepRoomForALargeJobWhenSmallTasksKeepComing fails without it and passes with it.

--- a/core/src/main/java/org/acaciafold/core/model/Resources.java
+++ b/core/src/main/java/org/acaciafold/core/model/Resources.java
@@ -118,6 +118,16 @@
                 Math.max(accelerators, that.accelerators));
     }
 
+    /**
+     * Returns one of equal parts, rounded down.
+     *
+     * @param parts into how many parts, above 0
+     * @return the part
+     */
+    public Resources part(int parts) {
+        return new Resources(cpuMillis / parts, memoryMib / parts, accelerators / parts);
+    }
+
     /**
      * Returns the sum of this amount and another.
      *
--- a/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
@@ -7,10 +7,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
 
-/** Keeps workers for the all-at-once job that has waited longest, so that smaller jobs do not starve it. */
+/** Keeps workers for the job of a set that has waited longest, so that smaller jobs do not starve it. */
 final class ReservationSystem {
     private static final double PROBABLE_RUN_TIME = 0.9;
     private static final int CANDIDATES_PER_TASK = 4;
@@ -18,13 +19,24 @@
     private static final long RETRY_MS = 1_000;
     private static final long SHORTEST_HOLD_MS = 30_000;
 
+    private static final long LARGE_TASK_WAIT_MS = 20_000;
+
     private final Tables tables;
     private final boolean enabled;
+    private final Set<JobRow> waitingJobs;
     private JobRow active;
 
-    ReservationSystem(Tables tables, boolean enabled) {
+    /**
+     * Creates a system that keeps room for one job of a set at a time.
+     *
+     * @param tables the tables
+     * @param enabled whether it does anything
+     * @param waitingJobs the jobs that did not fit, the one that has waited longest first
+     */
+    ReservationSystem(Tables tables, boolean enabled, Set<JobRow> waitingJobs) {
         this.tables = tables;
         this.enabled = enabled;
+        this.waitingJobs = waitingJobs;
     }
 
     /** A place for one task that is free from a time on, and what is free on its worker then. */
@@ -34,14 +46,14 @@
         if (!enabled || !tables.open) {
             return;
         }
-        if (active != null && (active.held.isEmpty() || active.running > 0 || !active.live())) {
+        if (active != null && (active.held.isEmpty() || active.gang() && active.running > 0 || !active.live())) {
             tables.releaseHolds(active);
             active = null;
         }
-        Iterator<JobRow> waiting = tables.waitingGangs.iterator();
+        Iterator<JobRow> waiting = waitingJobs.iterator();
         while (active == null && waiting.hasNext()) {
             JobRow job = waiting.next();
-            if (!job.live() || job.running > 0) {
+            if (!job.live() || job.blockedSinceMs == 0 || job.gang() && job.running > 0) {
                 waiting.remove();
             } else if (due(job, tick.nowMs)) {
                 waiting.remove();
@@ -52,6 +64,9 @@
     }
 
     private static boolean due(JobRow job, long nowMs) {
+        if (!job.gang()) {
+            return nowMs >= Math.max(job.blockedSinceMs + LARGE_TASK_WAIT_MS, job.reserveAtMs);
+        }
         return switch (job.team.terms.gang()) {
             case GangPolicy.Reserve reserve ->
                 nowMs >= Math.max(job.blockedSinceMs + reserve.afterMs(), job.reserveAtMs);
@@ -60,17 +75,18 @@
     }
 
     private void reserve(JobRow job, long nowMs) {
-        if (!job.team.allows(job.spec.demand().times(job.waiting))) {
+        int tasks = job.gang() ? job.waiting : 1;
+        if (!job.team.allows(job.spec.demand().times(tasks))) {
             return;
         }
         List<Place> places = places(job, nowMs);
-        if (places.size() < job.waiting) {
+        if (places.size() < tasks) {
             job.reserveAtMs = nowMs + RETRY_MS;
-            tables.waitingGangs.add(job);
+            waitingJobs.add(job);
             return;
         }
         places.sort(Comparator.comparingLong(Place::fromMs));
-        List<Place> chosen = places.subList(0, job.waiting);
+        List<Place> chosen = places.subList(0, tasks);
         long startMs = chosen.getLast().fromMs();
         Map<WorkerRow, Resources> free = new HashMap<>();
         Map<WorkerRow, Resources> spare = new LinkedHashMap<>();
--- a/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
@@ -6,9 +6,14 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 
+import org.acaciafold.core.model.Resources;
+
 /** Starts waiting tasks: by class, and within a class by the weighted dominant shares of the teams. */
 final class StartSystem {
     private static final int STARTS_PER_TICK = 512;
+    /** A task is large when it takes more than one of so many parts of an average worker. */
+    private static final int LARGE_PARTS = 4;
+
     private static final long ALLOTMENT_PATIENCE_MS = 60_000;
 
     private final Tables tables;
@@ -159,12 +164,21 @@
         }
         if (job.gang()) {
             tables.waitingGangs.add(job);
+        } else if (large(job)) {
+            tables.waitingLarge.add(job);
         }
         queue.parent.block(queue);
         tables.blocked.blockForRoom(queue, !choice.exhausted());
         reclaims.claim(queue);
     }
 
+    /** Tells whether small tasks of the same class could keep the job from ever finding room. */
+    private boolean large(JobRow job) {
+        boolean entitled = job.jobClass != JobClass.LOW && !job.team.wasAboveShare;
+        Resources average = tables.capacity.part(Math.max(1, LARGE_PARTS * tables.readyWorkers));
+        return entitled && !job.spec.demand().fitsIn(average);
+    }
+
     private AttemptRow reserve(Tick tick, TaskRow task, WorkerRow worker) {
         task.lastAttempt++;
         AttemptRow attempt = new AttemptRow(task, task.lastAttempt, worker, tick.nowMs);
--- a/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
@@ -28,7 +28,8 @@
     private final StopSystem stops;
     private final ShareSystem shares;
     private final StartSystem starts;
-    private final ReservationSystem reservations;
+    private final ReservationSystem gangReservations;
+    private final ReservationSystem largeReservations;
     private final ReclaimSystem reclaims;
     private final StuckSystem stuck;
     private final ExcessSystem excess;
@@ -44,7 +45,9 @@
         this.timers = new TimerSystem(tables);
         this.stops = new StopSystem(tables);
         this.shares = new ShareSystem(tables);
-        this.reservations = new ReservationSystem(tables, features.contains(PlaneFeature.RESERVATION));
+        boolean reserves = features.contains(PlaneFeature.RESERVATION);
+        this.gangReservations = new ReservationSystem(tables, reserves, tables.waitingGangs);
+        this.largeReservations = new ReservationSystem(tables, reserves, tables.waitingLarge);
         this.reclaims = new ReclaimSystem(tables, features.contains(PlaneFeature.RECLAIM));
         this.starts = new StartSystem(tables, stuck, reclaims, features);
         this.excess = new ExcessSystem(tables);
@@ -237,7 +240,8 @@
         excess.run(tick);
         stuck.run();
         shares.run();
-        reservations.run(tick);
+        gangReservations.run(tick);
+        largeReservations.run(tick);
         starts.run(tick);
         reclaims.run(tick);
         stuck.report(tick);
--- a/core/src/main/java/org/acaciafold/core/placement/Tables.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Tables.java
@@ -44,6 +44,8 @@
     final Set<JobRow> partialGangs = new LinkedHashSet<>();
     /** Gangs that did not fit. */
     final Set<JobRow> waitingGangs = new LinkedHashSet<>();
+    /** Jobs with tasks that take a large part of a worker and did not fit. */
+    final Set<JobRow> waitingLarge = new LinkedHashSet<>();
     /** Jobs that have become unable to run and were not reported yet. */
     final Deque<Decision.JobStuck> stuckReports = new ArrayDeque<>();
     /** Jobs that cannot run because no workers are large enough. */
--- a/core/src/test/java/org/acaciafold/core/placement/TablePlaneTest.java
+++ b/core/src/test/java/org/acaciafold/core/placement/TablePlaneTest.java
@@ -153,28 +153,35 @@
 
     // -- tick: gangs
 
-    @Test
-    void shouldKeepRoomForAGangWhenSmallTasksKeepComing() {
+    static Stream<Arguments> largeJobs() {
+        return Stream.of(
+                Arguments.of(job("large", "t", new JobKind.Gang(2)).demand(WORKER)),
+                Arguments.of(job("large", "t", batch(1)).demand(WORKER)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("largeJobs")
+    void shouldKeepRoomForALargeJobWhenSmallTasksKeepComing(JobSpec.Builder large) {
         team("t", 1, PLENTY);
         workers(2);
         List<Decision.Start> running = new ArrayList<>();
         submit(job("small0", "t", batch(8)));
         running.addAll(starts(10));
-        submit(job("gang", "t", new JobKind.Gang(2)).demand(WORKER));
+        submit(large);
 
-        boolean gangStarted = false;
-        for (int i = 1; i < 60 && !gangStarted; i++) {
+        boolean largeStarted = false;
+        for (int i = 1; i < 60 && !largeStarted; i++) {
             submit(job("small" + i, "t", batch(1)));
             end(running.removeFirst(), EndReason.SUCCEEDED, 8_000);
             List<Decision.Start> starts = starts(1_000);
-            gangStarted = starts.stream().anyMatch(start -> start.spec().name().equals("gang"));
+            largeStarted = starts.stream().anyMatch(start -> start.spec().name().equals("large"));
             running.addAll(starts);
             if (running.isEmpty()) {
                 break;
             }
         }
 
-        assertTrue(gangStarted);
+        assertTrue(largeStarted);
     }
 
     @Test
