--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -133,7 +133,9 @@
     private boolean done() {
         Clients clients = world.clients();
         boolean broken = !world.oracle().violations().isEmpty();
-        boolean ended = limitsAccepted() && clients.probesAccepted() && clients.unfinished().isEmpty();
+        boolean ended = limitsAccepted()
+                && clients.probesAccepted()
+                && clients.unfinished().isEmpty();
         return broken || ended && clients.holdsAnswered();
     }
 
