--- a/cli/src/main/java/org/acaciafold/cli/KeyCommands.java
+++ b/cli/src/main/java/org/acaciafold/cli/KeyCommands.java
@@ -42,9 +42,14 @@
             return Replies.error(invocation, reply);
         }
         Created created = HostClient.decode(reply, Created.class);
-        invocation.print(invocation.json() ? reply.text() : created.key());
-        ClientReply.EditState state = created.edit();
-        return invocation.json() ? ExitCode.DONE : SettingsCommands.finishEdit(invocation, client, state);
+        if (!invocation.json()) {
+            invocation.print(created.key());
+            return SettingsCommands.finishEdit(invocation, client, created.edit());
+        }
+        invocation.print(reply.text());
+        boolean accepted =
+                SettingsCommands.latest(invocation, client, created.edit()).accepted();
+        return accepted ? ExitCode.DONE : ExitCode.PENDING;
     }
 
     private static ExitCode operator(Invocation invocation) {
--- a/cli/src/main/java/org/acaciafold/cli/SettingsCommands.java
+++ b/cli/src/main/java/org/acaciafold/cli/SettingsCommands.java
@@ -59,13 +59,18 @@
     /** Writes the state of an edit, after waiting for it when asked to. */
     static ExitCode finishEdit(Invocation invocation, HostClient client, ClientReply.EditState state)
             throws CommandException {
+        return Replies.edit(invocation, latest(invocation, client, state));
+    }
+
+    /** Returns the state of an edit, after waiting for it when asked to. */
+    static ClientReply.EditState latest(Invocation invocation, HostClient client, ClientReply.EditState state) {
         ClientReply.EditState latest = state;
         long deadlineNs = System.nanoTime() + client.timeout().toNanos();
         while (invocation.has("wait") && !latest.accepted() && System.nanoTime() < deadlineNs) {
             HostClient.pause();
             latest = refresh(client, latest);
         }
-        return Replies.edit(invocation, latest);
+        return latest;
     }
 
     private static ClientReply.EditState refresh(HostClient client, ClientReply.EditState known) {
--- a/cli/src/test/java/org/acaciafold/cli/MainTest.java
+++ b/cli/src/test/java/org/acaciafold/cli/MainTest.java
@@ -176,6 +176,17 @@
         assertTrue(errors().contains(message), errors());
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"text", "json"})
+    void shouldPrintTheKeyAndTellThatItIsPendingWhenNotAllHostsHaveIt(String output) {
+        ClientReply.EditState state = new ClientReply.EditState("e", 8, false, List.of("h2"));
+        KeyCommands.Created created = new KeyCommands.Created("k1.s1", "k1", state);
+        String host = serve(new Answer(201, "", Codec.json().encode(created, KeyCommands.Created.class)));
+
+        assertEquals(ExitCode.PENDING, call(host, "key", "create", "north", "--output", output));
+        assertTrue(printed().contains("k1.s1"), printed());
+    }
+
     @Test
     void shouldNotCreateASecondKeyWhenTheFirstMayExist() {
         String first = serve(failure(503, Failure.unknown(Step.TABLE, "table", "edit-unknown", "lost")));
