--- a/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
@@ -29,6 +29,9 @@
  * identifier means that the first took effect, any other conflict that neither can take effect any more.
  */
 final class EditAttempt {
+    /** Edits of a team may repeat a limit that an earlier edit set and that is not in force yet. */
+    private static final String TEAM_PREFIX = "team/";
+
     private static final long DEADLINE_MS = 3_000;
     private static final long RETRY_MS = 50;
     private static final long RETRY_AFTER_MS = 2_000;
@@ -169,7 +172,7 @@
         SettingsTree changed = edit.text()
                 .map(text -> texts.with(edit.subtree(), text))
                 .orElseGet(() -> texts.without(edit.subtree()));
-        boolean changesLimit = changesLimit(texts, changed.check());
+        boolean changesLimit = edit.subtree().startsWith(TEAM_PREFIX) || changesLimit(texts, changed.check());
         SettingsRows.Head head = tree.nextHead(edit.subtree(), edit.text().isEmpty());
         String subtreeKey = SettingsRows.subtree(edit.subtree());
         String editKey = SettingsRows.edit(edit.editId());
@@ -189,7 +192,7 @@
         return new PreparedEdit(tree, head, edit, changesLimit, new TableRequest.Commit(checks, writes));
     }
 
-    /** Tells whether work may have to be stopped before the edit is in force. */
+    /** Tells whether the edit changes the limit of a team, so that work may have to be stopped before it is in force. */
     private boolean changesLimit(SettingsTree before, FleetSettings after) {
         try {
             FleetSettings present = before.check();
