--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -48,6 +48,7 @@
     private final List<String> trace = new ArrayList<>();
     private final Traffic traffic = new Traffic();
     private final FuzzCounts counts = new FuzzCounts();
+    private final Map<String, HostId> holders = new TreeMap<>();
     private final Map<String, Long> lastStartMs = new TreeMap<>();
     private HostList listed = new HostList(List.of());
     private Action.TableFault tableFault;
@@ -173,6 +174,11 @@
         return lastStartMs.getOrDefault(domain, 0L);
     }
 
+    /** Returns the host that last got a control lease of a worker in a domain. */
+    Optional<HostId> holder(String domain) {
+        return Optional.ofNullable(holders.get(domain));
+    }
+
     Collection<SimWorker> workers() {
         return workers.values();
     }
@@ -265,6 +271,9 @@
             }
             noteCommand(host, worker, call, reply);
             noteStart(worker, call, reply);
+            if (reply instanceof WorkerReply.Claimed) {
+                holders.put(worker.domain(), host.id());
+            }
             oracle.answered(nowMs(), worker, call.command(), reply);
             network.send(
                     worker.place(), host.place(), () -> host.receive(new Event.WorkerAnswered(call.call(), reply)));
