--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Action.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Action.java
@@ -32,6 +32,10 @@
 
     record PauseHost(int host, int ms) implements Action {}
 
+    record PauseAtStart(int host, int ms) implements Action {}
+
+    record SplitDomain(int domain, int host, int worker, int ms) implements Action {}
+
     record KillWorker(int worker, int replacedAfterMs) implements Action {}
 
     record FailWorker(int worker, int ms) implements Action {}
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Actions.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Actions.java
@@ -31,6 +31,8 @@
                 Tuple.of(2, Combinators.combine(index(), duration()).as(Action.KillHost::new)),
                 Tuple.of(1, Combinators.combine(index(), duration()).as(Action.StopHost::new)),
                 Tuple.of(2, Combinators.combine(index(), duration()).as(Action.PauseHost::new)),
+                Tuple.of(2, Combinators.combine(index(), duration()).as(Action.PauseAtStart::new)),
+                Tuple.of(2, splitDomain()),
                 Tuple.of(2, Combinators.combine(index(), duration()).as(Action.KillWorker::new)),
                 Tuple.of(1, Combinators.combine(index(), duration()).as(Action.FailWorker::new)),
                 Tuple.of(1, index().map(Action.LeaveWorker::new)),
@@ -52,6 +54,10 @@
                 .as(Action.SetDomain::new);
     }
 
+    private static Arbitrary<Action> splitDomain() {
+        return Combinators.combine(index(), index(), index(), duration()).as(Action.SplitDomain::new);
+    }
+
     private static Arbitrary<Action> breakTable() {
         return Combinators.combine(Arbitraries.of(Action.TableFault.class), duration())
                 .as(Action.BreakTable::new);
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -66,6 +66,8 @@
                 world.replaceLater(world.host(stop.host()), stop.replacedAfterMs());
             }
             case Action.PauseHost pause -> world.host(pause.host()).pause(nowMs, nowMs + pause.ms());
+            case Action.PauseAtStart pause -> world.host(pause.host()).pauseAtStart(pause.ms());
+            case Action.SplitDomain split -> splitDomain(split, nowMs + split.ms());
             case Action.KillWorker kill -> killWorker(world.worker(kill.worker()), kill.replacedAfterMs());
             case Action.FailWorker fail -> failWorker(world.worker(fail.worker()), fail.ms());
             case Action.LeaveWorker leave -> world.worker(leave.worker()).leaving(true);
@@ -93,6 +95,31 @@
         world.network().cut(host.id().value(), places.get(other % places.size()), untilMs);
     }
 
+    /** Leaves a host and one worker of its domain on one side, all the rest on the other. */
+    private void splitDomain(Action.SplitDomain split, long untilMs) {
+        String domain = domain(split.domain());
+        List<SimHost> hosts = world.hosts().stream()
+                .filter(host -> host.domain().equals(domain))
+                .toList();
+        List<SimWorker> workers = world.workers().stream()
+                .filter(worker -> worker.domain().equals(domain))
+                .toList();
+        SimHost alone = hosts.get(split.host() % hosts.size());
+        SimWorker kept = workers.get(split.worker() % workers.size());
+        world.network().cut(alone.id().value(), Network.PLATFORM, untilMs);
+        world.hosts()
+                .forEach(host ->
+                        world.network().cut(alone.id().value(), host.id().value(), untilMs));
+        workers.stream()
+                .filter(worker -> worker != kept)
+                .forEach(worker ->
+                        world.network().cut(alone.id().value(), worker.id().value(), untilMs));
+        hosts.stream()
+                .filter(host -> host != alone)
+                .forEach(
+                        host -> world.network().cut(host.id().value(), kept.id().value(), untilMs));
+    }
+
     private void failWorker(SimWorker worker, long ms) {
         worker.failsEverything(true);
         world.network().later(ms, () -> worker.failsEverything(false));
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/SimHost.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/SimHost.java
@@ -12,6 +12,7 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostRole;
+import org.acaciafold.core.port.WorkerCommand;
 
 /** An entry host of the fuzz world: its state machine, and whether it is dead or paused. */
 final class SimHost {
@@ -23,6 +24,7 @@
     private boolean alive = true;
     private boolean stopping;
     private long pausedUntilMs;
+    private long pauseAtStartMs;
 
     SimHost(HostId id, String domain, long incarnation, Clock clock) {
         this.id = id;
@@ -66,6 +68,11 @@
         pausedUntilMs = Math.max(pausedUntilMs, untilMs);
     }
 
+    /** Pauses the host when it next sends a start, before the start leaves. */
+    void pauseAtStart(long ms) {
+        pauseAtStartMs = ms;
+    }
+
     boolean paused(long nowMs) {
         return nowMs < pausedUntilMs;
     }
@@ -99,10 +106,21 @@
         List<Event> events = List.copyOf(inbox);
         inbox.clear();
         effects.addAll(core.tick(events));
+        if (pauseAtStartMs > 0 && effects.stream().anyMatch(SimHost::startsTask)) {
+            pausedUntilMs = nowMs + pauseAtStartMs;
+            pauseAtStartMs = 0;
+            held = effects;
+            return List.of();
+        }
         return effects;
     }
 
     void wake() {
+        pauseAtStartMs = 0;
         pausedUntilMs = 0;
     }
+
+    private static boolean startsTask(Effect effect) {
+        return effect instanceof Effect.CallWorker call && call.command() instanceof WorkerCommand.Start;
+    }
 }
