Shares of limits are written only with authority

Cause: a host that took a slice over at a minority of workers wrote shares under its higher token; the real owner, with the lower one, then never wrote again. Ruled out: lost answers. Now shares are written only while a majority of the workers holds the owner's lease.

--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -102,7 +102,7 @@
             held = held.max(usage);
         }
         slice.allotments().put(team.team(), held);
-        if (known == null || writing.contains(team.team())) {
+        if (known == null || writing.contains(team.team()) || !slice.hasAuthority(nowMs)) {
             return;
         }
         AllotmentShare share = known.row().share(slice.id());
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
@@ -38,6 +38,7 @@
     private final Map<JobId, JobPhase> ended = new TreeMap<>();
     private final Map<String, String> heldKeys = new TreeMap<>();
     private final Set<String> probesAccepted = new TreeSet<>();
+    private List<String> waitingFor = List.of();
     private long lastCall;
     private long lastOrder;
 
@@ -158,6 +159,11 @@
         return heldKeys.values().stream().allMatch(state -> state.startsWith("answered"));
     }
 
+    /** Returns the hosts that the last answer about an edit named. */
+    List<String> waitingFor() {
+        return waitingFor;
+    }
+
     /** Edits a team's limit. */
     void setLimit(int team, int cores, SimHost host) {
         TeamId id = team(team);
@@ -271,6 +277,7 @@
         if (!(reply instanceof ClientReply.EditState state)) {
             return;
         }
+        waitingFor = state.waitingFor();
         if (state.accepted()) {
             world.counts().add(FuzzCounts.Kind.EDITS_ACCEPTED);
             sent.accepted(order);
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -170,7 +170,8 @@
         List<String> lines = new ArrayList<>();
         world.clients().unfinished().forEach((job, what) -> lines.add(what + " " + world.lastStatus(job)));
         if (!limitsAccepted()) {
-            lines.add("limits edited after the faults are not accepted");
+            lines.add("limits edited after the faults are not accepted by "
+                    + world.clients().waitingFor());
         }
         if (!world.clients().probesAccepted()) {
             lines.add("jobs submitted after the faults are not accepted");
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzMain.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzMain.java
@@ -12,7 +12,7 @@
 public final class FuzzMain {
     private static final int GENERATED_SIZE = 1_000;
     private static final int SHRINK_ATTEMPTS = 150;
-    private static final int TRACE_LINES = 400;
+    private static final int TRACE_LINES = 800;
 
     private final int domains;
     private final boolean trace;
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/World.java
@@ -33,7 +33,7 @@
     private static final long SLOW_TABLE_MS = 1_500;
     private static final int HOSTS_PER_DOMAIN = 2;
     private static final int WORKERS_PER_DOMAIN = 3;
-    private static final int TRACE_LINES = 400;
+    private static final int TRACE_LINES = 2_000;
 
     private final ManualClock clock = ManualClock.of(1_000_000);
     private final Network network;
@@ -116,6 +116,12 @@
         }
     }
 
+    private void noteUnless(boolean dull, String what) {
+        if (!dull) {
+            note(what);
+        }
+    }
+
     void noteStatus(JobId job, JobStatus status) {
         lastStatus.put(job, status);
     }
@@ -234,8 +240,13 @@
         TableReply reply = table.call(call.request());
         if (call.request() instanceof TableRequest.Commit commit) {
             countTakeover(commit, reply);
-            note(host.id() + " commits " + describe(commit) + " -> "
-                    + reply.getClass().getSimpleName());
+            boolean renewal = commit.writes().size() == 1
+                    && commit.writes().getFirst().key().startsWith("slice/")
+                    && reply instanceof TableReply.Committed;
+            noteUnless(
+                    renewal,
+                    host.id() + " commits " + describe(commit) + " -> "
+                            + reply.getClass().getSimpleName());
         }
         if (!lost) {
             network.send(PLATFORM, host.place(), () -> host.receive(new Event.TableAnswered(call.call(), reply)));
