Waiting jobs of a full slice move to slices with room

Ruled out: the ramp after reopening. An owner with more than half a capacity of waiting work hands one job a second, of which nothing runs, to a slice with room.

--- a/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
@@ -20,6 +20,12 @@
  * <p>What this host has homed lately is added, because the owners' summaries do not contain it yet.
  */
 final class HomeChoice {
+    /** The load at which all room of a slice is taken and nothing waits. */
+    private static final double FULL_LOAD = 1;
+
+    /** The waiting work, in parts of the slice's capacity, from which on jobs are moved to slices with room. */
+    private static final double RELIEF_MARGIN = 0.5;
+
     private final HostState state;
     private final Deque<Homed> recent = new ArrayDeque<>();
 
@@ -55,6 +61,28 @@
         return chosen;
     }
 
+    /**
+     * Chooses a slice with room for a job that waits in a slice without.
+     *
+     * @param state the tables of this host
+     * @param job the job
+     * @param from the summary of the slice in which it waits
+     * @param nowMs the time in milliseconds
+     * @return the least loaded slice that fits and has free room, empty when there is none or the own slice has room
+     */
+    static Optional<SliceId> relief(HostState state, JobSpec job, SliceSummary from, long nowMs) {
+        if (load(from, Map.of()) <= FULL_LOAD + RELIEF_MARGIN) {
+            return Optional.empty();
+        }
+        return of(state).open(nowMs).stream()
+                .filter(summary -> !summary.slice().equals(from.slice()))
+                .filter(summary -> job.demand().fitsIn(summary.largest()))
+                .filter(summary -> load(summary, Map.of()) < FULL_LOAD)
+                .min(Comparator.<SliceSummary>comparingDouble(summary -> load(summary, Map.of()))
+                        .thenComparing(SliceSummary::slice))
+                .map(SliceSummary::slice);
+    }
+
     /**
      * Chooses the slice to which a job moves, the same on each host with the same summaries.
      *
--- a/coordination/src/main/java/org/acaciafold/coordination/ReleaseSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ReleaseSystem.java
@@ -5,22 +5,26 @@
 
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.JobKind;
+import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.port.Check;
 
 /**
- * Moves the jobs of owned slices to open failure domains while operators have taken this one out of service.
+ * Moves the jobs of owned slices to open failure domains while operators have taken this one out of service, and waiting
+ * jobs of a full slice to slices with room.
  *
  * <p>A service moves at once, so that its new replicas start while the old ones drain; other jobs move when nothing of
  * them runs here.
  */
 final class ReleaseSystem implements HostSystem {
     private static final long REVIEW_INTERVAL_MS = 200;
+    private static final long RELIEF_INTERVAL_MS = 1_000;
 
     private final HostState state;
     private final GroupCommit commits;
     private final SubmitSystem notices;
     private long nextReviewMs = Times.NEVER_MS;
+    private long nextReliefMs = Times.NEVER_MS;
 
     private ReleaseSystem(HostState state, GroupCommit commits, SubmitSystem notices) {
         this.state = state;
@@ -39,35 +43,61 @@
 
     @Override
     public void tick(long nowMs, Outbox outbox) {
-        boolean takenOut = state.settings().takenOut(state.config().domain());
-        if (!takenOut || nowMs < nextReviewMs || !state.tableAnswers()) {
+        if (nowMs < nextReviewMs || !state.tableAnswers() || state.stopping()) {
             return;
         }
         nextReviewMs = nowMs + REVIEW_INTERVAL_MS;
+        boolean takenOut = state.settings().takenOut(state.config().domain());
+        boolean relieves = !takenOut && nowMs >= nextReliefMs;
+        if (relieves) {
+            nextReliefMs = nowMs + RELIEF_INTERVAL_MS;
+        }
         for (OwnedSlice slice : state.owned().values()) {
-            if (slice.scanned() && slice.settled() && slice.hasAuthority(nowMs)) {
+            boolean known = slice.scanned() && slice.settled() && slice.hasAuthority(nowMs);
+            if (known && takenOut) {
                 slice.jobs().values().forEach(job -> release(slice, job, nowMs));
+            } else if (known && relieves) {
+                relieve(slice, nowMs);
+            }
+        }
+    }
+
+    /** Moves one waiting job of a full slice to a slice with room. */
+    private void relieve(OwnedSlice slice, long nowMs) {
+        SliceSummary summary = slice.summary();
+        for (HomedJob job : slice.jobs().values()) {
+            if (!movable(job) || slice.runsAny(job.id())) {
+                continue;
+            }
+            Optional<SliceId> target = HomeChoice.relief(state, job.row().spec(), summary, nowMs);
+            if (target.isPresent()) {
+                move(slice, job, target.get());
+                return;
             }
         }
     }
 
     private void release(OwnedSlice slice, HomedJob job, long nowMs) {
+        JobSpec spec = job.row().spec();
+        boolean service = spec.kind() instanceof JobKind.Service && !spec.exclusive();
+        boolean runs = !service && slice.runsAny(job.id());
+        if (movable(job) && !runs) {
+            HomeChoice.spread(state, spec, slice.id(), nowMs).ifPresent(target -> move(slice, job, target));
+        }
+    }
+
+    /** Tells whether nothing about a job is on its way to the table and it has not come to its end. */
+    private static boolean movable(HomedJob job) {
         JobRow row = job.row();
         boolean unrecorded = job.dirty() || job.writing() || !job.unrecorded().isEmpty();
         boolean ends = row.cancelled() || row.problem().isPresent() || row.phase() != JobPhase.WAITING;
-        boolean service =
-                row.spec().kind() instanceof JobKind.Service && !row.spec().exclusive();
-        boolean runs = !service && slice.runsAny(job.id());
-        if (job.moving() || unrecorded || ends || runs) {
-            return;
-        }
-        Optional<SliceId> target = HomeChoice.spread(state, row.spec(), slice.id(), nowMs);
-        if (target.isEmpty()) {
-            return;
-        }
+        return !job.moving() && !unrecorded && !ends;
+    }
+
+    private void move(OwnedSlice slice, HomedJob job, SliceId target) {
         job.moving(true);
         Check unchanged = new Check(JobRow.key(slice.id(), job.id()), job.version());
-        commits.add(JobMove.of(row, slice.id(), target.get(), List.of(unchanged), new Released(slice, job)));
+        commits.add(JobMove.of(job.row(), slice.id(), target, List.of(unchanged), new Released(slice, job)));
     }
 
     private final class Released implements JobMove.Listener {
