Full slices give up the shares they cannot use at once

The rows showed 24 cores of the limit in the domain, but memory for 6 tasks: full slices counted free memory as usable, though their processors were full.

--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -12,6 +12,7 @@
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.Step;
 import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.Check;
 import org.acaciafold.core.port.Row;
 import org.acaciafold.core.port.TableReply;
@@ -110,11 +111,11 @@
             return;
         }
         Resources missing = slice.wanted().getOrDefault(team.team(), Resources.empty());
-        Resources needed = needed(usage, held, missing);
-        Resources target = AllotmentTargets.target(known.row(), slice.id(), team.limit(), needed, state.sliceCount());
+        AllotmentNeed need = AllotmentNeed.of(usage, needed(usage, held, missing), free(slice), fairPart(slice, team));
+        Resources target = AllotmentTargets.target(known.row(), slice.id(), team.limit(), need, state.sliceCount());
         Resources lowered = held.min(target);
         slice.allotments().put(team.team(), lowered);
-        AllotmentRow wanted = next(known.row(), slice, team, target, usage);
+        AllotmentRow wanted = next(known.row(), slice, team, target, usage, need.usable());
         boolean stale = unconfirmed.containsKey(team.team())
                 || !target.min(share.amount()).fitsIn(lowered);
         if ((stale || !wanted.equals(known.row())) && nowMs >= nextWriteMs.getOrDefault(team.team(), 0L)) {
@@ -124,14 +125,19 @@
 
     /** Returns the row that the owner of a slice wants: unused parts given back, needs met as far as possible. */
     private static AllotmentRow next(
-            AllotmentRow row, OwnedSlice slice, TeamSettings team, Resources target, Resources usage) {
+            AllotmentRow row,
+            OwnedSlice slice,
+            TeamSettings team,
+            Resources target,
+            Resources usage,
+            Resources usable) {
         Resources present = row.share(slice.id()).amount();
         Resources kept = slice.settled() ? present.min(target.max(usage)) : present;
         AllotmentShare lower = new AllotmentShare(slice.fence(), kept, Resources.empty());
         AllotmentRow limited = row.with(slice.id(), lower).issue(team.limit());
         Resources taken = target.minus(kept).max(Resources.empty()).min(limited.unassigned());
         Resources amount = kept.plus(taken);
-        Resources want = target.minus(amount).max(Resources.empty());
+        Resources want = usable.min(team.limit()).minus(amount).max(Resources.empty());
         return limited.with(slice.id(), new AllotmentShare(slice.fence(), amount, want));
     }
 
@@ -182,6 +188,22 @@
                 missing.accelerators() > 0 ? held.accelerators() + missing.accelerators() : usage.accelerators());
     }
 
+    private static Resources free(OwnedSlice slice) {
+        PlacementSummary summary = slice.placement().summary();
+        return summary.capacity().minus(summary.reserved()).max(Resources.empty());
+    }
+
+    /** Returns the part of a slice that the weight of a team entitles it to. */
+    private Resources fairPart(OwnedSlice slice, TeamSettings team) {
+        double weights = state.settings().teams().values().stream()
+                .mapToDouble(TeamSettings::weight)
+                .sum();
+        double part = team.weight() / weights;
+        Resources capacity = slice.placement().summary().capacity();
+        return Resources.of((long) (capacity.cpuMillis() * part), (long) (capacity.memoryMib() * part), (long)
+                Math.ceil(capacity.accelerators() * part));
+    }
+
     private void scan(long nowMs, Outbox outbox) {
         scanning = true;
         nextScanMs = nowMs + SCAN_INTERVAL_MS;
--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentTargets.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentTargets.java
@@ -15,22 +15,27 @@
      * @param row the row of the team
      * @param slice the slice
      * @param limit the upper limit in the settings
-     * @param needed what the slice has running and what its waiting tasks need
+     * @param need what the slice could use
      * @param slices how many slices the fleet has
-     * @return the target: in proportion while too much is shared out, else what is needed, with idle parts given to
-     *     slices that lack them
+     * @return the target: in proportion while too much is shared out, else what is needed; where other slices lack
+     *     what they could use at once, only what this slice could use at once
      */
-    static Resources target(AllotmentRow row, SliceId slice, Resources limit, Resources needed, long slices) {
+    static Resources target(AllotmentRow row, SliceId slice, Resources limit, AllotmentNeed need, long slices) {
         Resources share = row.share(slice).amount();
         Resources assigned = row.assigned();
         if (!assigned.fitsIn(limit)) {
-            return needed.min(inProportion(share, limit, assigned));
+            return need.wanted().min(inProportion(share, limit, assigned));
         }
+        Resources others = row.wantedByOthers(slice);
         Resources base = parts(limit, BASE_DIVISOR * slices);
-        Resources floor = needed.max(base);
+        Resources floor = need.usable().max(base);
         Resources idle = share.minus(floor).max(Resources.empty());
-        Resources given = idle.min(row.wantedByOthers(slice));
-        return floor.max(share.minus(given)).min(limit);
+        Resources kept = share.minus(idle.min(others));
+        Resources taken = Resources.of(
+                others.cpuMillis() > 0 ? floor.cpuMillis() : need.wanted().cpuMillis(),
+                others.memoryMib() > 0 ? floor.memoryMib() : need.wanted().memoryMib(),
+                others.accelerators() > 0 ? floor.accelerators() : need.wanted().accelerators());
+        return floor.max(kept).max(taken).min(limit);
     }
 
     private static Resources inProportion(Resources share, Resources limit, Resources assigned) {
