--- a/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HomeChoice.java
@@ -62,25 +62,23 @@
     }
 
     /**
-     * Chooses a slice with room for a job that waits in a slice without.
+     * Finds the slices with room for waiting jobs of a slice without.
      *
      * @param state the tables of this host
-     * @param job the job
-     * @param from the summary of the slice in which it waits
+     * @param from the summary of the slice in which they wait
      * @param nowMs the time in milliseconds
-     * @return the least loaded slice that fits and has free room, empty when there is none or the own slice has room
+     * @return the slices with free room, the least loaded first; none while the own slice has room
      */
-    static Optional<SliceId> relief(HostState state, JobSpec job, SliceSummary from, long nowMs) {
+    static List<SliceSummary> withRoom(HostState state, SliceSummary from, long nowMs) {
         if (load(from, Map.of()) <= FULL_LOAD + RELIEF_MARGIN) {
-            return Optional.empty();
+            return List.of();
         }
         return of(state).open(nowMs).stream()
                 .filter(summary -> !summary.slice().equals(from.slice()))
-                .filter(summary -> job.demand().fitsIn(summary.largest()))
                 .filter(summary -> load(summary, Map.of()) < FULL_LOAD)
-                .min(Comparator.<SliceSummary>comparingDouble(summary -> load(summary, Map.of()))
+                .sorted(Comparator.<SliceSummary>comparingDouble(summary -> load(summary, Map.of()))
                         .thenComparing(SliceSummary::slice))
-                .map(SliceSummary::slice);
+                .toList();
     }
 
     /**
--- a/coordination/src/main/java/org/acaciafold/coordination/ReleaseSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ReleaseSystem.java
@@ -6,6 +6,7 @@
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.JobKind;
 import org.acaciafold.core.model.JobSpec;
+import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.port.Check;
 
@@ -19,6 +20,7 @@
 final class ReleaseSystem implements HostSystem {
     private static final long REVIEW_INTERVAL_MS = 200;
     private static final long RELIEF_INTERVAL_MS = 1_000;
+    private static final int RELIEF_CANDIDATES = 100;
 
     private final HostState state;
     private final GroupCommit commits;
@@ -64,17 +66,24 @@
 
     /** Moves one waiting job of a full slice to a slice with room. */
     private void relieve(OwnedSlice slice, long nowMs) {
-        SliceSummary summary = slice.summary();
-        for (HomedJob job : slice.jobs().values()) {
-            if (!movable(job) || slice.runsAny(job.id())) {
-                continue;
-            }
-            Optional<SliceId> target = HomeChoice.relief(state, job.row().spec(), summary, nowMs);
-            if (target.isPresent()) {
-                move(slice, job, target.get());
-                return;
-            }
+        List<SliceSummary> withRoom = HomeChoice.withRoom(state, slice.summary(), nowMs);
+        if (withRoom.isEmpty()) {
+            return;
         }
+        slice.jobs().values().stream()
+                .filter(job -> movable(job) && !slice.runsAny(job.id()))
+                .limit(RELIEF_CANDIDATES)
+                .filter(job -> target(job, withRoom).isPresent())
+                .findFirst()
+                .ifPresent(job -> move(slice, job, target(job, withRoom).orElseThrow()));
+    }
+
+    private static Optional<SliceId> target(HomedJob job, List<SliceSummary> withRoom) {
+        Resources demand = job.row().spec().demand();
+        return withRoom.stream()
+                .filter(summary -> demand.fitsIn(summary.largest()))
+                .map(SliceSummary::slice)
+                .findFirst();
     }
 
     private void release(OwnedSlice slice, HomedJob job, long nowMs) {
