One method each for the smaller and the larger of two amounts, and for equal parts

Read-through: Resources had min and least, max and most, written twice; AllotmentTargets divided a limit as Resources.part does, and WantSystem cut negative amounts by hand.

--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentTargets.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentTargets.java
@@ -27,7 +27,7 @@
             return need.wanted().min(inProportion(share, limit, assigned));
         }
         Resources others = row.wantedByOthers(slice);
-        Resources base = parts(limit, BASE_DIVISOR * slices);
+        Resources base = limit.part(BASE_DIVISOR * slices);
         Resources floor = need.usable().max(base);
         Resources idle = share.minus(floor).max(Resources.empty());
         Resources kept = share.minus(idle.min(others));
@@ -45,10 +45,6 @@
                 portion(share.accelerators(), limit.accelerators(), assigned.accelerators()));
     }
 
-    private static Resources parts(Resources limit, long count) {
-        return Resources.of(limit.cpuMillis() / count, limit.memoryMib() / count, limit.accelerators() / count);
-    }
-
     private static long portion(long share, long limit, long assigned) {
         return assigned <= limit ? share : share * limit / assigned;
     }
--- a/core/src/main/java/org/acaciafold/core/model/Resources.java
+++ b/core/src/main/java/org/acaciafold/core/model/Resources.java
@@ -82,19 +82,6 @@
                 Math.min(accelerators, that.accelerators));
     }
 
-    /**
-     * Returns the smaller amount of each resource.
-     *
-     * @param that the other amount
-     * @return the least of both
-     */
-    public Resources least(Resources that) {
-        return new Resources(
-                Math.min(cpuMillis, that.cpuMillis),
-                Math.min(memoryMib, that.memoryMib),
-                Math.min(accelerators, that.accelerators));
-    }
-
     /**
      * Returns the amount without another.
      *
@@ -105,26 +92,13 @@
         return new Resources(cpuMillis - that.cpuMillis, memoryMib - that.memoryMib, accelerators - that.accelerators);
     }
 
-    /**
-     * Returns the larger amount of each resource.
-     *
-     * @param that the other amount
-     * @return the most of both
-     */
-    public Resources most(Resources that) {
-        return new Resources(
-                Math.max(cpuMillis, that.cpuMillis),
-                Math.max(memoryMib, that.memoryMib),
-                Math.max(accelerators, that.accelerators));
-    }
-
     /**
      * Returns one of equal parts, rounded down.
      *
      * @param parts into how many parts, above 0
      * @return the part
      */
-    public Resources part(int parts) {
+    public Resources part(long parts) {
         return new Resources(cpuMillis / parts, memoryMib / parts, accelerators / parts);
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
@@ -104,7 +104,7 @@
         if (bucket.rooms.size() < MAX_ROOMS) {
             bucket.rooms.add(free);
         } else {
-            bucket.rooms.set(0, bucket.rooms.getFirst().most(free));
+            bucket.rooms.set(0, bucket.rooms.getFirst().max(free));
         }
         bucket.groupsLeft = bucket.groups.size();
         dueBuckets.add(bucket);
--- a/core/src/main/java/org/acaciafold/core/placement/WantSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WantSystem.java
@@ -23,8 +23,6 @@
         if (team.waitingDemand.equals(Resources.empty())) {
             return Resources.empty();
         }
-        Resources beyond = team.used.plus(team.waitingDemand).minus(team.terms.allotment());
-        return Resources.of(
-                Math.max(0, beyond.cpuMillis()), Math.max(0, beyond.memoryMib()), Math.max(0, beyond.accelerators()));
+        return team.used.plus(team.waitingDemand).minus(team.terms.allotment()).max(Resources.empty());
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/WorkerRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WorkerRow.java
@@ -70,7 +70,7 @@
 
     /** Returns what a job may use that the worker is not kept for. */
     Resources open() {
-        return heldFor == null ? free : free.least(heldSpare);
+        return heldFor == null ? free : free.min(heldSpare);
     }
 
     void use(Resources change) {
