--- a/fleet/src/main/java/org/acaciafold/fleet/StepProgress.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/StepProgress.java
@@ -9,22 +9,21 @@
  * @param step the index of the step
  * @param done the tasks that are done, a bit each, as {@link java.util.BitSet#toByteArray()} writes them
  * @param failures the failed runs of each task that has any
- * @param failedGangRuns the failed runs of the gang as a whole
- * @param lastGangFailure the number of the last failed run of the gang, 0 for none
+ * @param failedGangRuns the numbers of the failed runs of the gang as a whole
  */
 public record StepProgress(
-        int occurrence, int step, byte[] done, List<TaskFailures> failures, int failedGangRuns, int lastGangFailure) {
-    /** Copies the failures. */
+        int occurrence, int step, byte[] done, List<TaskFailures> failures, List<Integer> failedGangRuns) {
+    /** Copies the lists. */
     public StepProgress {
         failures = List.copyOf(failures);
+        failedGangRuns = List.copyOf(failedGangRuns);
     }
 
     /**
      * The failed runs of a task.
      *
      * @param task the index of the task
-     * @param count how many runs have failed
-     * @param lastRun the number of the last failed run
+     * @param runs the numbers of the failed runs
      */
-    public record TaskFailures(int task, int count, int lastRun) {}
+    public record TaskFailures(int task, List<Integer> runs) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
@@ -39,7 +39,7 @@
                 end.run(),
                 end.kind(),
                 worker.id,
-                task.failures);
+                task.failedRuns.size());
     }
 
     /** Removes a run whose worker provably holds it no more without having listed its end. */
@@ -74,19 +74,16 @@
         StepRow step = task.step;
         keepCheckpoint(task, end.checkpoint());
         task.failedOn.add(worker.id);
-        if (end.run() <= task.lastFailedRun) {
+        if (!task.failedRuns.add(end.run())) {
             return;
         }
         worker.failed(step.job.job.id(), tables.nowMs);
-        task.failures++;
-        task.lastFailedRun = end.run();
         task.lastRun = Math.max(task.lastRun, end.run());
-        if (step.spec.gang() && end.run() > step.lastGangFailure) {
-            step.lastGangFailure = end.run();
-            step.failedGangRuns++;
+        if (step.spec.gang()) {
+            step.failedGangRuns.add(end.run());
         }
         tables.unsaved(step.job);
-        int attempts = Math.max(task.failures, step.failedGangRuns);
+        int attempts = Math.max(task.failedRuns.size(), step.failedGangRuns.size());
         if (!step.spec.longRunning() && attempts >= step.job.job.route().maxAttempts() && step.job.active()) {
             finish(step.job, JobState.FAILED);
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -124,15 +124,15 @@
         List<StepProgress.TaskFailures> failures = new ArrayList<>();
         for (TaskRow task : step.tasks) {
             done.set(task.index, task.done);
-            if (task.failures > 0) {
-                failures.add(new StepProgress.TaskFailures(task.index, task.failures, task.lastFailedRun));
+            if (!task.failedRuns.isEmpty()) {
+                failures.add(new StepProgress.TaskFailures(task.index, List.copyOf(task.failedRuns)));
             }
         }
         if (done.isEmpty() && failures.isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(new StepProgress(
-                step.occurrence, step.index, done.toByteArray(), failures, step.failedGangRuns, step.lastGangFailure));
+                step.occurrence, step.index, done.toByteArray(), failures, List.copyOf(step.failedGangRuns)));
     }
 
     private static void restore(StepRow step, StepProgress recorded) {
@@ -142,12 +142,10 @@
         }
         for (StepProgress.TaskFailures failed : recorded.failures()) {
             TaskRow task = step.tasks.get(failed.task());
-            task.failures = failed.count();
-            task.lastFailedRun = failed.lastRun();
-            task.lastRun = failed.lastRun();
+            task.failedRuns.addAll(failed.runs());
+            failed.runs().forEach(run -> task.lastRun = Math.max(task.lastRun, run));
         }
-        step.failedGangRuns = recorded.failedGangRuns();
-        step.lastGangFailure = recorded.lastGangFailure();
+        step.failedGangRuns.addAll(recorded.failedGangRuns());
         step.remaining = (int) step.tasks.stream().filter(task -> !task.done).count();
     }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.acaciafold.fleet.StepName;
 import org.acaciafold.fleet.StepSpec;
@@ -21,10 +22,9 @@
     final Set<String> allowed = new HashSet<>();
     final Set<String> denied = new HashSet<>();
     final Map<String, Integer> reserved = new HashMap<>();
+    final Set<Integer> failedGangRuns = new TreeSet<>();
     boolean adviceAsked;
     long adviceAfterMs;
-    int failedGangRuns;
-    int lastGangFailure;
     int remaining;
     long readyAtMs = -1;
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/TaskRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/TaskRow.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.acaciafold.fleet.TaskName;
 
@@ -12,9 +13,10 @@
     final int index;
     final TaskName name;
     final Set<String> failedOn = new HashSet<>();
+    /** Numbers of failed runs; ends may be listed twice, and in any order by different workers. */
+    final Set<Integer> failedRuns = new TreeSet<>();
+
     boolean done;
-    int failures;
-    int lastFailedRun;
     int lastRun;
     String checkpoint = "";
     private RunRow run;
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
@@ -0,0 +1,154 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.AdviceTerms;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndKind;
+import org.acaciafold.fleet.FleetConfig;
+import org.acaciafold.fleet.HoldView;
+import org.acaciafold.fleet.Job;
+import org.acaciafold.fleet.JobState;
+import org.acaciafold.fleet.Progress;
+import org.acaciafold.fleet.Route;
+import org.acaciafold.fleet.RunEnd;
+import org.acaciafold.fleet.RunView;
+import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StepSpec;
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerEntry;
+import org.acaciafold.fleet.Workspace;
+
+/** A scheduler with workers that answer by hand, for tests of single decisions. */
+final class SchedulerFixture {
+    static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400, 250);
+    static final long BORN_MS = 1_000_000;
+
+    final Scheduler scheduler;
+    final List<Effect> effects = new ArrayList<>();
+    final Map<String, JobState> published = new LinkedHashMap<>();
+    final Map<String, Progress> saved = new LinkedHashMap<>();
+    boolean savesAnswered = true;
+    long nowMs = 50_000;
+    long wallMs = 1_700_000_000_000L;
+
+    SchedulerFixture(long epoch) {
+        scheduler = Scheduler.create(TERMS, epoch, config(Resources.empty()));
+        scheduler.advance(nowMs, wallMs);
+    }
+
+    static FleetConfig config(Resources limit) {
+        Workspace workspace = new Workspace("north", Set.of("key"), 10, limit);
+        return FleetConfig.of(1, List.of(), List.of(workspace));
+    }
+
+    static Route route(int priority, int maxAttempts, Optional<AdviceTerms> advice) {
+        return new Route(
+                "r" + priority, "h.example", "/r/", "catalogue", priority, maxAttempts, 2, 1_000, advice, false);
+    }
+
+    static StepSpec.Builder step(int count, long cpuMillis) {
+        return StepSpec.builder()
+                .count(count)
+                .each(Resources.of(cpuMillis, 1_000, 0))
+                .estimateMs(1_000);
+    }
+
+    Job job(String id, Route route, StepSpec... steps) {
+        return new Job(id, route, "north", "spec of " + id, List.of(steps), 0, 0, 0, wallMs);
+    }
+
+    Job job(String id, StepSpec... steps) {
+        return job(id, route(1, 4, Optional.empty()), steps);
+    }
+
+    static WorkerEntry worker(String id, long cpuMillis) {
+        return new WorkerEntry(
+                id,
+                id + ":1",
+                "domain-a",
+                "catalogue",
+                Resources.of(cpuMillis, 100_000, 0),
+                Set.of("a", "r1"),
+                "r1",
+                false,
+                BORN_MS);
+    }
+
+    /** Lists workers, lets each answer an empty renewal, and records them. */
+    SchedulerFixture withWorkers(WorkerEntry... workers) {
+        scheduler.listed(List.of(workers), true);
+        tick();
+        for (WorkerEntry worker : workers) {
+            held(worker.id(), List.of(), List.of());
+        }
+        tick();
+        tick();
+        return this;
+    }
+
+    void advance(long ms) {
+        nowMs += ms;
+        wallMs += ms;
+        scheduler.advance(nowMs, wallMs);
+    }
+
+    List<Effect> tick() {
+        List<Effect> now = scheduler.tick();
+        effects.addAll(now);
+        for (Effect effect : now) {
+            if (effect instanceof Effect.Publish news) {
+                published.putAll(news.states());
+            }
+            if (effect instanceof Effect.Save save && savesAnswered) {
+                saved.putAll(save.progress());
+                scheduler.saved(save.batch());
+            }
+        }
+        return now;
+    }
+
+    List<Effect.Start> starts() {
+        return tick().stream()
+                .filter(Effect.Start.class::isInstance)
+                .map(Effect.Start.class::cast)
+                .toList();
+    }
+
+    List<Effect.Start> startsConfirmed() {
+        List<Effect.Start> starts = starts();
+        starts.forEach(start -> answer(start, StartOutcome.STARTED));
+        return starts;
+    }
+
+    void answer(Effect.Start start, StartOutcome outcome) {
+        scheduler.started(start.worker(), start.task(), start.run(), outcome);
+    }
+
+    void held(String worker, List<RunView> running, List<RunEnd> ends) {
+        held(worker, BORN_MS, running, ends);
+    }
+
+    void held(String worker, long bornMs, List<RunView> running, List<RunEnd> ends) {
+        scheduler.held(worker, new HoldView(nowMs - 10_000, bornMs, running, ends), nowMs);
+    }
+
+    static RunView running(Effect.Start start) {
+        return new RunView(start.task(), start.run(), "", 10);
+    }
+
+    static RunEnd end(long number, TaskName task, int run, EndKind kind) {
+        return new RunEnd(number, task, run, kind, "");
+    }
+
+    <T extends Effect> void each(Class<T> type, List<Effect> from, Consumer<T> action) {
+        from.stream().filter(type::isInstance).map(type::cast).forEach(action);
+    }
+}
