Claims are recorded before orders are sent

Cause: after a takeover every waiting task of an earlier leader's jobs stood still until all workers had answered or their leases had run out, up to ten seconds when a failure domain was cut off with the leader.

--- a/entry/src/main/java/org/acaciafold/entry/Records.java
+++ b/entry/src/main/java/org/acaciafold/entry/Records.java
@@ -20,7 +20,7 @@
     /** Progress of jobs, by identifier, in the partition of the slice. */
     static final String PROGRESS = "progress";
 
-    /** Workers on which tasks may run, by identifier, in the partition of the slice. */
+    /** What may run on each worker, by identifier, in the partition of the slice. */
     static final String WORKERS = "workers";
 
     /** The leader's lease, in the partition of the slice. */
--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -10,9 +10,9 @@
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.Job;
-import org.acaciafold.fleet.KnownWorker;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.fleet.StoredJob;
+import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.platform.RowPage;
 import org.acaciafold.platform.StoredRow;
 import org.acaciafold.platform.Transaction;
@@ -43,9 +43,9 @@
         save.progress()
                 .forEach((id, progress) -> writes.add(
                         new Transaction.Write(Records.PROGRESS, id, Records.encode(progress, Progress.class))));
-        save.workers()
+        save.claims()
                 .forEach(worker -> writes.add(new Transaction.Write(
-                        Records.WORKERS, worker.id(), Records.encode(worker, KnownWorker.class))));
+                        Records.WORKERS, worker.id(), Records.encode(worker, WorkerClaims.class))));
         List<Transaction.Removal> removals = save.forgotten().stream()
                 .map(worker -> new Transaction.Removal(Records.WORKERS, worker))
                 .toList();
@@ -74,8 +74,8 @@
                     .ifPresent(job -> stored.add(new StoredJob(
                             job, Optional.ofNullable(byJob.get(job.id())), cancelled.contains(job.id()))));
         }
-        List<KnownWorker> known = new ArrayList<>();
-        workers.rows().forEach(row -> Records.decode(row, KnownWorker.class).ifPresent(known::add));
+        List<WorkerClaims> known = new ArrayList<>();
+        workers.rows().forEach(row -> Records.decode(row, WorkerClaims.class).ifPresent(known::add));
         return new Loaded(stored, known, jobs.version(), cancellations.version());
     }
 
@@ -87,5 +87,5 @@
      * @param jobsVersion the version from which to follow the table of jobs
      * @param cancellationsVersion the version from which to follow the table of cancellations
      */
-    record Loaded(List<StoredJob> jobs, List<KnownWorker> workers, long jobsVersion, long cancellationsVersion) {}
+    record Loaded(List<StoredJob> jobs, List<WorkerClaims> workers, long jobsVersion, long cancellationsVersion) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/Effect.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/Effect.java
@@ -56,10 +56,10 @@
      *
      * @param batch the number of the batch; batches are recorded one after the other
      * @param progress the progress by job
-     * @param workers the workers on which tasks may run from now on
+     * @param claims what may run on workers, for those on which that has changed
      * @param forgotten the workers on which nothing of ours runs any more
      */
-    record Save(long batch, Map<String, Progress> progress, List<KnownWorker> workers, List<String> forgotten)
+    record Save(long batch, Map<String, Progress> progress, List<WorkerClaims> claims, List<String> forgotten)
             implements Effect {}
 
     /**
--- /dev/null
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Claims.java
@@ -0,0 +1,45 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
+
+/** Restores the runs that an earlier leader may have left on workers. */
+final class Claims {
+    private Claims() {}
+
+    /**
+     * Adds a run for each task that may be running; it takes its room until its worker shows that it is not there.
+     *
+     * @param tables the tables, with all jobs and workers
+     * @param workers the records of the workers
+     */
+    static void restore(Tables tables, List<WorkerClaims> workers) {
+        Map<TaskName, Latest> latest = new HashMap<>();
+        for (WorkerClaims record : workers) {
+            for (WorkerClaims.Claim claim : record.claims()) {
+                Latest next = new Latest(tables.workers.get(record.id()), claim.run());
+                // a run is only claimed once the one before it has provably ended
+                latest.merge(claim.task(), next, (old, other) -> other.run > old.run ? other : old);
+            }
+        }
+        latest.forEach((name, claim) -> tables.task(name).ifPresent(task -> restore(tables, task, claim)));
+    }
+
+    private static void restore(Tables tables, TaskRow task, Latest claim) {
+        task.lastRun = Math.max(task.lastRun, claim.run);
+        if (task.done || task.failedRuns.contains(claim.run) || task.step.job.state.ended()) {
+            return;
+        }
+        RunRow run = new RunRow(task, claim.run, claim.worker, task.step.spec.each());
+        run.phase = RunPhase.UNCONFIRMED;
+        // orders of earlier leaders are refused by a worker that has answered this one, so absence is proof
+        run.confirmedAtMs = tables.nowMs;
+        tables.begin(run);
+    }
+
+    private record Latest(WorkerRow worker, int run) {}
+}
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
@@ -90,7 +90,7 @@
                 List.copyOf(worker.runs.values()).forEach(run -> ends.lost(run, "lease over"));
                 tables.unsettled.remove(worker);
             }
-            if (!worker.listed && worker.runs.isEmpty() && !worker.recording) {
+            if (!worker.listed && worker.runs.isEmpty()) {
                 tables.workers.remove(worker.id);
                 tables.unsettled.remove(worker);
                 if (worker.recorded) {
@@ -102,7 +102,7 @@
     }
 
     private void adopt(WorkerRow worker, RunView view, TaskRow task) {
-        RunRow run = new RunRow(task, view.run(), worker, task.step.spec.each(), tables.nowMs);
+        RunRow run = new RunRow(task, view.run(), worker, task.step.spec.each());
         run.confirm(tables.nowMs);
         run.checkpoint = view.checkpoint();
         boolean second = task.run().isPresent();
@@ -128,6 +128,8 @@
                 run.confirm(tables.nowMs);
                 run.checkpoint = view.checkpoint().isEmpty() ? run.checkpoint : view.checkpoint();
                 run.percent = view.percent();
+            } else if (run.phase == RunPhase.CLAIMED) {
+                LOG.debug("run not ordered yet task={} run={}", run.task.name, run.number);
             } else if (run.absentIn(askedAtMs)) {
                 ends.lost(run, "not listed");
             } else if (run.phase == RunPhase.UNCONFIRMED && askedAtMs > run.orderedAtMs) {
@@ -173,7 +175,7 @@
                     ends.lost(run, "worker reborn");
                 } else {
                     // an order that is still on its way would be carried out by the new life
-                    run.stopWanted = true;
+                    run.stopWanted |= run.phase != RunPhase.CLAIMED;
                 }
             }
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -13,9 +13,6 @@
 /** A job with its steps; occurrences of a timetable are added when they are due. */
 final class JobRow {
     final Job job;
-    /** True for a job of an earlier leader, of which runs may exist that are not known yet. */
-    final boolean inherited;
-
     final List<StepRow> steps = new ArrayList<>();
     JobState state = JobState.QUEUED;
     boolean cancelled;
@@ -27,9 +24,8 @@
     int occurrencesDone;
     long endedAtMs = -1;
 
-    JobRow(Job job, boolean inherited) {
+    JobRow(Job job) {
         this.job = job;
-        this.inherited = inherited;
         if (!job.timed()) {
             addOccurrence();
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
@@ -20,7 +20,7 @@
     static List<StepRow> ready(Tables tables) {
         List<Entry> entries = new ArrayList<>();
         for (JobRow job : tables.active) {
-            if (!job.active() || job.inherited && !tables.unsettled.isEmpty()) {
+            if (!job.active()) {
                 continue;
             }
             for (StepRow step : job.steps) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
@@ -8,8 +8,8 @@
     final int number;
     final WorkerRow worker;
     final Resources resources;
-    final long orderedAtMs;
-    RunPhase phase = RunPhase.STARTING;
+    long orderedAtMs;
+    RunPhase phase = RunPhase.CLAIMED;
     String checkpoint = "";
     int percent;
     boolean stopWanted;
@@ -19,12 +19,11 @@
     /** A list that was asked for after this time and lacks the run proves that it has ended. */
     long confirmedAtMs = Long.MAX_VALUE;
 
-    RunRow(TaskRow task, int number, WorkerRow worker, Resources resources, long orderedAtMs) {
+    RunRow(TaskRow task, int number, WorkerRow worker, Resources resources) {
         this.task = task;
         this.number = number;
         this.worker = worker;
         this.resources = resources;
-        this.orderedAtMs = orderedAtMs;
     }
 
     boolean absentIn(long askedAtMs) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -2,18 +2,20 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.acaciafold.fleet.Effect;
-import org.acaciafold.fleet.KnownWorker;
 import org.acaciafold.fleet.Progress;
+import org.acaciafold.fleet.WorkerClaims;
 
 /** Collects what must be recorded, and lets it take effect once it is. */
 final class SaveSystem {
     private final Tables tables;
     private final List<JobRow> jobsInBatch = new ArrayList<>();
-    private final List<WorkerRow> workersInBatch = new ArrayList<>();
+    private final List<RunRow> runsInBatch = new ArrayList<>();
     private final List<String> forgotten = new ArrayList<>();
 
     SaveSystem(Tables tables) {
@@ -25,30 +27,13 @@
     }
 
     void run(List<Effect> effects) {
-        if (tables.saving) {
+        boolean nothing = tables.claimed.isEmpty() && tables.unsaved.isEmpty() && forgotten.isEmpty();
+        if (tables.saving || nothing) {
             return;
         }
-        List<KnownWorker> workers = new ArrayList<>();
-        for (WorkerRow worker : tables.workers.values()) {
-            if (worker.listed && worker.contactAtMs >= 0 && !worker.recorded) {
-                workers.add(new KnownWorker(worker.id, worker.address, worker.bornMs));
-                worker.recording = true;
-                workersInBatch.add(worker);
-            }
-        }
-        if (workers.isEmpty() && tables.unsaved.isEmpty() && forgotten.isEmpty()) {
-            return;
-        }
-        Map<String, Progress> progress = new LinkedHashMap<>();
-        for (JobRow job : tables.unsaved) {
-            progress.put(job.job.id(), job.progress());
-            job.unsaved = false;
-            jobsInBatch.add(job);
-        }
-        tables.unsaved.clear();
         tables.saving = true;
         tables.lastBatch++;
-        effects.add(new Effect.Save(tables.lastBatch, progress, workers, List.copyOf(forgotten)));
+        effects.add(new Effect.Save(tables.lastBatch, progress(), claims(), List.copyOf(forgotten)));
         forgotten.clear();
     }
 
@@ -63,11 +48,8 @@
             }
         }
         jobsInBatch.clear();
-        for (WorkerRow worker : workersInBatch) {
-            worker.recording = false;
-            worker.recorded = true;
-        }
-        workersInBatch.clear();
+        tables.startable.addAll(runsInBatch);
+        runsInBatch.clear();
         for (WorkerRow worker : tables.workers.values()) {
             if (worker.acknowledgeAfterBatch >= 0 && worker.acknowledgeAfterBatch <= batch) {
                 worker.acknowledgeAfterBatch = -1;
@@ -76,4 +58,24 @@
             }
         }
     }
+
+    private List<WorkerClaims> claims() {
+        Set<WorkerRow> workers = new LinkedHashSet<>();
+        tables.claimed.forEach(run -> workers.add(run.worker));
+        runsInBatch.addAll(tables.claimed);
+        tables.claimed.clear();
+        workers.forEach(worker -> worker.recorded = true);
+        return workers.stream().map(WorkerRow::claims).toList();
+    }
+
+    private Map<String, Progress> progress() {
+        Map<String, Progress> progress = new LinkedHashMap<>();
+        for (JobRow job : tables.unsaved) {
+            progress.put(job.job.id(), job.progress());
+            job.unsaved = false;
+            jobsInBatch.add(job);
+        }
+        tables.unsaved.clear();
+        return progress;
+    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -15,12 +15,12 @@
 import org.acaciafold.fleet.HoldView;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
-import org.acaciafold.fleet.KnownWorker;
 import org.acaciafold.fleet.StartOutcome;
 import org.acaciafold.fleet.StepName;
 import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.StoredJob;
 import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.WorkerEntry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -87,7 +87,7 @@
         if (tables.jobs.containsKey(job.id())) {
             return false;
         }
-        add(new StoredJob(job, Optional.empty(), false), false);
+        add(new StoredJob(job, Optional.empty(), false));
         tables.changed.put(job.id(), JobState.QUEUED);
         return true;
     }
@@ -218,15 +218,16 @@
      * @param jobs all jobs in the store
      * @param workers the workers on which runs of earlier terms may exist
      */
-    public void restore(List<StoredJob> jobs, List<KnownWorker> workers) {
-        jobs.forEach(job -> add(job, true));
-        for (KnownWorker known : workers) {
+    public void restore(List<StoredJob> jobs, List<WorkerClaims> workers) {
+        jobs.forEach(this::add);
+        for (WorkerClaims known : workers) {
             WorkerRow row = tables.workers.computeIfAbsent(
                     known.id(), id -> new WorkerRow(id, known.address(), known.bornMs()));
             row.recorded = true;
             row.foreignLeaseEndsAtMs = tables.nowMs + tables.terms.foreignLeaseMs();
             tables.unsettled.add(row);
         }
+        Claims.restore(tables, workers);
         LOG.info("term begins jobs={} active={} workers={}", jobs.size(), tables.active.size(), workers.size());
     }
 
@@ -294,7 +295,8 @@
         holds.expire(saves.forgotten());
         tables.active.removeIf(job -> !job.active() && job.quiet());
         stops.run(effects);
-        starts.run(effects);
+        starts.order(effects);
+        starts.run();
         advice.run(effects);
         holds.run(effects);
         saves.run(effects);
@@ -305,8 +307,8 @@
         return effects;
     }
 
-    private void add(StoredJob stored, boolean inherited) {
-        JobRow row = new JobRow(stored.job(), inherited);
+    private void add(StoredJob stored) {
+        JobRow row = new JobRow(stored.job());
         stored.progress().ifPresent(row::restore);
         row.cancelled = stored.cancelled() && !row.state.ended();
         tables.jobs.put(stored.job().id(), row);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -1,6 +1,7 @@
 package org.acaciafold.fleet.scheduling;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -27,6 +28,9 @@
     /** The contract's bound of workers in one call for advice. */
     private static final int MAX_ADVICE_WORKERS = 100;
 
+    /** Ends of a broken gang are listed within this time by workers that answer. */
+    private static final long BROKEN_GANG_MS = 400;
+
     /** Gangs that may keep workers from starting other tasks while they wait for room. */
     private static final int MAX_WAITING_GANGS = 2;
 
@@ -55,7 +59,27 @@
         }
     }
 
-    void run(List<Effect> effects) {
+    /** Sends the orders of recorded runs that are still right. */
+    void order(List<Effect> effects) {
+        Map<StepRow, List<RunRow>> byStep = new LinkedHashMap<>();
+        for (RunRow run : tables.startable) {
+            byStep.computeIfAbsent(run.task.step, step -> new ArrayList<>()).add(run);
+        }
+        tables.startable.clear();
+        byStep.forEach((step, runs) -> {
+            boolean all = runs.stream().allMatch(this::orderable);
+            for (RunRow run : runs) {
+                if (all || !step.spec.gang() && orderable(run)) {
+                    effects.add(order(run));
+                } else {
+                    LOG.info("claim dropped task={} run={} worker={}", run.task.name, run.number, run.worker.id);
+                    tables.end(run);
+                }
+            }
+        });
+    }
+
+    void run() {
         List<WorkerRow> usable =
                 tables.workers.values().stream().filter(this::usable).toList();
         Placement room = new Placement(usable);
@@ -63,7 +87,7 @@
         for (StepRow step : QueueOrder.ready(tables)) {
             List<WorkerRow> candidates =
                     usable.stream().filter(worker -> eligible(step, worker)).toList();
-            boolean blocked = !place(step, candidates, room, effects);
+            boolean blocked = !place(step, candidates, room);
             if (blocked && step.spec.gang() && waitingGangs < MAX_WAITING_GANGS && !step.adviceAsked) {
                 waitingGangs++;
                 keepRoom(step, candidates, room);
@@ -110,12 +134,17 @@
     }
 
     /** Starts what it can; false when tasks had to wait for room. */
-    private boolean place(StepRow step, List<WorkerRow> candidates, Placement room, List<Effect> effects) {
+    private boolean place(StepRow step, List<WorkerRow> candidates, Placement room) {
         List<TaskRow> tasks = withinLimit(step, step.waiting());
         boolean gang = step.spec.gang();
-        if (tasks.isEmpty() || gang && tasks.size() < step.spec.count()) {
+        if (tasks.isEmpty()) {
             return true;
         }
+        if (gang && tasks.size() < step.spec.count()) {
+            stopRemains(step);
+            return true;
+        }
+        step.brokenSinceMs = -1;
         if (step.adviceAsked) {
             holdReserved(step, room);
             return true;
@@ -128,7 +157,7 @@
             chosen = Map.of();
         }
         chosen.forEach((task, worker) -> room.take(worker, step.spec.each()));
-        start(step, chosen, effects);
+        claim(step, chosen);
         List<TaskRow> left = new ArrayList<>(tasks);
         left.removeAll(chosen.keySet());
         return left.isEmpty() || needsAdvice(step) && askFor(step, left, candidates, room);
@@ -166,6 +195,36 @@
         return step.job.job.route().advice().isPresent();
     }
 
+    private Effect order(RunRow run) {
+        WorkerRow worker = run.worker;
+        StepRow step = run.task.step;
+        long untilMs = worker.lease(tables.nowMs, tables.terms.leaseMs()).orElseThrow();
+        worker.leaseMs = Math.max(worker.leaseMs, untilMs);
+        run.phase = RunPhase.STARTING;
+        run.orderedAtMs = tables.nowMs;
+        Ticket ticket = step.tickets.get(worker.id);
+        return new Effect.Start(
+                worker.id,
+                worker.address,
+                run.task.name,
+                run.number,
+                step.job.job.spec(),
+                untilMs,
+                run.checkpoint,
+                ticket == null ? "" : ticket.ticket());
+    }
+
+    /** Tells whether a claim is still right; time has passed since the choice. */
+    private boolean orderable(RunRow run) {
+        StepRow step = run.task.step;
+        return step.job.active()
+                && !run.task.done
+                && !run.stopWanted
+                && run.worker.runs.get(run.task.name) == run
+                && usable(run.worker)
+                && (!needsAdvice(step) || ticketed(step, run.worker));
+    }
+
     private void refused(RunRow run, StartOutcome outcome) {
         LOG.warn("start refused task={} run={} worker={} reason={}", run.task.name, run.number, run.worker.id, outcome);
         tables.end(run);
@@ -177,29 +236,18 @@
         }
     }
 
-    private void start(StepRow step, Map<TaskRow, WorkerRow> chosen, List<Effect> effects) {
+    private void claim(StepRow step, Map<TaskRow, WorkerRow> chosen) {
         int gangRun = step.nextGangRun(tables.firstRun);
         chosen.forEach((task, worker) -> {
             int number = step.spec.gang() ? gangRun : Math.max(task.lastRun + 1, tables.firstRun);
-            RunRow run = new RunRow(task, number, worker, step.spec.each(), tables.nowMs);
+            RunRow run = new RunRow(task, number, worker, step.spec.each());
             run.checkpoint = task.checkpoint;
             tables.begin(run);
-            long untilMs = worker.lease(tables.nowMs, tables.terms.leaseMs()).orElseThrow();
-            worker.leaseMs = Math.max(worker.leaseMs, untilMs);
-            Ticket ticket = step.tickets.get(worker.id);
-            effects.add(new Effect.Start(
-                    worker.id,
-                    worker.address,
-                    task.name,
-                    number,
-                    step.job.job.spec(),
-                    untilMs,
-                    task.checkpoint,
-                    ticket == null ? "" : ticket.ticket()));
+            tables.claimed.add(run);
         });
         if (!chosen.isEmpty()) {
             LOG.info(
-                    "start job={} step={}.{} tasks={} of={} priority={} waitedMs={} config={}",
+                    "claim job={} step={}.{} tasks={} of={} priority={} waitedMs={} config={}",
                     step.job.job.id(),
                     step.occurrence,
                     step.index,
@@ -211,6 +259,14 @@
         }
     }
 
+    /** Stops members of a gang that others have left, unless their ends are about to be listed. */
+    private void stopRemains(StepRow step) {
+        step.brokenSinceMs = step.brokenSinceMs < 0 ? tables.nowMs : step.brokenSinceMs;
+        if (tables.nowMs - step.brokenSinceMs > BROKEN_GANG_MS) {
+            StopSystem.stopGang(step);
+        }
+    }
+
     private boolean ticketed(StepRow step, WorkerRow worker) {
         Ticket ticket = step.tickets.get(worker.id);
         return ticket != null && ticket.valid(tables.nowMs, worker.bornMs);
@@ -218,7 +274,6 @@
 
     private boolean usable(WorkerRow worker) {
         return worker.listed
-                && worker.recorded
                 && worker.missed == 0
                 && worker.contactAtMs >= 0
                 && tables.nowMs - worker.contactAtMs <= CONTACT_MS
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -27,6 +27,7 @@
     long adviceAfterMs;
     int remaining;
     long readyAtMs = -1;
+    long brokenSinceMs = -1;
 
     StepRow(JobRow job, int occurrence, int index, StepSpec spec) {
         this.job = job;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
@@ -50,6 +50,7 @@
 
     private boolean due(RunRow run) {
         return run.stopWanted
+                && run.phase != RunPhase.CLAIMED
                 && !run.stopInFlight
                 && run.stopAnsweredAtMs == Long.MAX_VALUE
                 && tables.nowMs >= run.stopRetryAtMs;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -29,6 +29,11 @@
     final Map<String, Resources> usedByWorkspace = new HashMap<>();
     final Map<String, JobState> changed = new LinkedHashMap<>();
     final Set<JobRow> unsaved = new LinkedHashSet<>();
+    /** Chosen runs that are not recorded yet. */
+    final List<RunRow> claimed = new ArrayList<>();
+    /** Recorded runs whose orders are to be sent. */
+    final List<RunRow> startable = new ArrayList<>();
+
     final Set<String> evacuated = new HashSet<>();
     /** Orders to stop runs that belong to no job. */
     final List<Effect> strayStops = new ArrayList<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -9,6 +10,7 @@
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.WorkerEntry;
 
 /** A worker: what it says of itself, its lease, and the runs that take room on it. */
@@ -29,8 +31,9 @@
     Resources used = Resources.empty();
     boolean listed;
     boolean holdInFlight;
+    /** True once the store may hold a record of it. */
     boolean recorded;
-    boolean recording;
+
     long nextHoldAtMs;
     long acknowledged;
     long processed;
@@ -51,6 +54,13 @@
         this.bornMs = bornMs;
     }
 
+    WorkerClaims claims() {
+        List<WorkerClaims.Claim> claims = runs.values().stream()
+                .map(run -> new WorkerClaims.Claim(run.task.name, run.number))
+                .toList();
+        return new WorkerClaims(id, address, bornMs, claims);
+    }
+
     void add(RunRow run) {
         runs.put(run.task.name, run);
         used = used.plus(run.resources);
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
@@ -0,0 +1,136 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndKind;
+import org.acaciafold.fleet.Job;
+import org.acaciafold.fleet.JobState;
+import org.acaciafold.fleet.RunView;
+import org.acaciafold.fleet.StoredJob;
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
+import org.junit.jupiter.api.Test;
+
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.BORN_MS;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.TERMS;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.end;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class TakeoverTest {
+    private static final TaskName FIRST = new TaskName("job", 0, 0, 0);
+    private static final TaskName SECOND = new TaskName("job", 0, 0, 1);
+
+    /** A second term over a job of two tasks, of which the first was claimed on worker "a". */
+    private static SchedulerFixture secondTerm() {
+        SchedulerFixture fixture = new SchedulerFixture(2);
+        Job job = fixture.job("job", step(2, 500).build());
+        WorkerClaims claims = new WorkerClaims("a", "a:1", BORN_MS, List.of(new WorkerClaims.Claim(FIRST, 1)));
+        fixture.scheduler.restore(List.of(new StoredJob(job, Optional.empty(), false)), List.of(claims));
+        fixture.scheduler.listed(List.of(worker("a", 1_000), worker("b", 1_000)), true);
+        fixture.tick();
+        fixture.held("b", List.of(), List.of());
+        return fixture;
+    }
+
+    @Test
+    void shouldStartOnlyWhatWasNotClaimedWhileAWorkerDoesNotAnswer() {
+        SchedulerFixture fixture = secondTerm();
+        fixture.scheduler.holdFailed("a");
+
+        List<Effect.Start> starts = fixture.startsConfirmed();
+
+        assertEquals(List.of(SECOND), starts.stream().map(Effect.Start::task).toList());
+        assertEquals("b", starts.getFirst().worker());
+    }
+
+    @Test
+    void shouldStartAClaimedTaskAgainOnlyWhenItsLeaseHasRunOut() {
+        SchedulerFixture fixture = secondTerm();
+        fixture.scheduler.holdFailed("a");
+        fixture.startsConfirmed();
+
+        fixture.advance(TERMS.foreignLeaseMs() - 1);
+        fixture.held("b", List.of(new RunView(SECOND, 1_001, "", 10)), List.of());
+        assertTrue(fixture.starts().isEmpty());
+
+        fixture.advance(1);
+        fixture.held("b", List.of(new RunView(SECOND, 1_001, "", 10)), List.of());
+        assertEquals(
+                List.of(FIRST),
+                fixture.starts().stream().map(Effect.Start::task).toList());
+    }
+
+    @Test
+    void shouldKeepAClaimedRunThatItsWorkerLists() {
+        SchedulerFixture fixture = secondTerm();
+        fixture.advance(1);
+
+        fixture.held("a", List.of(new RunView(FIRST, 1, "", 50)), List.of());
+
+        assertEquals(
+                List.of(SECOND),
+                fixture.starts().stream().map(Effect.Start::task).toList());
+    }
+
+    @Test
+    void shouldStartAClaimedTaskAtOnceWhenItsWorkerDoesNotListIt() {
+        SchedulerFixture fixture = secondTerm();
+        fixture.advance(1);
+
+        fixture.held("a", List.of(), List.of());
+
+        List<Effect.Start> starts = fixture.starts();
+        assertEquals(2, starts.size());
+        assertTrue(starts.stream().allMatch(start -> start.run() > 1));
+    }
+
+    @Test
+    void shouldTakeAnEndThatTheEarlierLeaderNeverSaw() {
+        SchedulerFixture fixture = secondTerm();
+        fixture.advance(1);
+
+        fixture.held("a", List.of(), List.of(end(1, FIRST, 1, EndKind.DONE)));
+        fixture.startsConfirmed();
+        fixture.held("b", List.of(), List.of(end(1, SECOND, 1_001, EndKind.DONE)));
+        fixture.tick();
+        fixture.tick();
+
+        assertEquals(JobState.COMPLETED, fixture.published.get("job"));
+    }
+
+    @Test
+    void shouldSendNoOrderBeforeTheClaimIsRecorded() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("a", 1_000));
+        fixture.savesAnswered = false;
+        fixture.scheduler.accept(fixture.job("job", step(1, 500).build()));
+
+        assertTrue(fixture.starts().isEmpty());
+
+        Effect.Save save = fixture.effects.stream()
+                .filter(Effect.Save.class::isInstance)
+                .map(Effect.Save.class::cast)
+                .toList()
+                .getLast();
+        assertEquals(
+                List.of(new WorkerClaims.Claim(FIRST, 1)),
+                save.claims().getFirst().claims());
+        fixture.scheduler.saved(save.batch());
+        assertEquals(1, fixture.starts().size());
+    }
+
+    @Test
+    void shouldOrderNothingForAJobThatWasCancelledAfterItsClaim() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("a", 1_000));
+        fixture.scheduler.accept(fixture.job("job", step(1, 500).build()));
+        fixture.tick();
+
+        fixture.scheduler.cancel("job");
+
+        assertTrue(fixture.starts().isEmpty());
+    }
+}
