--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -171,7 +171,7 @@
                         return Optional.<JobState>empty();
                     }
                     JobState recorded = rows.getT3()
-                            .flatMap(row -> Records.decode(row, Progress.class))
+                            .flatMap(Records::progress)
                             .map(Progress::state)
                             .orElse(JobState.QUEUED);
                     boolean cancelled = rows.getT2().isPresent() && !recorded.ended();
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -16,20 +16,20 @@
 /** Decides whether this host leads, follows the leader that there is, and passes the term on. */
 final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
-    private static final long POLL_MS = 200;
-    private static final long BEAT_MS = 400;
+    private static final long POLL_MS = 100;
+    private static final long BEAT_MS = 250;
 
     /** Without a heartbeat for this long a follower looks at the lease in the store. */
-    private static final long LEADER_SILENT_MS = 1_000;
+    private static final long LEADER_SILENT_MS = 800;
 
     /** What delayed answers and drifting clocks may add to a lease. */
-    private static final long CHALLENGE_MARGIN_MS = 400;
+    private static final long CHALLENGE_MARGIN_MS = 250;
 
     /** After an outage the holder of the lease has this long to renew it first. */
     private static final long SETTLE_MS = 350;
 
     /** A leader whose renewals fail for this long looks for a host that reaches the store. */
-    private static final long HAND_OVER_AFTER_MS = 1_500;
+    private static final long HAND_OVER_AFTER_MS = 1_200;
 
     private final HostContext host;
     private final String address;
@@ -154,8 +154,9 @@
             term.settleSequence();
             Map<String, String> known = new HashMap<>(hosts.addresses());
             known.put(host.name(), address);
-            PeerMessage message = new PeerMessage.LeaderBeat(lease.record(), term.sequence(), term.pending(), known);
-            hosts.addresses().values().forEach(to -> host.bus().send(to, message));
+            PeerMessage message = new PeerMessage.LeaderBeat(
+                    lease.record(), lease.version(), lease.unconfirmedMs(), term.sequence(), term.pending(), known);
+            host.bus().sendAll(hosts.addresses().values(), message);
         } else if (leader != null) {
             host.bus().send(leader.address(), new PeerMessage.HostBeat(host.name(), address, seenSequence, stopping));
         }
@@ -179,6 +180,7 @@
         }
         follow(heard);
         leaderHeardAtMs = host.loop().nowMs();
+        challenge.heard(beat.leaseVersion(), leaderHeardAtMs - beat.leaseAgeMs());
         pending = beat.pending();
         beat.hosts().forEach((name, to) -> {
             if (!name.equals(host.name())) {
@@ -212,7 +214,7 @@
             if (lease.unconfirmedMs() > HAND_OVER_AFTER_MS) {
                 PeerMessage question =
                         new PeerMessage.WhoReachesStore(lease.record().epoch(), address);
-                hosts.addresses().values().forEach(to -> host.bus().send(to, question));
+                host.bus().sendAll(hosts.addresses().values(), question);
             }
         } else if (silentMs() > LEADER_SILENT_MS && !stopping) {
             readLease();
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -21,10 +21,10 @@
  */
 final class LeaseKeeper {
     /** How long a leader may command after a renewal; a few renewals may fail before it runs out. */
-    static final long LEASE_MS = 3_000;
+    static final long LEASE_MS = 2_000;
 
     private static final Logger LOG = LoggerFactory.getLogger(LeaseKeeper.class);
-    private static final long RENEW_AFTER_MS = 600;
+    private static final long RENEW_AFTER_MS = 400;
     private static final long RETRY_MS = 80;
 
     private final StoreAccess store;
@@ -56,6 +56,11 @@
         return record;
     }
 
+    /** Returns the version of the lease's row after the last confirmed renewal. */
+    long version() {
+        return version;
+    }
+
     /** Returns how long ago the last confirmed renewal was sent, in milliseconds. */
     long unconfirmedMs() {
         return loop.nowMs() - confirmedAtMs;
@@ -154,6 +159,7 @@
         if (ours) {
             // an earlier transaction of ours was applied and its answer was lost; the rows are written again
             version = row.get().version();
+            LOG.info("lease written by an unanswered transaction epoch={} version={}", record.epoch(), version);
             send(entry);
             return;
         }
--- a/entry/src/main/java/org/acaciafold/entry/PeerBus.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerBus.java
@@ -1,6 +1,7 @@
 package org.acaciafold.entry;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.function.BiConsumer;
 
 import org.acaciafold.core.codec.Codec;
@@ -67,6 +68,15 @@
         }
     }
 
+    void sendAll(Collection<String> addresses, PeerMessage message) {
+        byte[] bytes = Codec.messagePack().encode(message, PeerMessage.class);
+        for (String address : addresses) {
+            if (!address.equals(self)) {
+                transport.send(address, bytes);
+            }
+        }
+    }
+
     void close() {
         server.stop(Duration.ZERO).timeout(CLOSE_LIMIT, Mono.just(true)).block();
         transport.close().timeout(CLOSE_LIMIT, Mono.empty()).block();
--- a/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
@@ -24,11 +24,19 @@
      * A heartbeat of the leader to all hosts.
      *
      * @param lease the leader's lease
+     * @param leaseVersion the version of its row after the last confirmed renewal
+     * @param leaseAgeMs how long before this heartbeat that renewal was sent
      * @param sequence the last state change of this term
      * @param pending the jobs of each queue of which no task has started
      * @param hosts the addresses of all hosts by name
      */
-    record LeaderBeat(LeaseRecord lease, long sequence, Map<String, Integer> pending, Map<String, String> hosts)
+    record LeaderBeat(
+            LeaseRecord lease,
+            long leaseVersion,
+            long leaseAgeMs,
+            long sequence,
+            Map<String, Integer> pending,
+            Map<String, String> hosts)
             implements PeerMessage {}
 
     /**
--- a/entry/src/main/java/org/acaciafold/entry/Records.java
+++ b/entry/src/main/java/org/acaciafold/entry/Records.java
@@ -1,10 +1,13 @@
 package org.acaciafold.entry;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.acaciafold.core.codec.Codec;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Step;
+import org.acaciafold.fleet.JobState;
+import org.acaciafold.fleet.Progress;
 import org.acaciafold.platform.StoredRow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,6 +52,20 @@
         return Codec.messagePack().encode(value, type);
     }
 
+    /** Encodes progress; that of an ended job is one byte, since most jobs that a new leader reads have ended. */
+    static byte[] encode(Progress progress) {
+        return progress.state().ended()
+                ? new byte[] {(byte) progress.state().ordinal()}
+                : encode(progress, Progress.class);
+    }
+
+    static Optional<Progress> progress(StoredRow row) {
+        if (row.value().length == 1) {
+            return Optional.of(new Progress(JobState.values()[row.value()[0]], List.of()));
+        }
+        return decode(row, Progress.class);
+    }
+
     static <T> Optional<T> decode(StoredRow row, Class<T> type) {
         try {
             return Optional.of(Codec.messagePack().decode(row.value(), type, Step.TABLE, STORE));
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -154,7 +154,7 @@
                 terms, lease.record().epoch(), host.config().config().orElseThrow());
         advance();
         configure();
-        scheduler.restore(loaded.jobs(), loaded.workers());
+        scheduler.restore(loaded.jobs(), loaded.ended(), loaded.workers());
         jobsVersion = loaded.jobsVersion();
         cancellationsVersion = loaded.cancellationsVersion();
         sequence = 1;
@@ -257,7 +257,7 @@
     private void publish(Map<String, JobState> states) {
         sequence++;
         PeerMessage message = new PeerMessage.States(lease.record().epoch(), sequence, false, states);
-        hosts.addresses().values().forEach(address -> host.bus().send(address, message));
+        host.bus().sendAll(hosts.addresses().values(), message);
         publish.accept(states);
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -10,6 +10,7 @@
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.Job;
+import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.fleet.StoredJob;
 import org.acaciafold.fleet.WorkerClaims;
@@ -41,8 +42,8 @@
     static void write(LeaseKeeper lease, Effect.Save save, Runnable then) {
         List<Transaction.Write> writes = new ArrayList<>();
         save.progress()
-                .forEach((id, progress) -> writes.add(
-                        new Transaction.Write(Records.PROGRESS, id, Records.encode(progress, Progress.class))));
+                .forEach((id, progress) ->
+                        writes.add(new Transaction.Write(Records.PROGRESS, id, Records.encode(progress))));
         save.claims()
                 .forEach(worker -> writes.add(new Transaction.Write(
                         Records.WORKERS, worker.id(), Records.encode(worker, WorkerClaims.class))));
@@ -65,27 +66,43 @@
         Set<String> cancelled = new HashSet<>();
         cancellations.rows().forEach(row -> cancelled.add(row.key()));
         Map<String, Progress> byJob = new HashMap<>();
+        Map<String, JobState> ended = new HashMap<>();
         for (StoredRow row : progress.rows()) {
-            Records.decode(row, Progress.class).ifPresent(value -> byJob.put(row.key(), value));
+            Records.progress(row).ifPresent(value -> {
+                if (value.state().ended()) {
+                    ended.put(row.key(), value.state());
+                } else {
+                    byJob.put(row.key(), value);
+                }
+            });
         }
         List<StoredJob> stored = new ArrayList<>();
         for (StoredRow row : jobs.rows()) {
-            Records.decode(row, Job.class)
-                    .ifPresent(job -> stored.add(new StoredJob(
-                            job, Optional.ofNullable(byJob.get(job.id())), cancelled.contains(job.id()))));
+            // most rows are of jobs that have ended; decoding them would hold up the start of the term
+            if (!ended.containsKey(row.key())) {
+                Records.decode(row, Job.class)
+                        .ifPresent(job -> stored.add(new StoredJob(
+                                job, Optional.ofNullable(byJob.get(job.id())), cancelled.contains(job.id()))));
+            }
         }
-        List<WorkerClaims> known = new ArrayList<>();
-        workers.rows().forEach(row -> Records.decode(row, WorkerClaims.class).ifPresent(known::add));
-        return new Loaded(stored, known, jobs.version(), cancellations.version());
+        List<WorkerClaims> claims = new ArrayList<>();
+        workers.rows().forEach(row -> Records.decode(row, WorkerClaims.class).ifPresent(claims::add));
+        return new Loaded(stored, ended, claims, jobs.version(), cancellations.version());
     }
 
     /**
      * What earlier terms have left.
      *
-     * @param jobs all jobs
+     * @param jobs the jobs that have not ended
+     * @param ended the final states of the others
      * @param workers the workers on which runs may exist
      * @param jobsVersion the version from which to follow the table of jobs
      * @param cancellationsVersion the version from which to follow the table of cancellations
      */
-    record Loaded(List<StoredJob> jobs, List<WorkerClaims> workers, long jobsVersion, long cancellationsVersion) {}
+    record Loaded(
+            List<StoredJob> jobs,
+            Map<String, JobState> ended,
+            List<WorkerClaims> workers,
+            long jobsVersion,
+            long cancellationsVersion) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/leadership/Challenge.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/leadership/Challenge.java
@@ -32,6 +32,19 @@
         return new Challenge(leaseMs, marginMs, settleMs);
     }
 
+    /**
+     * Notes what the holder said of its lease, which is older than the moment at which it is heard.
+     *
+     * @param heardVersion the version of the row after the holder's last confirmed renewal
+     * @param sentMs no earlier than when that renewal was sent, on the steady clock
+     */
+    public void heard(long heardVersion, long sentMs) {
+        if (heardVersion != version) {
+            version = heardVersion;
+            firstSeenMs = sentMs;
+        }
+    }
+
     /** Notes that the store did not answer. */
     public void unanswered() {
         answeringSinceMs = -1;
--- /dev/null
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Allowances.java
@@ -0,0 +1,50 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.acaciafold.fleet.FleetConfig;
+import org.acaciafold.fleet.Job;
+import org.acaciafold.fleet.Workspace;
+
+/**
+ * Tells which jobs exceed the rate that their workspace is owed, its weight in jobs a second.
+ *
+ * <p>Such jobs run when nothing else needs the room, so that one workspace that sends many times its usual traffic does
+ * not take the place of the others.
+ */
+final class Allowances {
+    /** Jobs may come in bursts of this many seconds' worth. */
+    private static final double BURST_S = 1.0;
+
+    private static final double MS_PER_S = 1_000.0;
+
+    private final Map<String, Bucket> buckets = new HashMap<>();
+
+    boolean excess(Job job, FleetConfig config) {
+        double perSecond =
+                config.workspace(job.workspace()).map(Workspace::weight).orElse(0.0);
+        if (perSecond <= 0) {
+            return false;
+        }
+        return !buckets.computeIfAbsent(job.workspace(), name -> new Bucket()).take(job.acceptedAtMs(), perSecond);
+    }
+
+    /** A token bucket on the hosts' time of day. */
+    private static final class Bucket {
+        private double tokens = Double.MAX_VALUE;
+        private long refilledAtMs = Long.MIN_VALUE;
+
+        private boolean take(long nowMs, double perSecond) {
+            double most = Math.max(1, perSecond * BURST_S);
+            double gained = refilledAtMs == Long.MIN_VALUE ? most : (nowMs - refilledAtMs) / MS_PER_S * perSecond;
+            tokens = Math.min(most, tokens + Math.max(0, gained));
+            refilledAtMs = Math.max(refilledAtMs, nowMs);
+            if (tokens < 1) {
+                return false;
+            }
+            tokens--;
+            return true;
+        }
+    }
+}
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -13,9 +13,15 @@
 /** A job with its steps; occurrences of a timetable are added when they are due. */
 final class JobRow {
     final Job job;
+    /** The estimated work from the begin of each step to the end of the job, in milliseconds. */
+    private final long[] tailMs;
+
     final List<StepRow> steps = new ArrayList<>();
     JobState state = JobState.QUEUED;
     boolean cancelled;
+    /** True when the job is beyond the rate that its workspace is owed. */
+    boolean excess;
+
     boolean unsaved;
     /** True once the final state is recorded, so that it may be shown. */
     boolean endRecorded;
@@ -26,6 +32,7 @@
 
     JobRow(Job job) {
         this.job = job;
+        this.tailMs = tails(job);
         if (!job.timed()) {
             addOccurrence();
         }
@@ -60,6 +67,11 @@
         return Math.round(job.route().stretch() * job.chainMs()) + job.route().targetLatencyMs();
     }
 
+    /** Returns the estimated work from the begin of a step to the end of its occurrence, in milliseconds. */
+    long tailMs(int step) {
+        return tailMs[step];
+    }
+
     Progress progress() {
         List<StepProgress> recorded = new ArrayList<>();
         for (StepRow step : steps) {
@@ -115,6 +127,19 @@
         return Optional.of(step(occurrence, step).tasks.get(index));
     }
 
+    private static long[] tails(Job job) {
+        long[] tails = new long[job.steps().size()];
+        for (int i = tails.length - 1; i >= 0; i--) {
+            tails[i] += job.steps().get(i).estimateMs();
+            for (int before : job.steps().get(i).after()) {
+                if (before < i) {
+                    tails[before] = Math.max(tails[before], tails[i]);
+                }
+            }
+        }
+        return tails;
+    }
+
     private static Optional<StepProgress> progress(StepRow step) {
         BitSet done = new BitSet(step.tasks.size());
         List<StepProgress.TaskFailures> failures = new ArrayList<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
@@ -30,21 +30,41 @@
                 }
             }
         }
-        entries.sort(Comparator.comparingInt(Entry::lateness)
+        entries.sort(Comparator.comparing(Entry::rank)
                 .thenComparingInt(entry -> entry.step.job.job.route().priority())
                 .thenComparingLong(Entry::objectiveMs));
         return entries.stream().map(Entry::step).toList();
     }
 
     private static Entry entry(StepRow step, long wallMs) {
+        JobRow job = step.job;
         if (step.spec.longRunning()) {
-            return new Entry(step, 0, step.job.job.acceptedAtMs());
+            return new Entry(step, job.excess ? Rank.EXCESS_IN_TIME : Rank.IN_TIME, job.job.acceptedAtMs());
         }
-        long due = step.job.dueMs(step.occurrence);
-        long span = step.job.objectiveSpanMs();
-        int lateness = wallMs > due + LATE_SPANS * span ? 2 : wallMs > due + span ? 1 : 0;
-        return new Entry(step, lateness, due + span);
+        long due = job.dueMs(step.occurrence);
+        long span = job.objectiveSpanMs();
+        long endsMs = wallMs + job.tailMs(step.index);
+        return new Entry(step, rank(endsMs, due, span, job.excess), due + span);
     }
 
-    private record Entry(StepRow step, int lateness, long objectiveMs) {}
+    private static Rank rank(long endsMs, long dueMs, long spanMs, boolean excess) {
+        if (endsMs <= dueMs + spanMs) {
+            return excess ? Rank.EXCESS_IN_TIME : Rank.IN_TIME;
+        }
+        if (endsMs <= dueMs + LATE_SPANS * spanMs) {
+            return excess ? Rank.EXCESS_LATE : Rank.LATE;
+        }
+        return Rank.HOPELESS;
+    }
+
+    /** What a start now can still achieve, the best first. */
+    private enum Rank {
+        IN_TIME,
+        LATE,
+        EXCESS_IN_TIME,
+        EXCESS_LATE,
+        HOPELESS
+    }
+
+    private record Entry(StepRow step, Rank rank, long objectiveMs) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -84,7 +84,7 @@
      * @return true when the job is new
      */
     public boolean accept(Job job) {
-        if (tables.jobs.containsKey(job.id())) {
+        if (tables.jobs.containsKey(job.id()) || tables.endedEarlier.containsKey(job.id())) {
             return false;
         }
         add(new StoredJob(job, Optional.empty(), false));
@@ -132,7 +132,7 @@
     public boolean cancel(String id) {
         JobRow job = tables.jobs.get(id);
         if (job == null) {
-            return false;
+            return tables.endedEarlier.containsKey(id);
         }
         if (!job.cancelled && !job.state.ended()) {
             job.cancelled = true;
@@ -215,10 +215,12 @@
     /**
      * Takes over the records of earlier terms.
      *
-     * @param jobs all jobs in the store
+     * @param jobs the jobs that have not ended
+     * @param ended the final states of the others
      * @param workers the workers on which runs of earlier terms may exist
      */
-    public void restore(List<StoredJob> jobs, List<WorkerClaims> workers) {
+    public void restore(List<StoredJob> jobs, Map<String, JobState> ended, List<WorkerClaims> workers) {
+        tables.endedEarlier.putAll(ended);
         jobs.forEach(this::add);
         for (WorkerClaims known : workers) {
             WorkerRow row = tables.workers.computeIfAbsent(
@@ -263,7 +265,7 @@
      * @return the states by job
      */
     public Map<String, JobState> states() {
-        Map<String, JobState> states = new LinkedHashMap<>();
+        Map<String, JobState> states = new LinkedHashMap<>(tables.endedEarlier);
         for (JobRow job : tables.jobs.values()) {
             boolean unrecorded = job.state.ended() && !job.endRecorded;
             JobState state = job.cancelled ? JobState.CANCELLED : unrecorded ? JobState.RUNNING : job.state;
@@ -311,6 +313,7 @@
         JobRow row = new JobRow(stored.job());
         stored.progress().ifPresent(row::restore);
         row.cancelled = stored.cancelled() && !row.state.ended();
+        row.excess = tables.allowances.excess(stored.job(), tables.config);
         tables.jobs.put(stored.job().id(), row);
         if (row.active()) {
             tables.active.add(row);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -98,7 +98,9 @@
     private void ask(StepRow step, List<WorkerRow> candidates, Placement room, Map<TaskRow, WorkerRow> planned) {
         List<String> workers = new ArrayList<>();
         for (WorkerRow worker : candidates) {
-            boolean unknown = !step.allowed.contains(worker.id) && !step.denied.contains(worker.id);
+            boolean unknown = !step.allowed.contains(worker.id)
+                    && !step.denied.contains(worker.id)
+                    && worthAsking(step, worker, room);
             if (workers.size() < MAX_ADVICE_WORKERS && (unknown || planned.containsValue(worker))) {
                 workers.add(worker.id);
             }
@@ -167,7 +169,8 @@
         List<WorkerRow> open = candidates.stream()
                 .filter(worker -> !step.denied.contains(worker.id) && !ticketed(step, worker))
                 .toList();
-        boolean unknown = open.stream().anyMatch(worker -> !step.allowed.contains(worker.id));
+        boolean unknown =
+                open.stream().anyMatch(worker -> !step.allowed.contains(worker.id) && worthAsking(step, worker, room));
         List<WorkerRow> allowed = candidates.stream()
                 .filter(worker -> step.allowed.contains(worker.id))
                 .toList();
@@ -191,6 +194,11 @@
         });
     }
 
+    /** A gang has to know all its workers before it can wait for them; single tasks only need one with room. */
+    private static boolean worthAsking(StepRow step, WorkerRow worker, Placement room) {
+        return step.spec.gang() || step.spec.each().fitsIn(room.free(worker));
+    }
+
     private static boolean needsAdvice(StepRow step) {
         return step.job.job.route().advice().isPresent();
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -24,6 +24,10 @@
     final int firstRun;
 
     final Map<String, JobRow> jobs = new LinkedHashMap<>();
+    /** Final states of jobs that ended in earlier terms. */
+    final Map<String, JobState> endedEarlier = new HashMap<>();
+
+    final Allowances allowances = new Allowances();
     final Set<JobRow> active = new LinkedHashSet<>();
     final Map<String, WorkerRow> workers = new TreeMap<>();
     final Map<String, Resources> usedByWorkspace = new HashMap<>();
