--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.Job;
@@ -136,10 +137,11 @@
     }
 
     private Mono<ConsumerReply> pending(Route route) {
-        if (!leadership.inTouchWithLeader()) {
+        OptionalInt counted = leadership.pending(route.name());
+        if (counted.isEmpty()) {
             return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
         }
-        int count = leadership.pending(route.name()) + directory.unlisted(route.name());
+        int count = counted.getAsInt() + directory.unlisted(route.name());
         return Mono.just(ConsumerReply.ok(JobBodies.pending(count)));
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.leadership.Challenge;
@@ -31,6 +32,9 @@
     /** A leader whose renewals fail for this long looks for a host that reaches the store. */
     private static final long HAND_OVER_AFTER_MS = 1_200;
 
+    /** Counts of waiting jobs may be two seconds old, by the contract with consumers. */
+    private static final long MAX_COUNT_AGE_MS = 1_500;
+
     private final HostContext host;
     private final String address;
     private final long life;
@@ -41,6 +45,7 @@
     private LeaseKeeper lease;
     private Term term;
     private LeaseRecord leader;
+    private long countedAtMs = Long.MIN_VALUE / 2;
     private long leaderHeardAtMs = Long.MIN_VALUE / 2;
     private long seenSequence = -1;
     private Map<String, Integer> pending = Map.of();
@@ -70,9 +75,11 @@
         return lease != null;
     }
 
-    int pending(String route) {
+    /** Returns the jobs of a queue of which no task has started; empty when no recent count is known. */
+    OptionalInt pending(String route) {
+        boolean known = leads() ? term.running() : host.loop().nowMs() - countedAtMs < MAX_COUNT_AGE_MS;
         Map<String, Integer> counts = leads() ? term.pending() : pending;
-        return counts.getOrDefault(route, 0);
+        return known ? OptionalInt.of(counts.getOrDefault(route, 0)) : OptionalInt.empty();
     }
 
     /** Tells the leader at once of what this host has recorded. */
@@ -149,13 +156,19 @@
 
     private void beat() {
         lastBeatMs = host.loop().nowMs();
-        if (leads()) {
+        if (leads() && !stopping) {
             hosts.forgetSilent(lastBeatMs);
             term.settleSequence();
             Map<String, String> known = new HashMap<>(hosts.addresses());
             known.put(host.name(), address);
             PeerMessage message = new PeerMessage.LeaderBeat(
-                    lease.record(), lease.version(), lease.unconfirmedMs(), term.sequence(), term.pending(), known);
+                    lease.record(),
+                    lease.version(),
+                    lease.unconfirmedMs(),
+                    term.sequence(),
+                    term.running(),
+                    term.pending(),
+                    known);
             host.bus().sendAll(hosts.addresses().values(), message);
         } else if (leader != null) {
             host.bus().send(leader.address(), new PeerMessage.HostBeat(host.name(), address, seenSequence, stopping));
@@ -181,7 +194,10 @@
         follow(heard);
         leaderHeardAtMs = host.loop().nowMs();
         challenge.heard(beat.leaseVersion(), leaderHeardAtMs - beat.leaseAgeMs());
-        pending = beat.pending();
+        if (beat.running()) {
+            pending = beat.pending();
+            countedAtMs = leaderHeardAtMs;
+        }
         beat.hosts().forEach((name, to) -> {
             if (!name.equals(host.name())) {
                 hosts.told(name, to, leaderHeardAtMs);
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -36,6 +36,7 @@
     private long version;
     private long confirmedAtMs;
     private boolean busy;
+    private boolean releasing;
     private boolean ended;
 
     LeaseKeeper(StoreAccess store, Loop loop, Taken taken, Consumer<String> lost) {
@@ -91,8 +92,12 @@
      */
     void release(Runnable then) {
         clock.lost();
+        Entry inFlight = busy ? queue.peek() : null;
         queue.clear();
-        record = record.withReleased();
+        if (inFlight != null) {
+            queue.add(inFlight);
+        }
+        releasing = true;
         commit(List.of(), List.of(), () -> {
             end();
             then.run();
@@ -110,6 +115,7 @@
             return;
         }
         busy = true;
+        record = releasing ? record.withReleased() : record;
         send(queue.peek());
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
@@ -27,6 +27,7 @@
      * @param leaseVersion the version of its row after the last confirmed renewal
      * @param leaseAgeMs how long before this heartbeat that renewal was sent
      * @param sequence the last state change of this term
+     * @param running true when the leader knows all jobs, so that the counts are right
      * @param pending the jobs of each queue of which no task has started
      * @param hosts the addresses of all hosts by name
      */
@@ -35,6 +36,7 @@
             long leaseVersion,
             long leaseAgeMs,
             long sequence,
+            boolean running,
             Map<String, Integer> pending,
             Map<String, String> hosts)
             implements PeerMessage {}
