--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -27,7 +27,7 @@
     private static final long CHALLENGE_MARGIN_MS = 250;
 
     /** After an outage the holder of the lease has this long to renew it first. */
-    private static final long SETTLE_MS = 350;
+    private static final long SETTLE_MS = 1_100;
 
     /** A leader whose renewals fail for this long looks for a host that reaches the store. */
     private static final long HAND_OVER_AFTER_MS = 1_200;
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -27,6 +27,12 @@
     private static final long RENEW_AFTER_MS = 400;
     private static final long RETRY_MS = 80;
 
+    /** A lost answer must not cost a large part of the lease, and a slow store must not look like a silent one. */
+    private static final long MIN_TIMEOUT_MS = 450;
+
+    private static final long MAX_TIMEOUT_MS = 1_500;
+    private static final int TIMEOUT_PER_ANSWER = 3;
+
     private final StoreAccess store;
     private final Loop loop;
     private final LeaseClock clock = LeaseClock.of(LEASE_MS);
@@ -35,6 +41,7 @@
     private LeaseRecord record;
     private long version;
     private long confirmedAtMs;
+    private long timeoutMs = MIN_TIMEOUT_MS;
     private boolean busy;
     private boolean releasing;
     private boolean ended;
@@ -127,7 +134,7 @@
         entry.removals.forEach(removal -> transaction.remove(removal.table(), removal.key()));
         long sentAtMs = loop.nowMs();
         long sentAtWallMs = loop.wallMs();
-        store.commit(transaction.build())
+        store.commit(transaction.build(), timeoutMs)
                 .subscribe(reply -> loop.execute(() -> answered(entry, reply, sentAtMs, sentAtWallMs)));
     }
 
@@ -137,6 +144,7 @@
         }
         switch (reply) {
             case TxReply.Applied applied -> {
+                timeoutMs = Math.clamp(TIMEOUT_PER_ANSWER * (loop.nowMs() - sentAtMs), MIN_TIMEOUT_MS, MAX_TIMEOUT_MS);
                 version = applied.version();
                 if (!record.released()) {
                     clock.confirmed(sentAtMs, sentAtWallMs);
@@ -149,7 +157,10 @@
             }
             case TxReply.Conflict conflict -> conflict(entry, conflict.current());
             case TxReply.NotDone ignored -> loop.after(RETRY_MS, () -> retry(entry));
-            case TxReply.Unknown ignored -> loop.after(RETRY_MS, () -> retry(entry));
+            case TxReply.Unknown ignored -> {
+                timeoutMs = Math.min(MAX_TIMEOUT_MS, timeoutMs * 2);
+                loop.after(RETRY_MS, () -> retry(entry));
+            }
         }
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -59,7 +59,11 @@
     }
 
     Mono<TxReply> commit(Transaction transaction) {
-        return rows.commit(transaction, TIMEOUT_MS).doOnNext(this::observe);
+        return commit(transaction, TIMEOUT_MS);
+    }
+
+    Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
+        return rows.commit(transaction, timeoutMs).doOnNext(this::observe);
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/leadership/Challenge.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/leadership/Challenge.java
@@ -12,7 +12,8 @@
     private final long settleMs;
     private long version = -1;
     private long firstSeenMs;
-    private long answeringSinceMs = -1;
+    private boolean interrupted;
+    private long answeringSinceMs = Long.MIN_VALUE / 2;
 
     private Challenge(long leaseMs, long marginMs, long settleMs) {
         this.leaseMs = leaseMs;
@@ -25,7 +26,7 @@
      *
      * @param leaseMs the length of the lease in milliseconds
      * @param marginMs what clocks and links may add
-     * @param settleMs for how long the store must have answered
+     * @param settleMs for how long the store must have answered after it did not
      * @return the watch
      */
     public static Challenge of(long leaseMs, long marginMs, long settleMs) {
@@ -47,7 +48,7 @@
 
     /** Notes that the store did not answer. */
     public void unanswered() {
-        answeringSinceMs = -1;
+        interrupted = true;
     }
 
     /**
@@ -58,7 +59,8 @@
      * @return true when the holder has lost the lease
      */
     public boolean observed(long seenVersion, long nowMs) {
-        answeringSinceMs = answeringSinceMs < 0 ? nowMs : answeringSinceMs;
+        answeringSinceMs = interrupted ? nowMs : answeringSinceMs;
+        interrupted = false;
         if (seenVersion != version) {
             version = seenVersion;
             firstSeenMs = nowMs;
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/leadership/LeaseClockTest.java
@@ -0,0 +1,41 @@
+package org.acaciafold.fleet.leadership;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+class LeaseClockTest {
+    private static final long SENT_MS = 500;
+    private static final long SENT_WALL_MS = 1_700_000_000_000L;
+
+    @ParameterizedTest
+    @CsvSource({
+        "0, 0, true",
+        "1999, 1999, true",
+        "2000, 2000, false",
+        // a suspended machine's steady clock stands still, the time of day does not
+        "10, 5000, false",
+        "2500, 10, false",
+        "10, -5000, true"
+    })
+    void shouldHoldWhileBothClocksSayThatTheLeaseLasts(long elapsedMs, long wallElapsedMs, boolean valid) {
+        LeaseClock clock = LeaseClock.of(2_000);
+        clock.confirmed(SENT_MS, SENT_WALL_MS);
+
+        assertEquals(valid, clock.valid(SENT_MS + elapsedMs, SENT_WALL_MS + wallElapsedMs));
+    }
+
+    @Test
+    void shouldNotHoldWhenItWasNeverConfirmedOrIsLost() {
+        LeaseClock clock = LeaseClock.of(2_000);
+        assertFalse(clock.valid(0, 0));
+
+        clock.confirmed(SENT_MS, SENT_WALL_MS);
+        clock.lost();
+
+        assertFalse(clock.valid(SENT_MS, SENT_WALL_MS));
+    }
+}
