A leaving host closes each connection after its answer and stays until none is open

Change: answers of a leaving host carry 'Connection: close'; the host goes on serving until no connection is open, at most until shortly before the time to stop is over.

--- a/daemon/src/main/java/org/acaciafold/daemon/HostListPoller.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/HostListPoller.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 
-import org.acaciafold.coordination.Event;
 import org.acaciafold.clients.HostListClient;
+import org.acaciafold.coordination.Event;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.Disposable;
--- a/daemon/src/main/java/org/acaciafold/daemon/HttpListener.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/HttpListener.java
@@ -5,6 +5,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 
+import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import org.acaciafold.core.model.AcaciafoldException;
@@ -30,10 +31,12 @@
 
     private final String name;
     private final DisposableServer server;
+    private final ChannelGroup connections;
 
-    private HttpListener(String name, DisposableServer server) {
+    private HttpListener(String name, DisposableServer server, ChannelGroup connections) {
         this.name = name;
         this.server = server;
+        this.connections = connections;
     }
 
     /**
@@ -48,16 +51,17 @@
     static HttpListener bind(String name, String address, Consumer<HttpServerRoutes> routes)
             throws AcaciafoldException {
         InetSocketAddress socket = Addresses.parse(address);
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         try {
             DisposableServer server = HttpServer.create()
                     .bindAddress(() -> socket)
-                    .channelGroup(new DefaultChannelGroup(GlobalEventExecutor.INSTANCE))
+                    .channelGroup(connections)
                     .idleTimeout(IDLE_TIMEOUT)
                     .requestTimeout(REQUEST_TIMEOUT)
                     .route(routes)
                     .bindNow();
             LOG.info("{} on {}", name, Addresses.format((InetSocketAddress) server.address()));
-            return new HttpListener(name, server);
+            return new HttpListener(name, server, connections);
         } catch (RuntimeException e) {
             String message = "cannot listen for " + name + ": " + e.getMessage();
             throw new AcaciafoldException(Failure.notRun(Step.SETTINGS, address, "port-in-use", message), e);
@@ -103,6 +107,9 @@
         } catch (IllegalStateException e) {
             LOG.warn("{}: requests were still in progress after {}", name, limit);
             return true;
+        } finally {
+            // idle connections may outlive the listener, and would still be answered
+            connections.close().awaitUninterruptibly(limit.toMillis());
         }
     }
 
--- a/daemon/src/test/java/org/acaciafold/daemon/FakeTable.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/FakeTable.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.acaciafold.clients.TableClient;
 import org.acaciafold.core.port.Check;
 import org.acaciafold.core.port.Row;
 import org.acaciafold.core.port.TableReply;
 import org.acaciafold.core.port.TableRequest;
 import org.acaciafold.core.port.Write;
-import org.acaciafold.clients.TableClient;
 import reactor.core.publisher.Mono;
 
 /** A table service in memory, which can be down. */
--- a/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
@@ -3,8 +3,13 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Step;
@@ -27,60 +32,81 @@
     private static final int INTERNAL_ERROR = 500;
     private static final byte[] NO_BODY = new byte[0];
 
-    private final Loop loop;
     private final DisposableServer server;
+    private final ChannelGroup connections;
     private final AtomicInteger inProgress;
 
-    private ConsumerServer(Loop loop, DisposableServer server, AtomicInteger inProgress) {
-        this.loop = loop;
+    private ConsumerServer(DisposableServer server, ChannelGroup connections, AtomicInteger inProgress) {
         this.server = server;
+        this.connections = connections;
         this.inProgress = inProgress;
     }
 
-    static ConsumerServer consumers(String address, Loop loop, Consumers consumers) throws AcaciafoldException {
+    /**
+     * Starts to listen for consumers.
+     *
+     * @param address where to listen
+     * @param loop the host's thread
+     * @param answers answers the requests
+     * @param leaving tells whether connections are to be closed after their next answer
+     * @return the listener
+     * @throws AcaciafoldException when the address cannot be listened on
+     */
+    static ConsumerServer listen(
+            String address, Loop loop, Function<ConsumerRequest, Mono<ConsumerReply>> answers, BooleanSupplier leaving)
+            throws AcaciafoldException {
         AtomicInteger inProgress = new AtomicInteger();
-        DisposableServer server = bind(address, loop, HttpServer.create().handle((request, response) -> {
-            inProgress.incrementAndGet();
-            return request.receive()
-                    .aggregate()
-                    .asByteArray()
-                    .defaultIfEmpty(NO_BODY)
-                    .flatMap(body -> consumers.answer(read(request, body, loop)))
-                    .onErrorResume(error -> {
-                        LOG.error("request failed method={} uri={}", request.method(), request.uri(), error);
-                        return Mono.just(ConsumerReply.of(INTERNAL_ERROR));
-                    })
-                    .flatMap(reply -> send(response, reply))
-                    .doFinally(signal -> inProgress.decrementAndGet());
-        }));
-        return new ConsumerServer(loop, server, inProgress);
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        DisposableServer server =
+                bind(address, loop, connections, HttpServer.create().handle((request, response) -> {
+                    inProgress.incrementAndGet();
+                    return request.receive()
+                            .aggregate()
+                            .asByteArray()
+                            .defaultIfEmpty(NO_BODY)
+                            .flatMap(body -> answers.apply(read(request, body, loop)))
+                            .onErrorResume(error -> {
+                                LOG.error("request failed method={} uri={}", request.method(), request.uri(), error);
+                                return Mono.just(ConsumerReply.of(INTERNAL_ERROR));
+                            })
+                            .flatMap(reply -> send(response, reply, leaving.getAsBoolean()))
+                            .doFinally(signal -> inProgress.decrementAndGet());
+                }));
+        return new ConsumerServer(server, connections, inProgress);
     }
 
     static ConsumerServer readiness(String address, Loop loop, Readiness readiness) throws AcaciafoldException {
-        DisposableServer server = bind(address, loop, HttpServer.create().handle((request, response) -> {
-            boolean metrics = request.uri().startsWith("/metrics");
-            ConsumerReply reply =
-                    metrics ? ConsumerReply.ok(readiness.metrics()) : ConsumerReply.of(readiness.status());
-            return send(response, reply);
-        }));
-        return new ConsumerServer(loop, server, new AtomicInteger());
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        DisposableServer server =
+                bind(address, loop, connections, HttpServer.create().handle((request, response) -> {
+                    boolean metrics = request.uri().startsWith("/metrics");
+                    ConsumerReply reply =
+                            metrics ? ConsumerReply.ok(readiness.metrics()) : ConsumerReply.of(readiness.status());
+                    return send(response, reply, false);
+                }));
+        return new ConsumerServer(server, connections, new AtomicInteger());
     }
 
-    int inProgress() {
-        return inProgress.get();
+    /** Tells whether no request is in progress and no connection is open on which one may arrive. */
+    boolean quiet() {
+        return inProgress.get() == 0 && connections.isEmpty();
     }
 
+    /** Closes the listener and what is left of its connections. */
     void close() {
         server.dispose();
+        connections.close().awaitUninterruptibly(CLOSE_LIMIT.toMillis());
         server.onDispose().timeout(CLOSE_LIMIT, Mono.empty()).block();
     }
 
-    private static DisposableServer bind(String address, Loop loop, HttpServer server) throws AcaciafoldException {
+    private static DisposableServer bind(String address, Loop loop, ChannelGroup connections, HttpServer server)
+            throws AcaciafoldException {
         InetSocketAddress socket = Addresses.parse(address);
         try {
             return server.bindAddress(() -> socket)
                     .runOn(loop.resources(), false)
                     .idleTimeout(IDLE_TIMEOUT)
+                    .doOnConnection(connection -> connections.add(connection.channel()))
                     .bindNow();
         } catch (RuntimeException e) {
             String message = "cannot listen: " + e.getMessage();
@@ -110,11 +136,14 @@
         }
     }
 
-    private static Mono<Void> send(HttpServerResponse response, ConsumerReply reply) {
+    private static Mono<Void> send(HttpServerResponse response, ConsumerReply reply, boolean last) {
         response.status(reply.status());
         if (reply.retryAfterS() > 0) {
             response.header(HttpHeaderNames.RETRY_AFTER, Integer.toString(reply.retryAfterS()));
         }
+        if (last) {
+            response.keepAlive(false);
+        }
         response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(reply.body().length));
         if (reply.body().length == 0) {
             return response.send().then();
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -34,6 +34,9 @@
     /** After a stop is asked for, requests go on arriving until the platform has noticed it. */
     private static final long LAST_REQUESTS_MS = 2_600;
 
+    /** Part of the time to stop that is left for closing connections and the process. */
+    private static final long CLOSING_MS = 900;
+
     private static final long STOP_POLL_MS = 50;
 
     private final Loop loop;
@@ -44,7 +47,7 @@
     private ConsumerServer consumers;
     private ConsumerServer readiness;
     private PeerBus bus;
-    private boolean stopping;
+    private volatile boolean stopping;
 
     private EntryHost(EntrySettings settings) {
         this.settings = settings;
@@ -66,9 +69,10 @@
             leadership.stop(() -> LOG.info("leadership settled"));
         });
         long endsAtMs =
-                loop.nowMs() + Math.max(LAST_REQUESTS_MS, settings.bounds().graceMs() / 2);
-        long quietAtMs = loop.nowMs() + LAST_REQUESTS_MS;
-        while (loop.nowMs() < quietAtMs || consumers.inProgress() > 0 && loop.nowMs() < endsAtMs) {
+                loop.nowMs() + Math.max(LAST_REQUESTS_MS, settings.bounds().graceMs() - CLOSING_MS);
+        long quietAtMs =
+                loop.nowMs() + Math.min(LAST_REQUESTS_MS, settings.bounds().graceMs() / 2);
+        while (loop.nowMs() < quietAtMs || !consumers.quiet() && loop.nowMs() < endsAtMs) {
             if (!pause()) {
                 break;
             }
@@ -99,7 +103,7 @@
                 settings.bounds().earlyMs());
         leadership = new Leadership(context, settings.peers(), loop.wallMs(), terms, directory);
         Consumers answers = new Consumers(context, leadership, directory);
-        consumers = ConsumerServer.consumers(settings.consumers(), loop, answers);
+        consumers = ConsumerServer.listen(settings.consumers(), loop, answers::answer, () -> stopping);
         readiness = ConsumerServer.readiness(settings.readiness(), loop, new Answers());
         loop.execute(config::start);
         leadership.start();
--- /dev/null
+++ b/entry/src/test/java/org/acaciafold/entry/ConsumerServerTest.java
@@ -0,0 +1,76 @@
+package org.acaciafold.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ConsumerServerTest {
+    private static final int LIMIT_MS = 5_000;
+    private static final String REQUEST = "GET /v1/readyz HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    private final Loop loop = Loop.start();
+    private volatile boolean leaving;
+
+    @Test
+    void shouldCloseAConnectionAfterItsAnswerWhenTheHostIsLeaving() throws Exception {
+        int port = freePort();
+        ConsumerServer server = ConsumerServer.listen(
+                "127.0.0.1:" + port, loop, request -> Mono.just(ConsumerReply.of(200)), () -> leaving);
+        try (Socket open = new Socket("127.0.0.1", port)) {
+            open.setSoTimeout(LIMIT_MS);
+            assertTrue(answer(open).contains("200"));
+            leaving = true;
+
+            assertTrue(answer(open).toLowerCase(Locale.ROOT).contains("connection: close"));
+            assertEquals("", answer(open));
+            await().until(server::quiet);
+        } finally {
+            server.close();
+        }
+    }
+
+    @Test
+    void shouldHaveClosedIdleConnectionsWhenCloseReturns() throws Exception {
+        int port = freePort();
+        ConsumerServer server = ConsumerServer.listen(
+                "127.0.0.1:" + port, loop, request -> Mono.just(ConsumerReply.of(200)), () -> leaving);
+        try (Socket idle = new Socket("127.0.0.1", port)) {
+            idle.setSoTimeout(LIMIT_MS);
+            assertTrue(answer(idle).contains("200"));
+
+            server.close();
+
+            assertEquals("", answer(idle));
+        }
+    }
+
+    private static String answer(Socket socket) throws IOException {
+        try {
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            InputStream in = socket.getInputStream();
+            byte[] buffer = new byte[4_096];
+            int read = in.read(buffer);
+            return read < 0 ? "" : new String(buffer, 0, read, StandardCharsets.US_ASCII);
+        } catch (SocketException e) {
+            // a write to a closed connection, or a reset, is as good as its end
+            return "";
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
