--- a/entry/src/main/java/org/acaciafold/entry/EntryMain.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryMain.java
@@ -1,5 +1,6 @@
 package org.acaciafold.entry;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -45,6 +46,9 @@
         } catch (AcaciafoldException e) {
             LOG.error("cannot start: {}", e.getMessage());
             System.exit(CANNOT_START);
+        } catch (IOException e) {
+            LOG.error("cannot rehearse: {}", e.getMessage());
+            System.exit(CANNOT_START);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
