--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -29,7 +29,7 @@
     /** After an outage the holder of the lease has this long to renew it first. */
     private static final long SETTLE_MS = 1_100;
 
-    /** A leader whose renewals fail for this long looks for a host that reaches the store. */
+    /** A leader that hears nothing from the store for this long looks for a host that reaches the store. */
     private static final long HAND_OVER_AFTER_MS = 1_200;
 
     /** Counts of waiting jobs may be two seconds old, by the contract with consumers. */
@@ -227,7 +227,7 @@
         long nowMs = host.loop().nowMs();
         if (leads()) {
             lease.renewWhenDue();
-            if (lease.unconfirmedMs() > HAND_OVER_AFTER_MS) {
+            if (storeSilent()) {
                 PeerMessage question =
                         new PeerMessage.WhoReachesStore(lease.record().epoch(), address);
                 host.bus().sendAll(hosts.addresses().values(), question);
@@ -241,7 +241,7 @@
     }
 
     private void reachesStore(PeerMessage.ReachesStore able) {
-        if (leads() && lease.record().epoch() == able.epoch() && lease.unconfirmedMs() > HAND_OVER_AFTER_MS) {
+        if (leads() && lease.record().epoch() == able.epoch() && storeSilent()) {
             long epoch = lease.record().epoch();
             lose("the store does not answer here; handed over to " + able.address());
             host.bus().send(able.address(), new PeerMessage.Handover(epoch));
@@ -309,6 +309,12 @@
         return host.loop().nowMs() - leaderHeardAtMs;
     }
 
+    /** Tells whether this leader gets no answers at all; a slow store is slow for every host. */
+    private boolean storeSilent() {
+        long answeredMs = host.loop().nowMs() - host.store().answeredAtMs();
+        return Math.min(answeredMs, lease.unconfirmedMs()) > HAND_OVER_AFTER_MS;
+    }
+
     private Optional<String> successor() {
         return hosts.live(host.loop().nowMs()).stream()
                 .filter(name -> !name.equals(host.name()))
@@ -338,7 +344,7 @@
 
     private void lead(LeaseKeeper.Taken taken) {
         leader = taken.record();
-        lease = new LeaseKeeper(host.store(), host.loop(), taken, this::lose);
+        lease = new LeaseKeeper(host.store()::commit, host.loop(), taken, this::lose);
         term = new Term(host, lease, terms, hosts, this::published);
         term.begin();
         beat();
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -12,6 +12,7 @@
 import org.acaciafold.platform.TxReply;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
 
 /**
  * Holds the leader's lease and writes the leader's records.
@@ -27,26 +28,26 @@
     private static final long RENEW_AFTER_MS = 400;
     private static final long RETRY_MS = 80;
 
-    /** A lost answer must not cost a large part of the lease, and a slow store must not look like a silent one. */
-    private static final long MIN_TIMEOUT_MS = 450;
+    /** Without an answer for this long the transaction is sent again, while the first may still be answered. */
+    private static final long REPEAT_AFTER_MS = 500;
 
-    private static final long MAX_TIMEOUT_MS = 1_500;
-    private static final int TIMEOUT_PER_ANSWER = 3;
+    /** A slow store takes up to a hundred times its usual ten milliseconds. */
+    private static final long TIMEOUT_MS = 1_800;
 
-    private final StoreAccess store;
-    private final Loop loop;
+    private final Committer store;
+    private final Timers loop;
     private final LeaseClock clock = LeaseClock.of(LEASE_MS);
     private final Queue<Entry> queue = new ArrayDeque<>();
     private final Consumer<String> lost;
     private LeaseRecord record;
     private long version;
     private long confirmedAtMs;
-    private long timeoutMs = MIN_TIMEOUT_MS;
+    private int attempts;
     private boolean busy;
     private boolean releasing;
     private boolean ended;
 
-    LeaseKeeper(StoreAccess store, Loop loop, Taken taken, Consumer<String> lost) {
+    LeaseKeeper(Committer store, Timers loop, Taken taken, Consumer<String> lost) {
         this.store = store;
         this.loop = loop;
         this.record = taken.record();
@@ -134,17 +135,27 @@
         entry.removals.forEach(removal -> transaction.remove(removal.table(), removal.key()));
         long sentAtMs = loop.nowMs();
         long sentAtWallMs = loop.wallMs();
-        store.commit(transaction.build(), timeoutMs)
+        store.commit(transaction.build(), TIMEOUT_MS)
                 .subscribe(reply -> loop.execute(() -> answered(entry, reply, sentAtMs, sentAtWallMs)));
+        int attempt = ++attempts;
+        loop.after(REPEAT_AFTER_MS, () -> {
+            if (current(entry) && attempt == attempts) {
+                send(entry);
+            }
+        });
+    }
+
+    /** Tells whether an entry is still to be applied; answers to earlier attempts of others come too late. */
+    private boolean current(Entry entry) {
+        return !ended && busy && queue.peek() == entry;
     }
 
     private void answered(Entry entry, TxReply reply, long sentAtMs, long sentAtWallMs) {
-        if (ended) {
+        if (!current(entry)) {
             return;
         }
         switch (reply) {
             case TxReply.Applied applied -> {
-                timeoutMs = Math.clamp(TIMEOUT_PER_ANSWER * (loop.nowMs() - sentAtMs), MIN_TIMEOUT_MS, MAX_TIMEOUT_MS);
                 version = applied.version();
                 if (!record.released()) {
                     clock.confirmed(sentAtMs, sentAtWallMs);
@@ -156,11 +167,8 @@
                 next();
             }
             case TxReply.Conflict conflict -> conflict(entry, conflict.current());
-            case TxReply.NotDone ignored -> loop.after(RETRY_MS, () -> retry(entry));
-            case TxReply.Unknown ignored -> {
-                timeoutMs = Math.min(MAX_TIMEOUT_MS, timeoutMs * 2);
-                loop.after(RETRY_MS, () -> retry(entry));
-            }
+            case TxReply.NotDone ignored -> repeat(entry);
+            case TxReply.Unknown ignored -> repeat(entry);
         }
     }
 
@@ -185,10 +193,20 @@
         lost.accept("lease taken by " + holder.map(LeaseRecord::host).orElse("nobody"));
     }
 
-    private void retry(Entry entry) {
-        if (!ended) {
-            send(entry);
-        }
+    private void repeat(Entry entry) {
+        int attempt = attempts;
+        loop.after(RETRY_MS, () -> {
+            if (current(entry) && attempt == attempts) {
+                send(entry);
+            }
+        });
+    }
+
+    /** Applies transactions. */
+    @FunctionalInterface
+    interface Committer {
+        /** Returns what is known of a transaction after at most the given milliseconds. */
+        Mono<TxReply> commit(Transaction transaction, long timeoutMs);
     }
 
     /**
--- a/entry/src/main/java/org/acaciafold/entry/Loop.java
+++ b/entry/src/main/java/org/acaciafold/entry/Loop.java
@@ -10,7 +10,7 @@
 import reactor.netty.resources.LoopResources;
 
 /** The one thread on which a host decides, with its clocks. */
-final class Loop {
+final class Loop implements Timers {
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
 
     private final LoopResources resources;
@@ -33,19 +33,23 @@
         return resources;
     }
 
-    long nowMs() {
+    @Override
+    public long nowMs() {
         return clock.nowMs();
     }
 
-    long wallMs() {
+    @Override
+    public long wallMs() {
         return wallClock.nowMs();
     }
 
-    void execute(Runnable task) {
+    @Override
+    public void execute(Runnable task) {
         thread.execute(guarded(task));
     }
 
-    void after(long delayMs, Runnable task) {
+    @Override
+    public void after(long delayMs, Runnable task) {
         thread.schedule(guarded(task), delayMs, TimeUnit.MILLISECONDS);
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -33,6 +33,9 @@
     /** An answer takes about 10 ms; a slow store takes up to a hundred times as long. */
     private static final long TIMEOUT_MS = 1_000;
 
+    /** Consumers wait for three seconds; a slow store with a queue needs most of it. */
+    private static final long CREATE_TIMEOUT_MS = 2_200;
+
     private final RowStore rows;
     private final Loop loop;
     private final Map<String, Lane> lanes = new HashMap<>();
--- /dev/null
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -0,0 +1,156 @@
+package org.acaciafold.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.acaciafold.platform.StoredRow;
+import org.acaciafold.platform.Transaction;
+import org.acaciafold.platform.TxReply;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LeaseKeeperTest {
+    private static final LeaseRecord OURS = new LeaseRecord("a", "a:1", 1, 3, false);
+
+    private final ManualTimers timers = new ManualTimers();
+    private final List<Call> calls = new ArrayList<>();
+    private final List<String> lost = new ArrayList<>();
+    private final LeaseKeeper lease = new LeaseKeeper(
+            this::commit, timers, new LeaseKeeper.Taken(OURS, 10, timers.nowMs(), timers.wallMs()), lost::add);
+    private int applied;
+
+    private Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
+        Call call = new Call(transaction, Sinks.one());
+        calls.add(call);
+        return call.reply.asMono();
+    }
+
+    private void write() {
+        lease.commit(List.of(new Transaction.Write("progress", "job", new byte[] {1})), List.of(), () -> applied++);
+    }
+
+    private static TxReply conflict(LeaseRecord holder, long version) {
+        byte[] value = Records.encode(holder, LeaseRecord.class);
+        return new TxReply.Conflict(
+                List.of(new StoredRow(Records.LEASES, Records.SLICE, Records.LEASE_KEY, value, version, false)));
+    }
+
+    @Test
+    void shouldRenewWithEveryWriteAndRequireTheVersionOfTheLastOne() {
+        write();
+        calls.getFirst().answer(new TxReply.Applied(11));
+        write();
+
+        assertEquals(1, applied);
+        assertEquals(11, calls.get(1).transaction.conditions().getFirst().version());
+        timers.advance(1_999);
+        assertTrue(lease.authority());
+        timers.advance(1);
+        assertFalse(lease.authority());
+    }
+
+    @Test
+    void shouldTakeALateAnswerWhenTheStoreIsSlow() {
+        write();
+        timers.advance(720);
+        assertEquals(2, calls.size());
+
+        calls.getFirst().answer(new TxReply.Applied(11));
+        calls.get(1).answer(conflict(OURS, 11));
+
+        assertEquals(1, applied);
+        assertTrue(lost.isEmpty());
+        timers.advance(1_000);
+        assertTrue(lease.authority());
+    }
+
+    @Test
+    void shouldWriteAgainWhenAnUnansweredWriteWasApplied() {
+        write();
+        calls.getFirst().answer(new TxReply.Unknown("no answer"));
+        timers.advance(100);
+        calls.get(1).answer(conflict(OURS, 12));
+
+        assertEquals(0, applied);
+        assertEquals(12, calls.get(2).transaction.conditions().getFirst().version());
+        calls.get(2).answer(new TxReply.Applied(13));
+        assertEquals(1, applied);
+    }
+
+    @Test
+    void shouldEndAtOnceWhenAnotherHostHoldsTheLease() {
+        write();
+        calls.getFirst().answer(conflict(new LeaseRecord("b", "b:1", 9, 4, false), 12));
+
+        assertEquals(1, lost.size());
+        assertFalse(lease.authority());
+        assertEquals(0, applied);
+    }
+
+    @Test
+    void shouldReleaseAfterTheWriteInFlight() {
+        List<String> released = new ArrayList<>();
+        write();
+        lease.release(() -> released.add("released"));
+        assertFalse(lease.authority());
+
+        calls.getFirst().answer(new TxReply.Applied(11));
+        assertEquals(2, calls.size());
+        calls.get(1).answer(new TxReply.Applied(12));
+
+        assertEquals(List.of("released"), released);
+        byte[] row = calls.get(1).transaction.writes().getFirst().value();
+        StoredRow stored = new StoredRow(Records.LEASES, Records.SLICE, Records.LEASE_KEY, row, 12, false);
+        assertTrue(Records.decode(stored, LeaseRecord.class).orElseThrow().released());
+    }
+
+    private record Call(Transaction transaction, Sinks.One<TxReply> reply) {
+        private void answer(TxReply value) {
+            reply.tryEmitValue(value);
+        }
+    }
+
+    /** Timers that move only when told to. */
+    private static final class ManualTimers implements Timers {
+        private final Map<Long, List<Runnable>> due = new TreeMap<>();
+        private long nowMs = 1_000;
+
+        @Override
+        public void after(long delayMs, Runnable task) {
+            due.computeIfAbsent(nowMs + delayMs, time -> new ArrayList<>()).add(task);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            task.run();
+        }
+
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+            return 1_700_000_000_000L + nowMs;
+        }
+
+        private void advance(long ms) {
+            long end = nowMs + ms;
+            for (long time : List.copyOf(due.keySet())) {
+                if (time <= end) {
+                    nowMs = Math.max(nowMs, time);
+                    due.remove(time).forEach(Runnable::run);
+                }
+            }
+            nowMs = end;
+        }
+    }
+}
