--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
@@ -161,7 +161,9 @@
         boolean first = until.isEmpty();
         boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
         long wait = first || unrecorded ? 0 : worker.runs.isEmpty() ? IDLE_WAIT_MS : BUSY_WAIT_MS;
-        return new Effect.Hold(worker.id, worker.address, until, worker.acknowledged, wait);
+        // after a silence the worker may be another life, whose ends are numbered anew and must not be forgotten
+        long acknowledged = worker.missed == 0 ? worker.acknowledged : 0;
+        return new Effect.Hold(worker.id, worker.address, until, acknowledged, wait);
     }
 
     private void observeLife(WorkerRow worker, long bornMs, long askedAtMs) {
@@ -170,13 +172,9 @@
         }
         if (worker.bornMs != 0) {
             LOG.warn("worker reborn worker={} runs={}", worker.id, worker.runs.size());
-            for (RunRow run : List.copyOf(worker.runs.values())) {
-                if (run.phase == RunPhase.RUNNING) {
-                    ends.lost(run, "worker reborn");
-                } else {
-                    // an order that is still on its way would be carried out by the new life
-                    run.stopWanted |= run.phase != RunPhase.CLAIMED;
-                }
+            for (RunRow run : worker.runs.values()) {
+                // an order that is still on its way would be carried out by the new life
+                run.stopWanted |= run.phase == RunPhase.UNCONFIRMED;
             }
         }
         worker.reborn(bornMs);
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
@@ -0,0 +1,157 @@
+package org.acaciafold.fleet.fuzz;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndKind;
+import org.acaciafold.fleet.HoldView;
+import org.acaciafold.fleet.RunEnd;
+import org.acaciafold.fleet.RunView;
+import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StopOutcome;
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerEntry;
+
+/** A worker by the platform's contract: leases on its own clock, fencing tokens, ends listed until acknowledged. */
+final class FakeWorker {
+    private static final long MAX_LEASE_MS = 10_000;
+    private static final double SLOW_CLOCK = 0.985;
+    private static final Resources CAPACITY = Resources.of(8_000, 32_000, 0);
+
+    final String id;
+    private final Oracle oracle;
+    private final Random random;
+    private final Map<TaskName, Run> runs = new HashMap<>();
+    private final Map<TaskName, Integer> barred = new HashMap<>();
+    private final List<RunEnd> ends = new ArrayList<>();
+    long bornMs;
+    private long lastEnd;
+    private long highestToken;
+    private long leaseMs;
+    boolean reachable = true;
+    boolean crashed;
+
+    FakeWorker(String id, long bornMs, Oracle oracle, Random random) {
+        this.id = id;
+        this.bornMs = bornMs;
+        this.oracle = oracle;
+        this.random = random;
+    }
+
+    WorkerEntry entry() {
+        return new WorkerEntry(
+                id, id + ":1", "domain-a", "catalogue", CAPACITY, Set.of("a", "r1"), "r1", false, bornMs);
+    }
+
+    /** Ends this life: its connections are reset, and it answers nothing. */
+    void crash() {
+        crashed = true;
+        runs.keySet().forEach(task -> oracle.gone(task, id));
+        runs.clear();
+    }
+
+    /** Starts a new life under the same identifier. */
+    void reborn(long nowMs) {
+        crashed = false;
+        barred.clear();
+        ends.clear();
+        lastEnd = 0;
+        highestToken = 0;
+        leaseMs = 0;
+        bornMs = nowMs;
+    }
+
+    void advance(long nowMs) {
+        for (Run run : List.copyOf(runs.values())) {
+            if (clock(nowMs) >= leaseMs) {
+                end(run, EndKind.LAPSED);
+            } else if (nowMs >= run.endsAtMs) {
+                end(run, run.fails ? EndKind.FAILED : EndKind.DONE);
+            }
+        }
+    }
+
+    StartOutcome start(Effect.Start order, long token, long nowMs) {
+        advance(nowMs);
+        if (token < highestToken) {
+            return StartOutcome.FENCED;
+        }
+        highestToken = token;
+        if (clock(nowMs) >= order.untilMs()) {
+            return StartOutcome.TOO_LATE;
+        }
+        extend(order.untilMs(), nowMs);
+        Run known = runs.get(order.task());
+        if (known != null && known.number == order.run()) {
+            return StartOutcome.STARTED;
+        }
+        if (order.run() <= barred.getOrDefault(order.task(), 0) || known != null) {
+            return StartOutcome.OLD_RUN;
+        }
+        Resources each = oracle.starts(order.task(), order.run(), id);
+        long lasts = 50 + random.nextInt(1_500);
+        runs.put(order.task(), new Run(order.task(), order.run(), nowMs + lasts, oracle.fails(order.task()), each));
+        Resources used = Resources.empty();
+        for (Run run : runs.values()) {
+            used = used.plus(run.each);
+        }
+        oracle.check(used.fitsIn(CAPACITY), "LIMIT: worker " + id + " has " + used);
+        return StartOutcome.STARTED;
+    }
+
+    StopOutcome stop(Effect.Stop order, long token, long nowMs) {
+        advance(nowMs);
+        if (token < highestToken) {
+            return StopOutcome.FENCED;
+        }
+        highestToken = token;
+        barred.merge(order.task(), order.run(), Math::max);
+        Run run = runs.get(order.task());
+        if (run != null && run.number <= order.run()) {
+            end(run, EndKind.STOPPED);
+        }
+        return StopOutcome.STOPPED;
+    }
+
+    /** Returns the lists, or null when the token is too old. */
+    HoldView hold(Effect.Hold order, long token, long nowMs) {
+        advance(nowMs);
+        if (token < highestToken) {
+            return null;
+        }
+        highestToken = token;
+        order.untilMs().ifPresent(until -> extend(until, nowMs));
+        List<RunEnd> noted = ends.stream()
+                .filter(end -> end.number() <= order.acknowledged())
+                .toList();
+        noted.forEach(oracle::noted);
+        ends.removeAll(noted);
+        List<RunView> running = runs.values().stream()
+                .map(run -> new RunView(run.task, run.number, "", 0))
+                .toList();
+        return new HoldView(clock(nowMs), bornMs, running, ends);
+    }
+
+    private long clock(long nowMs) {
+        return Math.round((nowMs - bornMs) * SLOW_CLOCK);
+    }
+
+    private void end(Run run, EndKind kind) {
+        runs.remove(run.task);
+        barred.merge(run.task, run.number, Math::max);
+        ends.add(new RunEnd(++lastEnd, run.task, run.number, kind, ""));
+        oracle.ended(run.task, kind, id);
+    }
+
+    private void extend(long untilMs, long nowMs) {
+        leaseMs = Math.max(leaseMs, Math.min(untilMs, clock(nowMs) + MAX_LEASE_MS));
+    }
+
+    private record Run(TaskName task, int number, long endsAtMs, boolean fails, Resources each) {}
+}
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -0,0 +1,283 @@
+package org.acaciafold.fleet.fuzz;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.FleetConfig;
+import org.acaciafold.fleet.Job;
+import org.acaciafold.fleet.JobState;
+import org.acaciafold.fleet.Progress;
+import org.acaciafold.fleet.Route;
+import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StepSpec;
+import org.acaciafold.fleet.StopOutcome;
+import org.acaciafold.fleet.StoredJob;
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
+import org.acaciafold.fleet.Workspace;
+import org.acaciafold.fleet.scheduling.Scheduler;
+import org.acaciafold.fleet.scheduling.SchedulerTerms;
+
+/** A fleet on one fake clock: workers, a store, one leader after the other, and faults drawn from a seed. */
+final class World {
+    private static final long ORDER_TIMEOUT_MS = 900;
+    private static final int WORKERS = 5;
+    private static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400, 250);
+
+    private final Random random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<String, FakeWorker> workers = new TreeMap<>();
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<String, Progress> progress = new HashMap<>();
+    private final Map<String, WorkerClaims> claims = new HashMap<>();
+    private final Set<String> cancelled = new HashSet<>();
+    private final Map<String, JobState> shown = new HashMap<>();
+    private final FleetConfig config;
+    final Oracle oracle;
+    private Scheduler leader;
+    private long epoch;
+    private long nowMs = 100_000;
+    private long sequence;
+    private boolean faults = true;
+
+    World(long seed) {
+        random = new Random(seed);
+        oracle = new Oracle(random);
+        Workspace workspace = new Workspace("north", Set.of("key"), 1_000, Resources.of(30_000, 0, 0));
+        config = FleetConfig.of(1, List.of(), List.of(workspace));
+        for (int i = 0; i < WORKERS; i++) {
+            String id = "w" + i;
+            workers.put(id, new FakeWorker(id, nowMs - 1_000, oracle, random));
+        }
+    }
+
+    /** Plays some minutes with faults, then long enough without for all work to end. */
+    void play(long faultMs, long calmMs) {
+        elect();
+        for (long end = nowMs + faultMs; nowMs < end; ) {
+            step();
+            if (random.nextInt(30) == 0) {
+                submit();
+            }
+            if (random.nextInt(60) == 0) {
+                trouble();
+            }
+        }
+        faults = false;
+        workers.values().forEach(worker -> worker.reachable = true);
+        if (leader == null) {
+            elect();
+        }
+        for (long end = nowMs + calmMs; nowMs < end; ) {
+            step();
+        }
+        jobs.keySet()
+                .forEach(id -> oracle.check(
+                        cancelled.contains(id)
+                                || shown.getOrDefault(id, JobState.QUEUED).ended(),
+                        "LOST: " + id + " is " + shown.get(id)));
+    }
+
+    private void step() {
+        nowMs += 10;
+        workers.values().forEach(worker -> worker.advance(nowMs));
+        while (!events.isEmpty() && events.peek().atMs <= nowMs) {
+            events.poll().action.run();
+        }
+        if (leader != null) {
+            leader.advance(nowMs, 1_700_000_000_000L + nowMs);
+            if (nowMs % 500 == 0) {
+                leader.listed(workers.values().stream().map(FakeWorker::entry).toList(), true);
+            }
+            leader.tick().forEach(this::carryOut);
+        }
+    }
+
+    private void submit() {
+        String id = "job-" + sequence++;
+        List<StepSpec> steps = new ArrayList<>();
+        int count = 1 + random.nextInt(2);
+        for (int i = 0; i < count; i++) {
+            steps.add(StepSpec.builder()
+                    .count(1 + random.nextInt(4))
+                    .each(Resources.of(500 + random.nextInt(2_500), 1_000, 0))
+                    .estimateMs(700)
+                    .after(i == 0 ? List.of() : List.of(i - 1))
+                    .maxPerWorker(random.nextInt(3))
+                    .build());
+        }
+        Route route = new Route("r", "h", "/", "catalogue", random.nextInt(3), 3, 2, 1_000, Optional.empty(), false);
+        Job job = new Job(id, route, "north", "spec", steps, 0, 0, 0, 1_700_000_000_000L + nowMs);
+        jobs.put(id, job);
+        oracle.submitted(job);
+        if (random.nextInt(25) == 0) {
+            oracle.poison(new TaskName(id, 0, 0, 0));
+        }
+        if (leader != null) {
+            leader.accept(job);
+        }
+    }
+
+    private void trouble() {
+        FakeWorker worker = new ArrayList<>(workers.values()).get(random.nextInt(WORKERS));
+        switch (random.nextInt(5)) {
+            case 0 -> {
+                worker.crash();
+                at(nowMs + 50 + random.nextInt(5_000), () -> worker.reborn(nowMs));
+            }
+            case 1 -> {
+                worker.reachable = false;
+                at(nowMs + 500 + random.nextInt(14_000), () -> worker.reachable = true);
+            }
+            case 2 -> depose();
+            case 3 -> cancel();
+            default -> worker.reachable = true;
+        }
+    }
+
+    private void cancel() {
+        List<String> open = jobs.keySet().stream()
+                .filter(id -> !cancelled.contains(id))
+                .sorted()
+                .toList();
+        if (!open.isEmpty()) {
+            String id = open.get(random.nextInt(open.size()));
+            cancelled.add(id);
+            if (leader != null) {
+                leader.cancel(id);
+            }
+        }
+    }
+
+    private void depose() {
+        if (leader != null) {
+            leader = null;
+            // the former leader's lease has to run out before another takes over
+            at(nowMs + 200 + random.nextInt(3_000), this::elect);
+        }
+    }
+
+    private void elect() {
+        if (leader != null) {
+            return;
+        }
+        epoch++;
+        leader = Scheduler.create(TERMS, epoch, config);
+        leader.advance(nowMs, 1_700_000_000_000L + nowMs);
+        Map<String, JobState> ended = new HashMap<>();
+        List<StoredJob> stored = new ArrayList<>();
+        new TreeMap<>(jobs).forEach((id, job) -> {
+            Optional<Progress> known = Optional.ofNullable(progress.get(id));
+            if (known.isPresent() && known.get().state().ended()) {
+                ended.put(id, known.get().state());
+            } else {
+                stored.add(new StoredJob(job, known, cancelled.contains(id)));
+            }
+        });
+        leader.restore(stored, ended, new ArrayList<>(new TreeMap<>(claims).values()));
+        show(leader.states());
+    }
+
+    private void show(Map<String, JobState> states) {
+        oracle.published(states);
+        shown.putAll(states);
+    }
+
+    private void carryOut(Effect effect) {
+        Scheduler term = leader;
+        long token = epoch;
+        switch (effect) {
+            case Effect.Start start ->
+                order(
+                        term,
+                        start.worker(),
+                        worker -> worker.start(start, token, nowMs),
+                        outcome -> term.started(
+                                start.worker(), start.task(), start.run(), outcome.orElse(StartOutcome.UNKNOWN)));
+            case Effect.Stop stop ->
+                order(
+                        term,
+                        stop.worker(),
+                        worker -> worker.stop(stop, token, nowMs),
+                        outcome -> term.stopped(
+                                stop.worker(), stop.task(), stop.run(), outcome.orElse(StopOutcome.UNKNOWN)));
+            case Effect.Hold hold -> hold(term, hold, token);
+            case Effect.Save save -> at(nowMs + 10 + random.nextInt(30), () -> save(term, save));
+            case Effect.Advise ignored -> oracle.check(false, "advice for a queue that needs none");
+            case Effect.Publish news -> show(news.states());
+        }
+    }
+
+    private void save(Scheduler term, Effect.Save save) {
+        // the store refuses writes of a leader that another has followed
+        if (term != leader) {
+            return;
+        }
+        progress.putAll(save.progress());
+        save.claims().forEach(record -> claims.put(record.id(), record));
+        save.forgotten().forEach(claims::remove);
+        term.advance(nowMs, 1_700_000_000_000L + nowMs);
+        term.saved(save.batch());
+    }
+
+    private void hold(Scheduler term, Effect.Hold hold, long token) {
+        long askedAtMs = nowMs;
+        order(term, hold.worker(), worker -> worker.hold(hold, token, nowMs), view -> {
+            if (view.isPresent()) {
+                term.held(hold.worker(), view.get(), askedAtMs);
+            } else {
+                term.holdFailed(hold.worker());
+            }
+        });
+    }
+
+    /** Delivers an order, sometimes late, and its answer, sometimes never. */
+    private <T> void order(
+            Scheduler term,
+            String id,
+            java.util.function.Function<FakeWorker, T> execute,
+            java.util.function.Consumer<Optional<T>> answered) {
+        FakeWorker worker = workers.get(id);
+        boolean late = faults && random.nextInt(40) == 0;
+        boolean lost = faults && random.nextInt(40) == 0;
+        long arrivesMs = late ? nowMs + 2_000 + random.nextInt(10_000) : nowMs + 1 + random.nextInt(8);
+        List<Optional<T>> answer = new ArrayList<>();
+        long bornMs = worker.bornMs;
+        at(arrivesMs, () -> {
+            // an order names the life of the worker that it is meant for
+            if (worker.reachable && !worker.crashed && worker.bornMs == bornMs) {
+                answer.add(Optional.ofNullable(execute.apply(worker)));
+            }
+        });
+        boolean reset = worker.crashed && worker.reachable;
+        long answerMs = !reset && (late || lost || !worker.reachable) ? nowMs + ORDER_TIMEOUT_MS : arrivesMs + 5;
+        at(answerMs, () -> {
+            if (term == leader) {
+                term.advance(nowMs, 1_700_000_000_000L + nowMs);
+                answered.accept(late || lost || answer.isEmpty() ? Optional.empty() : answer.getFirst());
+            }
+        });
+    }
+
+    private void at(long atMs, Runnable action) {
+        events.add(new Event(atMs, sequence++, action));
+    }
+
+    private record Event(long atMs, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event that) {
+            int byTime = Long.compare(atMs, that.atMs);
+            return byTime != 0 ? byTime : Long.compare(order, that.order);
+        }
+    }
+}
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
@@ -89,9 +89,24 @@
                 .toList()
                 .getLast()
                 .batch());
+        fixture.held("a", List.of(), List.of(end(1, start.task(), start.run(), EndKind.DONE)));
+        List<Effect> after = fixture.tick();
+        assertTrue(after.stream().anyMatch(effect -> effect instanceof Effect.Hold hold && hold.acknowledged() == 1));
+    }
+
+    @Test
+    void shouldAcknowledgeNothingWhenTheWorkerMayBeAnotherLife() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("a", 1_000));
+        fixture.scheduler.accept(fixture.job("job", step(1, 500).build()));
+        Effect.Start start = fixture.startsConfirmed().getFirst();
+        fixture.held("a", List.of(), List.of(end(1, start.task(), start.run(), EndKind.DONE)));
+        fixture.tick();
         fixture.scheduler.holdFailed("a");
         fixture.advance(1_100);
+
         List<Effect> after = fixture.tick();
-        assertTrue(after.stream().anyMatch(effect -> effect instanceof Effect.Hold hold && hold.acknowledged() == 1));
+
+        assertTrue(after.stream().anyMatch(effect -> effect instanceof Effect.Hold hold && hold.acknowledged() == 0));
+        assertTrue(after.stream().noneMatch(effect -> effect instanceof Effect.Hold hold && hold.acknowledged() > 0));
     }
 }
