--- a/cli/src/main/java/org/acaciafold/cli/CheckCommand.java
+++ b/cli/src/main/java/org/acaciafold/cli/CheckCommand.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
+import org.acaciafold.settings.EntrySettingsReader;
 import org.acaciafold.settings.HostSettingsReader;
 import org.acaciafold.settings.SettingsException;
 import org.acaciafold.settings.SettingsProblem;
@@ -17,6 +18,7 @@
 
 /** The command that checks settings without calling a host. */
 final class CheckCommand {
+    private static final String PLATFORM = "platform";
     private static final String SUFFIX = ".ini";
 
     private CheckCommand() {}
@@ -24,7 +26,8 @@
     static Command command() {
         Options options = new Options()
                 .addOption(CommandOptions.option(
-                        "subtree", "SUBTREE", "check the file as this subtree, not as the file of an entry host"));
+                        "subtree", "SUBTREE", "check the file as this subtree, not as the file of an entry host"))
+                .addOption(null, PLATFORM, false, "check the file as that of an entry host on the users' platform");
         return new Command(
                 "check",
                 "FILE",
@@ -43,6 +46,8 @@
             } else if (subtree.isPresent()) {
                 SettingsTree.of(1, Map.of(subtree.get(), invocation.read(invocation.argument(0))))
                         .check();
+            } else if (invocation.has(PLATFORM)) {
+                EntrySettingsReader.read(file);
             } else {
                 HostSettingsReader.read(file);
             }
--- a/cli/src/main/java/org/acaciafold/cli/Main.java
+++ b/cli/src/main/java/org/acaciafold/cli/Main.java
@@ -62,6 +62,7 @@
         List<Command> commands = new ArrayList<>();
         commands.add(ServeCommand.command());
         commands.add(CheckCommand.command());
+        commands.add(ExplainCommand.command());
         commands.addAll(SettingsCommands.all());
         commands.addAll(KeyCommands.all());
         commands.addAll(DomainCommands.all());
