--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -28,8 +28,8 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int RETRY_AFTER_S = 1;
 
-    /** An older view of the configuration may miss a version that has to be in force. */
-    private static final long MAX_CONFIG_AGE_MS = 1_500;
+    /** The part of the time for a version to be in force after which an unconfirmed view may miss one. */
+    private static final double MAX_CONFIG_AGE = 0.75;
 
     /** An answer leaves this long before the consumer stops waiting. */
     private static final long ANSWER_MARGIN_MS = 150;
@@ -39,16 +39,18 @@
     private final HostContext host;
     private final Leadership leadership;
     private final JobDirectory directory;
+    private final double maxConfigAgeMs;
 
-    Consumers(HostContext host, Leadership leadership, JobDirectory directory) {
+    Consumers(HostContext host, Leadership leadership, JobDirectory directory, long configApplyMs) {
         this.host = host;
         this.leadership = leadership;
         this.directory = directory;
+        this.maxConfigAgeMs = configApplyMs * MAX_CONFIG_AGE;
     }
 
     Mono<ConsumerReply> answer(ConsumerRequest request) {
         Optional<FleetConfig> config = host.config().config();
-        if (config.isEmpty() || host.config().ageMs() > MAX_CONFIG_AGE_MS) {
+        if (config.isEmpty() || host.config().ageMs() > maxConfigAgeMs) {
             log(request, "", UNAVAILABLE, "configuration age " + host.config().ageMs() + " ms");
             return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
         }
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -99,10 +99,10 @@
                 AdviceCalls.of(http("advice", ADVICE_CONNECTIONS, Step.PLACEMENT), settings.advice()));
         SchedulerTerms terms = new SchedulerTerms(
                 settings.bounds().leaseMaxMs() - LEASE_RESERVE_MS,
-                settings.bounds().stopMs(),
-                settings.bounds().earlyMs());
+                settings.bounds().stopMs());
         leadership = new Leadership(context, settings.peers(), loop.wallMs(), terms, directory);
-        Consumers answers = new Consumers(context, leadership, directory);
+        Consumers answers =
+                new Consumers(context, leadership, directory, settings.bounds().configApplyMs());
         consumers = ConsumerServer.listen(settings.consumers(), loop, answers::answer, () -> stopping);
         readiness = ConsumerServer.readiness(settings.readiness(), loop, new Answers());
         loop.execute(config::start);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerTerms.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerTerms.java
@@ -5,9 +5,8 @@
  *
  * @param leaseMs how long a worker's lease is extended, on its own clock
  * @param stopMs how long a worker may take to stop a run
- * @param earlyMs how much earlier than due an occurrence may start
  */
-public record SchedulerTerms(long leaseMs, long stopMs, long earlyMs) {
+public record SchedulerTerms(long leaseMs, long stopMs) {
     /** Workers' clocks may run 2% slow, by the contract with them. */
     static final double SLOWEST_CLOCK = 0.98;
 
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -32,7 +32,7 @@
 final class World {
     private static final long ORDER_TIMEOUT_MS = 900;
     private static final int WORKERS = 5;
-    private static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400, 250);
+    private static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400);
 
     private final Random random;
     private final PriorityQueue<Event> events = new PriorityQueue<>();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
@@ -28,7 +28,7 @@
 
 /** A scheduler with workers that answer by hand, for tests of single decisions. */
 final class SchedulerFixture {
-    static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400, 250);
+    static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400);
     static final long BORN_MS = 1_000_000;
 
     final Scheduler scheduler;
--- a/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
@@ -72,8 +72,6 @@
                 millis(section, "config-apply-ms", "2000"),
                 millis(section, "lease-max-ms", "10000"),
                 millis(section, "stop-ms", "400"),
-                millis(section, "early-ms", "250"),
-                millis(section, "visible-ms", "3000"),
                 millis(section, "grace-ms", "6000"));
     }
 
--- /dev/null
+++ b/settings/src/test/java/org/acaciafold/settings/EntrySettingsReaderTest.java
@@ -0,0 +1,58 @@
+package org.acaciafold.settings;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class EntrySettingsReaderTest {
+    private static final String RIGHT = """
+            [host]
+            id = edge-1
+            failure-domain = north
+            [listen]
+            consumers = 10.0.0.1:8183
+            readiness = 10.0.0.1:8184
+            peers = 10.0.0.1:7420
+            [platform]
+            store = 10.0.0.9:8182
+            advice =
+            [cluster]
+            secret = deployment-at-10.0.0.9
+            [bounds]
+            config-apply-ms = 3000
+            stop-ms = 200.5
+            """;
+
+    @Test
+    void shouldReadAllSettings() throws SettingsException {
+        EntrySettings settings = EntrySettingsReader.read("file", RIGHT);
+
+        assertEquals("edge-1", settings.host());
+        assertEquals("", settings.advice());
+        assertEquals(new EntryBounds(3_000, 10_000, 201, 6_000), settings.bounds());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "id = edge-1, id = edge 1, id",
+        "store = 10.0.0.9:8182, store = somewhere, store",
+        "advice =, advice = somewhere, advice",
+        "secret = deployment-at-10.0.0.9, secret = short, secret",
+        "stop-ms = 200.5, stop-ms = soon, stop-ms",
+        "stop-ms = 200.5, stopms = 200, stopms"
+    })
+    void shouldNameTheProblemWhenASettingIsWrong(String right, String wrong, String named) {
+        SettingsException error = assertThrows(
+                SettingsException.class, () -> EntrySettingsReader.read("file", RIGHT.replace(right, wrong)));
+
+        List<String> problems =
+                error.problems().stream().map(SettingsProblem::toString).toList();
+        assertTrue(problems.stream().anyMatch(problem -> problem.contains(named)), problems.toString());
+    }
+}
