--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -119,11 +120,11 @@
         return StopOutcome.STOPPED;
     }
 
-    /** Returns the lists, or null when the token is too old. */
-    HoldView hold(Effect.Hold order, long token, long nowMs) {
+    /** Returns the lists; nothing when the token is too old. */
+    Optional<HoldView> hold(Effect.Hold order, long token, long nowMs) {
         advance(nowMs);
         if (token < highestToken) {
-            return null;
+            return Optional.empty();
         }
         highestToken = token;
         order.untilMs().ifPresent(until -> extend(until, nowMs));
@@ -135,7 +136,7 @@
         List<RunView> running = runs.values().stream()
                 .map(run -> new RunView(run.task, run.number, "", 0))
                 .toList();
-        return new HoldView(clock(nowMs), bornMs, running, ends);
+        return Optional.of(new HoldView(clock(nowMs), bornMs, running, ends));
     }
 
     private long clock(long nowMs) {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -10,6 +10,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
@@ -201,14 +203,14 @@
                 order(
                         term,
                         start.worker(),
-                        worker -> worker.start(start, token, nowMs),
+                        worker -> Optional.of(worker.start(start, token, nowMs)),
                         outcome -> term.started(
                                 start.worker(), start.task(), start.run(), outcome.orElse(StartOutcome.UNKNOWN)));
             case Effect.Stop stop ->
                 order(
                         term,
                         stop.worker(),
-                        worker -> worker.stop(stop, token, nowMs),
+                        worker -> Optional.of(worker.stop(stop, token, nowMs)),
                         outcome -> term.stopped(
                                 stop.worker(), stop.task(), stop.run(), outcome.orElse(StopOutcome.UNKNOWN)));
             case Effect.Hold hold -> hold(term, hold, token);
@@ -243,10 +245,7 @@
 
     /** Delivers an order, sometimes late, and its answer, sometimes never. */
     private <T> void order(
-            Scheduler term,
-            String id,
-            java.util.function.Function<FakeWorker, T> execute,
-            java.util.function.Consumer<Optional<T>> answered) {
+            Scheduler term, String id, Function<FakeWorker, Optional<T>> execute, Consumer<Optional<T>> answered) {
         FakeWorker worker = workers.get(id);
         boolean late = faults && random.nextInt(40) == 0;
         boolean lost = faults && random.nextInt(40) == 0;
@@ -256,7 +255,7 @@
         at(arrivesMs, () -> {
             // an order names the life of the worker that it is meant for
             if (worker.reachable && !worker.crashed && worker.bornMs == bornMs) {
-                answer.add(Optional.ofNullable(execute.apply(worker)));
+                answer.add(execute.apply(worker));
             }
         });
         boolean reset = worker.crashed && worker.reachable;
