--- a/entry/src/main/java/org/acaciafold/entry/JobDirectory.java
+++ b/entry/src/main/java/org/acaciafold/entry/JobDirectory.java
@@ -44,8 +44,4 @@
         }
         return count;
     }
-
-    Iterable<Job> unlisted() {
-        return unlisted.values();
-    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
@@ -91,7 +91,6 @@
 
     private void finish(JobRow job, JobState state) {
         job.state = state;
-        job.endedAtMs = tables.nowMs;
         LOG.info(
                 "job ended job={} state={} route={} afterMs={}",
                 job.job.id(),
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
@@ -48,7 +48,7 @@
         }
         worker.holdInFlight = false;
         worker.missed = 0;
-        observeLife(worker, view.bornMs(), askedAtMs);
+        observeLife(worker, view.bornMs());
         worker.clockMs = view.clockMs();
         worker.contactAtMs = tables.nowMs;
         boolean unrecorded = takeEnds(worker, view.ends());
@@ -127,7 +127,6 @@
             if (view != null && view.run() == run.number) {
                 run.confirm(tables.nowMs);
                 run.checkpoint = view.checkpoint().isEmpty() ? run.checkpoint : view.checkpoint();
-                run.percent = view.percent();
             } else if (run.phase == RunPhase.CLAIMED) {
                 LOG.debug("run not ordered yet task={} run={}", run.task.name, run.number);
             } else if (run.absentIn(askedAtMs)) {
@@ -166,7 +165,7 @@
         return new Effect.Hold(worker.id, worker.address, until, acknowledged, wait);
     }
 
-    private void observeLife(WorkerRow worker, long bornMs, long askedAtMs) {
+    private void observeLife(WorkerRow worker, long bornMs) {
         if (bornMs == 0 || bornMs == worker.bornMs) {
             return;
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -28,7 +28,6 @@
 
     int occurrencesAdded;
     int occurrencesDone;
-    long endedAtMs = -1;
 
     JobRow(Job job) {
         this.job = job;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
@@ -11,7 +11,6 @@
     long orderedAtMs;
     RunPhase phase = RunPhase.CLAIMED;
     String checkpoint = "";
-    int percent;
     boolean stopWanted;
     boolean stopInFlight;
     long stopRetryAtMs;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -136,7 +136,6 @@
         }
         if (!job.cancelled && !job.state.ended()) {
             job.cancelled = true;
-            job.endedAtMs = tables.nowMs;
             tables.changed.put(id, JobState.CANCELLED);
             LOG.info("job cancelled job={} runs={}", id, !job.quiet());
         }
