--- a/daemon/src/main/java/org/acaciafold/daemon/request/Attempts.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/Attempts.java
@@ -61,43 +61,40 @@
      */
     Mono<AttemptResult> run(RelayHead head, RequestBody body, Deadline deadline) {
         budget(head.team()).requested();
-        return attempt(head, body, deadline, 1, false);
+        return attempt(Attempt.first(head, body, deadline));
     }
 
-    private Mono<AttemptResult> attempt(
-            RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun) {
-        RelayHead numbered = Heads.withRequestId(head, head.requestId() + "." + number);
-        return context.core()
-                .call(new ClientCall.AcquireSlot(head.team(), head.service(), deadline.leftMs(), false))
-                .flatMap(reply -> switch (reply) {
-                    case ClientReply.Failed refused -> failed(outcomeOfAll(refused.failure(), mayHaveRun));
-                    default ->
-                        send(numbered, body, deadline, reply)
-                                .flatMap(result -> afterSend(head, body, deadline, number, mayHaveRun, result));
-                });
+    private Mono<AttemptResult> attempt(Attempt attempt) {
+        RelayHead numbered = Heads.withRequestId(attempt.head, attempt.head.requestId() + "." + attempt.number);
+        ClientCall slot = new ClientCall.AcquireSlot(
+                attempt.head.team(), attempt.head.service(), attempt.deadline.leftMs(), false);
+        return context.core().call(slot).flatMap(reply -> switch (reply) {
+            case ClientReply.Failed refused -> failed(outcomeOfAll(refused.failure(), attempt.mayHaveRun));
+            default ->
+                send(numbered, attempt.body, attempt.deadline, reply).flatMap(result -> afterSend(attempt, result));
+        });
     }
 
-    private Mono<AttemptResult> afterSend(
-            RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun, AttemptResult result) {
+    private Mono<AttemptResult> afterSend(Attempt attempt, AttemptResult result) {
         return switch (result) {
             case AttemptResult.Answered answered -> Mono.just(answered);
-            case AttemptResult.Failed failed -> again(head, body, deadline, number, mayHaveRun, failed.failure());
+            case AttemptResult.Failed failed -> again(attempt, failed.failure());
         };
     }
 
-    private Mono<AttemptResult> again(
-            RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun, Failure failure) {
+    private Mono<AttemptResult> again(Attempt attempt, Failure failure) {
         boolean ranNow = failure.outcome() != Outcome.NOT_RUN;
-        boolean mayRun = mayHaveRun || ranNow;
-        boolean safe = !ranNow || head.repeatable();
-        Duration pause = FIRST_PAUSE.multipliedBy(1L << number);
-        boolean useful = !FINAL.contains(failure.code())
-                && number < MAX_ATTEMPTS
-                && deadline.left().compareTo(pause) > 0;
-        if (safe && useful && body.replayable() && budget(head.team()).tryRetry()) {
-            return Mono.delay(pause).then(Mono.defer(() -> attempt(head, body, deadline, number + 1, mayRun)));
+        boolean mayHaveRun = attempt.mayHaveRun || ranNow;
+        boolean safe = !ranNow || attempt.head.repeatable();
+        Duration pause = FIRST_PAUSE.multipliedBy(1L << attempt.number);
+        boolean useful = !FINAL.contains(failure.code()) && attempt.number < MAX_ATTEMPTS && attempt.fitsAnother(pause);
+        if (safe
+                && useful
+                && attempt.body.replayable()
+                && budget(attempt.head.team()).tryRetry()) {
+            return Mono.delay(pause).then(Mono.defer(() -> attempt(attempt.next(mayHaveRun))));
         }
-        return failed(outcomeOfAll(failure, mayRun));
+        return failed(outcomeOfAll(failure, mayHaveRun));
     }
 
     private RetryBudget budget(TeamId team) {
@@ -156,4 +153,32 @@
                         last.step(), last.peer(), Outcome.UNKNOWN, last.code(), last.message(), last.retryAfterMs())
                 : last;
     }
+
+    /**
+     * One attempt to carry a request out.
+     *
+     * @param head the request's head
+     * @param body its body
+     * @param deadline when the caller gives up
+     * @param number its number, from 1
+     * @param mayHaveRun whether an earlier attempt may have run
+     * @param leftMs how much of the deadline was left when it began, in milliseconds
+     */
+    private record Attempt(
+            RelayHead head, RequestBody body, Deadline deadline, int number, boolean mayHaveRun, long leftMs) {
+        private static Attempt first(RelayHead head, RequestBody body, Deadline deadline) {
+            return new Attempt(head, body, deadline, 1, false, deadline.leftMs());
+        }
+
+        private Attempt next(boolean mayHaveRunNow) {
+            return new Attempt(head, body, deadline, number + 1, mayHaveRunNow, deadline.leftMs());
+        }
+
+        /** Tells whether another attempt that takes as long as this one ends before the deadline. */
+        private boolean fitsAnother(Duration pause) {
+            long left = deadline.leftMs();
+            long took = leftMs - left;
+            return left > pause.toMillis() + took;
+        }
+    }
 }
--- a/daemon/src/test/java/org/acaciafold/daemon/HttpListenerTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/HttpListenerTest.java
@@ -2,10 +2,16 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.acaciafold.wire.Addresses;
 import org.junit.jupiter.api.Test;
@@ -17,6 +23,7 @@
 
 class HttpListenerTest {
     private static final Duration LIMIT = Duration.ofSeconds(5);
+    private static final int CONNECTIONS = 50;
     private static final String REQUEST = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
 
     @Test
@@ -36,6 +43,49 @@
         }
     }
 
+    @Test
+    void shouldAnswerNothingMoreWhenItStopsAmidRequests() throws Exception {
+        HttpListener listener = HttpListener.bind(
+                "test",
+                "127.0.0.1:0",
+                routes -> routes.get("/healthz", (request, response) -> response.sendString(Mono.just("fine"))));
+        InetSocketAddress address = Addresses.parse(listener.address());
+        CountDownLatch busy = new CountDownLatch(CONNECTIONS);
+        CountDownLatch stopped = new CountDownLatch(1);
+        List<CompletableFuture<String>> afterwards = new ArrayList<>();
+        for (int connection = 0; connection < CONNECTIONS; connection++) {
+            afterwards.add(CompletableFuture.supplyAsync(
+                    () -> answerAfterStop(address, busy, stopped), command -> new Thread(command).start()));
+        }
+        busy.await();
+
+        assertFalse(listener.stop(LIMIT));
+
+        stopped.countDown();
+        for (CompletableFuture<String> answer : afterwards) {
+            assertEquals("", answer.get(LIMIT.toSeconds(), TimeUnit.SECONDS));
+        }
+    }
+
+    /** Sends requests on one connection until the listener has stopped, and returns what one more is answered. */
+    private static String answerAfterStop(InetSocketAddress address, CountDownLatch busy, CountDownLatch stopped) {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(Math.toIntExact(LIMIT.toMillis()));
+            answer(socket);
+            busy.countDown();
+            while (stopped.getCount() > 0 && !answer(socket).isEmpty()) {
+                Thread.onSpinWait();
+            }
+            stopped.await();
+            return answer(socket);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Sends a request and returns what is answered, empty when the connection is closed. */
     private static String answer(Socket socket) throws IOException {
         try {
--- a/daemon/src/test/java/org/acaciafold/daemon/request/FakeWorker.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/FakeWorker.java
@@ -36,6 +36,7 @@
     private final List<String> bodies = new CopyOnWriteArrayList<>();
     private final List<String> fences = new CopyOnWriteArrayList<>();
     private final List<String> traces = new CopyOnWriteArrayList<>();
+    private volatile Runnable onRequest = () -> {};
     private final DisposableServer server =
             HttpServer.create().host("127.0.0.1").port(0).handle(this::serve).bindNow();
 
@@ -52,6 +53,11 @@
         ways.addAll(List.of(next));
     }
 
+    /** Sets what happens whenever a request arrives. */
+    void onRequest(Runnable value) {
+        onRequest = value;
+    }
+
     /** The bodies of the requests that it ran or cut. */
     List<String> bodies() {
         return bodies;
@@ -66,6 +72,7 @@
     }
 
     private Mono<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+        onRequest.run();
         Way way = next();
         String id = request.requestHeaders().get("acaciafold-request");
         fences.add(request.requestHeaders().get("acaciafold-fence") + "/"
--- a/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
 import org.acaciafold.coordination.ClientReply;
@@ -70,6 +71,10 @@
     private static final StoredOutcome FIRST =
             new StoredOutcome(Outcome.RAN, 200, "text/plain", "first".getBytes(StandardCharsets.UTF_8));
 
+    private static final long REFUSAL_MS = 3_000;
+
+    private final AtomicLong aheadMs = new AtomicLong();
+    private final Clock clock = () -> Clock.system().nowMs() + aheadMs.get();
     private final FakeCore core = new FakeCore();
     private final FakeWorker worker = new FakeWorker();
     private final HttpClient client = HttpClient.newHttpClient();
@@ -216,9 +221,11 @@
     @Test
     void shouldAnswerAtOnceWhenNoAttemptFitsBeforeDeadline() throws Exception {
         worker.answer(Collections.nCopies(20, FakeWorker.Way.REFUSE).toArray(FakeWorker.Way[]::new));
-        HttpResponse<String> response = send("POST", "body", Map.of("Acaciafold-Deadline-Ms", "300"));
+        worker.onRequest(() -> aheadMs.addAndGet(REFUSAL_MS));
+        HttpResponse<String> response = send("POST", "body", Map.of("Acaciafold-Deadline-Ms", "11000"));
         assertEquals("not-run", outcome(response));
-        assertTrue(worker.fences().size() < 8);
+        // after the third attempt 2 s are left, too short for another one of 3 s
+        assertEquals(3, worker.fences().size());
     }
 
     @Test
@@ -332,7 +339,7 @@
                 new Observation(false, TraceExport.NONE, ""),
                 MAX_BODY_BYTES);
         return new RequestContext(
-                settings, core, new LocalPeers(), () -> snapshot, HostMetrics.create(), Tracing.none(), Clock.system());
+                settings, core, new LocalPeers(), () -> snapshot, HostMetrics.create(), Tracing.none(), clock);
     }
 
     private HttpRequest.Builder request(String method, HttpRequest.BodyPublisher content) {
