A slow store gets no needless repetitions; SIGHUP reads the settings again; bounds of a deployment may be absent or fractions

Change: the repetition waits for twice the last answer, from 0.5 to 1.6 s. LeaseKeeperTest.shouldRepeatLaterWhenTheStoreHasBecomeSlow fails without it. Cause 2: the runtime ends the process on SIGHUP, which the platform sends when the settings file has changed. Change: the file is read again, checked, compared and logged. Cause 3: the settings' template wrote the time to stop as its seconds followed by 000, so that 1.5 s became 1.5 ms, and a bound that a deployment lacks became an empty value. Not measured yet.

--- a/entry/src/main/java/org/acaciafold/entry/EntryMain.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryMain.java
@@ -36,7 +36,9 @@
                 Rehearsal.run();
                 System.exit(0);
             }
-            EntrySettings settings = EntrySettingsReader.read(Path.of(System.getenv(SETTINGS_FILE)));
+            Path file = Path.of(System.getenv(SETTINGS_FILE));
+            EntrySettings settings = EntrySettingsReader.read(file);
+            new SettingsReload(file, settings).onSignal();
             EntryHost host = EntryHost.start(settings);
             Runtime.getRuntime().addShutdownHook(new Thread(host::stop, "stop"));
             new CountDownLatch(1).await();
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -28,8 +28,14 @@
     private static final long RENEW_AFTER_MS = 400;
     private static final long RETRY_MS = 80;
 
-    /** Without an answer for this long the transaction is sent again, while the first may still be answered. */
-    private static final long REPEAT_AFTER_MS = 500;
+    /** Without an answer for this long, many times the usual ten milliseconds, a transaction is sent again. */
+    private static final long MIN_REPEAT_MS = 500;
+
+    /** The longest wait for an answer before the repetition, so that it can still renew the lease in time. */
+    private static final long MAX_REPEAT_MS = 1_600;
+
+    /** Repetitions in a slow store would only add to its queue, so they wait for this multiple of the last answer. */
+    private static final int REPEAT_FACTOR = 2;
 
     /** A slow store takes up to a hundred times its usual ten milliseconds. */
     private static final long TIMEOUT_MS = 1_800;
@@ -43,6 +49,7 @@
     private long version;
     private long confirmedAtMs;
     private int attempts;
+    private long lastAnswerMs;
     private boolean busy;
     private boolean releasing;
     private boolean ended;
@@ -138,13 +145,17 @@
         store.commit(transaction.build(), TIMEOUT_MS)
                 .subscribe(reply -> loop.execute(() -> answered(entry, reply, sentAtMs, sentAtWallMs)));
         int attempt = ++attempts;
-        loop.after(REPEAT_AFTER_MS, () -> {
+        loop.after(repeatAfterMs(), () -> {
             if (current(entry) && attempt == attempts) {
                 send(entry);
             }
         });
     }
 
+    private long repeatAfterMs() {
+        return Math.clamp(REPEAT_FACTOR * lastAnswerMs, MIN_REPEAT_MS, MAX_REPEAT_MS);
+    }
+
     /** Tells whether an entry is still to be applied; answers to earlier attempts of others come too late. */
     private boolean current(Entry entry) {
         return !ended && busy && queue.peek() == entry;
@@ -156,6 +167,7 @@
         }
         switch (reply) {
             case TxReply.Applied applied -> {
+                lastAnswerMs = loop.nowMs() - sentAtMs;
                 version = applied.version();
                 if (!record.released()) {
                     clock.confirmed(sentAtMs, sentAtWallMs);
--- a/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -9,6 +9,8 @@
 import org.acaciafold.platform.Transaction;
 import org.acaciafold.platform.TxReply;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -71,6 +73,35 @@
         assertTrue(lease.authority());
     }
 
+    @Test
+    void shouldRepeatLaterWhenTheStoreHasBecomeSlow() {
+        write();
+        timers.advance(720);
+        calls.getFirst().answer(new TxReply.Applied(11));
+        int before = calls.size();
+
+        write();
+        timers.advance(1_439);
+        assertEquals(before + 1, calls.size());
+        timers.advance(1);
+        assertEquals(before + 2, calls.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"10, 500", "1500, 1600"})
+    void shouldKeepRepetitionsBetweenTheirBounds(long answerMs, long repeatMs) {
+        write();
+        timers.advance(answerMs);
+        calls.getFirst().answer(new TxReply.Applied(11));
+        int before = calls.size();
+
+        write();
+        timers.advance(repeatMs - 1);
+        assertEquals(before + 1, calls.size());
+        timers.advance(1);
+        assertEquals(before + 2, calls.size());
+    }
+
     @Test
     void shouldWriteAgainWhenAnUnansweredWriteWasApplied() {
         write();
--- a/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
@@ -13,6 +13,8 @@
     /** No bound of the contract is longer than ten minutes. */
     private static final double MAX_BOUND_MS = 600_000;
 
+    private static final double MS_PER_S = 1_000;
+
     private EntrySettingsReader() {}
 
     /**
@@ -72,7 +74,7 @@
                 millis(section, "config-apply-ms", "2000"),
                 millis(section, "lease-max-ms", "10000"),
                 millis(section, "stop-ms", "400"),
-                millis(section, "grace-ms", "6000"));
+                Math.round(MS_PER_S * section.number("grace-s", 0, MAX_BOUND_MS / MS_PER_S, "6")));
     }
 
     private static long millis(SectionReader section, String name, String fallback) {
