An emulated platform in the adapter; the rehearsal of a start runs a job through two hosts; tests of whole hosts

Change: EmulatedPlatform, a store, workers and advice in memory; the rehearsal submits, cancels and completes jobs on two hosts. EntryHostTest runs whole hosts over it: repeats of a job, cancellation, evacuation, a leader that stops. Not measured yet.

--- a/entry/src/main/java/org/acaciafold/entry/Rehearsal.java
+++ b/entry/src/main/java/org/acaciafold/entry/Rehearsal.java
@@ -3,52 +3,116 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
 import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.platform.EmulatedConsumer;
+import org.acaciafold.platform.EmulatedPlatform;
 import org.acaciafold.settings.EntrySettings;
 import org.acaciafold.settings.EntrySettingsReader;
 import org.acaciafold.settings.SettingsException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
 
-/** Starts and stops a host on loopback without a platform, so that the classes of a start are known. */
+/**
+ * Runs two hosts on loopback over an emulated platform, and a job from its submission to its end.
+ *
+ * <p>The classes that this loads go into the startup archive, so that a host that starts again serves jobs sooner.
+ */
 final class Rehearsal {
+    private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
     private static final String SETTINGS = """
             [host]
-            id = rehearsal
-            failure-domain = rehearsal
+            id = %s
+            failure-domain = north
             [listen]
             consumers = 127.0.0.1:%d
             readiness = 127.0.0.1:%d
             peers = 127.0.0.1:%d
             [platform]
-            store = 127.0.0.1:%d
-            advice = 127.0.0.1:%d
+            store = %s
+            advice = %s
             [cluster]
             secret = rehearsal-of-a-start
+            [bounds]
+            grace-s = 1
             """;
 
-    private static final int PORTS = 5;
-    private static final long RUN_MS = 1_000;
+    private static final int PORTS = 3;
+    private static final int WORKERS = 3;
+    private static final int TASKS = 2;
+    private static final long TASK_MS = 50;
+    private static final Duration STEP_LIMIT = Duration.ofSeconds(5);
+    private static final long POLL_MS = 50;
+    private static final long LIMIT_MS = 20_000;
+
+    /** The time in which peers meet and heartbeats are exchanged. */
+    private static final long MEET_MS = 1_000;
 
     private Rehearsal() {}
 
     static void run() throws SettingsException, AcaciafoldException, InterruptedException, IOException {
-        EntrySettings settings = EntrySettingsReader.read("rehearsal", SETTINGS.formatted(freePorts()));
-        EntryHost host = EntryHost.start(settings);
-        Thread.sleep(RUN_MS);
-        host.stop();
+        try (EmulatedPlatform platform = EmulatedPlatform.start(WORKERS, TASK_MS)) {
+            EntrySettings first = settings("first", platform.address());
+            EntryHost leader = EntryHost.start(first);
+            EntryHost follower = EntryHost.start(settings("second", platform.address()));
+            Thread.sleep(MEET_MS);
+            LoopResources loops = LoopResources.create("consumer", 1, true);
+            EmulatedConsumer consumer = EmulatedConsumer.of(loops, first.consumers());
+            answered(consumer.submit("rehearsed", TASKS));
+            answered(consumer.submit("cancelled", TASKS));
+            answered(consumer.pending());
+            answered(consumer.cancel("cancelled"));
+            awaitEnd(consumer);
+            leader.stop();
+            follower.stop();
+        }
+    }
+
+    /**
+     * Returns the settings of a host on loopback, with ports that nobody listens on.
+     *
+     * @param id the host's identifier
+     * @param platform where the emulated platform is
+     */
+    static EntrySettings settings(String id, String platform) throws SettingsException, IOException {
+        List<Integer> ports = freePorts();
+        String text = SETTINGS.formatted(id, ports.get(0), ports.get(1), ports.get(2), platform, platform);
+        return EntrySettingsReader.read("rehearsal", text);
+    }
+
+    /** Waits for an answer; one that fails is logged, and the rehearsal goes on with what it can. */
+    private static <T> void answered(Mono<T> call) {
+        call.doOnError(error -> LOG.warn("rehearsed call failed", error))
+                .onErrorResume(error -> Mono.empty())
+                .block(STEP_LIMIT);
+    }
+
+    private static void awaitEnd(EmulatedConsumer consumer) throws InterruptedException {
+        long endsAtNanos = System.nanoTime() + Duration.ofMillis(LIMIT_MS).toNanos();
+        while (System.nanoTime() < endsAtNanos) {
+            String state = consumer.state("rehearsed").onErrorReturn("").block(STEP_LIMIT);
+            if ("completed".equals(state)) {
+                LOG.info("rehearsal complete");
+                return;
+            }
+            Thread.sleep(POLL_MS);
+        }
+        LOG.warn("rehearsal incomplete; the startup archive lacks classes");
     }
 
-    /** Returns ports that nobody listens on, so that several builds may run on one machine. */
-    private static Object[] freePorts() throws IOException {
+    private static List<Integer> freePorts() throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
         try {
-            Object[] ports = new Object[PORTS];
             for (int i = 0; i < PORTS; i++) {
                 ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 sockets.add(socket);
-                ports[i] = socket.getLocalPort();
+                ports.add(socket.getLocalPort());
             }
             return ports;
         } finally {
--- /dev/null
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -0,0 +1,106 @@
+package org.acaciafold.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciafold.platform.EmulatedConsumer;
+import org.acaciafold.platform.EmulatedPlatform;
+import org.acaciafold.settings.EntrySettings;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Whole hosts over an emulated platform. */
+class EntryHostTest {
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final int OK = 200;
+    private static final int TASKS = 3;
+    private static final long SHORT_TASK_MS = 50;
+    private static final long LONG_TASK_MS = 60_000;
+
+    private final LoopResources loops = LoopResources.create("test", 1, true);
+    private final List<EntryHost> hosts = new ArrayList<>();
+    private EmulatedPlatform platform;
+
+    private EmulatedConsumer host(String id) throws Exception {
+        EntrySettings settings = Rehearsal.settings(id, platform.address());
+        hosts.add(EntryHost.start(settings));
+        EmulatedConsumer consumer = EmulatedConsumer.of(loops, settings.consumers());
+        await("a fresh configuration at " + id, consumer.pending(), OK);
+        return consumer;
+    }
+
+    private static <T> void await(String what, Mono<T> call, T expected) {
+        Awaitility.await(what)
+                .atMost(LIMIT)
+                .until(() -> call.map(expected::equals).onErrorReturn(false).block(LIMIT));
+    }
+
+    @AfterEach
+    void stop() {
+        hosts.forEach(EntryHost::stop);
+        platform.close();
+        loops.dispose();
+    }
+
+    @Test
+    void shouldCompleteAJobAndTellItsStateEverywhere() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        EmulatedConsumer first = host("first");
+        EmulatedConsumer second = host("second");
+
+        assertEquals(OK, second.submit("j1", TASKS).block(LIMIT));
+        assertEquals(OK, first.submit("j1", TASKS).block(LIMIT));
+
+        await("the end at the second host", second.state("j1"), "completed");
+        await("the end at the first host", first.state("j1"), "completed");
+        assertEquals(2 * TASKS, platform.starts());
+    }
+
+    @Test
+    void shouldStartNothingOfACancelledJobAnyMore() throws Exception {
+        platform = EmulatedPlatform.start(2, LONG_TASK_MS);
+        EmulatedConsumer only = host("only");
+        assertEquals(OK, only.submit("j1", TASKS).block(LIMIT));
+        await("the first tasks", Mono.fromSupplier(platform::starts), (long) TASKS);
+
+        assertEquals(OK, only.cancel("j1").block(LIMIT));
+
+        await("the cancelled state", only.state("j1"), "cancelled");
+        assertEquals(TASKS, platform.starts());
+    }
+
+    @Test
+    void shouldStartNothingWhileTheFailureDomainIsEvacuated() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        platform.evacuate(EmulatedPlatform.DOMAIN, true);
+        EmulatedConsumer only = host("only");
+        assertEquals(OK, only.submit("j1", TASKS).block(LIMIT));
+        assertEquals(OK, only.submit("j2", TASKS).block(LIMIT));
+        assertEquals(0, platform.starts());
+
+        platform.evacuate(EmulatedPlatform.DOMAIN, false);
+
+        await("the end", only.state("j1"), "completed");
+    }
+
+    @Test
+    void shouldFinishAJobWhenItsLeaderStops() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        EmulatedConsumer first = host("first");
+        EmulatedConsumer second = host("second");
+        assertEquals(OK, first.submit("j1", TASKS).block(LIMIT));
+
+        hosts.removeFirst().stop();
+
+        assertEquals(OK, second.submit("j2", TASKS).block(LIMIT));
+        await("the first job's end", second.state("j1"), "completed");
+        await("the second job's end", second.state("j2"), "completed");
+        assertEquals(4 * TASKS, platform.starts());
+    }
+}
