The leader's lease lasts 1.2 s, 2.4 s in a slow store; a leader that the store does not answer hands over after 0.7 s

The wait was the lease of 2 s, its margin of 250 ms and a renewal period. Change: each renewal tells its length; 1.2 s usually, 2.4 s while answers take over 200 ms. Challengers wait for the length that the row tells and a margin of 120 ms. Repetitions come after 300 ms to 1 s. A follower asks the store after 600 ms of silence. Not measured yet.

--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -21,16 +21,16 @@
     private static final long BEAT_MS = 250;
 
     /** Without a heartbeat for this long a follower looks at the lease in the store. */
-    private static final long LEADER_SILENT_MS = 800;
+    private static final long LEADER_SILENT_MS = 600;
 
-    /** What delayed answers and drifting clocks may add to a lease. */
-    private static final long CHALLENGE_MARGIN_MS = 250;
+    /** What drifting clocks may add to a lease; they are two percent apart at most. */
+    private static final long CHALLENGE_MARGIN_MS = 120;
 
     /** After an outage the holder of the lease has this long to renew it first. */
     private static final long SETTLE_MS = 1_100;
 
     /** A leader that hears nothing from the store for this long looks for a host that reaches the store. */
-    private static final long HAND_OVER_AFTER_MS = 1_200;
+    private static final long HAND_OVER_AFTER_MS = 700;
 
     /** Counts of waiting jobs may be two seconds old, by the contract with consumers. */
     private static final long MAX_COUNT_AGE_MS = 1_500;
@@ -41,7 +41,7 @@
     private final SchedulerTerms terms;
     private final JobDirectory directory;
     private final HostTable hosts = new HostTable();
-    private final Challenge challenge = Challenge.of(LeaseKeeper.LEASE_MS, CHALLENGE_MARGIN_MS, SETTLE_MS);
+    private final Challenge challenge = Challenge.of(CHALLENGE_MARGIN_MS, SETTLE_MS);
     private LeaseKeeper lease;
     private Term term;
     private LeaseRecord leader;
@@ -193,7 +193,7 @@
         }
         follow(heard);
         leaderHeardAtMs = host.loop().nowMs();
-        challenge.heard(beat.leaseVersion(), leaderHeardAtMs - beat.leaseAgeMs());
+        challenge.heard(beat.leaseVersion(), heard.leaseMs(), leaderHeardAtMs - beat.leaseAgeMs());
         if (beat.running()) {
             pending = beat.pending();
             countedAtMs = leaderHeardAtMs;
@@ -280,7 +280,8 @@
             return;
         }
         LeaseRecord holder = record.get();
-        boolean expired = challenge.observed(version, host.loop().nowMs());
+        boolean expired =
+                challenge.observed(version, holder.leaseMs(), host.loop().nowMs());
         boolean ownPast = holder.host().equals(host.name()) && holder.address().equals(address);
         if (holder.released()) {
             take(holder.epoch() + 1, version, "released by " + holder.host());
@@ -323,7 +324,7 @@
     }
 
     private void take(long epoch, long version, String reason) {
-        LeaseRecord record = new LeaseRecord(host.name(), address, life, epoch, false);
+        LeaseRecord record = new LeaseRecord(host.name(), address, life, epoch, LeaseKeeper.LEASE_MS, false);
         Transaction transaction = Transaction.in(Records.SLICE)
                 .require(Records.LEASES, Records.LEASE_KEY, version)
                 .write(Records.LEASES, Records.LEASE_KEY, Records.encode(record, LeaseRecord.class))
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -21,18 +21,24 @@
  * and none is applied after another host has taken over.
  */
 final class LeaseKeeper {
-    /** How long a leader may command after a renewal; a few renewals may fail before it runs out. */
-    static final long LEASE_MS = 2_000;
+    /** How long a leader may command after a renewal; three or four renewals may fail before it runs out. */
+    static final long LEASE_MS = 1_200;
+
+    /** The same while the store is slow, so that a renewal is confirmed well before the one before it runs out. */
+    static final long SLOW_LEASE_MS = 2_400;
+
+    /** A store that takes longer than this, many times its usual ten milliseconds, is slow. */
+    private static final long SLOW_ANSWER_MS = 200;
 
     private static final Logger LOG = LoggerFactory.getLogger(LeaseKeeper.class);
-    private static final long RENEW_AFTER_MS = 400;
+    private static final long RENEW_AFTER_MS = 300;
     private static final long RETRY_MS = 80;
 
     /** Without an answer for this long, many times the usual ten milliseconds, a transaction is sent again. */
-    private static final long MIN_REPEAT_MS = 500;
+    private static final long MIN_REPEAT_MS = 300;
 
     /** The longest wait for an answer before the repetition, so that it can still renew the lease in time. */
-    private static final long MAX_REPEAT_MS = 1_600;
+    private static final long MAX_REPEAT_MS = 1_000;
 
     /** Repetitions in a slow store would only add to its queue, so they wait for this multiple of the last answer. */
     private static final int REPEAT_FACTOR = 2;
@@ -42,7 +48,7 @@
 
     private final Committer store;
     private final Timers loop;
-    private final LeaseClock clock = LeaseClock.of(LEASE_MS);
+    private final LeaseClock clock = LeaseClock.create();
     private final Queue<Entry> queue = new ArrayDeque<>();
     private final Consumer<String> lost;
     private LeaseRecord record;
@@ -61,7 +67,7 @@
         this.version = taken.version();
         this.confirmedAtMs = taken.sentAtMs();
         this.lost = lost;
-        clock.confirmed(taken.sentAtMs(), taken.sentAtWallMs());
+        clock.confirmed(taken.sentAtMs(), taken.sentAtWallMs(), taken.record().leaseMs());
     }
 
     boolean authority() {
@@ -130,20 +136,21 @@
             return;
         }
         busy = true;
-        record = releasing ? record.withReleased() : record;
         send(queue.peek());
     }
 
     private void send(Entry entry) {
+        LeaseRecord renewed = record.renewed(lastAnswerMs > SLOW_ANSWER_MS ? SLOW_LEASE_MS : LEASE_MS, releasing);
         Transaction.Builder transaction = Transaction.in(Records.SLICE);
         transaction.require(Records.LEASES, Records.LEASE_KEY, version);
-        transaction.write(Records.LEASES, Records.LEASE_KEY, Records.encode(record, LeaseRecord.class));
+        transaction.write(Records.LEASES, Records.LEASE_KEY, Records.encode(renewed, LeaseRecord.class));
         entry.writes.forEach(write -> transaction.write(write.table(), write.key(), write.value()));
         entry.removals.forEach(removal -> transaction.remove(removal.table(), removal.key()));
         long sentAtMs = loop.nowMs();
         long sentAtWallMs = loop.wallMs();
         store.commit(transaction.build(), TIMEOUT_MS)
-                .subscribe(reply -> loop.execute(() -> answered(entry, reply, sentAtMs, sentAtWallMs)));
+                .subscribe(reply -> loop.execute(
+                        () -> answered(entry, reply, new Taken(renewed, version, sentAtMs, sentAtWallMs))));
         int attempt = ++attempts;
         loop.after(repeatAfterMs(), () -> {
             if (current(entry) && attempt == attempts) {
@@ -161,18 +168,19 @@
         return !ended && busy && queue.peek() == entry;
     }
 
-    private void answered(Entry entry, TxReply reply, long sentAtMs, long sentAtWallMs) {
+    private void answered(Entry entry, TxReply reply, Taken sent) {
         if (!current(entry)) {
             return;
         }
         switch (reply) {
             case TxReply.Applied applied -> {
-                lastAnswerMs = loop.nowMs() - sentAtMs;
+                lastAnswerMs = loop.nowMs() - sent.sentAtMs;
                 version = applied.version();
+                record = sent.record;
                 if (!record.released()) {
-                    clock.confirmed(sentAtMs, sentAtWallMs);
+                    clock.confirmed(sent.sentAtMs, sent.sentAtWallMs, record.leaseMs());
                 }
-                confirmedAtMs = sentAtMs;
+                confirmedAtMs = sent.sentAtMs;
                 busy = false;
                 queue.poll();
                 entry.then.run();
@@ -222,10 +230,10 @@
     }
 
     /**
-     * A lease just taken.
+     * A lease that was written.
      *
      * @param record the lease
-     * @param version the version of its row
+     * @param version the version of its row, or the one that was required while it is not confirmed
      * @param sentAtMs when the transaction was sent, on the steady clock
      * @param sentAtWallMs when it was sent, by the time of day
      */
--- a/fleet/src/main/java/org/acaciafold/fleet/leadership/Challenge.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/leadership/Challenge.java
@@ -7,16 +7,15 @@
  * away, a further read some time later has to confirm that, which leaves the holder the time to renew first.
  */
 public final class Challenge {
-    private final long leaseMs;
     private final long marginMs;
     private final long settleMs;
     private long version = -1;
+    private long leaseMs;
     private long firstSeenMs;
     private boolean interrupted;
     private long answeringSinceMs = Long.MIN_VALUE / 2;
 
-    private Challenge(long leaseMs, long marginMs, long settleMs) {
-        this.leaseMs = leaseMs;
+    private Challenge(long marginMs, long settleMs) {
         this.marginMs = marginMs;
         this.settleMs = settleMs;
     }
@@ -24,24 +23,25 @@
     /**
      * Creates a watch.
      *
-     * @param leaseMs the length of the lease in milliseconds
-     * @param marginMs what clocks and links may add
+     * @param marginMs what clocks may add to a lease, in milliseconds
      * @param settleMs for how long the store must have answered after it did not
      * @return the watch
      */
-    public static Challenge of(long leaseMs, long marginMs, long settleMs) {
-        return new Challenge(leaseMs, marginMs, settleMs);
+    public static Challenge of(long marginMs, long settleMs) {
+        return new Challenge(marginMs, settleMs);
     }
 
     /**
      * Notes what the holder said of its lease, which is older than the moment at which it is heard.
      *
      * @param heardVersion the version of the row after the holder's last confirmed renewal
+     * @param lengthMs the length of the lease by that renewal, in milliseconds
      * @param sentMs no earlier than when that renewal was sent, on the steady clock
      */
-    public void heard(long heardVersion, long sentMs) {
+    public void heard(long heardVersion, long lengthMs, long sentMs) {
         if (heardVersion != version) {
             version = heardVersion;
+            leaseMs = lengthMs;
             firstSeenMs = sentMs;
         }
     }
@@ -55,14 +55,16 @@
      * Notes a reading of the lease.
      *
      * @param seenVersion the version of the row
+     * @param lengthMs the length of the lease that the row tells, in milliseconds
      * @param nowMs when the answer arrived, on the steady clock
      * @return true when the holder has lost the lease
      */
-    public boolean observed(long seenVersion, long nowMs) {
+    public boolean observed(long seenVersion, long lengthMs, long nowMs) {
         answeringSinceMs = interrupted ? nowMs : answeringSinceMs;
         interrupted = false;
         if (seenVersion != version) {
             version = seenVersion;
+            leaseMs = lengthMs;
             firstSeenMs = nowMs;
             return false;
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/leadership/LeaseClock.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/leadership/LeaseClock.java
@@ -7,29 +7,26 @@
  * while others wait for the lease to end, so the time of day has to agree:
  *
  * <pre>{@code
- * LeaseClock lease = LeaseClock.of(3_000);
- * lease.confirmed(sentAtMs, sentAtWallMs);
+ * LeaseClock lease = LeaseClock.create();
+ * lease.confirmed(sentAtMs, sentAtWallMs, 3_000);
  * boolean mayCommand = lease.valid(nowMs, wallMs);
  * }</pre>
  */
 public final class LeaseClock {
-    private final long leaseMs;
+    private long leaseMs;
     private long sentAtMs;
     private long sentAtWallMs;
     private boolean held;
 
-    private LeaseClock(long leaseMs) {
-        this.leaseMs = leaseMs;
-    }
+    private LeaseClock() {}
 
     /**
      * Creates the clock of a lease that is not held yet.
      *
-     * @param leaseMs the length of the lease in milliseconds
      * @return the clock
      */
-    public static LeaseClock of(long leaseMs) {
-        return new LeaseClock(leaseMs);
+    public static LeaseClock create() {
+        return new LeaseClock();
     }
 
     /**
@@ -37,9 +34,11 @@
      *
      * @param sentMs when it was sent, on the steady clock
      * @param sentWallMs when it was sent, by the time of day
+     * @param lengthMs for how long the lease was renewed, in milliseconds
      */
-    public void confirmed(long sentMs, long sentWallMs) {
+    public void confirmed(long sentMs, long sentWallMs, long lengthMs) {
         held = true;
+        leaseMs = lengthMs;
         sentAtMs = sentMs;
         sentAtWallMs = sentWallMs;
     }
