Records of ended jobs shrink to their state and are removed after ten minutes, in the store and in memory

Change: RetireSystem replaces the row of an ended job by nine bytes once its end is recorded and no run is left; the leader then removes its progress. Rows go ten minutes later, with the entries in memory. A cancellation stays as long as the short row: with it gone, a leader that had read the whole row would have taken the job up again. Not measured yet.

--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
@@ -14,6 +15,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
+import reactor.util.function.Tuples;
 
 /** Answers consumers: takes jobs in, tells their states, and cancels them. */
 final class Consumers {
@@ -166,17 +168,21 @@
     /** Reads what the store holds of a job. */
     private Mono<Optional<JobState>> lookUp(String id) {
         String partition = Records.partitionOf(id);
+        // the job's own row comes last: progress is removed only once that row tells the final state
         return Mono.zip(
-                        host.store().readOne(Records.JOBS, partition, id),
                         host.store().readOne(Records.CANCELLATIONS, partition, id),
                         host.store().readOne(Records.PROGRESS, Records.SLICE, id))
+                .flatMap(earlier -> host.store()
+                        .readOne(Records.JOBS, partition, id)
+                        .map(job -> Tuples.of(job, earlier.getT1(), earlier.getT2())))
                 .map(rows -> {
                     if (rows.getT1().isEmpty()) {
                         return Optional.<JobState>empty();
                     }
-                    JobState recorded = rows.getT3()
-                            .flatMap(Records::progress)
-                            .map(Progress::state)
+                    JobState recorded = rows.getT1()
+                            .flatMap(Records::ended)
+                            .map(EndedJob::state)
+                            .or(() -> rows.getT3().flatMap(Records::progress).map(Progress::state))
                             .orElse(JobState.QUEUED);
                     boolean cancelled = rows.getT2().isPresent() && !recorded.ended();
                     JobState state = cancelled ? JobState.CANCELLED : recorded;
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -39,9 +39,12 @@
 
     private static final long STOP_POLL_MS = 50;
 
+    /** How often jobs that ended long ago are forgotten, small against the ten minutes for which they are kept. */
+    private static final long FORGET_PERIOD_MS = 10_000;
+
     private final Loop loop;
     private final EntrySettings settings;
-    private final JobDirectory directory = new JobDirectory();
+    private final JobDirectory directory;
     private HostContext context;
     private Leadership leadership;
     private ConsumerServer consumers;
@@ -52,6 +55,7 @@
     private EntryHost(EntrySettings settings) {
         this.settings = settings;
         this.loop = Loop.start();
+        this.directory = new JobDirectory(loop::nowMs);
     }
 
     static EntryHost start(EntrySettings settings) throws AcaciafoldException {
@@ -106,6 +110,7 @@
         consumers = ConsumerServer.listen(settings.consumers(), loop, answers::answer, () -> stopping);
         readiness = ConsumerServer.readiness(settings.readiness(), loop, new Answers());
         loop.execute(config::start);
+        loop.every(FORGET_PERIOD_MS, directory::forgetOld);
         leadership.start();
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/JobDirectory.java
+++ b/entry/src/main/java/org/acaciafold/entry/JobDirectory.java
@@ -1,18 +1,32 @@
 package org.acaciafold.entry;
 
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
 
 /** The jobs that a host knows, with the newest state that it has heard of. */
 final class JobDirectory {
+    /** Final states are kept a little longer than the leader keeps them. */
+    private static final long RETAIN_MS = 660_000;
+
+    private final LongSupplier clock;
     private final Map<String, JobState> states = new HashMap<>();
+    /** When each final state was heard of, in that order. */
+    private final Map<String, Long> endedAtMs = new LinkedHashMap<>();
+
     private final Map<String, Job> unlisted = new LinkedHashMap<>();
 
+    /** Creates a directory on a steady clock in milliseconds. */
+    JobDirectory(LongSupplier clock) {
+        this.clock = clock;
+    }
+
     /** Notes a job that this host has accepted and the leader has not listed yet. */
     void accepted(Job job) {
         if (states.putIfAbsent(job.id(), JobState.QUEUED) == null) {
@@ -24,10 +38,26 @@
     void update(Map<String, JobState> news) {
         news.forEach((id, state) -> {
             unlisted.remove(id);
-            states.merge(id, state, (old, next) -> old.ended() ? old : next);
+            JobState newest = states.merge(id, state, (old, next) -> old.ended() ? old : next);
+            if (newest.ended()) {
+                endedAtMs.putIfAbsent(id, clock.getAsLong());
+            }
         });
     }
 
+    /** Forgets jobs that ended long ago. */
+    void forgetOld() {
+        Iterator<Map.Entry<String, Long>> oldest = endedAtMs.entrySet().iterator();
+        while (oldest.hasNext()) {
+            Map.Entry<String, Long> entry = oldest.next();
+            if (clock.getAsLong() - entry.getValue() <= RETAIN_MS) {
+                return;
+            }
+            oldest.remove();
+            states.remove(entry.getKey());
+        }
+    }
+
     void update(String id, JobState state) {
         update(Map.of(id, state));
     }
--- a/entry/src/main/java/org/acaciafold/entry/JobSweep.java
+++ b/entry/src/main/java/org/acaciafold/entry/JobSweep.java
@@ -68,7 +68,7 @@
         jobsVersion = Math.max(jobsVersion, changes.version());
         List<Job> jobs = new ArrayList<>();
         changes.rows().stream()
-                .filter(row -> !row.removed())
+                .filter(row -> !row.removed() && Records.ended(row).isEmpty())
                 .forEach(row -> Records.decode(row, Job.class).ifPresent(jobs::add));
         accept.accept(jobs);
         follow(Records.CANCELLATIONS, () -> cancellationsVersion, this::cancellationsChanged);
@@ -76,13 +76,13 @@
 
     private void cancellationsChanged(RowChanges changes) {
         cancellationsVersion = Math.max(cancellationsVersion, changes.version());
-        changes.rows().forEach(row -> cancel.accept(row.key()));
+        changes.rows().stream().filter(row -> !row.removed()).forEach(row -> cancel.accept(row.key()));
         sweeping = false;
     }
 
     private void reload() {
         LOG.warn("history of the jobs lost; reading all after={}", jobsVersion);
-        receive(host.records().load(), loaded -> {
+        receive(host.records().load(host.loop().wallMs()), loaded -> {
             sweeping = false;
             jobsVersion = loaded.jobsVersion();
             cancellationsVersion = loaded.cancellationsVersion();
--- a/entry/src/main/java/org/acaciafold/entry/Records.java
+++ b/entry/src/main/java/org/acaciafold/entry/Records.java
@@ -1,11 +1,13 @@
 package org.acaciafold.entry;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
 
 import org.acaciafold.core.codec.Codec;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Step;
+import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.platform.StoredRow;
@@ -36,6 +38,9 @@
     static final int JOB_PARTITIONS = 16;
 
     private static final Logger LOG = LoggerFactory.getLogger(Records.class);
+    /** A state and a time; no whole job is as short. */
+    private static final int ENDED_BYTES = 1 + Long.BYTES;
+
     private static final String STORE = "store";
 
     private Records() {}
@@ -66,6 +71,23 @@
         return decode(row, Progress.class);
     }
 
+    /** Encodes what is kept of an ended job, in place of its whole record. */
+    static byte[] encode(EndedJob ended) {
+        return ByteBuffer.allocate(ENDED_BYTES)
+                .put((byte) ended.state().ordinal())
+                .putLong(ended.endedAtMs())
+                .array();
+    }
+
+    /** Returns what is kept of an ended job, when the row holds no more than that. */
+    static Optional<EndedJob> ended(StoredRow row) {
+        if (row.value().length != ENDED_BYTES) {
+            return Optional.empty();
+        }
+        ByteBuffer value = ByteBuffer.wrap(row.value());
+        return Optional.of(new EndedJob(JobState.values()[value.get()], value.getLong()));
+    }
+
     static <T> Optional<T> decode(StoredRow row, Class<T> type) {
         try {
             return Optional.of(Codec.messagePack().decode(row.value(), type, Step.TABLE, STORE));
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -139,10 +139,15 @@
             host.loop().after(LOAD_RETRY_MS, this::load);
             return;
         }
-        host.records().load().subscribe(loaded -> host.loop().execute(() -> loaded(loaded)), error -> {
-            LOG.warn("records cannot be read epoch={} reason={}", lease.record().epoch(), error.getMessage());
-            host.loop().after(LOAD_RETRY_MS, this::load);
-        });
+        host.records()
+                .load(host.loop().wallMs())
+                .subscribe(loaded -> host.loop().execute(() -> loaded(loaded)), error -> {
+                    LOG.warn(
+                            "records cannot be read epoch={} reason={}",
+                            lease.record().epoch(),
+                            error.getMessage());
+                    host.loop().after(LOAD_RETRY_MS, this::load);
+                });
     }
 
     private void loaded(TermStore.Loaded loaded) {
@@ -153,7 +158,7 @@
                 terms, lease.record().epoch(), host.config().config().orElseThrow());
         advance();
         configure();
-        scheduler.restore(loaded.jobs(), loaded.ended(), loaded.workers());
+        scheduler.restore(loaded.jobs(), loaded.ended(), loaded.unretired(), loaded.workers());
         sequence = 1;
         Map<String, JobState> states = scheduler.states();
         publish.accept(states);
@@ -202,6 +207,7 @@
             case Effect.Stop stop -> stop(stop);
             case Effect.Hold hold -> hold(hold);
             case Effect.Save save -> TermStore.write(lease, save, () -> saved(save.batch()));
+            case Effect.Retire retire -> retire(retire);
             case Effect.Advise advise -> advise(advise);
             case Effect.Publish news -> publish(news.states());
         }
@@ -258,6 +264,11 @@
         publish.accept(states);
     }
 
+    private void retire(Effect.Retire retire) {
+        host.records().retire(retire.jobs()).subscribe(ids -> answered(() -> scheduler.retired(ids)));
+        host.records().remove(retire.expired()).subscribe(ids -> answered(() -> scheduler.removed(ids)));
+    }
+
     private void saved(long batch) {
         answered(() -> scheduler.saved(batch));
     }
--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -1,14 +1,19 @@
 package org.acaciafold.entry;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.Progress;
@@ -17,6 +22,8 @@
 import org.acaciafold.platform.RowPage;
 import org.acaciafold.platform.StoredRow;
 import org.acaciafold.platform.Transaction;
+import org.acaciafold.platform.TxReply;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** The records of the slice: reading them when a term begins, and writing progress. */
@@ -24,19 +31,28 @@
     /** Below the store's bound of 100 entries in a transaction, with the lease's own. */
     private static final int ROWS_PER_TRANSACTION = 90;
 
+    /** As above, with up to two rows for each job. */
+    private static final int JOBS_PER_TRANSACTION = 45;
+
     private final StoreAccess store;
 
     TermStore(StoreAccess store) {
         this.store = store;
     }
 
-    Mono<Loaded> load() {
+    /**
+     * Reads what earlier terms have left.
+     *
+     * @param nowMs the time of day, in milliseconds since 1970
+     * @return all of it
+     */
+    Mono<Loaded> load(long nowMs) {
         return Mono.zip(
                         store.readJobTable(Records.JOBS),
                         store.readJobTable(Records.CANCELLATIONS),
                         store.readAll(Records.PROGRESS, Records.SLICE),
                         store.readAll(Records.WORKERS, Records.SLICE))
-                .map(pages -> loaded(pages.getT1(), pages.getT2(), pages.getT3(), pages.getT4()));
+                .map(pages -> loaded(pages.getT1(), pages.getT2(), pages.getT3(), pages.getT4(), nowMs));
     }
 
     static void write(LeaseKeeper lease, Effect.Save save, Runnable then) {
@@ -47,12 +63,61 @@
         save.claims()
                 .forEach(worker -> writes.add(new Transaction.Write(
                         Records.WORKERS, worker.id(), Records.encode(worker, WorkerClaims.class))));
-        List<Transaction.Removal> removals = save.forgotten().stream()
-                .map(worker -> new Transaction.Removal(Records.WORKERS, worker))
+        List<Transaction.Removal> removals = Stream.concat(
+                        save.forgotten().stream().map(worker -> new Transaction.Removal(Records.WORKERS, worker)),
+                        save.needless().stream().map(job -> new Transaction.Removal(Records.PROGRESS, job)))
                 .toList();
         write(lease, writes, removals, then);
     }
 
+    /**
+     * Replaces the records of ended jobs by short ones.
+     *
+     * <p>Cancellations stay as long as the short records, since a new leader that has read the whole record of a job has
+     * to find its cancellation, too.
+     *
+     * @param jobs what to keep of each job
+     * @return the jobs whose records are replaced, transaction by transaction; those that failed are left out
+     */
+    Flux<Set<String>> retire(Map<String, EndedJob> jobs) {
+        return inPartitions(
+                jobs.keySet(), (transaction, id) -> transaction.write(Records.JOBS, id, Records.encode(jobs.get(id))));
+    }
+
+    /**
+     * Removes the records of ended jobs.
+     *
+     * @param jobs what was kept of each job
+     * @return the jobs whose records are removed, transaction by transaction; those that failed are left out
+     */
+    Flux<Set<String>> remove(Map<String, EndedJob> jobs) {
+        return inPartitions(jobs.keySet(), (transaction, id) -> {
+            transaction.remove(Records.JOBS, id);
+            if (jobs.get(id).state() == JobState.CANCELLED) {
+                transaction.remove(Records.CANCELLATIONS, id);
+            }
+        });
+    }
+
+    private Flux<Set<String>> inPartitions(Collection<String> ids, BiConsumer<Transaction.Builder, String> add) {
+        Map<String, List<String>> byPartition = new TreeMap<>();
+        ids.forEach(id -> byPartition
+                .computeIfAbsent(Records.partitionOf(id), name -> new ArrayList<>())
+                .add(id));
+        List<Mono<Set<String>>> calls = new ArrayList<>();
+        byPartition.forEach((partition, all) -> {
+            for (int from = 0; from < all.size(); from += JOBS_PER_TRANSACTION) {
+                List<String> some = all.subList(from, Math.min(all.size(), from + JOBS_PER_TRANSACTION));
+                Transaction.Builder transaction = Transaction.in(partition);
+                some.forEach(id -> add.accept(transaction, id));
+                calls.add(store.commit(transaction.build())
+                        .filter(TxReply.Applied.class::isInstance)
+                        .map(applied -> Set.copyOf(some)));
+            }
+        });
+        return Flux.concat(calls);
+    }
+
     private static void write(
             LeaseKeeper lease, List<Transaction.Write> writes, List<Transaction.Removal> removals, Runnable then) {
         int first = Math.min(ROWS_PER_TRANSACTION, writes.size());
@@ -62,15 +127,17 @@
         lease.commit(writes.subList(0, first), now, next);
     }
 
-    private static Loaded loaded(RowPage jobs, RowPage cancellations, RowPage progress, RowPage workers) {
+    private static Loaded loaded(RowPage jobs, RowPage cancellations, RowPage progress, RowPage workers, long nowMs) {
         Set<String> cancelled = new HashSet<>();
         cancellations.rows().forEach(row -> cancelled.add(row.key()));
         Map<String, Progress> byJob = new HashMap<>();
-        Map<String, JobState> ended = new HashMap<>();
+        Map<String, EndedJob> ended = new HashMap<>();
+        Set<String> unretired = new HashSet<>();
         for (StoredRow row : progress.rows()) {
             Records.progress(row).ifPresent(value -> {
                 if (value.state().ended()) {
-                    ended.put(row.key(), value.state());
+                    ended.put(row.key(), new EndedJob(value.state(), nowMs));
+                    unretired.add(row.key());
                 } else {
                     byJob.put(row.key(), value);
                 }
@@ -78,8 +145,11 @@
         }
         List<StoredJob> stored = new ArrayList<>();
         for (StoredRow row : jobs.rows()) {
-            // most rows are of jobs that have ended; decoding them would hold up the start of the term
-            if (!ended.containsKey(row.key())) {
+            Optional<EndedJob> kept = Records.ended(row);
+            if (kept.isPresent()) {
+                ended.put(row.key(), kept.get());
+                unretired.remove(row.key());
+            } else if (!ended.containsKey(row.key())) {
                 Records.decode(row, Job.class)
                         .ifPresent(job -> stored.add(new StoredJob(
                                 job, Optional.ofNullable(byJob.get(job.id())), cancelled.contains(job.id()))));
@@ -87,21 +157,23 @@
         }
         List<WorkerClaims> claims = new ArrayList<>();
         workers.rows().forEach(row -> Records.decode(row, WorkerClaims.class).ifPresent(claims::add));
-        return new Loaded(stored, ended, claims, jobs.version(), cancellations.version());
+        return new Loaded(stored, ended, unretired, claims, jobs.version(), cancellations.version());
     }
 
     /**
      * What earlier terms have left.
      *
      * @param jobs the jobs that have not ended
-     * @param ended the final states of the others
+     * @param ended what is kept of the others
+     * @param unretired those among them whose whole records are still there
      * @param workers the workers on which runs may exist
      * @param jobsVersion the version from which to follow the table of jobs
      * @param cancellationsVersion the version from which to follow the table of cancellations
      */
     record Loaded(
             List<StoredJob> jobs,
-            Map<String, JobState> ended,
+            Map<String, EndedJob> ended,
+            Set<String> unretired,
             List<WorkerClaims> workers,
             long jobsVersion,
             long cancellationsVersion) {}
--- a/fleet/src/main/java/org/acaciafold/fleet/Effect.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/Effect.java
@@ -58,10 +58,24 @@
      * @param progress the progress by job
      * @param claims what may run on workers, for those on which that has changed
      * @param forgotten the workers on which nothing of ours runs any more
+     * @param needless the jobs whose recorded progress is to be removed
      */
-    record Save(long batch, Map<String, Progress> progress, List<WorkerClaims> claims, List<String> forgotten)
+    record Save(
+            long batch,
+            Map<String, Progress> progress,
+            List<WorkerClaims> claims,
+            List<String> forgotten,
+            List<String> needless)
             implements Effect {}
 
+    /**
+     * Replaces the records of ended jobs by short ones, and removes old ones.
+     *
+     * @param jobs what to keep of each job
+     * @param expired the jobs of which nothing is kept any more
+     */
+    record Retire(Map<String, EndedJob> jobs, Map<String, EndedJob> expired) implements Effect {}
+
     /**
      * Asks for placement advice through one of the entry hosts.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -26,6 +26,9 @@
     /** True once the final state is recorded, so that it may be shown. */
     boolean endRecorded;
 
+    /** True when the store holds a record of its progress. */
+    boolean progressRecorded;
+
     int occurrencesAdded;
     int occurrencesDone;
 
@@ -86,6 +89,7 @@
     void restore(Progress progress) {
         state = progress.state();
         endRecorded = state.ended();
+        progressRecorded = true;
         for (StepProgress recorded : progress.steps()) {
             while (occurrencesAdded <= recorded.occurrence()) {
                 addOccurrence();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -13,6 +13,9 @@
 
 /** Collects what must be recorded, and lets it take effect once it is. */
 final class SaveSystem {
+    /** Removals of needless records in one batch, which must not hold up the claims in it. */
+    private static final int MAX_NEEDLESS = 60;
+
     private final Tables tables;
     private final List<JobRow> jobsInBatch = new ArrayList<>();
     private final List<RunRow> runsInBatch = new ArrayList<>();
@@ -27,13 +30,16 @@
     }
 
     void run(List<Effect> effects) {
-        boolean nothing = tables.claimed.isEmpty() && tables.unsaved.isEmpty() && forgotten.isEmpty();
+        boolean nothing = tables.claimed.isEmpty()
+                && tables.unsaved.isEmpty()
+                && forgotten.isEmpty()
+                && tables.needlessProgress.isEmpty();
         if (tables.saving || nothing) {
             return;
         }
         tables.saving = true;
         tables.lastBatch++;
-        effects.add(new Effect.Save(tables.lastBatch, progress(), claims(), List.copyOf(forgotten)));
+        effects.add(new Effect.Save(tables.lastBatch, progress(), claims(), List.copyOf(forgotten), needless()));
         forgotten.clear();
     }
 
@@ -41,6 +47,7 @@
         tables.saving = false;
         for (JobRow job : jobsInBatch) {
             // an end after the batch was collected waits for the next one
+            job.progressRecorded = true;
             job.endRecorded = job.state.ended() && !job.unsaved;
             // a job that was cancelled meanwhile is shown as cancelled already
             if (job.endRecorded && !job.cancelled) {
@@ -68,6 +75,12 @@
         return workers.stream().map(WorkerRow::claims).toList();
     }
 
+    private List<String> needless() {
+        List<String> jobs = tables.needlessProgress.stream().limit(MAX_NEEDLESS).toList();
+        jobs.forEach(tables.needlessProgress::remove);
+        return jobs;
+    }
+
     private Map<String, Progress> progress() {
         Map<String, Progress> progress = new LinkedHashMap<>();
         for (JobRow job : tables.unsaved) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.Grant;
 import org.acaciafold.fleet.HoldView;
@@ -34,7 +35,7 @@
  * <pre>{@code
  * Scheduler scheduler = Scheduler.create(terms, epoch, config);
  * scheduler.advance(nowMs, wallMs);
- * scheduler.restore(jobs, knownWorkers);
+ * scheduler.restore(jobs, ended, unretired, knownWorkers);
  * List<Effect> effects = scheduler.tick();
  * }</pre>
  */
@@ -51,6 +52,7 @@
     private final AdviceSystem advice;
     private final StartSystem starts;
     private final SaveSystem saves;
+    private final RetireSystem retirements;
     private final TimetableSystem timetable;
 
     private Scheduler(Tables tables) {
@@ -61,6 +63,7 @@
         this.advice = new AdviceSystem(tables);
         this.starts = new StartSystem(tables, advice);
         this.saves = new SaveSystem(tables);
+        this.retirements = new RetireSystem(tables);
         this.timetable = new TimetableSystem(tables);
     }
 
@@ -215,11 +218,14 @@
      * Takes over the records of earlier terms.
      *
      * @param jobs the jobs that have not ended
-     * @param ended the final states of the others
+     * @param ended what is kept of the others
+     * @param unretired those among them whose whole records are still in the store
      * @param workers the workers on which runs of earlier terms may exist
      */
-    public void restore(List<StoredJob> jobs, Map<String, JobState> ended, List<WorkerClaims> workers) {
+    public void restore(
+            List<StoredJob> jobs, Map<String, EndedJob> ended, Set<String> unretired, List<WorkerClaims> workers) {
         tables.endedEarlier.putAll(ended);
+        unretired.forEach(id -> tables.unretired.put(id, ended.get(id)));
         jobs.forEach(this::add);
         for (WorkerClaims known : workers) {
             WorkerRow row = tables.workers.computeIfAbsent(
@@ -232,6 +238,24 @@
         LOG.info("term begins jobs={} active={} workers={}", jobs.size(), tables.active.size(), workers.size());
     }
 
+    /**
+     * Notes that the records of ended jobs have been removed.
+     *
+     * @param ids the jobs
+     */
+    public void removed(Set<String> ids) {
+        retirements.removed(ids);
+    }
+
+    /**
+     * Notes that the records of ended jobs have been replaced.
+     *
+     * @param ids the jobs
+     */
+    public void retired(Set<String> ids) {
+        retirements.retired(ids);
+    }
+
     /**
      * Notes that a batch is recorded.
      *
@@ -264,7 +288,8 @@
      * @return the states by job
      */
     public Map<String, JobState> states() {
-        Map<String, JobState> states = new LinkedHashMap<>(tables.endedEarlier);
+        Map<String, JobState> states = new LinkedHashMap<>();
+        tables.endedEarlier.forEach((id, ended) -> states.put(id, ended.state()));
         for (JobRow job : tables.jobs.values()) {
             boolean unrecorded = job.state.ended() && !job.endRecorded;
             JobState state = job.cancelled ? JobState.CANCELLED : unrecorded ? JobState.RUNNING : job.state;
@@ -301,6 +326,7 @@
         advice.run(effects);
         holds.run(effects);
         saves.run(effects);
+        retirements.run(effects);
         if (!tables.changed.isEmpty()) {
             effects.add(new Effect.Publish(new LinkedHashMap<>(tables.changed)));
             tables.changed.clear();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -13,6 +13,7 @@
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.TaskName;
@@ -24,8 +25,14 @@
     final int firstRun;
 
     final Map<String, JobRow> jobs = new LinkedHashMap<>();
-    /** Final states of jobs that ended in earlier terms. */
-    final Map<String, JobState> endedEarlier = new HashMap<>();
+    /** Jobs of which only the final state is kept in memory. */
+    final Map<String, EndedJob> endedEarlier = new HashMap<>();
+
+    /** Ended jobs whose whole records are still in the store. */
+    final Map<String, EndedJob> unretired = new LinkedHashMap<>();
+
+    /** Jobs whose records of progress tell nothing any more. */
+    final Set<String> needlessProgress = new LinkedHashSet<>();
 
     final Allowances allowances = new Allowances();
     final Set<JobRow> active = new LinkedHashSet<>();
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -15,6 +15,7 @@
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
@@ -33,6 +34,7 @@
 /** A fleet on one fake clock: workers, a store, one leader after the other, and faults drawn from a seed. */
 final class World {
     private static final long ORDER_TIMEOUT_MS = 900;
+    private static final long WALL_MS = 1_700_000_000_000L;
     private static final int WORKERS = 5;
     private static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400);
 
@@ -42,6 +44,7 @@
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, Progress> progress = new HashMap<>();
     private final Map<String, WorkerClaims> claims = new HashMap<>();
+    private final Map<String, EndedJob> retired = new HashMap<>();
     private final Set<String> cancelled = new HashSet<>();
     private final Map<String, JobState> shown = new HashMap<>();
     private final FleetConfig config;
@@ -97,7 +100,7 @@
             events.poll().action.run();
         }
         if (leader != null) {
-            leader.advance(nowMs, 1_700_000_000_000L + nowMs);
+            leader.advance(nowMs, WALL_MS + nowMs);
             if (nowMs % 500 == 0) {
                 leader.listed(workers.values().stream().map(FakeWorker::entry).toList(), true);
             }
@@ -119,7 +122,7 @@
                     .build());
         }
         Route route = new Route("r", "h", "/", "catalogue", random.nextInt(3), 3, 2, 1_000, Optional.empty(), false);
-        Job job = new Job(id, route, "north", "spec", steps, 0, 0, 0, 1_700_000_000_000L + nowMs);
+        Job job = new Job(id, route, "north", "spec", steps, 0, 0, 0, WALL_MS + nowMs);
         jobs.put(id, job);
         oracle.submitted(job);
         if (random.nextInt(25) == 0) {
@@ -175,18 +178,20 @@
         }
         epoch++;
         leader = Scheduler.create(TERMS, epoch, config);
-        leader.advance(nowMs, 1_700_000_000_000L + nowMs);
-        Map<String, JobState> ended = new HashMap<>();
+        leader.advance(nowMs, WALL_MS + nowMs);
+        Map<String, EndedJob> ended = new HashMap<>(retired);
+        Set<String> unretired = new HashSet<>();
         List<StoredJob> stored = new ArrayList<>();
         new TreeMap<>(jobs).forEach((id, job) -> {
             Optional<Progress> known = Optional.ofNullable(progress.get(id));
-            if (known.isPresent() && known.get().state().ended()) {
-                ended.put(id, known.get().state());
-            } else {
+            if (known.isPresent() && known.get().state().ended() && !ended.containsKey(id)) {
+                ended.put(id, new EndedJob(known.get().state(), WALL_MS + nowMs));
+                unretired.add(id);
+            } else if (!ended.containsKey(id)) {
                 stored.add(new StoredJob(job, known, cancelled.contains(id)));
             }
         });
-        leader.restore(stored, ended, new ArrayList<>(new TreeMap<>(claims).values()));
+        leader.restore(stored, ended, unretired, new ArrayList<>(new TreeMap<>(claims).values()));
         show(leader.states());
     }
 
@@ -215,6 +220,7 @@
                                 stop.worker(), stop.task(), stop.run(), outcome.orElse(StopOutcome.UNKNOWN)));
             case Effect.Hold hold -> hold(term, hold, token);
             case Effect.Save save -> at(nowMs + 10 + random.nextInt(30), () -> save(term, save));
+            case Effect.Retire retire -> at(nowMs + 10 + random.nextInt(500), () -> retire(term, retire));
             case Effect.Advise ignored -> oracle.check(false, "advice for a queue that needs none");
             case Effect.Publish news -> show(news.states());
         }
@@ -228,10 +234,26 @@
         progress.putAll(save.progress());
         save.claims().forEach(record -> claims.put(record.id(), record));
         save.forgotten().forEach(claims::remove);
-        term.advance(nowMs, 1_700_000_000_000L + nowMs);
+        save.needless().forEach(progress::remove);
+        term.advance(nowMs, WALL_MS + nowMs);
         term.saved(save.batch());
     }
 
+    /** Replaces records, sometimes only a part of them, also for a leader that another has followed. */
+    private void retire(Scheduler term, Effect.Retire retire) {
+        Set<String> done = new HashSet<>();
+        retire.jobs().forEach((id, job) -> {
+            if (!faults || random.nextInt(10) != 0) {
+                retired.put(id, job);
+                done.add(id);
+            }
+        });
+        if (term == leader) {
+            term.advance(nowMs, WALL_MS + nowMs);
+            term.retired(done);
+        }
+    }
+
     private void hold(Scheduler term, Effect.Hold hold, long token) {
         long askedAtMs = nowMs;
         order(term, hold.worker(), worker -> worker.hold(hold, token, nowMs), view -> {
@@ -262,7 +284,7 @@
         long answerMs = !reset && (late || lost || !worker.reachable) ? nowMs + ORDER_TIMEOUT_MS : arrivesMs + 5;
         at(answerMs, () -> {
             if (term == leader) {
-                term.advance(nowMs, 1_700_000_000_000L + nowMs);
+                term.advance(nowMs, WALL_MS + nowMs);
                 answered.accept(late || lost || answer.isEmpty() ? Optional.empty() : answer.getFirst());
             }
         });
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
@@ -27,7 +28,7 @@
     void shouldCountEveryFailedRunWhenWorkersListThemOutOfOrder() {
         SchedulerFixture fixture = new SchedulerFixture(2);
         Job job = fixture.job("job", route(1, 2, Optional.empty()), step(1, 500).build());
-        fixture.scheduler.restore(List.of(new StoredJob(job, Optional.empty(), false)), Map.of(), List.of());
+        fixture.scheduler.restore(List.of(new StoredJob(job, Optional.empty(), false)), Map.of(), Set.of(), List.of());
         fixture.withWorkers(worker("a", 1_000), worker("b", 1_000));
         fixture.startsConfirmed();
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
@@ -31,7 +32,8 @@
         SchedulerFixture fixture = new SchedulerFixture(2);
         Job job = fixture.job("job", step(2, 500).build());
         WorkerClaims claims = new WorkerClaims("a", "a:1", BORN_MS, List.of(new WorkerClaims.Claim(FIRST, 1)));
-        fixture.scheduler.restore(List.of(new StoredJob(job, Optional.empty(), false)), Map.of(), List.of(claims));
+        fixture.scheduler.restore(
+                List.of(new StoredJob(job, Optional.empty(), false)), Map.of(), Set.of(), List.of(claims));
         fixture.scheduler.listed(List.of(worker("a", 1_000), worker("b", 1_000)), true);
         fixture.tick();
         fixture.held("b", List.of(), List.of());
