A lease that was taken without an answer is led with, not taken again; waits for a slow store grow with its answers

Each transaction that took the lease was given up after 1 s, applied all the same, found at the next reading as held by this host, and taken again. Change: such a lease is led with, counted from when its transaction was sent; reads and transactions wait for 2.5 times what answers took of late, from 1 to 2.5 s. Not measured yet.

--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -42,6 +42,9 @@
     private final JobDirectory directory;
     private final HostTable hosts = new HostTable();
     private final Challenge challenge = Challenge.of(CHALLENGE_MARGIN_MS, SETTLE_MS);
+    /** The lease that this host has last tried to take, until it leads. */
+    private LeaseKeeper.Taken asked;
+
     private LeaseKeeper lease;
     private Term term;
     private LeaseRecord leader;
@@ -283,7 +286,10 @@
         boolean expired =
                 challenge.observed(version, holder.leaseMs(), host.loop().nowMs());
         boolean ownPast = holder.host().equals(host.name()) && holder.address().equals(address);
-        if (holder.released()) {
+        if (asked != null && holder.equals(asked.record())) {
+            LOG.info("leadership taken epoch={} reason=the answer to its transaction was lost", holder.epoch());
+            lead(new LeaseKeeper.Taken(holder, version, asked.sentAtMs(), asked.sentAtWallMs()));
+        } else if (holder.released()) {
             take(holder.epoch() + 1, version, "released by " + holder.host());
         } else if (ownPast) {
             take(holder.epoch() + 1, version, "held by an earlier life of this host");
@@ -332,6 +338,7 @@
         long sentAtMs = host.loop().nowMs();
         long sentAtWallMs = host.loop().wallMs();
         reading = true;
+        asked = new LeaseKeeper.Taken(record, version, sentAtMs, sentAtWallMs);
         host.store()
                 .commit(transaction)
                 .subscribe(reply -> host.loop().execute(() -> {
@@ -344,6 +351,7 @@
     }
 
     private void lead(LeaseKeeper.Taken taken) {
+        asked = null;
         leader = taken.record();
         lease = new LeaseKeeper(host.store()::commit, host.loop(), taken, this::lose);
         term = new Term(host, lease, terms, hosts, this::published);
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -30,8 +30,17 @@
     /** Rows created in one transaction, well below the store's bounds of entries and bytes. */
     private static final int BATCH = 24;
 
-    /** An answer takes about 10 ms; a slow store takes up to a hundred times as long. */
-    private static final long TIMEOUT_MS = 1_000;
+    /** The shortest wait for an answer, a hundred times the usual ten milliseconds. */
+    private static final long MIN_TIMEOUT_MS = 1_000;
+
+    /** The longest wait; consumers wait for three seconds. */
+    private static final long MAX_TIMEOUT_MS = 2_500;
+
+    /** A wait lasts this multiple of what answers took of late, so that a slow store is not asked over and over. */
+    private static final double TIMEOUT_FACTOR = 2.5;
+
+    /** What is assumed of a store that did not answer: half as long a wait again next time. */
+    private static final double UNANSWERED_MS = 600;
 
     /** Consumers wait for three seconds; a slow store with a queue needs most of it. */
     private static final long CREATE_TIMEOUT_MS = 2_200;
@@ -41,6 +50,7 @@
     private final Map<String, Lane> lanes = new HashMap<>();
     private long answeredAtMs = Long.MIN_VALUE / 2;
     private long failedAtMs = Long.MIN_VALUE / 2;
+    private double recentMs;
 
     StoreAccess(RowStore rows, Loop loop) {
         this.rows = rows;
@@ -62,11 +72,15 @@
     }
 
     Mono<TxReply> commit(Transaction transaction) {
-        return commit(transaction, TIMEOUT_MS);
+        return commit(transaction, timeoutMs());
     }
 
     Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
-        return rows.commit(transaction, timeoutMs).doOnNext(this::observe);
+        long sentAtMs = loop.nowMs();
+        return rows.commit(transaction, timeoutMs).doOnNext(reply -> {
+            took(!(reply instanceof TxReply.Unknown), loop.nowMs() - sentAtMs);
+            observe(reply);
+        });
     }
 
     /**
@@ -132,6 +146,15 @@
                 });
     }
 
+    /** Notes how long an answer took; one that did not come may have needed a little longer. */
+    private void took(boolean answered, long elapsedMs) {
+        recentMs = answered ? (recentMs + elapsedMs) / 2 : Math.max(recentMs, UNANSWERED_MS);
+    }
+
+    private long timeoutMs() {
+        return Math.clamp(Math.round(TIMEOUT_FACTOR * recentMs), MIN_TIMEOUT_MS, MAX_TIMEOUT_MS);
+    }
+
     private void answered() {
         if (failedAtMs > answeredAtMs) {
             LOG.info("store regained afterMs={}", loop.nowMs() - answeredAtMs);
@@ -156,9 +179,16 @@
     }
 
     private Mono<RowPage> page(String table, String partition, String from, Optional<String> to, int limit) {
-        return rows.read(table, partition, from, to, limit, TIMEOUT_MS)
-                .doOnNext(page -> answered())
-                .doOnError(error -> failed("read of " + table, error.getMessage()));
+        long sentAtMs = loop.nowMs();
+        return rows.read(table, partition, from, to, limit, timeoutMs())
+                .doOnNext(page -> {
+                    took(true, loop.nowMs() - sentAtMs);
+                    answered();
+                })
+                .doOnError(error -> {
+                    took(false, loop.nowMs() - sentAtMs);
+                    failed("read of " + table, error.getMessage());
+                });
     }
 
     private Mono<RowPage> readFrom(
