--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -89,6 +89,18 @@
         await("the end", only.state("j1"), "completed");
     }
 
+    @Test
+    void shouldLeadInTheTermThatItTookWhenTheAnswerWasLost() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        platform.loseAnswers(1);
+        EmulatedConsumer only = host("only");
+
+        assertEquals(OK, only.submit("j1", TASKS).block(LIMIT));
+
+        await("the end", only.state("j1"), "completed");
+        assertEquals(1, platform.highestToken());
+    }
+
     @Test
     void shouldFinishAJobWhenItsLeaderStops() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
