--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -42,6 +42,9 @@
     /** What is assumed of a store that did not answer: half as long a wait again next time. */
     private static final double UNANSWERED_MS = 600;
 
+    /** Reads at a time when a term begins; opening a connection costs a new process more than waiting for another. */
+    private static final int LOAD_CONCURRENCY = 3;
+
     /** Consumers wait for three seconds; a slow store with a queue needs most of it. */
     private static final long CREATE_TIMEOUT_MS = 2_200;
 
@@ -133,7 +136,7 @@
      */
     Mono<RowPage> readJobTable(String table) {
         return Flux.range(0, Records.JOB_PARTITIONS)
-                .flatMap(number -> readAll(table, Records.jobPartition(number)))
+                .flatMap(number -> readAll(table, Records.jobPartition(number)), LOAD_CONCURRENCY)
                 .collectList()
                 .map(pages -> {
                     List<StoredRow> all = new ArrayList<>();
