--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -139,9 +139,10 @@
             host.loop().after(LOAD_RETRY_MS, this::load);
             return;
         }
+        long askedAtMs = host.loop().nowMs();
         host.records()
                 .load(host.loop().wallMs())
-                .subscribe(loaded -> host.loop().execute(() -> loaded(loaded)), error -> {
+                .subscribe(loaded -> host.loop().execute(() -> loaded(loaded, askedAtMs)), error -> {
                     LOG.warn(
                             "records cannot be read epoch={} reason={}",
                             lease.record().epoch(),
@@ -150,10 +151,16 @@
                 });
     }
 
-    private void loaded(TermStore.Loaded loaded) {
+    private void loaded(TermStore.Loaded loaded, long askedAtMs) {
         if (ended) {
             return;
         }
+        LOG.info(
+                "records read epoch={} jobs={} ended={} afterMs={}",
+                lease.record().epoch(),
+                loaded.jobs().size(),
+                loaded.ended().size(),
+                host.loop().nowMs() - askedAtMs);
         scheduler = Scheduler.create(
                 terms, lease.record().epoch(), host.config().config().orElseThrow());
         advance();
