Gangs stay within one failure domain where one holds them

Change: placement tries one rack (where the gang asks for it), then the fullest domain that holds the gang, then all workers. Not measured yet.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.WorkerEntry;
 
 /** Chooses workers for tasks within the room that a tick has left. */
 final class Placement {
@@ -44,11 +46,12 @@
             return Map.of();
         }
         StepRow step = tasks.getFirst().step;
-        if (step.spec.gang() && step.spec.sameRack()) {
-            Optional<Map<TaskRow, WorkerRow>> onOneRack = onOneRack(tasks, candidates);
-            if (onOneRack.isPresent()) {
-                return onOneRack.get();
-            }
+        if (step.spec.gang()) {
+            Optional<Map<TaskRow, WorkerRow>> near =
+                    step.spec.sameRack() ? together(tasks, candidates, WorkerEntry::rack) : Optional.empty();
+            // a gang that spans failure domains breaks when any of them is cut off
+            return near.or(() -> together(tasks, candidates, WorkerEntry::domain))
+                    .orElseGet(() -> spread(tasks, candidates));
         }
         return spread(tasks, candidates);
     }
@@ -65,14 +68,19 @@
         return limited(step, fitting(capacity, step.spec.each()));
     }
 
-    private Optional<Map<TaskRow, WorkerRow>> onOneRack(List<TaskRow> tasks, List<WorkerRow> candidates) {
-        Map<String, List<WorkerRow>> racks = new TreeMap<>();
+    /** Chooses workers for all tasks in one group of workers, the one with the least room that holds them. */
+    private Optional<Map<TaskRow, WorkerRow>> together(
+            List<TaskRow> tasks, List<WorkerRow> candidates, Function<WorkerEntry, String> group) {
+        Map<String, List<WorkerRow>> groups = new TreeMap<>();
         for (WorkerRow worker : candidates) {
-            String rack = worker.entry().map(entry -> entry.rack()).orElse("");
-            racks.computeIfAbsent(rack, name -> new ArrayList<>()).add(worker);
+            String name = worker.entry().map(group).orElse("");
+            groups.computeIfAbsent(name, key -> new ArrayList<>()).add(worker);
         }
-        for (List<WorkerRow> rack : racks.values()) {
-            Map<TaskRow, WorkerRow> chosen = spread(tasks, rack);
+        List<List<WorkerRow>> ordered = new ArrayList<>(groups.values());
+        ordered.sort(Comparator.comparingLong(workers ->
+                workers.stream().mapToLong(worker -> free(worker).cpuMillis()).sum()));
+        for (List<WorkerRow> workers : ordered) {
+            Map<TaskRow, WorkerRow> chosen = spread(tasks, workers);
             if (chosen.size() == tasks.size()) {
                 return Optional.of(chosen);
             }
