--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
@@ -107,7 +107,7 @@
         run.checkpoint = view.checkpoint();
         boolean second = task.run().isPresent();
         if (second || task.done || !task.step.job.active()) {
-            run.stopWanted = true;
+            run.stop("not needed when it was found");
         }
         if (second) {
             LOG.error("second run task={} run={} worker={}", task.name, view.run(), worker.id);
@@ -116,7 +116,7 @@
         } else {
             tables.begin(run);
         }
-        LOG.info("run adopted task={} run={} worker={} stop={}", task.name, view.run(), worker.id, run.stopWanted);
+        LOG.info("run adopted task={} run={} worker={} stop={}", task.name, view.run(), worker.id, run.stopWanted());
     }
 
     private void compare(WorkerRow worker, List<RunView> running, long askedAtMs) {
@@ -132,7 +132,7 @@
             } else if (run.absentIn(askedAtMs)) {
                 ends.lost(run, "not listed");
             } else if (run.phase == RunPhase.UNCONFIRMED && askedAtMs > run.orderedAtMs) {
-                run.stopWanted = true;
+                run.stop("order without an answer");
             }
         }
         for (RunView view : running) {
@@ -173,7 +173,9 @@
             LOG.warn("worker reborn worker={} runs={}", worker.id, worker.runs.size());
             for (RunRow run : worker.runs.values()) {
                 // an order that is still on its way would be carried out by the new life
-                run.stopWanted |= run.phase == RunPhase.UNCONFIRMED;
+                if (run.phase == RunPhase.UNCONFIRMED) {
+                    run.stop("its worker is reborn");
+                }
             }
         }
         worker.reborn(bornMs);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
@@ -11,7 +11,9 @@
     long orderedAtMs;
     RunPhase phase = RunPhase.CLAIMED;
     String checkpoint = "";
-    boolean stopWanted;
+    /** Why it is to be stopped; empty while it is not. */
+    private String stopReason = "";
+
     boolean stopInFlight;
     long stopRetryAtMs;
     long stopAnsweredAtMs = Long.MAX_VALUE;
@@ -29,6 +31,18 @@
         return askedAtMs > Math.min(confirmedAtMs, stopAnsweredAtMs);
     }
 
+    void stop(String reason) {
+        stopReason = stopReason.isEmpty() ? reason : stopReason;
+    }
+
+    boolean stopWanted() {
+        return !stopReason.isEmpty();
+    }
+
+    String stopReason() {
+        return stopReason;
+    }
+
     void confirm(long nowMs) {
         phase = RunPhase.RUNNING;
         confirmedAtMs = Math.min(confirmedAtMs, nowMs);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -227,7 +227,7 @@
         StepRow step = run.task.step;
         return step.job.active()
                 && !run.task.done
-                && !run.stopWanted
+                && !run.stopWanted()
                 && run.worker.runs.get(run.task.name) == run
                 && usable(run.worker)
                 && (!needsAdvice(step) || ticketed(step, run.worker));
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
@@ -4,9 +4,12 @@
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.StopOutcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Stops the runs of ended jobs, runs whose start was never confirmed, and gangs that cannot become complete. */
 final class StopSystem {
+    private static final Logger LOG = LoggerFactory.getLogger(StopSystem.class);
     private static final long RETRY_MS = 300;
 
     private final Tables tables;
@@ -31,10 +34,16 @@
         for (WorkerRow worker : tables.workers.values()) {
             for (RunRow run : worker.runs.values()) {
                 if (unneeded(run)) {
-                    run.stopWanted = true;
+                    run.stop("job ended or task done");
                 }
                 if (due(run)) {
                     run.stopInFlight = true;
+                    LOG.info(
+                            "stop task={} run={} worker={} reason={}",
+                            run.task.name,
+                            run.number,
+                            worker.id,
+                            run.stopReason());
                     effects.add(new Effect.Stop(worker.id, worker.address, run.task.name, run.number));
                 }
             }
@@ -44,12 +53,12 @@
     /** Stops the members of a gang of which one cannot run. */
     static void stopGang(StepRow step) {
         for (TaskRow member : step.tasks) {
-            member.run().ifPresent(run -> run.stopWanted = true);
+            member.run().ifPresent(run -> run.stop("gang is not whole"));
         }
     }
 
     private boolean due(RunRow run) {
-        return run.stopWanted
+        return run.stopWanted()
                 && run.phase != RunPhase.CLAIMED
                 && !run.stopInFlight
                 && run.stopAnsweredAtMs == Long.MAX_VALUE
