Metrics of a host by Micrometer on an address of their own; refusals are the last log lines to be dropped, and drops are told

The queue of log lines keeps its last quarter for warnings and errors, among them all refusals, counts what it drops and tells it when there is room again. LoggingTest.shouldNotWaitWhenNobodyReadsStandardOutput was void: its logging context had no MDC adapter, so no line ever reached the queue; it now checks that lines were dropped.

--- a/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
@@ -48,18 +48,24 @@
      * @param address where to listen
      * @param loop the host's thread
      * @param answers answers the requests
+     * @param metrics counts the answers
      * @param leaving tells whether connections are to be closed after their next answer
      * @return the listener
      * @throws AcaciafoldException when the address cannot be listened on
      */
     static ConsumerServer listen(
-            String address, Loop loop, Function<ConsumerRequest, Mono<ConsumerReply>> answers, BooleanSupplier leaving)
+            String address,
+            Loop loop,
+            Function<ConsumerRequest, Mono<ConsumerReply>> answers,
+            HostMetrics metrics,
+            BooleanSupplier leaving)
             throws AcaciafoldException {
         AtomicInteger inProgress = new AtomicInteger();
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         DisposableServer server =
                 bind(address, loop, connections, HttpServer.create().handle((request, response) -> {
                     inProgress.incrementAndGet();
+                    long beganAtMs = loop.nowMs();
                     return request.receive()
                             .aggregate()
                             .asByteArray()
@@ -70,7 +76,13 @@
                                 return Mono.just(ConsumerReply.of(INTERNAL_ERROR));
                             })
                             .flatMap(reply -> send(response, reply, leaving.getAsBoolean()))
-                            .doFinally(signal -> inProgress.decrementAndGet());
+                            .doFinally(signal -> {
+                                inProgress.decrementAndGet();
+                                metrics.request(
+                                        request.method().name(),
+                                        response.status().code(),
+                                        loop.nowMs() - beganAtMs);
+                            });
                 }));
         return new ConsumerServer(server, connections, inProgress);
     }
--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -14,6 +14,7 @@
 import org.acaciafold.platform.JobBodies;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import reactor.core.publisher.Mono;
 import reactor.util.function.Tuples;
 
@@ -223,6 +224,15 @@
     }
 
     private void log(ConsumerRequest request, String id, int status, String reason) {
-        LOG.info("request method={} job={} status={} reason={}", request.method(), id, status, reason);
+        // refusals and failures are the last lines to be dropped
+        Level level = status < BAD_REQUEST ? Level.INFO : Level.WARN;
+        LOG.atLevel(level)
+                .log(
+                        "request method={} job={} status={} reason={} config={}",
+                        request.method(),
+                        id,
+                        status,
+                        reason,
+                        host.config().config().map(FleetConfig::version).orElse(0L));
     }
 }
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -1,10 +1,12 @@
 package org.acaciafold.entry;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 import org.acaciafold.clients.JsonHttp;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Step;
+import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.scheduling.SchedulerTerms;
 import org.acaciafold.platform.AdviceCalls;
 import org.acaciafold.platform.RowStore;
@@ -39,16 +41,21 @@
 
     private static final long STOP_POLL_MS = 50;
 
+    /** Numbers about the fleet are as old as this at most; nobody reads metrics more often. */
+    private static final long SUMMARY_MS = 1_000;
+
     /** How often jobs that ended long ago are forgotten, small against the ten minutes for which they are kept. */
     private static final long FORGET_PERIOD_MS = 10_000;
 
     private final Loop loop;
     private final EntrySettings settings;
     private final JobDirectory directory;
+    private final HostMetrics metrics = new HostMetrics();
     private HostContext context;
     private Leadership leadership;
     private ConsumerServer consumers;
     private ConsumerServer readiness;
+    private Optional<ConsumerServer> metricsServer = Optional.empty();
     private PeerBus bus;
     private volatile boolean stopping;
 
@@ -83,13 +90,14 @@
         }
         consumers.close();
         readiness.close();
+        metricsServer.ifPresent(ConsumerServer::close);
         bus.close();
         LOG.info("stopped host={}", settings.host());
     }
 
     private void open() throws AcaciafoldException {
-        StoreAccess store =
-                new StoreAccess(RowStore.of(http("store", STORE_CONNECTIONS, Step.TABLE), settings.store()), loop);
+        StoreAccess store = new StoreAccess(
+                RowStore.of(http("store", STORE_CONNECTIONS, Step.TABLE), settings.store()), loop, metrics);
         ConfigWatch config = new ConfigWatch(store, loop, () -> leadership.configured());
         bus = PeerBus.start(settings, loop, (from, message) -> leadership.receive(from, message));
         context = new HostContext(
@@ -100,18 +108,49 @@
                 config,
                 bus,
                 WorkerCalls.of(http("workers", WORKER_CONNECTIONS, Step.WORKER)),
-                AdviceCalls.of(http("advice", ADVICE_CONNECTIONS, Step.PLACEMENT), settings.advice()));
+                AdviceCalls.of(http("advice", ADVICE_CONNECTIONS, Step.PLACEMENT), settings.advice()),
+                metrics);
         SchedulerTerms terms = new SchedulerTerms(
                 settings.bounds().leaseMaxMs() - LEASE_RESERVE_MS,
                 settings.bounds().stopMs());
         leadership = new Leadership(context, settings.peers(), loop.wallMs(), terms, directory);
         Consumers answers =
                 new Consumers(context, leadership, directory, settings.bounds().configApplyMs());
-        consumers = ConsumerServer.listen(settings.consumers(), loop, answers::answer, () -> stopping);
-        readiness = ConsumerServer.readiness(settings.readiness(), loop, new Answers());
+        consumers = ConsumerServer.listen(settings.consumers(), loop, answers::answer, metrics, () -> stopping);
+        Answers told = new Answers();
+        readiness = ConsumerServer.readiness(settings.readiness(), loop, told);
+        metricsServer = metricsServer(told);
         loop.execute(config::start);
         loop.every(FORGET_PERIOD_MS, directory::forgetOld);
         leadership.start();
+        watch(config);
+    }
+
+    /** Listens for those who read metrics; a port that is taken must not keep the host from serving. */
+    private Optional<ConsumerServer> metricsServer(Answers told) {
+        if (settings.metrics().isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(ConsumerServer.readiness(settings.metrics(), loop, told));
+        } catch (AcaciafoldException e) {
+            LOG.warn("metrics only at {}, not at {}: {}", settings.readiness(), settings.metrics(), e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void watch(ConfigWatch config) {
+        metrics.gauge("leader", leadership, one -> one.leads() ? 1 : 0);
+        metrics.gauge("term", leadership, Leadership::epoch);
+        metrics.gauge("lease.age.ms", leadership, Leadership::leaseAgeMs);
+        metrics.gauge(
+                "configuration.version",
+                config,
+                one -> one.config().map(FleetConfig::version).orElse(0L));
+        metrics.gauge("configuration.age.ms", config, ConfigWatch::ageMs);
+        metrics.gauge("jobs.known", directory, JobDirectory::size);
+        metrics.counted("log.lines.dropped", this, host -> QueueAppender.dropped());
+        loop.every(SUMMARY_MS, leadership::summarise);
     }
 
     private JsonHttp http(String name, int connections, Step step) {
@@ -140,7 +179,7 @@
 
         @Override
         public byte[] metrics() {
-            return ("acaciafold_leader " + (leadership.leads() ? 1 : 0) + "\n").getBytes(StandardCharsets.UTF_8);
+            return metrics.scrape().getBytes(StandardCharsets.UTF_8);
         }
     }
 }
--- a/entry/src/main/java/org/acaciafold/entry/HostContext.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostContext.java
@@ -7,6 +7,8 @@
 import org.acaciafold.fleet.StepName;
 import org.acaciafold.platform.AdviceCalls;
 import org.acaciafold.platform.WorkerCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What the parts of a host share.
@@ -19,6 +21,7 @@
  * @param bus the messages between hosts
  * @param workers orders to workers
  * @param adviceCalls calls for advice
+ * @param metrics what is counted
  */
 record HostContext(
         String name,
@@ -28,13 +31,24 @@
         ConfigWatch config,
         PeerBus bus,
         WorkerCalls workers,
-        AdviceCalls adviceCalls) {
+        AdviceCalls adviceCalls,
+        HostMetrics metrics) {
+    private static final Logger LOG = LoggerFactory.getLogger(HostContext.class);
+
     /** Makes a call for advice and hands its grants on, with false when it failed. */
     void advise(StepName step, List<String> asked, long timeoutMs, BiConsumer<Boolean, List<Grant>> then) {
+        long askedAtMs = loop.nowMs();
         adviceCalls
                 .ask(step, asked, timeoutMs)
                 .subscribe(
-                        grants -> loop.execute(() -> then.accept(true, grants)),
-                        error -> loop.execute(() -> then.accept(false, List.of())));
+                        grants -> loop.execute(() -> {
+                            metrics.advice(true, loop.nowMs() - askedAtMs);
+                            then.accept(true, grants);
+                        }),
+                        error -> loop.execute(() -> {
+                            metrics.advice(false, loop.nowMs() - askedAtMs);
+                            LOG.warn("advice call failed step={} reason={}", step, error.getMessage());
+                            then.accept(false, List.of());
+                        }));
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/acaciafold/entry/HostMetrics.java
@@ -0,0 +1,147 @@
+package org.acaciafold.entry;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToDoubleFunction;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.acaciafold.fleet.FleetSummary;
+
+/**
+ * Counters, latencies and gauges of a host, all of whose names start with {@code acaciafold}.
+ *
+ * <p>Example: {@code metrics.request("POST", 200, tookMs); String text = metrics.scrape();}
+ */
+final class HostMetrics {
+    private static final String PREFIX = "acaciafold.";
+
+    /** Upper ends of the latencies' buckets, in milliseconds; a hold's objective is 250 ms, a long job takes a minute. */
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(5),
+        Duration.ofMillis(10),
+        Duration.ofMillis(25),
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(250),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(1),
+        Duration.ofMillis(2_500),
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(10),
+        Duration.ofSeconds(30),
+        Duration.ofSeconds(60)
+    };
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<Tags, Counter> counters = new ConcurrentHashMap<>();
+    private final Map<Tags, Timer> timers = new ConcurrentHashMap<>();
+    private final MultiGauge pending =
+            MultiGauge.builder(PREFIX + "jobs.pending").register(registry);
+    private volatile FleetSummary fleet = FleetSummary.empty();
+
+    HostMetrics() {
+        gauge("workers", this, metrics -> metrics.fleet.workers());
+        gauge("workers.silent", this, metrics -> metrics.fleet.silent());
+        gauge("runs", this, metrics -> metrics.fleet.runs());
+        gauge("jobs.active", this, metrics -> metrics.fleet.activeJobs());
+        gauge("cpu.free.millis", this, metrics -> metrics.fleet.freeCpuMillis());
+        gauge("cpu.used.millis", this, metrics -> metrics.fleet.usedCpuMillis());
+    }
+
+    /** Counts an answer to a consumer. */
+    void request(String method, int status, long tookMs) {
+        count("requests", "method", method, "status", Integer.toString(status));
+        time("request", "method", method, tookMs);
+    }
+
+    /** Counts a call to the store. */
+    void storeCall(String call, String outcome, long tookMs) {
+        count("store.calls", "call", call, "outcome", outcome);
+        time("store.call", "call", call, tookMs);
+    }
+
+    /** Counts an order to a worker. */
+    void order(String order, String outcome, long tookMs) {
+        count("orders", "order", order, "outcome", outcome);
+        time("order", "order", order, tookMs);
+    }
+
+    /** Counts a call for advice. */
+    void advice(boolean answered, long tookMs) {
+        count("advice.calls", "outcome", answered ? "answered" : "failed", "", "");
+        time("advice.call", "", "", tookMs);
+    }
+
+    /** Counts a job whose first task has started. */
+    void started(String queue, long afterMs) {
+        time("job.first.start", "queue", queue, afterMs);
+    }
+
+    /** Counts a job that has ended. */
+    void ended(String queue, String state, long afterMs) {
+        count("jobs.ended", "queue", queue, "state", state);
+        time("job.end", "queue", queue, afterMs);
+    }
+
+    void tick(long tookMs) {
+        time("tick", "", "", tookMs);
+    }
+
+    /** Replaces the numbers of waiting jobs by queue. */
+    void pending(Map<String, Integer> counts) {
+        pending.register(
+                counts.entrySet().stream()
+                        .map(entry -> MultiGauge.Row.of(Tags.of("queue", entry.getKey()), entry.getValue()))
+                        .toList(),
+                true);
+    }
+
+    /** Replaces the numbers about the fleet. */
+    void fleet(FleetSummary summary) {
+        fleet = summary;
+    }
+
+    /** Registers a number that is read when metrics are asked for. */
+    <T> void gauge(String name, T source, ToDoubleFunction<T> value) {
+        Gauge.builder(PREFIX + name, source, value).strongReference(true).register(registry);
+    }
+
+    /** Registers a count that is kept elsewhere and read when metrics are asked for. */
+    <T> void counted(String name, T source, ToDoubleFunction<T> value) {
+        FunctionCounter.builder(PREFIX + name, source, value).register(registry);
+    }
+
+    /** Returns all of them in the text format of Prometheus. */
+    String scrape() {
+        return registry.scrape();
+    }
+
+    private void count(String name, String key, String value, String secondKey, String secondValue) {
+        Tags tags = tags(key, value).and(tags(secondKey, secondValue));
+        counters.computeIfAbsent(tags.and("name", name), all -> registry.counter(PREFIX + name, tags))
+                .increment();
+    }
+
+    private void time(String name, String key, String value, long tookMs) {
+        Tags tags = tags(key, value);
+        timers.computeIfAbsent(
+                        tags.and("name", name),
+                        all -> Timer.builder(PREFIX + name)
+                                .tags(tags)
+                                .serviceLevelObjectives(BUCKETS)
+                                .register(registry))
+                .record(Duration.ofMillis(Math.max(0, tookMs)));
+    }
+
+    private static Tags tags(String key, String value) {
+        return key.isEmpty() ? Tags.empty() : Tags.of(key, value);
+    }
+}
--- a/entry/src/main/java/org/acaciafold/entry/JobDirectory.java
+++ b/entry/src/main/java/org/acaciafold/entry/JobDirectory.java
@@ -62,6 +62,10 @@
         update(Map.of(id, state));
     }
 
+    int size() {
+        return states.size();
+    }
+
     Optional<JobState> state(String id) {
         return Optional.ofNullable(states.get(id));
     }
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.acaciafold.fleet.FleetSummary;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.leadership.Challenge;
 import org.acaciafold.fleet.scheduling.SchedulerTerms;
@@ -85,6 +86,22 @@
         return known ? OptionalInt.of(counts.getOrDefault(route, 0)) : OptionalInt.empty();
     }
 
+    /** Returns the term of this host's lease, 0 when it does not lead. */
+    long epoch() {
+        return lease == null ? 0 : lease.record().epoch();
+    }
+
+    /** Returns how long ago the lease was last renewed, in milliseconds; 0 when this host does not lead. */
+    long leaseAgeMs() {
+        return lease == null ? 0 : lease.unconfirmedMs();
+    }
+
+    /** Brings the gauges about the fleet up to date. */
+    void summarise() {
+        host.metrics().pending(leads() ? term.pending() : Map.of());
+        host.metrics().fleet(leads() ? term.summary() : FleetSummary.empty());
+    }
+
     /** Tells the leader at once of what this host has recorded. */
     void tellLeader(PeerMessage message) {
         if (leads()) {
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -50,14 +50,16 @@
 
     private final RowStore rows;
     private final Loop loop;
+    private final HostMetrics metrics;
     private final Map<String, Lane> lanes = new HashMap<>();
     private long answeredAtMs = Long.MIN_VALUE / 2;
     private long failedAtMs = Long.MIN_VALUE / 2;
     private double recentMs;
 
-    StoreAccess(RowStore rows, Loop loop) {
+    StoreAccess(RowStore rows, Loop loop, HostMetrics metrics) {
         this.rows = rows;
         this.loop = loop;
+        this.metrics = metrics;
     }
 
     long answeredAtMs() {
@@ -81,7 +83,9 @@
     Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
         long sentAtMs = loop.nowMs();
         return rows.commit(transaction, timeoutMs).doOnNext(reply -> {
-            took(!(reply instanceof TxReply.Unknown), loop.nowMs() - sentAtMs);
+            long tookMs = loop.nowMs() - sentAtMs;
+            took(!(reply instanceof TxReply.Unknown), tookMs);
+            metrics.storeCall("transaction", reply.getClass().getSimpleName(), tookMs);
             observe(reply);
         });
     }
@@ -186,10 +190,12 @@
         return rows.read(table, partition, from, to, limit, timeoutMs())
                 .doOnNext(page -> {
                     took(true, loop.nowMs() - sentAtMs);
+                    metrics.storeCall("read", "answered", loop.nowMs() - sentAtMs);
                     answered();
                 })
                 .doOnError(error -> {
                     took(false, loop.nowMs() - sentAtMs);
+                    metrics.storeCall("read", "failed", loop.nowMs() - sentAtMs);
                     failed("read of " + table, error.getMessage());
                 });
     }
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -9,6 +9,7 @@
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.fleet.AdviceTerms;
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.FleetSummary;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.StartOutcome;
@@ -40,6 +41,7 @@
     private final HostTable hosts;
     private final Consumer<Map<String, JobState>> publish;
     private final JobSweep sweep;
+    private final JobTimes times;
     private Scheduler scheduler;
     private boolean ended;
     private boolean tickDue;
@@ -59,6 +61,7 @@
         this.hosts = hosts;
         this.publish = publish;
         this.sweep = new JobSweep(host, this::accept, this::cancel);
+        this.times = new JobTimes(host.metrics());
     }
 
     void begin() {
@@ -78,6 +81,10 @@
         return sequence;
     }
 
+    FleetSummary summary() {
+        return running() ? scheduler.summary() : FleetSummary.empty();
+    }
+
     Map<String, Integer> pending() {
         return running() ? scheduler.pending() : Map.of();
     }
@@ -101,6 +108,7 @@
         if (running()) {
             advance();
             jobs.forEach(scheduler::accept);
+            jobs.forEach(times::accepted);
             wake();
         }
     }
@@ -198,6 +206,7 @@
         if (ended || !lease.authority()) {
             return;
         }
+        long beganAtMs = host.loop().nowMs();
         advance();
         List<String> advisers = new ArrayList<>(hosts.live(host.loop().nowMs()));
         advisers.remove(host.name());
@@ -206,6 +215,7 @@
         for (Effect effect : scheduler.tick()) {
             carryOut(effect);
         }
+        host.metrics().tick(host.loop().nowMs() - beganAtMs);
     }
 
     private void carryOut(Effect effect) {
@@ -251,8 +261,12 @@
         host.workers()
                 .hold(hold, lease.record().epoch())
                 .subscribe(
-                        view -> answered(() -> scheduler.held(hold.worker(), view, askedAtMs)),
+                        view -> answered(() -> {
+                            host.metrics().order("hold", "ANSWERED", host.loop().nowMs() - askedAtMs);
+                            scheduler.held(hold.worker(), view, askedAtMs);
+                        }),
                         error -> answered(() -> {
+                            host.metrics().order("hold", "FAILED", host.loop().nowMs() - askedAtMs);
                             if (error instanceof AcaciafoldException typed
                                     && typed.failure().code().equals("fenced")) {
                                 LOG.error(
@@ -269,6 +283,7 @@
         PeerMessage message = new PeerMessage.States(lease.record().epoch(), sequence, false, states);
         host.bus().sendAll(hosts.addresses().values(), message);
         publish.accept(states);
+        times.published(states, host.loop().wallMs());
     }
 
     private void retire(Effect.Retire retire) {
@@ -285,16 +300,19 @@
             scheduler.started(start.worker(), start.task(), start.run(), StartOutcome.REFUSED);
             return;
         }
-        host.workers()
-                .start(start, lease.record().epoch())
-                .subscribe(outcome ->
-                        answered(() -> scheduler.started(start.worker(), start.task(), start.run(), outcome)));
+        long orderedAtMs = host.loop().nowMs();
+        host.workers().start(start, lease.record().epoch()).subscribe(outcome -> {
+            host.metrics().order("start", outcome.name(), host.loop().nowMs() - orderedAtMs);
+            answered(() -> scheduler.started(start.worker(), start.task(), start.run(), outcome));
+        });
     }
 
     private void stop(Effect.Stop stop) {
+        long orderedAtMs = host.loop().nowMs();
         host.workers()
                 .stop(stop, lease.record().epoch())
                 .subscribe(outcome -> answered(() -> {
+                    host.metrics().order("stop", outcome.name(), host.loop().nowMs() - orderedAtMs);
                     if (outcome == StopOutcome.FENCED) {
                         LOG.error(
                                 "fenced at a worker worker={} epoch={}",
--- a/entry/src/test/java/org/acaciafold/entry/ConsumerServerTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/ConsumerServerTest.java
@@ -26,7 +26,11 @@
     void shouldCloseAConnectionAfterItsAnswerWhenTheHostIsLeaving() throws Exception {
         int port = freePort();
         ConsumerServer server = ConsumerServer.listen(
-                "127.0.0.1:" + port, loop, request -> Mono.just(ConsumerReply.of(200)), () -> leaving);
+                "127.0.0.1:" + port,
+                loop,
+                request -> Mono.just(ConsumerReply.of(200)),
+                new HostMetrics(),
+                () -> leaving);
         try (Socket open = new Socket("127.0.0.1", port)) {
             open.setSoTimeout(LIMIT_MS);
             assertTrue(answer(open).contains("200"));
@@ -44,7 +48,11 @@
     void shouldHaveClosedIdleConnectionsWhenCloseReturns() throws Exception {
         int port = freePort();
         ConsumerServer server = ConsumerServer.listen(
-                "127.0.0.1:" + port, loop, request -> Mono.just(ConsumerReply.of(200)), () -> leaving);
+                "127.0.0.1:" + port,
+                loop,
+                request -> Mono.just(ConsumerReply.of(200)),
+                new HostMetrics(),
+                () -> leaving);
         try (Socket idle = new Socket("127.0.0.1", port)) {
             idle.setSoTimeout(LIMIT_MS);
             assertTrue(answer(idle).contains("200"));
--- a/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
@@ -4,14 +4,20 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.joran.JoranConfigurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.read.ListAppender;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class LoggingTest {
     /** Many times the lines of the queue, at a rate that no reader follows. */
@@ -23,19 +29,21 @@
     void shouldNotWaitWhenNobodyReadsStandardOutput() throws Exception {
         CountDownLatch reading = new CountDownLatch(1);
         PrintStream original = System.out;
-        LoggerContext context = new LoggerContext();
+        LoggerContext context = context();
         System.setOut(new PrintStream(new Unread(reading), true));
         try {
             JoranConfigurator configurator = new JoranConfigurator();
             configurator.setContext(context);
             configurator.doConfigure(LoggingTest.class.getResource("/logback.xml"));
             Logger log = context.getLogger("test");
+            long before = QueueAppender.dropped();
 
             assertTimeoutPreemptively(LIMIT, () -> {
                 for (int i = 0; i < LINES; i++) {
                     log.info("decision number={} outcome=started", i);
                 }
             });
+            assertTrue(QueueAppender.dropped() - before > LINES / 2);
         } finally {
             reading.countDown();
             System.setOut(original);
@@ -43,6 +51,66 @@
         }
     }
 
+    @Test
+    void shouldKeepRefusalsAndTellHowManyLinesWereDroppedWhenTheQueueIsFull() throws Exception {
+        CountDownLatch reading = new CountDownLatch(1);
+        LoggerContext context = context();
+        ListAppender<ILoggingEvent> written = new ListAppender<>() {
+            @Override
+            protected void append(ILoggingEvent event) {
+                awaitUninterruptibly(reading);
+                super.append(event);
+            }
+        };
+        written.setContext(context);
+        written.start();
+        QueueAppender queue = new QueueAppender();
+        queue.setContext(context);
+        queue.setQueueSize(100);
+        queue.setDiscardingThreshold(25);
+        queue.setNeverBlock(true);
+        queue.addAppender(written);
+        queue.start();
+        Logger log = context.getLogger("test");
+        log.addAppender(queue);
+        long before = QueueAppender.dropped();
+
+        for (int i = 0; i < 10 * 100; i++) {
+            log.info("decision number={} outcome=started", i);
+        }
+        log.warn("request status=503");
+        reading.countDown();
+        Awaitility.await().until(() -> queue.getNumberOfElementsInQueue() == 0);
+        log.info("decision after");
+
+        long dropped = QueueAppender.dropped() - before;
+        assertTrue(dropped >= 10 * 100 - 100, "dropped " + dropped);
+        Awaitility.await().until(() -> texts(written).contains("log lines dropped count=" + dropped));
+        assertTrue(texts(written).contains("request status=503"));
+        context.stop();
+    }
+
+    /** A context of its own; without an adapter for contexts of threads every line would fail before it is queued. */
+    private static LoggerContext context() {
+        LoggerContext context = new LoggerContext();
+        context.setMDCAdapter(new LogbackMDCAdapter());
+        return context;
+    }
+
+    private static List<String> texts(ListAppender<ILoggingEvent> written) {
+        return List.copyOf(written.list).stream()
+                .map(ILoggingEvent::getFormattedMessage)
+                .toList();
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** A pipe whose reader has stopped. */
     private static final class Unread extends OutputStream {
         private final CountDownLatch reading;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -12,6 +12,7 @@
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.FleetConfig;
+import org.acaciafold.fleet.FleetSummary;
 import org.acaciafold.fleet.Grant;
 import org.acaciafold.fleet.HoldView;
 import org.acaciafold.fleet.Job;
@@ -310,6 +311,27 @@
         run(worker, task, run).ifPresent(row -> stops.answered(row, outcome));
     }
 
+    /**
+     * Returns numbers about the fleet.
+     *
+     * @return the numbers
+     */
+    public FleetSummary summary() {
+        int workers = 0;
+        int silent = 0;
+        int runs = 0;
+        long free = 0;
+        long used = 0;
+        for (WorkerRow worker : tables.workers.values()) {
+            workers += worker.listed ? 1 : 0;
+            silent += worker.missed > 0 ? 1 : 0;
+            runs += worker.runs.size();
+            free += worker.listed && worker.missed == 0 ? worker.free().cpuMillis() : 0;
+            used += worker.used.cpuMillis();
+        }
+        return new FleetSummary(workers, silent, runs, tables.active.size(), free, used);
+    }
+
     /**
      * Runs the systems once, with authority to command workers.
      *
--- a/settings/src/main/java/org/acaciafold/settings/EntrySettings.java
+++ b/settings/src/main/java/org/acaciafold/settings/EntrySettings.java
@@ -7,6 +7,7 @@
  * @param domain its failure domain
  * @param consumers where consumers' requests arrive
  * @param readiness where the platform asks whether it is ready
+ * @param metrics where metrics are told, or empty
  * @param peers where other entry hosts connect
  * @param store the platform's store
  * @param advice the service that advises on placement, or empty
@@ -18,6 +19,7 @@
         String domain,
         String consumers,
         String readiness,
+        String metrics,
         String peers,
         String store,
         String advice,
--- a/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
@@ -57,6 +57,7 @@
                 host.name("failure-domain"),
                 listen.address("consumers"),
                 listen.address("readiness"),
+                listen.text("metrics", "").isEmpty() ? "" : listen.address("metrics"),
                 listen.address("peers"),
                 platform.address("store"),
                 platform.text("advice", "").isEmpty() ? "" : platform.address("advice"),
