A worker that leaves an order without an answer for 300 ms gets no more until it answers a probe

Change: HoldSystem.suspect finds overdue orders, stops using the worker and asks it at once beside the waiting renewal; any answer ends the suspicion, a failed probe counts as a missed renewal. SilentWorkerTest; probes are part of the fleet's fuzz. HoldSystem.takeEnds lost a variable that told nothing.

--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import org.acaciafold.core.model.AcaciafoldException;
@@ -223,6 +224,7 @@
             case Effect.Start start -> start(start);
             case Effect.Stop stop -> stop(stop);
             case Effect.Hold hold -> hold(hold);
+            case Effect.Probe probe -> probe(probe);
             case Effect.Save save -> TermStore.write(lease, save, () -> saved(save.batch()));
             case Effect.Retire retire -> retire(retire);
             case Effect.Advise advise -> advise(advise);
@@ -278,6 +280,17 @@
                         }));
     }
 
+    private void probe(Effect.Probe probe) {
+        long askedAtMs = host.loop().nowMs();
+        host.workers()
+                .hold(
+                        new Effect.Hold(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0),
+                        lease.record().epoch())
+                .subscribe(
+                        view -> answered(() -> scheduler.probed(probe.worker(), view, askedAtMs)),
+                        error -> answered(() -> scheduler.probeFailed(probe.worker())));
+    }
+
     private void publish(Map<String, JobState> states) {
         sequence++;
         PeerMessage message = new PeerMessage.States(lease.record().epoch(), sequence, false, states);
--- a/fleet/src/main/java/org/acaciafold/fleet/Effect.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/Effect.java
@@ -51,6 +51,14 @@
     record Hold(String worker, String address, OptionalLong untilMs, long acknowledged, long waitMs)
             implements Effect {}
 
+    /**
+     * Asks a worker at once what runs there, beside a renewal that may still wait for its answer; acknowledges nothing.
+     *
+     * @param worker the worker's identifier
+     * @param address the worker's address
+     */
+    record Probe(String worker, String address) implements Effect {}
+
     /**
      * Records progress durably.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
@@ -31,6 +31,9 @@
     /** A worker with a run of unknown size gets no work until the run has been stopped. */
     private static final long STRAY_PAUSE_MS = 2_000;
 
+    /** Workers answer orders in milliseconds; without an answer for this long one may be cut off. */
+    private static final long ORDER_OVERDUE_MS = 300;
+
     private static final long RETRY_MS = 200;
     private static final long MAX_RETRY_MS = 1_000;
 
@@ -47,12 +50,7 @@
             LOG.info("worker regained worker={} missed={}", worker.id, worker.missed);
         }
         worker.holdInFlight = false;
-        worker.missed = 0;
-        observeLife(worker, view.bornMs());
-        worker.clockMs = view.clockMs();
-        worker.contactAtMs = tables.nowMs;
-        boolean unrecorded = takeEnds(worker, view.ends());
-        compare(worker, view.running(), askedAtMs);
+        boolean unrecorded = take(worker, view, askedAtMs);
         if (tables.unsettled.remove(worker)) {
             LOG.info(
                     "worker settled worker={} runs={} unsettled={}",
@@ -63,6 +61,36 @@
         worker.nextHoldAtMs = unrecorded ? tables.nowMs + UNRECORDED_PAUSE_MS : tables.nowMs;
     }
 
+    void probed(WorkerRow worker, HoldView view, long askedAtMs) {
+        worker.probeInFlight = false;
+        take(worker, view, askedAtMs);
+    }
+
+    void probeFailed(WorkerRow worker) {
+        worker.probeInFlight = false;
+        if (worker.suspect && worker.missed == 0) {
+            worker.missed = 1;
+            LOG.warn("worker lost worker={} runs={} after=an order without an answer", worker.id, worker.runs.size());
+        }
+    }
+
+    /** Finds workers that leave an order without an answer, which get no further ones until they answer something. */
+    void suspect(List<Effect> effects) {
+        for (WorkerRow worker : tables.workers.values()) {
+            for (RunRow run : worker.runs.values()) {
+                boolean overdue = run.phase == RunPhase.STARTING && tables.nowMs - run.orderedAtMs > ORDER_OVERDUE_MS;
+                if (overdue && !run.suspected) {
+                    run.suspected = true;
+                    worker.suspect = true;
+                }
+            }
+            if (worker.suspect && !worker.probeInFlight && worker.missed == 0) {
+                worker.probeInFlight = true;
+                effects.add(new Effect.Probe(worker.id, worker.address));
+            }
+        }
+    }
+
     void failed(WorkerRow worker) {
         worker.holdInFlight = false;
         worker.missed++;
@@ -101,6 +129,18 @@
         }
     }
 
+    /** Takes what a worker says; true when ends have to be recorded before they are acknowledged. */
+    private boolean take(WorkerRow worker, HoldView view, long askedAtMs) {
+        worker.missed = 0;
+        worker.suspect = false;
+        observeLife(worker, view.bornMs());
+        worker.clockMs = view.clockMs();
+        worker.contactAtMs = tables.nowMs;
+        boolean unrecorded = takeEnds(worker, view.ends());
+        compare(worker, view.running(), askedAtMs);
+        return unrecorded;
+    }
+
     private void adopt(WorkerRow worker, RunView view, TaskRow task) {
         RunRow run = new RunRow(task, view.run(), worker, task.step.spec.each());
         run.confirm(tables.nowMs);
@@ -182,7 +222,6 @@
     }
 
     private boolean takeEnds(WorkerRow worker, List<RunEnd> listed) {
-        int before = tables.unsaved.size();
         boolean durable = false;
         for (RunEnd end : listed) {
             if (end.number() > worker.processed) {
@@ -193,7 +232,7 @@
                         .orElse(false);
             }
         }
-        if (durable || tables.unsaved.size() > before) {
+        if (durable) {
             worker.acknowledgeAfterBatch = tables.lastBatch + 1;
         } else if (worker.acknowledgeAfterBatch < 0) {
             worker.acknowledged = worker.processed;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
@@ -14,6 +14,9 @@
     /** Why it is to be stopped; empty while it is not. */
     private String stopReason = "";
 
+    /** True once its worker was asked because the order to start it got no answer for a while. */
+    boolean suspected;
+
     boolean stopInFlight;
     long stopRetryAtMs;
     long stopAnsweredAtMs = Long.MAX_VALUE;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -239,6 +239,26 @@
         LOG.info("term begins jobs={} active={} workers={}", jobs.size(), tables.active.size(), workers.size());
     }
 
+    /**
+     * Takes a worker's answer to a probe.
+     *
+     * @param worker the worker
+     * @param view what it says
+     * @param askedAtMs when it was asked, on our steady clock
+     */
+    public void probed(String worker, HoldView view, long askedAtMs) {
+        worker(worker).ifPresent(row -> holds.probed(row, view, askedAtMs));
+    }
+
+    /**
+     * Notes that a worker did not answer a probe.
+     *
+     * @param worker the worker
+     */
+    public void probeFailed(String worker) {
+        worker(worker).ifPresent(holds::probeFailed);
+    }
+
     /**
      * Notes that the records of ended jobs have been removed.
      *
@@ -343,6 +363,7 @@
         holds.expire(saves.forgotten());
         tables.active.removeIf(job -> !job.active() && job.quiet());
         stops.run(effects);
+        holds.suspect(effects);
         starts.order(effects);
         starts.run();
         advice.run(effects);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -283,6 +283,7 @@
     private boolean usable(WorkerRow worker) {
         return worker.listed
                 && worker.missed == 0
+                && !worker.suspect
                 && worker.contactAtMs >= 0
                 && tables.nowMs - worker.contactAtMs <= CONTACT_MS
                 && tables.nowMs >= worker.pausedUntilMs
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -42,6 +42,10 @@
     long clockMs;
     long leaseMs;
     int missed;
+    /** True from an order that got no answer for a while until the worker answers anything. */
+    boolean suspect;
+
+    boolean probeInFlight;
     long foreignLeaseEndsAtMs = -1;
     long pausedUntilMs = -1;
     long refusedUntilMs = -1;
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -219,6 +220,7 @@
                         outcome -> term.stopped(
                                 stop.worker(), stop.task(), stop.run(), outcome.orElse(StopOutcome.UNKNOWN)));
             case Effect.Hold hold -> hold(term, hold, token);
+            case Effect.Probe probe -> probe(term, probe, token);
             case Effect.Save save -> at(nowMs + 10 + random.nextInt(30), () -> save(term, save));
             case Effect.Retire retire -> at(nowMs + 10 + random.nextInt(500), () -> retire(term, retire));
             case Effect.Advise ignored -> oracle.check(false, "advice for a queue that needs none");
@@ -265,6 +267,18 @@
         });
     }
 
+    private void probe(Scheduler term, Effect.Probe probe, long token) {
+        long askedAtMs = nowMs;
+        Effect.Hold look = new Effect.Hold(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0);
+        order(term, probe.worker(), worker -> worker.hold(look, token, nowMs), view -> {
+            if (view.isPresent()) {
+                term.probed(probe.worker(), view.get(), askedAtMs);
+            } else {
+                term.probeFailed(probe.worker());
+            }
+        });
+    }
+
     /** Delivers an order, sometimes late, and its answer, sometimes never. */
     private <T> void order(
             Scheduler term, String id, Function<FakeWorker, Optional<T>> execute, Consumer<Optional<T>> answered) {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
@@ -143,6 +143,10 @@
         scheduler.held(worker, new HoldView(nowMs - 10_000, bornMs, running, ends), nowMs);
     }
 
+    HoldView view(List<RunView> running, List<RunEnd> ends) {
+        return new HoldView(nowMs - 10_000, BORN_MS, running, ends);
+    }
+
     static RunView running(Effect.Start start) {
         return new RunView(start.task(), start.run(), "", 10);
     }
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerTest.java
@@ -0,0 +1,85 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.List;
+
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.RunView;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Pattern: short urgent jobs while a part of the workers has just been cut off, which no renewal has told yet. */
+class SilentWorkerTest {
+    private static final long OVERDUE_MS = 301;
+
+    private final SchedulerFixture fixture =
+            new SchedulerFixture(1).withWorkers(worker("a", 1_000), worker("b", 4_000));
+    private Effect.Start unanswered;
+
+    /** An order to the worker with the least room that gets no answer. */
+    @BeforeEach
+    void startWithoutAnAnswer() {
+        submit("first");
+        unanswered = fixture.starts().getFirst();
+        assertEquals("a", unanswered.worker());
+    }
+
+    private void submit(String id) {
+        fixture.scheduler.accept(fixture.job(id, step(1, 500).build()));
+    }
+
+    private List<Effect.Probe> probes() {
+        return fixture.tick().stream()
+                .filter(Effect.Probe.class::isInstance)
+                .map(Effect.Probe.class::cast)
+                .toList();
+    }
+
+    @Test
+    void shouldStartElsewhereWhenAnOrderGetsNoAnswer() {
+        fixture.advance(OVERDUE_MS);
+        assertEquals("a", probes().getFirst().worker());
+
+        submit("second");
+
+        assertEquals(
+                List.of("b"),
+                fixture.starts().stream().map(Effect.Start::worker).toList());
+    }
+
+    @Test
+    void shouldStartThereAgainWhenTheWorkerAnswersTheProbe() {
+        fixture.advance(OVERDUE_MS);
+        long askedAtMs = fixture.nowMs;
+        assertEquals(1, probes().size());
+        RunView running = new RunView(unanswered.task(), unanswered.run(), "", 0);
+        fixture.scheduler.probed("a", fixture.view(List.of(running), List.of()), askedAtMs);
+
+        submit("second");
+
+        assertEquals(
+                List.of("a"),
+                fixture.starts().stream().map(Effect.Start::worker).toList());
+        assertEquals(List.of(), probes());
+    }
+
+    @Test
+    void shouldRenewNoLeaseOfAWorkerThatDoesNotAnswerTheProbe() {
+        fixture.advance(OVERDUE_MS);
+        fixture.tick();
+
+        fixture.scheduler.probeFailed("a");
+        fixture.scheduler.holdFailed("a");
+        fixture.advance(1_000);
+
+        List<Effect> effects = fixture.tick();
+        assertTrue(effects.stream()
+                .anyMatch(effect -> effect instanceof Effect.Hold hold
+                        && hold.worker().equals("a")
+                        && hold.untilMs().isEmpty()));
+    }
+}
