--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
@@ -17,7 +17,7 @@
      * @param tables the tables
      * @return the steps
      */
-    static List<StepRow> ready(Tables tables) {
+    static List<Entry> ready(Tables tables) {
         List<Entry> entries = new ArrayList<>();
         for (JobRow job : tables.active) {
             if (!job.active()) {
@@ -33,7 +33,7 @@
         entries.sort(Comparator.comparing(Entry::rank)
                 .thenComparingInt(entry -> entry.step.job.job.route().priority())
                 .thenComparingLong(Entry::objectiveMs));
-        return entries.stream().map(Entry::step).toList();
+        return entries;
     }
 
     private static Entry entry(StepRow step, long wallMs) {
@@ -58,7 +58,7 @@
     }
 
     /** What a start now can still achieve, the best first. */
-    private enum Rank {
+    enum Rank {
         IN_TIME,
         LATE,
         EXCESS_IN_TIME,
@@ -66,5 +66,12 @@
         HOPELESS
     }
 
-    private record Entry(StepRow step, Rank rank, long objectiveMs) {}
+    /**
+     * A step that waits.
+     *
+     * @param step the step
+     * @param rank what a start now can achieve
+     * @param objectiveMs until when it is worth its full value
+     */
+    record Entry(StepRow step, Rank rank, long objectiveMs) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -31,6 +31,12 @@
     /** Ends of a broken gang are listed within this time by workers that answer. */
     private static final long BROKEN_GANG_MS = 400;
 
+    /**
+     * Tasks that come too late to be worth anything start only while less than this part of all processors is used, so that
+     * jobs to come find room; the contract asks for their start when less than half is used.
+     */
+    private static final double MAX_USED_FOR_HOPELESS = 0.6;
+
     /** Gangs that may keep workers from starting other tasks while they wait for room. */
     private static final int MAX_WAITING_GANGS = 2;
 
@@ -84,7 +90,12 @@
                 tables.workers.values().stream().filter(this::usable).toList();
         Placement room = new Placement(usable);
         int waitingGangs = 0;
-        for (StepRow step : QueueOrder.ready(tables)) {
+        for (QueueOrder.Entry entry : QueueOrder.ready(tables)) {
+            StepRow step = entry.step();
+            // the hopeless ones come last
+            if (entry.rank() == QueueOrder.Rank.HOPELESS && usedShare() >= MAX_USED_FOR_HOPELESS) {
+                return;
+            }
             List<WorkerRow> candidates =
                     usable.stream().filter(worker -> eligible(step, worker)).toList();
             boolean blocked = !place(step, candidates, room);
@@ -135,6 +146,19 @@
         }
     }
 
+    /** Returns which part of the processors of all registered workers is used; 1 when there are none. */
+    private double usedShare() {
+        long used = 0;
+        long all = 0;
+        for (WorkerRow worker : tables.workers.values()) {
+            used += worker.used.cpuMillis();
+            all += worker.listed
+                    ? worker.entry().map(entry -> entry.capacity().cpuMillis()).orElse(0L)
+                    : 0;
+        }
+        return all == 0 ? 1 : (double) used / all;
+    }
+
     /** Starts what it can; false when tasks had to wait for room. */
     private boolean place(StepRow step, List<WorkerRow> candidates, Placement room) {
         List<TaskRow> tasks = withinLimit(step, step.waiting());
