--- a/bench/src/main/java/org/acaciafold/bench/BaselinePlane.java
+++ b/bench/src/main/java/org/acaciafold/bench/BaselinePlane.java
@@ -15,15 +15,15 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.Decision;
 import org.acaciafold.core.placement.JobProgress;
 import org.acaciafold.core.placement.PlacementPlane;
 import org.acaciafold.core.placement.PlacementSummary;
-import org.acaciafold.core.placement.TeamTerms;
 import org.acaciafold.core.placement.WorkerSpec;
 import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.placement.WorkspaceTerms;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.StopMode;
 import org.acaciafold.core.port.TaskEnd;
@@ -43,8 +43,8 @@
     private final Choice choice;
     private final Map<WorkerId, Worker> workers = new LinkedHashMap<>();
     private final Map<JobId, Job> jobs = new HashMap<>();
-    private final Map<TeamId, Resources> allotments = new HashMap<>();
-    private final Map<TeamId, Resources> used = new HashMap<>();
+    private final Map<WorkspaceId, Resources> allotments = new HashMap<>();
+    private final Map<WorkspaceId, Resources> used = new HashMap<>();
     private final LinkedList<Job> queue = new LinkedList<>();
     private final List<Decision> stops = new ArrayList<>();
     private boolean open = true;
@@ -195,8 +195,8 @@
     }
 
     @Override
-    public void team(TeamId team, TeamTerms terms) {
-        allotments.put(team, terms.allotment());
+    public void workspace(WorkspaceId workspace, WorkspaceTerms terms) {
+        allotments.put(workspace, terms.allotment());
     }
 
     @Override
@@ -215,8 +215,8 @@
     }
 
     @Override
-    public Resources usage(TeamId team) {
-        return used.getOrDefault(team, Resources.empty());
+    public Resources usage(WorkspaceId workspace) {
+        return used.getOrDefault(workspace, Resources.empty());
     }
 
     private void start(Job job, List<Decision> decisions) {
@@ -259,13 +259,13 @@
         Run run = new Run(index, ++job.attempts, worker);
         job.running.put(index, run);
         worker.free = worker.free.minus(job.spec.demand());
-        used.merge(job.spec.team(), job.spec.demand(), Resources::plus);
+        used.merge(job.spec.workspace(), job.spec.demand(), Resources::plus);
         return new Decision.Start(job.spec.task(index), worker.spec.id(), run.attempt(), job.spec);
     }
 
     private boolean allows(Job job, int tasks) {
-        Resources wanted = usage(job.spec.team()).plus(job.spec.demand().times(tasks));
-        return wanted.fitsIn(allotments.getOrDefault(job.spec.team(), Resources.empty()));
+        Resources wanted = usage(job.spec.workspace()).plus(job.spec.demand().times(tasks));
+        return wanted.fitsIn(allotments.getOrDefault(job.spec.workspace(), Resources.empty()));
     }
 
     private Worker choose(Resources demand) {
@@ -288,7 +288,7 @@
         Run run = job.running.remove(index);
         runningTasks--;
         run.worker().free = run.worker().free.plus(job.spec.demand());
-        used.merge(job.spec.team(), job.spec.demand(), Resources::minus);
+        used.merge(job.spec.workspace(), job.spec.demand(), Resources::minus);
     }
 
     private void stop(Job job, Run run, StopMode mode) {
--- a/bench/src/main/java/org/acaciafold/bench/DecisionsBench.java
+++ b/bench/src/main/java/org/acaciafold/bench/DecisionsBench.java
@@ -24,7 +24,7 @@
     private static final int[] WORKERS = {30, 300, 1_500, 12_000};
     private static final int[] QUEUED = {1_000, 10_000, 100_000};
     private static final int QUEUED_WORKERS = 1_500;
-    private static final int TEAMS = 61;
+    private static final int WORKSPACES = 61;
     private static final int STEPS = 20_000;
     private static final int BASELINE_STEPS = 100;
     private static final long SLOWEST_NANOS = 60_000_000_000L;
@@ -86,8 +86,8 @@
 
     private Cost cost(Policy policy, int workers, int queued) {
         double before = usedMib();
-        SteadySlice slice =
-                SteadySlice.of(policy.plane(seed, EnumSet.noneOf(PlaneFeature.class)), workers, TEAMS, queued, seed);
+        SteadySlice slice = SteadySlice.of(
+                policy.plane(seed, EnumSet.noneOf(PlaneFeature.class)), workers, WORKSPACES, queued, seed);
         boolean baseline = policy == Policy.FIRST_FIT_FIFO || policy == Policy.LEAST_LOADED;
         int steps = baseline ? BASELINE_STEPS : STEPS;
         for (int i = 0; i < steps / 2; i++) {
@@ -117,15 +117,15 @@
                 "Rates, with 100 ticks a second",
                 List.of("starts a second", "running tasks", "percent of a core", "tick p99, microseconds"),
                 ResultTable.Better.NEITHER);
-        rate(table, "today: 60 workers, 12 teams", 60, 12, 5_000);
-        rate(table, "one domain: 1,500 workers, 61 teams", 1_500, 61, 1_400);
-        rate(table, "fleet: 12,000 workers, 61 teams", 12_000, 61, 11_000);
+        rate(table, "today: 60 workers, 12 workspaces", 60, 12, 5_000);
+        rate(table, "one domain: 1,500 workers, 61 workspaces", 1_500, 61, 1_400);
+        rate(table, "fleet: 12,000 workers, 61 workspaces", 12_000, 61, 11_000);
         return table;
     }
 
-    private void rate(ResultTable table, String name, int workers, int teams, int perSecond) {
+    private void rate(ResultTable table, String name, int workers, int workspaces, int perSecond) {
         SteadySlice slice = SteadySlice.of(
-                Policy.ACACIAFOLD.plane(seed, EnumSet.noneOf(PlaneFeature.class)), workers, teams, 1_000, seed);
+                Policy.ACACIAFOLD.plane(seed, EnumSet.noneOf(PlaneFeature.class)), workers, workspaces, 1_000, seed);
         int perTick = perSecond / TICKS_PER_SECOND;
         for (int i = 0; i < RATE_SECONDS * TICKS_PER_SECOND; i++) {
             slice.step(perTick);
--- a/bench/src/main/java/org/acaciafold/bench/Measures.java
+++ b/bench/src/main/java/org/acaciafold/bench/Measures.java
@@ -52,7 +52,7 @@
     void arrived(Workload.Arrival arrival) {
         if (!arrival.hopeless()) {
             JobSpec spec = arrival.spec();
-            distance.want(spec.team(), spec.demand().times(spec.kind().tasks()));
+            distance.want(spec.workspace(), spec.demand().times(spec.kind().tasks()));
         }
     }
 
@@ -60,14 +60,15 @@
     void cancelled(Workload.Arrival arrival, int ended) {
         if (!arrival.hopeless()) {
             JobSpec spec = arrival.spec();
-            distance.want(spec.team(), spec.demand().times(ended - spec.kind().tasks()));
+            distance.want(
+                    spec.workspace(), spec.demand().times(ended - spec.kind().tasks()));
         }
     }
 
     /** Counts what a task wants no more. */
     void succeeded(JobSpec spec, boolean cancelledBefore) {
         if (!cancelledBefore) {
-            distance.want(spec.team(), spec.demand().times(-1));
+            distance.want(spec.workspace(), spec.demand().times(-1));
         }
     }
 
--- a/bench/src/main/java/org/acaciafold/bench/PolicyBench.java
+++ b/bench/src/main/java/org/acaciafold/bench/PolicyBench.java
@@ -39,10 +39,12 @@
         }
         tables.add(table(
                 "Packing: part of the capacity in use while work waits", ResultTable.Better.HIGHER, Measures::packing));
-        tables.add(
-                table("Part of their shares that the teams missed", ResultTable.Better.LOWER, Measures::shareDistance));
         tables.add(table(
-                "Part of its share missed by the worst team", ResultTable.Better.LOWER, Measures::worstShareDistance));
+                "Part of their shares that the workspaces missed", ResultTable.Better.LOWER, Measures::shareDistance));
+        tables.add(table(
+                "Part of its share missed by the worst workspace",
+                ResultTable.Better.LOWER,
+                Measures::worstShareDistance));
         tables.add(table(
                 "Work done while a domain leaves and returns, core-seconds",
                 ResultTable.Better.HIGHER,
--- a/bench/src/main/java/org/acaciafold/bench/Replay.java
+++ b/bench/src/main/java/org/acaciafold/bench/Replay.java
@@ -21,9 +21,9 @@
 import org.acaciafold.core.placement.PlacementPlane;
 import org.acaciafold.core.placement.PlaneFeature;
 import org.acaciafold.core.placement.ServicePolicy;
-import org.acaciafold.core.placement.TeamTerms;
 import org.acaciafold.core.placement.WorkerSpec;
 import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.placement.WorkspaceTerms;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.StopMode;
 import org.acaciafold.core.port.TaskEnd;
@@ -104,9 +104,9 @@
     private PlacementPlane plane(PlacementPlane plane, List<WorkerSpec> workers) {
         Resources capacity = workers.stream().map(WorkerSpec::capacity).reduce(Resources.empty(), Resources::plus);
         workload.weights()
-                .forEach((team, weight) -> plane.team(
-                        team,
-                        new TeamTerms(
+                .forEach((workspace, weight) -> plane.workspace(
+                        workspace,
+                        new WorkspaceTerms(
                                 weight,
                                 capacity,
                                 new ServicePolicy.Spread(2),
--- a/bench/src/main/java/org/acaciafold/bench/ShareDistance.java
+++ b/bench/src/main/java/org/acaciafold/bench/ShareDistance.java
@@ -5,65 +5,65 @@
 import java.util.Map;
 
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.PlacementPlane;
 
 /**
- * How far each team is below its share of what is in use, averaged over the samples.
+ * How far each workspace is below its share of what is in use, averaged over the samples.
  *
- * <p>The share is the weighted max-min one of the dominant shares, over what each team holds or has waiting.
+ * <p>The share is the weighted max-min one of the dominant shares, over what each workspace holds or has waiting.
  */
 final class ShareDistance {
     private static final int ROUNDS = 64;
 
-    private final Map<TeamId, Double> weights;
-    private final Map<TeamId, Double> below = new HashMap<>();
-    private final Map<TeamId, Double> due = new HashMap<>();
-    private final Map<TeamId, Resources> wanted = new HashMap<>();
+    private final Map<WorkspaceId, Double> weights;
+    private final Map<WorkspaceId, Double> below = new HashMap<>();
+    private final Map<WorkspaceId, Double> due = new HashMap<>();
+    private final Map<WorkspaceId, Resources> wanted = new HashMap<>();
 
-    ShareDistance(Map<TeamId, Double> weights) {
+    ShareDistance(Map<WorkspaceId, Double> weights) {
         this.weights = weights;
     }
 
-    /** Changes what a team wants, waiting or running. */
-    void want(TeamId team, Resources change) {
-        wanted.merge(team, change, Resources::plus);
+    /** Changes what a workspace wants, waiting or running. */
+    void want(WorkspaceId workspace, Resources change) {
+        wanted.merge(workspace, change, Resources::plus);
     }
 
     void sample(List<PlacementPlane> planes, Resources capacity) {
-        Map<TeamId, Double> held = new HashMap<>();
+        Map<WorkspaceId, Double> held = new HashMap<>();
         double total = 0;
-        for (TeamId team : weights.keySet()) {
+        for (WorkspaceId workspace : weights.keySet()) {
             Resources used = Resources.empty();
             for (PlacementPlane plane : planes) {
-                used = used.plus(plane.usage(team));
+                used = used.plus(plane.usage(workspace));
             }
-            held.put(team, used.dominantShare(capacity));
-            total += held.get(team);
+            held.put(workspace, used.dominantShare(capacity));
+            total += held.get(workspace);
         }
-        Map<TeamId, Double> fair = fair(Math.min(1, total), capacity);
-        fair.forEach((team, share) -> {
-            below.merge(team, Math.max(0, share - held.get(team)), Double::sum);
-            due.merge(team, share, Double::sum);
+        Map<WorkspaceId, Double> fair = fair(Math.min(1, total), capacity);
+        fair.forEach((workspace, share) -> {
+            below.merge(workspace, Math.max(0, share - held.get(workspace)), Double::sum);
+            due.merge(workspace, share, Double::sum);
         });
     }
 
-    /** Returns the part of their shares that the teams missed. */
+    /** Returns the part of their shares that the workspaces missed. */
     double mean() {
         return sum(below) / Math.max(1e-9, sum(due));
     }
 
-    /** Returns the part of its share that the team missed which missed most. */
+    /** Returns the part of its share that the workspace missed which missed most. */
     double worst() {
         return due.keySet().stream()
-                .mapToDouble(team -> below.get(team) / Math.max(1e-9, due.get(team)))
+                .mapToDouble(workspace -> below.get(workspace) / Math.max(1e-9, due.get(workspace)))
                 .max()
                 .orElse(0);
     }
 
-    /** Fills all teams up in step until they have what they want or the total is given out. */
-    private Map<TeamId, Double> fair(double total, Resources capacity) {
-        Map<TeamId, Double> shares = new HashMap<>();
+    /** Fills all workspaces up in step until they have what they want or the total is given out. */
+    private Map<WorkspaceId, Double> fair(double total, Resources capacity) {
+        Map<WorkspaceId, Double> shares = new HashMap<>();
         double low = 0;
         double high = 1
                 / weights.values().stream()
@@ -83,14 +83,14 @@
         return shares;
     }
 
-    private void fill(Map<TeamId, Double> shares, double level, Resources capacity) {
-        weights.forEach((team, weight) -> {
-            double want = wanted.getOrDefault(team, Resources.empty()).dominantShare(capacity);
-            shares.put(team, Math.min(want, level * weight));
+    private void fill(Map<WorkspaceId, Double> shares, double level, Resources capacity) {
+        weights.forEach((workspace, weight) -> {
+            double want = wanted.getOrDefault(workspace, Resources.empty()).dominantShare(capacity);
+            shares.put(workspace, Math.min(want, level * weight));
         });
     }
 
-    private static double sum(Map<TeamId, Double> values) {
+    private static double sum(Map<WorkspaceId, Double> values) {
         return values.values().stream().mapToDouble(Double::doubleValue).sum();
     }
 }
--- a/bench/src/main/java/org/acaciafold/bench/SteadySlice.java
+++ b/bench/src/main/java/org/acaciafold/bench/SteadySlice.java
@@ -10,16 +10,16 @@
 import org.acaciafold.core.model.JobKind;
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.BatchPolicy;
 import org.acaciafold.core.placement.Decision;
 import org.acaciafold.core.placement.GangPolicy;
 import org.acaciafold.core.placement.PlacementPlane;
 import org.acaciafold.core.placement.ServicePolicy;
-import org.acaciafold.core.placement.TeamTerms;
 import org.acaciafold.core.placement.WorkerSpec;
 import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.placement.WorkspaceTerms;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.TaskEnd;
 
@@ -34,22 +34,22 @@
 
     private final PlacementPlane plane;
     private final Random random;
-    private final int teams;
+    private final int workspaces;
     private final int queuedTasks;
     private final List<Decision.Start> running = new ArrayList<>();
     private long nowMs;
     private long jobs;
 
-    private SteadySlice(PlacementPlane plane, int teams, int queuedTasks, long seed) {
+    private SteadySlice(PlacementPlane plane, int workspaces, int queuedTasks, long seed) {
         this.plane = plane;
-        this.teams = teams;
+        this.workspaces = workspaces;
         this.queuedTasks = queuedTasks;
         this.random = new Random(seed);
     }
 
     /** Makes a slice whose workers are full and whose queue holds so many jobs. */
-    static SteadySlice of(PlacementPlane plane, int workers, int teams, int queuedJobs, long seed) {
-        SteadySlice slice = new SteadySlice(plane, teams, queuedJobs * TASKS_PER_JOB, seed);
+    static SteadySlice of(PlacementPlane plane, int workers, int workspaces, int queuedJobs, long seed) {
+        SteadySlice slice = new SteadySlice(plane, workspaces, queuedJobs * TASKS_PER_JOB, seed);
         slice.addWorkers(workers);
         slice.fill(workers);
         return slice;
@@ -73,10 +73,10 @@
 
     private void addWorkers(int workers) {
         Resources all = WORKER.plus(Resources.of(0, 0, ACCELERATORS)).times(workers);
-        for (int i = 0; i < teams; i++) {
-            plane.team(
-                    TeamId.of("team" + i),
-                    new TeamTerms(
+        for (int i = 0; i < workspaces; i++) {
+            plane.workspace(
+                    WorkspaceId.of("workspace" + i),
+                    new WorkspaceTerms(
                             1 + i % 3,
                             all,
                             new ServicePolicy.Spread(2),
@@ -116,13 +116,13 @@
     private void submit() {
         int cores = 2 + random.nextInt(3);
         boolean accelerated = random.nextInt(20) == 0;
-        int team = random.nextInt(teams);
+        int workspace = random.nextInt(workspaces);
         OptionalLong finish =
                 random.nextBoolean() ? OptionalLong.of(RAN_MS * (1 + random.nextInt(60))) : OptionalLong.empty();
         JobSpec spec = JobSpec.builder(
                         JobId.of("j" + jobs++),
-                        TeamId.of("team" + team),
-                        "name" + team,
+                        WorkspaceId.of("workspace" + workspace),
+                        "name" + workspace,
                         new JobKind.Batch(TASKS_PER_JOB, finish))
                 .demand(Resources.of(cores * 1_000L, 4_000L * (1 + random.nextInt(3)), accelerated ? 1 : 0))
                 .runTimeMs(RAN_MS)
--- a/bench/src/main/java/org/acaciafold/bench/Workload.java
+++ b/bench/src/main/java/org/acaciafold/bench/Workload.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 import org.acaciafold.core.model.JobSpec;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.WorkerSpec;
 
 /**
@@ -16,7 +16,7 @@
  * @param durationMs how long it lasts in milliseconds
  * @param tickMs milliseconds between ticks
  * @param domains the workers of each failure domain
- * @param weights the weight of each team
+ * @param weights the weight of each workspace
  * @param arrivals the jobs in the order of their submission
  * @param blackHoles workers that fail everything they start
  * @param move when the first domain leaves and returns
@@ -28,7 +28,7 @@
         long durationMs,
         long tickMs,
         List<List<WorkerSpec>> domains,
-        Map<TeamId, Double> weights,
+        Map<WorkspaceId, Double> weights,
         List<Arrival> arrivals,
         Set<WorkerId> blackHoles,
         Window move,
--- a/bench/src/main/java/org/acaciafold/bench/Workloads.java
+++ b/bench/src/main/java/org/acaciafold/bench/Workloads.java
@@ -14,8 +14,8 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Priority;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.WorkerSpec;
 
 /** Makes workloads of the sizes of the two deployments and of the size aimed at, with all faults in each. */
@@ -24,7 +24,7 @@
     private static final int RACK = 8;
     private static final int HOPELESS_JOBS = 3;
     private static final double RUN_TIME_ERROR = 0.8;
-    private static final double FLOODING_TEAM_PART = 0.5;
+    private static final double FLOODING_WORKSPACE_PART = 0.5;
     private static final double CANCELLED_PART = 0.3;
     private static final long MINUTE = 60_000;
 
@@ -47,8 +47,8 @@
             String name,
             int workers,
             Resources worker,
-            int teams,
-            int largeTeams,
+            int workspaces,
+            int largeWorkspaces,
             double urgentPart,
             double peak,
             long meanRunMs,
@@ -102,17 +102,17 @@
         return domains;
     }
 
-    private Map<TeamId, Double> weights() {
-        Map<TeamId, Double> weights = new LinkedHashMap<>();
-        for (int i = 0; i < shape.teams(); i++) {
-            weights.put(TeamId.of("team" + i), i < shape.largeTeams() ? 4.0 : 1.0);
+    private Map<WorkspaceId, Double> weights() {
+        Map<WorkspaceId, Double> weights = new LinkedHashMap<>();
+        for (int i = 0; i < shape.workspaces(); i++) {
+            weights.put(WorkspaceId.of("workspace" + i), i < shape.largeWorkspaces() ? 4.0 : 1.0);
         }
         return weights;
     }
 
     private void addServices() {
-        for (int i = 0; i < shape.teams(); i++) {
-            int replicas = Math.max(2, shape.workers() / shape.teams() / 2);
+        for (int i = 0; i < shape.workspaces(); i++) {
+            int replicas = Math.max(2, shape.workers() / shape.workspaces() / 2);
             add(0, "service", i, new JobKind.Service(replicas), Resources.of(4_000, 8_000, 0), 1, Priority.NORMAL);
         }
     }
@@ -137,30 +137,31 @@
 
     /** Adds a job and returns its core seconds. */
     private double addJob(long atMs) {
-        boolean flooding = random.nextDouble() < FLOODING_TEAM_PART;
-        int team = flooding ? shape.teams() - 1 : random.nextInt(shape.teams());
+        boolean flooding = random.nextDouble() < FLOODING_WORKSPACE_PART;
+        int workspace = flooding ? shape.workspaces() - 1 : random.nextInt(shape.workspaces());
         double draw = random.nextDouble();
         if (draw < shape.urgentPart()) {
-            return add(atMs, "hold", team, batch(1, 0), demand(1), runMs(0.1), Priority.URGENT);
+            return add(atMs, "hold", workspace, batch(1, 0), demand(1), runMs(0.1), Priority.URGENT);
         }
         double kind = (draw - shape.urgentPart()) / (1 - shape.urgentPart());
         if (kind < 0.35) {
-            return add(atMs, "report", team, batch(1 + random.nextInt(20), 0), demand(2), runMs(1), Priority.NORMAL);
+            return add(
+                    atMs, "report", workspace, batch(1 + random.nextInt(20), 0), demand(2), runMs(1), Priority.NORMAL);
         }
         if (kind < 0.65) {
             long finishMs = 4 * shape.meanRunMs();
             JobKind reconciliation = batch(1 + random.nextInt(30), finishMs);
-            return add(atMs, "reconciliation", team, reconciliation, demand(2), runMs(1), Priority.NORMAL);
+            return add(atMs, "reconciliation", workspace, reconciliation, demand(2), runMs(1), Priority.NORMAL);
         }
         if (kind < 0.75) {
             JobKind gang = new JobKind.Gang(4 + random.nextInt(5));
-            return add(atMs, "pricing", team, gang, demand(6), runMs(1.5), Priority.NORMAL);
+            return add(atMs, "pricing", workspace, gang, demand(6), runMs(1.5), Priority.NORMAL);
         }
         if (kind < 0.85) {
             Resources demand = demand(2).plus(Resources.of(0, 0, 1));
-            return add(atMs, "vision", team, batch(1 + random.nextInt(4), 0), demand, runMs(1), Priority.NORMAL);
+            return add(atMs, "vision", workspace, batch(1 + random.nextInt(4), 0), demand, runMs(1), Priority.NORMAL);
         }
-        return add(atMs, "archive", team, batch(1 + random.nextInt(20), 0), demand(4), runMs(2), Priority.LOW);
+        return add(atMs, "archive", workspace, batch(1 + random.nextInt(20), 0), demand(4), runMs(2), Priority.LOW);
     }
 
     private void addHopelessJobs() {
@@ -174,15 +175,16 @@
     }
 
     private double add(
-            long atMs, String name, int team, JobKind kind, Resources demand, long runMs, Priority priority) {
+            long atMs, String name, int workspace, JobKind kind, Resources demand, long runMs, Priority priority) {
         long declaredMs = (long) (runMs * Math.exp(RUN_TIME_ERROR * random.nextGaussian()));
-        JobSpec spec = spec(name, team, kind, demand, Math.max(1, declaredMs), priority);
+        JobSpec spec = spec(name, workspace, kind, demand, Math.max(1, declaredMs), priority);
         arrivals.add(new Workload.Arrival(atMs, spec, runMs, false));
         return kind.tasks() * demand.cpuMillis() / 1_000.0 * runMs / 1_000.0;
     }
 
-    private JobSpec spec(String name, int team, JobKind kind, Resources demand, long declaredMs, Priority priority) {
-        return JobSpec.builder(JobId.of("j" + arrivals.size()), TeamId.of("team" + team), name, kind)
+    private JobSpec spec(
+            String name, int workspace, JobKind kind, Resources demand, long declaredMs, Priority priority) {
+        return JobSpec.builder(JobId.of("j" + arrivals.size()), WorkspaceId.of("workspace" + workspace), name, kind)
                 .demand(demand)
                 .priority(priority)
                 .exclusive(true)
--- a/bench/src/test/java/org/acaciafold/bench/ReplayTest.java
+++ b/bench/src/test/java/org/acaciafold/bench/ReplayTest.java
@@ -9,8 +9,8 @@
 import org.acaciafold.core.model.JobKind;
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.PlaneFeature;
 import org.acaciafold.core.placement.WorkerSpec;
 import org.junit.jupiter.api.Test;
@@ -22,7 +22,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ReplayTest {
-    private static final TeamId TEAM = TeamId.of("t");
+    private static final WorkspaceId WORKSPACE = WorkspaceId.of("t");
 
     private static Measures replay(Policy policy, long runMs) {
         WorkerSpec worker = new WorkerSpec(WorkerId.of("w"), "r", Resources.of(1_000, 1_000, 0));
@@ -32,7 +32,7 @@
                 10_000,
                 100,
                 List.of(List.of(worker)),
-                Map.of(TEAM, 1.0),
+                Map.of(WORKSPACE, 1.0),
                 arrivals,
                 Set.of(),
                 new Workload.Window(20_000, 30_000),
@@ -42,7 +42,7 @@
     }
 
     private static Workload.Arrival arrival(String id, long runMs) {
-        JobSpec spec = JobSpec.builder(JobId.of(id), TEAM, id, new JobKind.Gang(1))
+        JobSpec spec = JobSpec.builder(JobId.of(id), WORKSPACE, id, new JobKind.Gang(1))
                 .demand(Resources.of(1_000, 10, 0))
                 .build();
         return new Workload.Arrival(0, spec, runMs, false);
--- a/cli/src/main/java/org/acaciafold/cli/CheckCommand.java
+++ b/cli/src/main/java/org/acaciafold/cli/CheckCommand.java
@@ -32,7 +32,7 @@
                 "check",
                 "FILE",
                 "check a settings file of an entry host, or a directory with a settings tree"
-                        + " (team/NAME.ini, domain/NAME.ini, open.ini)",
+                        + " (workspace/NAME.ini, domain/NAME.ini, open.ini)",
                 options,
                 CheckCommand::run);
     }
--- a/cli/src/main/java/org/acaciafold/cli/KeyCommands.java
+++ b/cli/src/main/java/org/acaciafold/cli/KeyCommands.java
@@ -17,14 +17,14 @@
         return List.of(
                 new Command(
                         "key create",
-                        "TEAM",
-                        "create a key of a team and print its only copy",
+                        "WORKSPACE",
+                        "create a key of a workspace and print its only copy",
                         CommandOptions.editing(),
                         KeyCommands::create),
                 new Command(
                         "key withdraw",
-                        "TEAM KEYID",
-                        "withdraw a key of a team",
+                        "WORKSPACE KEYID",
+                        "withdraw a key of a workspace",
                         CommandOptions.editing(),
                         KeyCommands::withdraw),
                 new Command(
@@ -60,7 +60,7 @@
     }
 
     private static String path(Invocation invocation) {
-        return "/v1/teams/" + invocation.argument(0) + "/keys";
+        return "/v1/workspaces/" + invocation.argument(0) + "/keys";
     }
 
     private static ExitCode withdraw(Invocation invocation) throws CommandException {
--- a/cli/src/main/java/org/acaciafold/cli/Replies.java
+++ b/cli/src/main/java/org/acaciafold/cli/Replies.java
@@ -49,8 +49,8 @@
 
     /** Writes the state of a job. */
     static void job(Invocation invocation, JobStatus job) {
-        invocation.print("job " + job.job() + " (" + job.name() + ") of team " + job.team() + ": " + job.phase()
-                + ", home " + job.home());
+        invocation.print("job " + job.job() + " (" + job.name() + ") of workspace " + job.workspace() + ": "
+                + job.phase() + ", home " + job.home());
         invocation.print("tasks: " + job.waiting() + " waiting, " + job.running() + " running, " + job.succeeded()
                 + " succeeded, " + job.failed() + " failed");
         job.problem().ifPresent(problem -> invocation.print("problem: " + problem));
--- a/cli/src/test/java/org/acaciafold/cli/MainTest.java
+++ b/cli/src/test/java/org/acaciafold/cli/MainTest.java
@@ -105,7 +105,7 @@
         assertEquals(ExitCode.USAGE, run("check", directory.toString()));
 
         assertTrue(errors().contains("domain/d1:2: slices: 0 is out of range; right is 1 to 64"), errors());
-        assertTrue(errors().contains("there is no team nobody"), errors());
+        assertTrue(errors().contains("there is no workspace nobody"), errors());
     }
 
     @Test
--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentNeed.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentNeed.java
@@ -3,20 +3,20 @@
 import org.acaciafold.core.model.Resources;
 
 /**
- * What a team could use of its upper limit in one slice.
+ * What a workspace could use of its upper limit in one slice.
  *
  * @param wanted what its tasks there have and what those that wait ask for
  * @param usable the part that could run at once: what it has, and the same part of each resource that waits, as far as the
- *     slice has room or the team is below its fair part of the slice
+ *     slice has room or the workspace is below its fair part of the slice
  */
 record AllotmentNeed(Resources wanted, Resources usable) {
     /**
      * Computes the need.
      *
-     * @param usage what the team has in the slice
+     * @param usage what the workspace has in the slice
      * @param wanted what its tasks there have and what those that wait ask for
      * @param free the room of the slice that nobody has
-     * @param fair the fair part of the team in the slice
+     * @param fair the fair part of the workspace in the slice
      * @return the need
      */
     static AllotmentNeed of(Resources usage, Resources wanted, Resources free, Resources fair) {
--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentRow.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentRow.java
@@ -8,7 +8,7 @@
 import org.acaciafold.core.model.SliceId;
 
 /**
- * The row of a team's upper limit in the table.
+ * The row of a workspace's upper limit in the table.
  *
  * @param issued the limit that the shares and the unassigned part add up to
  * @param shares what each slice may have running
--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentShare.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentShare.java
@@ -4,7 +4,7 @@
 import org.acaciafold.core.model.Resources;
 
 /**
- * The part of a team's upper limit that one slice has.
+ * The part of a workspace's upper limit that one slice has.
  *
  * @param fence the fencing token of the owner that wrote it
  * @param amount what the slice may have running
--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentSystem.java
@@ -11,21 +11,21 @@
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.Check;
 import org.acaciafold.core.port.Row;
 import org.acaciafold.core.port.TableReply;
 import org.acaciafold.core.port.TableRequest;
 import org.acaciafold.core.port.Write;
-import org.acaciafold.settings.TeamSettings;
+import org.acaciafold.settings.WorkspaceSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps the upper limit of each team across the fleet by escrow.
+ * Keeps the upper limit of each workspace across the fleet by escrow.
  *
- * <p>The limit of a team is divided into shares, one for each slice, in one row of the table. An owner lowers its
+ * <p>The limit of a workspace is divided into shares, one for each slice, in one row of the table. An owner lowers its
  * allotment in memory before it writes a lower share, and raises it only after its own write of the higher share was
  * confirmed; so the allotments in force never add up to more than the limit. A row that was merely read raises nothing:
  * an earlier write whose answer was lost may still take effect, until a confirmed write makes it conflict. While the
@@ -39,10 +39,10 @@
     private static final String PREFIX = "allotment/";
 
     private final HostState state;
-    private final Map<TeamId, KnownRow> rows = new HashMap<>();
-    private final Set<TeamId> writing = new HashSet<>();
-    private final Map<TeamId, Long> unconfirmed = new HashMap<>();
-    private final Map<TeamId, Long> nextWriteMs = new HashMap<>();
+    private final Map<WorkspaceId, KnownRow> rows = new HashMap<>();
+    private final Set<WorkspaceId> writing = new HashSet<>();
+    private final Map<WorkspaceId, Long> unconfirmed = new HashMap<>();
+    private final Map<WorkspaceId, Long> nextWriteMs = new HashMap<>();
     private long comparedVersion = -1;
     private long comparedSinceMs;
     private long scannedMs = Times.NEVER_MS;
@@ -67,9 +67,9 @@
         if (nowMs >= nextScanMs && !scanning) {
             scan(nowMs, outbox);
         }
-        for (TeamSettings team : state.settings().teams().values()) {
+        for (WorkspaceSettings workspace : state.settings().workspaces().values()) {
             for (OwnedSlice slice : state.owned().values()) {
-                balance(nowMs, team, slice, outbox);
+                balance(nowMs, workspace, slice, outbox);
             }
         }
         if (state.settings().version() != comparedVersion) {
@@ -83,43 +83,47 @@
     }
 
     private boolean allWithinLimits() {
-        for (TeamSettings team : state.settings().teams().values()) {
-            KnownRow known = rows.get(team.team());
-            boolean certain = known != null && !unconfirmed.containsKey(team.team()) && !writing.contains(team.team());
-            if (!certain || !known.row().issued().fitsIn(team.limit())) {
+        for (WorkspaceSettings workspace : state.settings().workspaces().values()) {
+            KnownRow known = rows.get(workspace.workspace());
+            boolean certain = known != null
+                    && !unconfirmed.containsKey(workspace.workspace())
+                    && !writing.contains(workspace.workspace());
+            if (!certain || !known.row().issued().fitsIn(workspace.limit())) {
                 return false;
             }
         }
         return true;
     }
 
-    private void balance(long nowMs, TeamSettings team, OwnedSlice slice, Outbox outbox) {
-        KnownRow known = rows.get(team.team());
-        Resources usage = slice.placement().usage(team.team());
-        Resources held = slice.allotments().getOrDefault(team.team(), Resources.empty());
+    private void balance(long nowMs, WorkspaceSettings workspace, OwnedSlice slice, Outbox outbox) {
+        KnownRow known = rows.get(workspace.workspace());
+        Resources usage = slice.placement().usage(workspace.workspace());
+        Resources held = slice.allotments().getOrDefault(workspace.workspace(), Resources.empty());
         boolean fencedIn =
                 known != null && known.row().share(slice.id()).fence().equals(slice.fence());
         if (!fencedIn) {
             held = held.max(usage);
         }
-        slice.allotments().put(team.team(), held);
-        if (known == null || writing.contains(team.team()) || !slice.hasAuthority(nowMs)) {
+        slice.allotments().put(workspace.workspace(), held);
+        if (known == null || writing.contains(workspace.workspace()) || !slice.hasAuthority(nowMs)) {
             return;
         }
         AllotmentShare share = known.row().share(slice.id());
         if (share.fence().compareTo(slice.fence()) > 0) {
             return;
         }
-        Resources missing = slice.wanted().getOrDefault(team.team(), Resources.empty());
-        AllotmentNeed need = AllotmentNeed.of(usage, needed(usage, held, missing), free(slice), fairPart(slice, team));
-        Resources target = AllotmentTargets.target(known.row(), slice.id(), team.limit(), need, state.sliceCount());
+        Resources missing = slice.wanted().getOrDefault(workspace.workspace(), Resources.empty());
+        AllotmentNeed need =
+                AllotmentNeed.of(usage, needed(usage, held, missing), free(slice), fairPart(slice, workspace));
+        Resources target =
+                AllotmentTargets.target(known.row(), slice.id(), workspace.limit(), need, state.sliceCount());
         Resources lowered = held.min(target);
-        slice.allotments().put(team.team(), lowered);
-        AllotmentRow wanted = next(known.row(), slice, team, target, usage, need.usable());
-        boolean stale = unconfirmed.containsKey(team.team())
+        slice.allotments().put(workspace.workspace(), lowered);
+        AllotmentRow wanted = next(known.row(), slice, workspace, target, usage, need.usable());
+        boolean stale = unconfirmed.containsKey(workspace.workspace())
                 || !target.min(share.amount()).fitsIn(lowered);
-        if ((stale || !wanted.equals(known.row())) && nowMs >= nextWriteMs.getOrDefault(team.team(), 0L)) {
-            write(nowMs, team.team(), known, wanted, outbox);
+        if ((stale || !wanted.equals(known.row())) && nowMs >= nextWriteMs.getOrDefault(workspace.workspace(), 0L)) {
+            write(nowMs, workspace.workspace(), known, wanted, outbox);
         }
     }
 
@@ -127,56 +131,56 @@
     private static AllotmentRow next(
             AllotmentRow row,
             OwnedSlice slice,
-            TeamSettings team,
+            WorkspaceSettings workspace,
             Resources target,
             Resources usage,
             Resources usable) {
         Resources present = row.share(slice.id()).amount();
         Resources kept = slice.settled() ? present.min(target.max(usage)) : present;
         AllotmentShare lower = new AllotmentShare(slice.fence(), kept, Resources.empty());
-        AllotmentRow limited = row.with(slice.id(), lower).issue(team.limit());
+        AllotmentRow limited = row.with(slice.id(), lower).issue(workspace.limit());
         Resources taken = target.minus(kept).max(Resources.empty()).min(limited.unassigned());
         Resources amount = kept.plus(taken);
-        Resources want = usable.min(team.limit()).minus(amount).max(Resources.empty());
+        Resources want = usable.min(workspace.limit()).minus(amount).max(Resources.empty());
         return limited.with(slice.id(), new AllotmentShare(slice.fence(), amount, want));
     }
 
-    private void confirm(TeamId team, AllotmentRow row) {
+    private void confirm(WorkspaceId workspace, AllotmentRow row) {
         for (OwnedSlice slice : state.owned().values()) {
             AllotmentShare share = row.share(slice.id());
             if (share.fence().equals(slice.fence())) {
-                slice.allotments().put(team, share.amount());
+                slice.allotments().put(workspace, share.amount());
             }
         }
     }
 
     private void learn(Row row) {
-        TeamId team = TeamId.of(row.key().substring(PREFIX.length()));
-        KnownRow known = rows.get(team);
+        WorkspaceId workspace = WorkspaceId.of(row.key().substring(PREFIX.length()));
+        KnownRow known = rows.get(workspace);
         if (known != null && known.version() > row.version()) {
             return;
         }
         try {
             AllotmentRow content = Codec.json().decode(row.value(), AllotmentRow.class, Step.TABLE, row.key());
-            rows.put(team, new KnownRow(content, row.version()));
-            forgetOvertaken(team, row.version());
+            rows.put(workspace, new KnownRow(content, row.version()));
+            forgetOvertaken(workspace, row.version());
         } catch (AcaciafoldException e) {
-            LOG.error("unreadable allotment row of team {}: {}", team, e.getMessage());
+            LOG.error("unreadable allotment row of workspace {}: {}", workspace, e.getMessage());
         }
     }
 
     /** Forgets an unanswered write of a host without slices once the row is newer, so that the write cannot come. */
-    private void forgetOvertaken(TeamId team, long version) {
-        Long checkedVersion = unconfirmed.get(team);
+    private void forgetOvertaken(WorkspaceId workspace, long version) {
+        Long checkedVersion = unconfirmed.get(workspace);
         if (checkedVersion != null && version > checkedVersion && state.owned().isEmpty()) {
-            unconfirmed.remove(team);
+            unconfirmed.remove(workspace);
         }
     }
 
-    /** Notes the teams without a row, so that the first owner that needs one creates it. */
+    /** Notes the workspaces without a row, so that the first owner that needs one creates it. */
     private void noteMissing() {
-        for (TeamId team : state.settings().teams().keySet()) {
-            rows.putIfAbsent(team, new KnownRow(AllotmentRow.of(Resources.empty()), 0));
+        for (WorkspaceId workspace : state.settings().workspaces().keySet()) {
+            rows.putIfAbsent(workspace, new KnownRow(AllotmentRow.of(Resources.empty()), 0));
         }
     }
 
@@ -193,12 +197,12 @@
         return summary.capacity().minus(summary.reserved()).max(Resources.empty());
     }
 
-    /** Returns the part of a slice that the weight of a team entitles it to. */
-    private Resources fairPart(OwnedSlice slice, TeamSettings team) {
-        double weights = state.settings().teams().values().stream()
-                .mapToDouble(TeamSettings::weight)
+    /** Returns the part of a slice that the weight of a workspace entitles it to. */
+    private Resources fairPart(OwnedSlice slice, WorkspaceSettings workspace) {
+        double weights = state.settings().workspaces().values().stream()
+                .mapToDouble(WorkspaceSettings::weight)
                 .sum();
-        double part = team.weight() / weights;
+        double part = workspace.weight() / weights;
         Resources capacity = slice.placement().summary().capacity();
         return Resources.of((long) (capacity.cpuMillis() * part), (long) (capacity.memoryMib() * part), (long)
                 Math.ceil(capacity.accelerators() * part));
@@ -217,29 +221,29 @@
         });
     }
 
-    private void write(long nowMs, TeamId team, KnownRow known, AllotmentRow wanted, Outbox outbox) {
-        writing.add(team);
-        nextWriteMs.put(team, nowMs + WRITE_INTERVAL_MS);
-        String key = PREFIX + team;
+    private void write(long nowMs, WorkspaceId workspace, KnownRow known, AllotmentRow wanted, Outbox outbox) {
+        writing.add(workspace);
+        nextWriteMs.put(workspace, nowMs + WRITE_INTERVAL_MS);
+        String key = PREFIX + workspace;
         byte[] value = Codec.json().encode(wanted, AllotmentRow.class);
         TableRequest request = new TableRequest.Commit(
                 List.of(new Check(key, known.version())), List.of(new Write(key, Optional.of(value))));
         outbox.call(nowMs, request, reply -> {
-            writing.remove(team);
-            written(team, wanted, known.version(), reply);
+            writing.remove(workspace);
+            written(workspace, wanted, known.version(), reply);
         });
     }
 
-    private void written(TeamId team, AllotmentRow wanted, long checkedVersion, TableReply reply) {
+    private void written(WorkspaceId workspace, AllotmentRow wanted, long checkedVersion, TableReply reply) {
         switch (reply) {
             case TableReply.Committed committed -> {
-                unconfirmed.remove(team);
-                rows.put(team, new KnownRow(wanted, committed.version()));
-                confirm(team, wanted);
+                unconfirmed.remove(workspace);
+                rows.put(workspace, new KnownRow(wanted, committed.version()));
+                confirm(workspace, wanted);
             }
             case TableReply.Conflict conflict -> conflict.current().forEach(this::learn);
-            case TableReply.Unavailable ignored -> unconfirmed.put(team, checkedVersion);
-            case TableReply.Rows ignored -> unconfirmed.put(team, checkedVersion);
+            case TableReply.Unavailable ignored -> unconfirmed.put(workspace, checkedVersion);
+            case TableReply.Rows ignored -> unconfirmed.put(workspace, checkedVersion);
         }
     }
 
--- a/coordination/src/main/java/org/acaciafold/coordination/AllotmentTargets.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/AllotmentTargets.java
@@ -3,7 +3,7 @@
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
 
-/** Computes how much of a team's upper limit a slice should have. */
+/** Computes how much of a workspace's upper limit a slice should have. */
 final class AllotmentTargets {
     private static final long BASE_DIVISOR = 2;
 
@@ -12,7 +12,7 @@
     /**
      * Returns what a slice should have.
      *
-     * @param row the row of the team
+     * @param row the row of the workspace
      * @param slice the slice
      * @param limit the upper limit in the settings
      * @param need what the slice could use
--- a/coordination/src/main/java/org/acaciafold/coordination/CancelSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/CancelSystem.java
@@ -56,7 +56,7 @@
             switch (result) {
                 case JobLookup.Result.Found found -> {
                     boolean done = found.ended() || found.row().cancelled();
-                    if (cancellation.checkTeam(found.row(), done)) {
+                    if (cancellation.checkWorkspace(found.row(), done)) {
                         write(cancellation, found, outbox);
                     }
                 }
--- a/coordination/src/main/java/org/acaciafold/coordination/Cancellation.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/Cancellation.java
@@ -34,14 +34,14 @@
     }
 
     /**
-     * Answers a caller of another team, and a repeat.
+     * Answers a caller of another workspace, and a repeat.
      *
      * @param row the job
      * @param done whether there is nothing left to do
      * @return whether the cancellation is still to be written
      */
-    boolean checkTeam(JobRow row, boolean done) {
-        if (!row.spec().team().equals(call.team())) {
+    boolean checkWorkspace(JobRow row, boolean done) {
+        if (!row.spec().workspace().equals(call.workspace())) {
             answer(JobErrors.forbidden(call.job()));
         } else if (done) {
             answer(new ClientReply.Cancelling(call.job()));
--- a/coordination/src/main/java/org/acaciafold/coordination/ClaimSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ClaimSystem.java
@@ -12,7 +12,7 @@
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.Check;
 import org.acaciafold.core.port.Row;
 import org.acaciafold.core.port.TableReply;
@@ -73,7 +73,7 @@
     }
 
     private void claim(long call, ClientCall.Claim claim, Outbox outbox) {
-        String key = rowKey(claim.team(), claim.key());
+        String key = rowKey(claim.workspace(), claim.key());
         if (open.containsKey(key)) {
             outbox.answer(call, repeatOfOpen(open.get(key), claim.digest()));
             return;
@@ -172,7 +172,7 @@
     }
 
     private void settle(long call, ClientCall.Settle settle, Outbox outbox) {
-        String key = rowKey(settle.team(), settle.key());
+        String key = rowKey(settle.workspace(), settle.key());
         ClaimEntry entry = open.get(key);
         if (entry == null || !entry.claimed()) {
             String message = "the key was not claimed at this entry host";
@@ -234,7 +234,7 @@
         return new ClientReply.Failed(Failure.notRun(Step.CLAIM, "table", "key-reused", message));
     }
 
-    private static String rowKey(TeamId team, String key) {
-        return PREFIX + team + "/" + key;
+    private static String rowKey(WorkspaceId workspace, String key) {
+        return PREFIX + workspace + "/" + key;
     }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/ClientCall.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ClientCall.java
@@ -3,65 +3,65 @@
 import java.util.Optional;
 
 import org.acaciafold.core.model.JobId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /** A call of a caller or operator, already authorized. */
 public sealed interface ClientCall {
-    /** The team that stands for callers without a key; no team of the settings can have this name. */
-    TeamId ANYONE = TeamId.of("*");
+    /** The workspace that stands for callers without a key; no workspace of the settings can have this name. */
+    WorkspaceId ANYONE = WorkspaceId.of("*");
 
     /**
      * Submits a job; answered when it is durable.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param submissionKey a key under which a repeat finds the first job, empty for none
      * @param request the job
      */
-    record Submit(TeamId team, String submissionKey, JobRequest request) implements ClientCall {}
+    record Submit(WorkspaceId workspace, String submissionKey, JobRequest request) implements ClientCall {}
 
     /**
      * Asks for the state of a job.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param job the job
      */
-    record QueryJob(TeamId team, JobId job) implements ClientCall {}
+    record QueryJob(WorkspaceId workspace, JobId job) implements ClientCall {}
 
     /**
      * Cancels a job; answered when that is durable.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param job the job
      */
-    record Cancel(TeamId team, JobId job) implements ClientCall {}
+    record Cancel(WorkspaceId workspace, JobId job) implements ClientCall {}
 
     /**
      * Claims an idempotency key before its request is sent to a worker.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param key the idempotency key
      * @param digest a digest of the request, to refuse another request under the same key
      */
-    record Claim(TeamId team, String key, String digest) implements ClientCall {}
+    record Claim(WorkspaceId workspace, String key, String digest) implements ClientCall {}
 
     /**
      * Records the outcome of a claimed request.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param key the idempotency key
      * @param outcome the outcome
      */
-    record Settle(TeamId team, String key, StoredOutcome outcome) implements ClientCall {}
+    record Settle(WorkspaceId workspace, String key, StoredOutcome outcome) implements ClientCall {}
 
     /**
      * Asks for a slot on a replica of a service.
      *
-     * @param team the calling team, {@link #ANYONE} for a caller without a key
+     * @param workspace the calling workspace, {@link #ANYONE} for a caller without a key
      * @param service the service
      * @param waitMs milliseconds until the caller gives up; the slot is presumed in use until then
      * @param relayed whether a peer relayed the request, which is not sent elsewhere again
      */
-    record AcquireSlot(TeamId team, String service, long waitMs, boolean relayed) implements ClientCall {}
+    record AcquireSlot(WorkspaceId workspace, String service, long waitMs, boolean relayed) implements ClientCall {}
 
     /**
      * Gives a slot back.
@@ -87,7 +87,7 @@
     /**
      * Asks for a subtree of the settings.
      *
-     * @param subtree the path, such as {@code team/north}, empty for the list of subtrees
+     * @param subtree the path, such as {@code workspace/north}, empty for the list of subtrees
      */
     record QuerySettings(String subtree) implements ClientCall {}
 
--- a/coordination/src/main/java/org/acaciafold/coordination/ClientReply.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ClientReply.java
@@ -8,8 +8,8 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /** The answer to a call. */
 public sealed interface ClientReply {
@@ -60,9 +60,10 @@
      * @param address where the worker takes live requests
      * @param fence the fencing token to send along
      * @param leaseSequence the sequence of the control lease to send along
-     * @param serviceTeam the team whose service it is
+     * @param serviceWorkspace the workspace whose service it is
      */
-    record SlotGranted(long slot, WorkerId worker, String address, Fence fence, long leaseSequence, TeamId serviceTeam)
+    record SlotGranted(
+            long slot, WorkerId worker, String address, Fence fence, long leaseSequence, WorkspaceId serviceWorkspace)
             implements ClientReply {}
 
     /**
--- a/coordination/src/main/java/org/acaciafold/coordination/EditAcceptance.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAcceptance.java
@@ -38,7 +38,7 @@
      *
      * @param editId the edit
      * @param version the version of the tree that contains it
-     * @param changesLimit whether all teams have to be within their limits, too
+     * @param changesLimit whether all workspaces have to be within their limits, too
      * @param outbox where calls go
      * @param then gets the answer
      */
--- a/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditAttempt.java
@@ -29,8 +29,8 @@
  * identifier means that the first took effect, any other conflict that neither can take effect any more.
  */
 final class EditAttempt {
-    /** Edits of a team may repeat a limit that an earlier edit set and that is not in force yet. */
-    private static final String TEAM_PREFIX = "team/";
+    /** Edits of a workspace may repeat a limit that an earlier edit set and that is not in force yet. */
+    private static final String WORKSPACE_PREFIX = "workspace/";
 
     private static final long DEADLINE_MS = 3_000;
     private static final long RETRY_MS = 50;
@@ -173,7 +173,7 @@
                 .map(text -> texts.with(edit.subtree(), text))
                 .orElseGet(() -> texts.without(edit.subtree()));
         FleetSettings checked = changed.check();
-        boolean changesLimit = edit.subtree().startsWith(TEAM_PREFIX) || changesLimit(texts, checked);
+        boolean changesLimit = edit.subtree().startsWith(WORKSPACE_PREFIX) || changesLimit(texts, checked);
         SettingsRows.Head head = tree.nextHead(edit.subtree(), edit.text().isEmpty());
         String subtreeKey = SettingsRows.subtree(edit.subtree());
         String editKey = SettingsRows.edit(edit.editId());
@@ -193,13 +193,17 @@
         return new PreparedEdit(tree, head, edit, changesLimit, new TableRequest.Commit(checks, writes));
     }
 
-    /** Tells whether the edit changes the limit of a team, so that work may have to be stopped before it is in force. */
+    /**
+     * Tells whether the edit changes the limit of a workspace, so that work may have to be stopped before it is in
+     * force.
+     */
     private boolean changesLimit(SettingsTree before, FleetSettings after) {
         try {
             FleetSettings present = before.check();
-            return present.teams().values().stream()
-                    .anyMatch(team -> !team.limit()
-                            .equals(after.team(team.team())
+            return present.workspaces().values().stream()
+                    .anyMatch(workspace -> !workspace
+                            .limit()
+                            .equals(after.workspace(workspace.workspace())
                                     .map(next -> next.limit())
                                     .orElse(null)));
         } catch (SettingsException e) {
--- a/coordination/src/main/java/org/acaciafold/coordination/EditQueue.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/EditQueue.java
@@ -35,7 +35,7 @@
      */
     void add(ClientCall.EditSettings edit, Consumer<EditResult> then) {
         if (!SettingsTree.validSubtree(edit.subtree())) {
-            String message = edit.subtree() + " is not a subtree; right is team/NAME, domain/NAME or open";
+            String message = edit.subtree() + " is not a subtree; right is workspace/NAME, domain/NAME or open";
             refuse(Failure.notRun(Step.SETTINGS, edit.subtree(), "unknown-subtree", message), then);
         } else if (waiting.size() >= LIMIT) {
             String peer = state.config().host().value();
--- a/coordination/src/main/java/org/acaciafold/coordination/HostState.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/HostState.java
@@ -89,12 +89,15 @@
         return entryHosts;
     }
 
-    /** Returns whether no team holds more than its limit in the settings in force here. */
+    /** Returns whether no workspace holds more than its limit in the settings in force here. */
     boolean limitsInForce() {
         return limitsVersion == settings.version();
     }
 
-    /** Notes the version of the settings under which no team holds more than its limit; see {@link AllotmentSystem}. */
+    /**
+     * Notes the version of the settings under which no workspace holds more than its limit; see {@link
+     * AllotmentSystem}.
+     */
     void limitsVersion(long value) {
         limitsVersion = value;
     }
--- a/coordination/src/main/java/org/acaciafold/coordination/JobErrors.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobErrors.java
@@ -12,7 +12,7 @@
     private JobErrors() {}
 
     static ClientReply forbidden(JobId job) {
-        return failed("forbidden", "job " + job + " belongs to another team");
+        return failed("forbidden", "job " + job + " belongs to another workspace");
     }
 
     static ClientReply notFound(JobId job) {
--- a/coordination/src/main/java/org/acaciafold/coordination/JobQuerySystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobQuerySystem.java
@@ -8,7 +8,7 @@
 
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.JobProgress;
 import org.acaciafold.core.port.HostEntry;
 
@@ -85,7 +85,7 @@
 
     private void foundRow(
             ClientCall.QueryJob query, JobLookup.Result.Found found, Outbox outbox, Consumer<ClientReply> then) {
-        if (!found.row().spec().team().equals(query.team())) {
+        if (!found.row().spec().workspace().equals(query.workspace())) {
             then.accept(JobErrors.forbidden(query.job()));
             return;
         }
@@ -116,14 +116,14 @@
         for (OwnedSlice slice : state.owned().values()) {
             HomedJob job = slice.jobs().get(query.job());
             if (job != null) {
-                return Optional.of(reply(query.team(), slice, job));
+                return Optional.of(reply(query.workspace(), slice, job));
             }
         }
         return Optional.empty();
     }
 
-    private static ClientReply reply(TeamId team, OwnedSlice slice, HomedJob job) {
-        if (!job.row().spec().team().equals(team)) {
+    private static ClientReply reply(WorkspaceId workspace, OwnedSlice slice, HomedJob job) {
+        if (!job.row().spec().workspace().equals(workspace)) {
             return JobErrors.forbidden(job.id());
         }
         return new ClientReply.JobFound(
@@ -139,7 +139,7 @@
         JobPhase phase = !over && running > 0 ? JobPhase.RUNNING : row.phase();
         return new JobStatus(
                 row.spec().id(),
-                row.spec().team(),
+                row.spec().workspace(),
                 row.spec().name(),
                 home,
                 phase,
--- a/coordination/src/main/java/org/acaciafold/coordination/JobRow.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobRow.java
@@ -17,7 +17,7 @@
  * @param succeeded the tasks that succeeded, as the words of a bit set
  * @param failed the tasks that failed for good, as the words of a bit set
  * @param results the results of the tasks that left one
- * @param cancelled whether its team has cancelled it
+ * @param cancelled whether its workspace has cancelled it
  * @param problem why it cannot go on
  * @param phase the final phase, or {@link JobPhase#WAITING} while it has not ended
  * @param movedTo the slice that has the job now, when it has moved
--- a/coordination/src/main/java/org/acaciafold/coordination/JobStatus.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/JobStatus.java
@@ -5,13 +5,13 @@
 
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
  * What is known of a job.
  *
  * @param job the job
- * @param team its team
+ * @param workspace its workspace
  * @param name its name
  * @param home the slice whose owner starts its tasks
  * @param phase how far it is
@@ -24,7 +24,7 @@
  */
 public record JobStatus(
         JobId job,
-        TeamId team,
+        WorkspaceId workspace,
         String name,
         SliceId home,
         JobPhase phase,
--- a/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/MemberChange.java
@@ -11,7 +11,7 @@
 import org.acaciafold.core.port.Row;
 import org.acaciafold.core.port.TableReply;
 import org.acaciafold.core.port.TableRequest;
-import org.acaciafold.settings.TeamSettings;
+import org.acaciafold.settings.WorkspaceSettings;
 
 /**
  * Finds out when the former members of a slice may be dropped from its row.
@@ -47,8 +47,8 @@
     /** Returns after how many milliseconds without the table no host may run anything exclusive any more. */
     static long unknownHostBoundMs(HostState state) {
         HostConfig config = state.config();
-        long rehomeAfterMs = state.settings().teams().values().stream()
-                .mapToLong(TeamSettings::rehomeAfterMs)
+        long rehomeAfterMs = state.settings().workspaces().values().stream()
+                .mapToLong(WorkspaceSettings::rehomeAfterMs)
                 .max()
                 .orElse(ExclusiveBound.DEFAULT_REHOME_AFTER_MS);
         return rehomeAfterMs + config.controlLeaseMs() + config.taskLeaseMs() + LEASE_MARGINS * config.clockMarginMs();
--- a/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/OwnedSlice.java
@@ -12,20 +12,20 @@
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.JobProgress;
 import org.acaciafold.core.placement.PlacementPlane;
 import org.acaciafold.core.placement.PlacementSummary;
 import org.acaciafold.core.port.StopMode;
 
-/** A slice that this host owns, with its placement, its workers, its jobs and the allotments of its teams. */
+/** A slice that this host owns, with its placement, its workers, its jobs and the allotments of its workspaces. */
 final class OwnedSlice {
     private final SliceId id;
     private final Fence fence;
     private final PlacementPlane placement;
-    private final Map<TeamId, Resources> allotments = new TreeMap<>();
-    private final Map<TeamId, Resources> wanted = new TreeMap<>();
+    private final Map<WorkspaceId, Resources> allotments = new TreeMap<>();
+    private final Map<WorkspaceId, Resources> wanted = new TreeMap<>();
     private final Map<WorkerId, WorkerLink> links = new TreeMap<>();
     private final TreeMap<AttemptId, PlacedTask> tasks = new TreeMap<>();
     private final Map<AttemptId, PlacedTask> stops = new TreeMap<>();
@@ -60,8 +60,8 @@
         return new OwnedSlice(id, fence, placement);
     }
 
-    /** Returns what each team may have running in this slice; written by the allotment system. */
-    Map<TeamId, Resources> allotments() {
+    /** Returns what each workspace may have running in this slice; written by the allotment system. */
+    Map<WorkspaceId, Resources> allotments() {
         return allotments;
     }
 
@@ -343,8 +343,10 @@
         return first != null && first.task().job().equals(job);
     }
 
-    /** Returns what each team's waiting tasks need beyond its allotment; written each tick by the placement system. */
-    Map<TeamId, Resources> wanted() {
+    /**
+     * Returns what each workspace's waiting tasks need beyond its allotment; written each tick by the placement system.
+     */
+    Map<WorkspaceId, Resources> wanted() {
         return wanted;
     }
 
--- a/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/PlacementSystem.java
@@ -5,13 +5,13 @@
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.Decision;
-import org.acaciafold.core.placement.TeamTerms;
 import org.acaciafold.core.placement.WorkerState;
+import org.acaciafold.core.placement.WorkspaceTerms;
 import org.acaciafold.core.port.WorkerCommand;
 import org.acaciafold.core.port.WorkerReply;
-import org.acaciafold.settings.TeamSettings;
+import org.acaciafold.settings.WorkspaceSettings;
 
 /** Runs the placement of owned slices and carries its decisions out, each checked again when it is sent. */
 final class PlacementSystem implements HostSystem {
@@ -58,32 +58,32 @@
             slice.placement().open(open);
             last.open = open;
         }
-        for (TeamSettings team : state.settings().teams().values()) {
-            TeamTerms terms = terms(slice, last, team);
-            if (!terms.equals(last.terms.put(team.team(), terms))) {
-                slice.placement().team(team.team(), terms);
+        for (WorkspaceSettings workspace : state.settings().workspaces().values()) {
+            WorkspaceTerms terms = terms(slice, last, workspace);
+            if (!terms.equals(last.terms.put(workspace.workspace(), terms))) {
+                slice.placement().workspace(workspace.workspace(), terms);
             }
         }
     }
 
-    private static TeamTerms terms(OwnedSlice slice, Told last, TeamSettings team) {
-        Resources held = slice.allotments().getOrDefault(team.team(), Resources.empty());
-        Resources allotment = slice.settled() ? held : held.min(seen(slice, last, team.team()));
-        return new TeamTerms(
-                team.weight(),
+    private static WorkspaceTerms terms(OwnedSlice slice, Told last, WorkspaceSettings workspace) {
+        Resources held = slice.allotments().getOrDefault(workspace.workspace(), Resources.empty());
+        Resources allotment = slice.settled() ? held : held.min(seen(slice, last, workspace.workspace()));
+        return new WorkspaceTerms(
+                workspace.weight(),
                 allotment,
-                team.policies().service(),
-                team.policies().batch(),
-                team.policies().gang());
+                workspace.policies().service(),
+                workspace.policies().batch(),
+                workspace.policies().gang());
     }
 
     /**
-     * Returns the most that was seen running of a team since the takeover.
+     * Returns the most that was seen running of a workspace since the takeover.
      *
      * <p>While some members have not answered, what they run is unknown, but no more than the allotment without this.
      */
-    private static Resources seen(OwnedSlice slice, Told last, TeamId team) {
-        return last.seen.merge(team, slice.placement().usage(team), Resources::max);
+    private static Resources seen(OwnedSlice slice, Told last, WorkspaceId workspace) {
+        return last.seen.merge(workspace, slice.placement().usage(workspace), Resources::max);
     }
 
     private void execute(OwnedSlice slice, Decision decision, long nowMs, Outbox outbox) {
@@ -96,7 +96,7 @@
                 }
             }
             case Decision.JobStuck stuck -> stuck(slice, stuck);
-            case Decision.WantsAllotment wants -> slice.wanted().put(wants.team(), wants.missing());
+            case Decision.WantsAllotment wants -> slice.wanted().put(wants.workspace(), wants.missing());
         }
     }
 
@@ -130,7 +130,7 @@
         boolean exclusive = !start.spec().exclusive()
                 || (slice.scanned()
                         && slice.settled()
-                        && ExclusiveBound.holds(state, slice, start.spec().team(), nowMs));
+                        && ExclusiveBound.holds(state, slice, start.spec().workspace(), nowMs));
         boolean open =
                 state.registered() && !state.settings().takenOut(state.config().domain()) && !state.stopping();
         return open && worker && wanted && exclusive && slice.hasAuthority(nowMs);
@@ -184,8 +184,8 @@
 
     private static final class Told {
         private final OwnedSlice slice;
-        private final Map<TeamId, TeamTerms> terms = new HashMap<>();
-        private final Map<TeamId, Resources> seen = new HashMap<>();
+        private final Map<WorkspaceId, WorkspaceTerms> terms = new HashMap<>();
+        private final Map<WorkspaceId, Resources> seen = new HashMap<>();
         private boolean open = true;
 
         private Told(OwnedSlice slice) {
--- a/coordination/src/main/java/org/acaciafold/coordination/RehomeSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/RehomeSystem.java
@@ -121,7 +121,7 @@
         if (!row.spec().exclusive()) {
             return silenceMs();
         }
-        return silenceMs() + ExclusiveBound.rehomeAfterMs(state, row.spec().team());
+        return silenceMs() + ExclusiveBound.rehomeAfterMs(state, row.spec().workspace());
     }
 
     /** Returns after which silence of its owner a task that may run twice is started elsewhere, in milliseconds. */
--- a/coordination/src/main/java/org/acaciafold/coordination/ServiceSummary.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/ServiceSummary.java
@@ -1,14 +1,14 @@
 package org.acaciafold.coordination;
 
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
  * What an owner tells its peers of a service.
  *
  * @param service the name of the service
- * @param team its team
+ * @param workspace its workspace
  * @param replicas replicas that answer
  * @param freeSlots live requests that could start now
  * @param waiting live requests that wait
  */
-public record ServiceSummary(String service, TeamId team, int replicas, int freeSlots, int waiting) {}
+public record ServiceSummary(String service, WorkspaceId workspace, int replicas, int freeSlots, int waiting) {}
--- a/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SettingsRows.java
@@ -65,7 +65,7 @@
      * An edit that took effect.
      *
      * @param digest a digest of the edit, to refuse another edit under the same identifier
-     * @param changesLimit whether it changed the upper limit of a team or removed a team
+     * @param changesLimit whether it changed the upper limit of a workspace or removed a workspace
      */
     record EditRow(String digest, boolean changesLimit) {}
 
@@ -75,7 +75,7 @@
      * @param incarnation the start of the host
      * @param domain its failure domain
      * @param acknowledged the version of the settings in force there
-     * @param limitsWithin the version under which the host has seen all teams within their limits
+     * @param limitsWithin the version under which the host has seen all workspaces within their limits
      * @param gone whether the other hosts of the domain take it for gone, so that edits do not wait for it
      */
     record HostRow(long incarnation, DomainId domain, long acknowledged, long limitsWithin, boolean gone) {
--- a/coordination/src/main/java/org/acaciafold/coordination/SlotRouting.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotRouting.java
@@ -7,7 +7,7 @@
 import java.util.SplittableRandom;
 
 import org.acaciafold.core.model.HostId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.request.ServiceKey;
 
 /** Finds the services that a caller may use and the peers that have replicas of them. */
@@ -35,19 +35,19 @@
         return Optional.of(first.room() >= second.room() ? first : second);
     }
 
-    /** Tells whether a team of another name has the service, as far as this host has heard. */
-    boolean ofOtherTeam(String service, TeamId caller) {
+    /** Tells whether a workspace of another name has the service, as far as this host has heard. */
+    boolean ofOtherWorkspace(String service, WorkspaceId caller) {
         return state.peers().values().stream()
                 .flatMap(peer -> peer.slices().stream())
                 .flatMap(slice -> slice.services().stream())
-                .anyMatch(summary ->
-                        summary.service().equals(service) && !summary.team().equals(caller));
+                .anyMatch(summary -> summary.service().equals(service)
+                        && !summary.workspace().equals(caller));
     }
 
     /** Returns the service that a caller means: one open to all, else its own. */
-    ServiceKey resolve(TeamId caller, String service) {
-        TeamId team = state.settings().openServices().getOrDefault(service, caller);
-        return new ServiceKey(team, service);
+    ServiceKey resolve(WorkspaceId caller, String service) {
+        WorkspaceId workspace = state.settings().openServices().getOrDefault(service, caller);
+        return new ServiceKey(workspace, service);
     }
 
     private List<Place> places(ServiceKey service) {
@@ -68,7 +68,7 @@
         for (SliceSummary slice : peer.slices()) {
             for (ServiceSummary summary : slice.services()) {
                 boolean same = summary.service().equals(service.name())
-                        && summary.team().equals(service.team());
+                        && summary.workspace().equals(service.workspace());
                 if (same && summary.replicas() > 0) {
                     found = true;
                     room += summary.freeSlots() - summary.waiting();
--- a/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SlotSystem.java
@@ -83,7 +83,7 @@
 
     @Override
     public void tick(long nowMs, Outbox outbox) {
-        updateTeams();
+        updateWorkspaces();
         updateWorkers(nowMs);
         retryParked(nowMs, outbox);
         arrived.forEach(request -> acquire(request, nowMs, outbox));
@@ -123,12 +123,12 @@
                                 link.requestAddress(),
                                 worker.fence(),
                                 link.leaseSequence(),
-                                granted.service().team()));
+                                granted.service().workspace()));
             }
             case SlotDecision.Refused refused -> {
                 Failure failure =
                         switch (refused.reason()) {
-                            case QUEUE_FULL -> failure("queue-full", "too many requests of the team wait");
+                            case QUEUE_FULL -> failure("queue-full", "too many requests of the workspace wait");
                             case TOO_BUSY -> failure("too-busy", "the expected wait is longer than the deadline");
                             case DEADLINE -> failure("deadline", "no slot became free before the deadline");
                         };
@@ -144,8 +144,10 @@
     private Failure noReplica(Parked request) {
         ClientCall.AcquireSlot body = request.body();
         ServiceKey service = serviceOf(request);
-        String message = "no replica of " + body.service() + " of team " + service.team() + " runs now";
-        String hint = routing.ofOtherTeam(body.service(), service.team()) ? "; another team has one of this name" : "";
+        String message = "no replica of " + body.service() + " of workspace " + service.workspace() + " runs now";
+        String hint = routing.ofOtherWorkspace(body.service(), service.workspace())
+                ? "; another workspace has one of this name"
+                : "";
         return failure("no-replica", message + hint).withRetryAfterMs(RETRY_AFTER_MS);
     }
 
@@ -167,7 +169,7 @@
             return true;
         }
         if (here) {
-            plane.ask(new SlotAsk(request.call(), request.body().team(), service, request.deadlineMs()), nowMs);
+            plane.ask(new SlotAsk(request.call(), request.body().workspace(), service, request.deadlineMs()), nowMs);
         }
         return here;
     }
@@ -186,7 +188,7 @@
     }
 
     private ServiceKey serviceOf(Parked request) {
-        return routing.resolve(request.body().team(), request.body().service());
+        return routing.resolve(request.body().workspace(), request.body().service());
     }
 
     private void summarize(long nowMs) {
@@ -195,17 +197,19 @@
                     .map(SlotSystem::summary)
                     .toList());
             slice.services()
-                    .forEach(service -> lastKnownMs.put(new ServiceKey(service.team(), service.service()), nowMs));
+                    .forEach(service -> lastKnownMs.put(new ServiceKey(service.workspace(), service.service()), nowMs));
         }
         lastKnownMs.values().removeIf(knownMs -> nowMs - knownMs > RECENT_MS);
     }
 
-    private void updateTeams() {
+    private void updateWorkspaces() {
         if (settingsVersion == state.settings().version()) {
             return;
         }
         settingsVersion = state.settings().version();
-        state.settings().teams().forEach((team, terms) -> plane.team(team, terms.weight(), terms.queueLimit()));
+        state.settings()
+                .workspaces()
+                .forEach((workspace, terms) -> plane.workspace(workspace, terms.weight(), terms.queueLimit()));
     }
 
     private void updateWorkers(long nowMs) {
@@ -246,7 +250,7 @@
         Set<ServiceKey> services = new HashSet<>();
         for (TaskView task : view.tasks()) {
             if (task.phase() == TaskPhase.RUNNING && task.spec().kind() instanceof JobKind.Service) {
-                services.add(new ServiceKey(task.spec().team(), task.spec().name()));
+                services.add(new ServiceKey(task.spec().workspace(), task.spec().name()));
             }
         }
         return services;
@@ -254,7 +258,7 @@
 
     private static ServiceSummary summary(ServiceLoad load) {
         return new ServiceSummary(
-                load.service().name(), load.service().team(), load.replicas(), load.freeSlots(), load.waiting());
+                load.service().name(), load.service().workspace(), load.replicas(), load.freeSlots(), load.waiting());
     }
 
     /** A request and since when it waits. */
--- a/coordination/src/main/java/org/acaciafold/coordination/SubmissionRow.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SubmissionRow.java
@@ -2,7 +2,7 @@
 
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
  * The row that makes the submission of a job idempotent.
@@ -12,7 +12,7 @@
  * @param digest a digest of what was submitted
  */
 record SubmissionRow(JobId job, SliceId home, long digest) {
-    static String key(TeamId team, String submissionKey) {
-        return "submission/" + team.value() + '/' + submissionKey;
+    static String key(WorkspaceId workspace, String submissionKey) {
+        return "submission/" + workspace.value() + '/' + submissionKey;
     }
 }
--- a/coordination/src/main/java/org/acaciafold/coordination/SubmitSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/SubmitSystem.java
@@ -12,7 +12,7 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.SliceId;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.HostEntry;
 
 /** Records submitted jobs in the table and tells the owners of their homes. */
@@ -83,10 +83,10 @@
             outbox.answer(call, new ClientReply.Failed(failure.withRetryAfterMs(NO_HOME_RETRY_MS)));
             return;
         }
-        JobSpec spec = spec(JobIds.of(home.get(), state.config(), ++lastNumber), submit.team(), request);
+        JobSpec spec = spec(JobIds.of(home.get(), state.config(), ++lastNumber), submit.workspace(), request);
         Optional<String> key = submit.submissionKey().isEmpty()
                 ? Optional.empty()
-                : Optional.of(SubmissionRow.key(submit.team(), submit.submissionKey()));
+                : Optional.of(SubmissionRow.key(submit.workspace(), submit.submissionKey()));
         long deadlineMs = nowMs + DEADLINE_TIMEOUTS * state.config().callTimeoutMs();
         long digest = StableHash.of(request.toString());
         JobCreation creation = JobCreation.of(spec, home.get(), key, digest, deadlineMs, reply -> {
@@ -115,8 +115,8 @@
         }
     }
 
-    private static JobSpec spec(JobId id, TeamId team, JobRequest request) {
-        return JobSpec.builder(id, team, request.name(), request.kind())
+    private static JobSpec spec(JobId id, WorkspaceId workspace, JobRequest request) {
+        return JobSpec.builder(id, workspace, request.name(), request.kind())
                 .demand(request.demand())
                 .priority(request.priority())
                 .exclusive(request.exclusive())
--- a/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
+++ b/coordination/src/main/java/org/acaciafold/coordination/WorkerSystem.java
@@ -128,7 +128,7 @@
     private boolean renewsExclusive(OwnedSlice slice, WorkerLink link, long nowMs) {
         return link.tasks().values().stream()
                 .filter(task -> task.spec().exclusive())
-                .allMatch(task -> ExclusiveBound.holds(state, slice, task.spec().team(), nowMs));
+                .allMatch(task -> ExclusiveBound.holds(state, slice, task.spec().workspace(), nowMs));
     }
 
     private void answered(
@@ -234,7 +234,7 @@
         boolean authorityGone = nowMs > slice.lastAuthorityMs() + graceMs;
         for (PlacedTask task : slice.tasks().values()) {
             boolean outOfBound = slice.hasAuthority(nowMs)
-                    && !ExclusiveBound.holds(state, slice, task.spec().team(), nowMs);
+                    && !ExclusiveBound.holds(state, slice, task.spec().workspace(), nowMs);
             boolean stops = task.spec().exclusive() && task.stop().isEmpty() && (authorityGone || outOfBound);
             if (stops) {
                 slice.stop(task, StopMode.CHECKPOINT);
--- a/coordination/src/test/java/org/acaciafold/coordination/Cell.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/Cell.java
@@ -18,8 +18,8 @@
 import org.acaciafold.core.model.Priority;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostList;
 import org.acaciafold.core.port.HostRole;
@@ -33,7 +33,7 @@
 
 /** Entry hosts, workers and a table on one clock; what a host sends arrives before its next tick unless it is lost. */
 final class Cell {
-    static final TeamId TEAM = TeamId.of("north");
+    static final WorkspaceId WORKSPACE = WorkspaceId.of("north");
     static final long TICK_MS = 20;
     private static final Resources CAPACITY = Resources.of(8_000, 16_384, 0);
 
@@ -51,7 +51,7 @@
     private boolean tableUp = true;
     private long lastCall;
 
-    /** Creates a cell with a number of hosts and workers in each domain and a team without a tight limit. */
+    /** Creates a cell with a number of hosts and workers in each domain and a workspace without a tight limit. */
     static Cell of(int hostsPerDomain, int workersPerDomain, String... domains) {
         Cell cell = new Cell();
         for (String domain : domains) {
@@ -64,8 +64,8 @@
                 cell.places.put(worker, DomainId.of(domain));
             }
         }
-        cell.edit("team/" + TEAM, """
-                [team]
+        cell.edit("workspace/" + WORKSPACE, """
+                [workspace]
                 weight = 1.0
                 limit-cpu = 1000cores
                 limit-memory = 1000GiB
@@ -76,7 +76,8 @@
         cell.await(
                 60_000,
                 () -> cell.hosts.values().stream()
-                        .allMatch(host -> host.core().settings().team(TEAM).isPresent()));
+                        .allMatch(host ->
+                                host.core().settings().workspace(WORKSPACE).isPresent()));
         return cell;
     }
 
@@ -119,7 +120,7 @@
     }
 
     JobId submit(CellHost host, JobRequest request) {
-        return ((ClientReply.Submitted) call(host, new ClientCall.Submit(TEAM, "", request))).job();
+        return ((ClientReply.Submitted) call(host, new ClientCall.Submit(WORKSPACE, "", request))).job();
     }
 
     static JobRequest batch(int tasks, boolean exclusive, String payload) {
@@ -135,7 +136,7 @@
     }
 
     JobStatus status(CellHost host, JobId job) {
-        return ((ClientReply.JobFound) call(host, new ClientCall.QueryJob(TEAM, job))).status();
+        return ((ClientReply.JobFound) call(host, new ClientCall.QueryJob(WORKSPACE, job))).status();
     }
 
     /** Returns the live host that owns a slice, waiting for it. */
--- a/coordination/src/test/java/org/acaciafold/coordination/ClaimTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/ClaimTest.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.acaciafold.core.model.Outcome;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TableRequest;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -13,7 +13,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 class ClaimTest {
-    private static final TeamId TEAM = TeamId.of("north");
+    private static final WorkspaceId WORKSPACE = WorkspaceId.of("north");
     private static final String KEY = "hold-1";
     private static final String DIGEST = "digest";
     private static final int HTTP_OK = 200;
@@ -90,17 +90,17 @@
 
     @Test
     void shouldRefuseAnOutcomeWhenTheKeyWasNotClaimedHere() {
-        ClientReply reply = cell.call(first, new ClientCall.Settle(TEAM, KEY, outcome(Outcome.RAN)));
+        ClientReply reply = cell.call(first, new ClientCall.Settle(WORKSPACE, KEY, outcome(Outcome.RAN)));
 
         assertEquals("not-claimed", failed(reply).failure().code());
     }
 
     private ClientReply claim(CellHost host, String digest) {
-        return cell.call(host, new ClientCall.Claim(TEAM, KEY, digest));
+        return cell.call(host, new ClientCall.Claim(WORKSPACE, KEY, digest));
     }
 
     private void settle(Outcome outcome) {
-        ClientReply reply = cell.call(first, new ClientCall.Settle(TEAM, KEY, outcome(outcome)));
+        ClientReply reply = cell.call(first, new ClientCall.Settle(WORKSPACE, KEY, outcome(outcome)));
         assertInstanceOf(ClientReply.Settled.class, reply);
     }
 
--- a/coordination/src/test/java/org/acaciafold/coordination/JobTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/JobTest.java
@@ -5,7 +5,7 @@
 
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.Outcome;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TableRequest;
 import org.acaciafold.core.port.WorkerCommand;
 import org.junit.jupiter.api.BeforeEach;
@@ -140,9 +140,9 @@
     // -- query
 
     @Test
-    void shouldRefuseAnotherTeamsJob() {
+    void shouldRefuseAnotherWorkspacesJob() {
         JobId job = cell.submit(owner, Cell.service(1));
-        TeamId stranger = TeamId.of("south");
+        WorkspaceId stranger = WorkspaceId.of("south");
 
         for (CellHost host : List.of(owner, other)) {
             ClientReply asked = cell.call(host, new ClientCall.QueryJob(stranger, job));
@@ -154,7 +154,7 @@
 
     @Test
     void shouldSayNotFoundWhenThereIsNoSuchJob() {
-        ClientReply reply = cell.call(other, new ClientCall.QueryJob(Cell.TEAM, JobId.of("east.0~x.1.1")));
+        ClientReply reply = cell.call(other, new ClientCall.QueryJob(Cell.WORKSPACE, JobId.of("east.0~x.1.1")));
 
         assertEquals("not-found", failure(reply).failure().code());
     }
@@ -166,7 +166,7 @@
         JobId job = cell.submit(other, Cell.service(2));
         cell.await(10_000, () -> cell.running(job, "east") == 2);
 
-        assertInstanceOf(ClientReply.Cancelling.class, cell.call(other, new ClientCall.Cancel(Cell.TEAM, job)));
+        assertInstanceOf(ClientReply.Cancelling.class, cell.call(other, new ClientCall.Cancel(Cell.WORKSPACE, job)));
         cell.await(10_000, () -> cell.status(other, job).phase() == JobPhase.CANCELLED);
 
         assertEquals(0, cell.running(job, "east"));
@@ -196,7 +196,7 @@
     }
 
     private static ClientCall submit(String key, int tasks) {
-        return new ClientCall.Submit(Cell.TEAM, key, Cell.batch(tasks, true, "run=100"));
+        return new ClientCall.Submit(Cell.WORKSPACE, key, Cell.batch(tasks, true, "run=100"));
     }
 
     private static boolean writes(TableRequest request, String prefix) {
--- a/coordination/src/test/java/org/acaciafold/coordination/RegistrationTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/RegistrationTest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,7 +38,7 @@
         fleet.start("h4", "d2");
         fleet.run(5_000);
         assertFalse(fleet.host("h4").state().registered());
-        ClientReply reply = fleet.call("h4", new ClientCall.Claim(TeamId.of("t"), "key", "digest"));
+        ClientReply reply = fleet.call("h4", new ClientCall.Claim(WorkspaceId.of("t"), "key", "digest"));
         assertEquals("not-registered", failure(reply).failure().code());
 
         fleet.table().down(false);
@@ -74,7 +74,7 @@
         fleet.run(4_000);
         assertTrue(old.state().registered());
 
-        old.inbox().add(new Event.ClientCalled(99, new ClientCall.Claim(TeamId.of("t"), "key", "digest")));
+        old.inbox().add(new Event.ClientCalled(99, new ClientCall.Claim(WorkspaceId.of("t"), "key", "digest")));
         fleet.run(old);
 
         assertEquals("not-registered", failure(fleet.reply(99)).failure().code());
--- a/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SettingsSystemTest.java
@@ -128,9 +128,9 @@
     static Stream<ClientCall.EditSettings> refusedEdits() {
         return Stream.of(
                 new ClientCall.EditSettings("e1", SUBTREE, 0, Optional.of("[domain]\nslices = 0\n")),
-                new ClientCall.EditSettings("e1", "team/north", 0, Optional.of("[team")),
+                new ClientCall.EditSettings("e1", "workspace/north", 0, Optional.of("[workspace")),
                 new ClientCall.EditSettings("e1", "open", 0, Optional.of("[services]\nx = nobody\n")),
-                new ClientCall.EditSettings("e1", "team/../x", 0, Optional.of(OUT)));
+                new ClientCall.EditSettings("e1", "workspace/../x", 0, Optional.of(OUT)));
     }
 
     @ParameterizedTest
--- a/coordination/src/test/java/org/acaciafold/coordination/SlotSystemTest.java
+++ b/coordination/src/test/java/org/acaciafold/coordination/SlotSystemTest.java
@@ -13,8 +13,8 @@
 import org.acaciafold.core.model.ManualClock;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.SliceId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostRole;
 import org.acaciafold.core.port.TaskPhase;
@@ -30,7 +30,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class SlotSystemTest {
-    private static final TeamId NORTH = TeamId.of("north");
+    private static final WorkspaceId NORTH = WorkspaceId.of("north");
     private static final Fence FENCE = Fence.of(4, 1);
     private static final HostId SELF = HostId.of("h1");
     private static final long LEASE_MS = 3_000;
@@ -103,14 +103,14 @@
 
     @ParameterizedTest
     @CsvSource({"south, true", "north, false"})
-    void shouldNotNamePeerWhenServiceIsOfAnotherTeam(String caller, boolean hinted) {
+    void shouldNotNamePeerWhenServiceIsOfAnotherWorkspace(String caller, boolean hinted) {
         if (hinted) {
             hear("h2", 5);
         }
-        List<ClientReply> replies = acquire(TeamId.of(caller), false);
+        List<ClientReply> replies = acquire(WorkspaceId.of(caller), false);
         assertFailed("no-replica", replies);
         String message = ((ClientReply.Failed) replies.getFirst()).failure().message();
-        assertEquals(hinted, message.contains("another team"));
+        assertEquals(hinted, message.contains("another workspace"));
     }
 
     @Test
@@ -141,8 +141,8 @@
         assertEquals(List.of(new ServiceSummary("shop", NORTH, 1, 5, 0)), slice.services());
     }
 
-    private List<ClientReply> acquire(TeamId team, boolean relayed) {
-        ClientCall call = new ClientCall.AcquireSlot(team, "shop", WAIT_MS, relayed);
+    private List<ClientReply> acquire(WorkspaceId workspace, boolean relayed) {
+        ClientCall call = new ClientCall.AcquireSlot(workspace, "shop", WAIT_MS, relayed);
         system.apply(new Event.ClientCalled(++lastCall, call), outbox);
         return tick();
     }
--- a/core/src/main/java/org/acaciafold/core/model/Failure.java
+++ b/core/src/main/java/org/acaciafold/core/model/Failure.java
@@ -6,7 +6,7 @@
 /**
  * A typed error with the step and the peer at which it arose.
  *
- * <p>Example: {@code Failure.notRun(Step.ADMISSION, "host-1", "queue-full", "the team's queue is full")}.
+ * <p>Example: {@code Failure.notRun(Step.ADMISSION, "host-1", "queue-full", "the workspace's queue is full")}.
  *
  * @param step the step
  * @param peer the process or service concerned, such as a worker identifier or an address
--- a/core/src/main/java/org/acaciafold/core/model/JobSpec.java
+++ b/core/src/main/java/org/acaciafold/core/model/JobSpec.java
@@ -5,10 +5,10 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 
 /**
- * What a team asks for when it submits a job.
+ * What a workspace asks for when it submits a job.
  *
  * @param id the job
- * @param team the team that submitted it
+ * @param workspace the workspace that submitted it
  * @param name the job's name, the same for each run of the same work; a service is called by it
  * @param kind the shape of the work
  * @param demand the declared resources of each task
@@ -19,7 +19,7 @@
  */
 public record JobSpec(
         JobId id,
-        TeamId team,
+        WorkspaceId workspace,
         String name,
         JobKind kind,
         Resources demand,
@@ -31,7 +31,7 @@
      * Checks the job.
      *
      * @param id the job
-     * @param team the team
+     * @param workspace the workspace
      * @param name the job's name
      * @param kind the shape of the work
      * @param demand the declared resources of each task
@@ -43,7 +43,7 @@
     @JsonCreator
     public JobSpec {
         Objects.requireNonNull(id, "id");
-        Objects.requireNonNull(team, "team");
+        Objects.requireNonNull(workspace, "workspace");
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(kind, "kind");
         Objects.requireNonNull(demand, "demand");
@@ -55,13 +55,13 @@
      * Starts a job description with the required parts.
      *
      * @param id the job
-     * @param team the team
+     * @param workspace the workspace
      * @param name the job's name
      * @param kind the shape of the work
      * @return a builder
      */
-    public static Builder builder(JobId id, TeamId team, String name, JobKind kind) {
-        return new Builder(id, team, name, kind);
+    public static Builder builder(JobId id, WorkspaceId workspace, String name, JobKind kind) {
+        return new Builder(id, workspace, name, kind);
     }
 
     /**
@@ -79,7 +79,7 @@
         private static final long DEFAULT_RUN_TIME_MS = 60_000;
 
         private final JobId id;
-        private final TeamId team;
+        private final WorkspaceId workspace;
         private final String name;
         private final JobKind kind;
         private Resources demand = Resources.of(1_000, 256, 0);
@@ -88,9 +88,9 @@
         private long runTimeMs = DEFAULT_RUN_TIME_MS;
         private String payload = "";
 
-        private Builder(JobId id, TeamId team, String name, JobKind kind) {
+        private Builder(JobId id, WorkspaceId workspace, String name, JobKind kind) {
             this.id = id;
-            this.team = team;
+            this.workspace = workspace;
             this.name = name;
             this.kind = kind;
         }
@@ -101,7 +101,7 @@
          * @return the job
          */
         public JobSpec build() {
-            return new JobSpec(id, team, name, kind, demand, priority, exclusive, runTimeMs, payload);
+            return new JobSpec(id, workspace, name, kind, demand, priority, exclusive, runTimeMs, payload);
         }
 
         /**
--- a/core/src/main/java/org/acaciafold/core/model/Step.java
+++ b/core/src/main/java/org/acaciafold/core/model/Step.java
@@ -4,7 +4,7 @@
 public enum Step {
     /** Reading or checking settings. */
     SETTINGS,
-    /** Checking a key and its team. */
+    /** Checking a key and its workspace. */
     AUTHORIZATION,
     /** Admitting a request or job: limits, queues and deadlines. */
     ADMISSION,
--- a/core/src/main/java/org/acaciafold/core/model/TeamId.java
+++ b/core/src/main/java/org/acaciafold/core/model/WorkspaceId.java
@@ -6,20 +6,20 @@
 import com.fasterxml.jackson.annotation.JsonValue;
 
 /**
- * The name of a team.
+ * The name of a workspace.
  *
  * @param value the identifier as text, never blank
  */
-public record TeamId(@JsonValue String value) implements Comparable<TeamId> {
+public record WorkspaceId(@JsonValue String value) implements Comparable<WorkspaceId> {
     /**
      * Checks the identifier.
      *
      * @param value the identifier as text, never blank
      */
-    public TeamId {
+    public WorkspaceId {
         Objects.requireNonNull(value, "value");
         if (value.isBlank()) {
-            throw new IllegalArgumentException("a team identifier must not be blank");
+            throw new IllegalArgumentException("a workspace identifier must not be blank");
         }
     }
 
@@ -30,12 +30,12 @@
      * @return the identifier
      */
     @JsonCreator
-    public static TeamId of(String value) {
-        return new TeamId(value);
+    public static WorkspaceId of(String value) {
+        return new WorkspaceId(value);
     }
 
     @Override
-    public int compareTo(TeamId that) {
+    public int compareTo(WorkspaceId that) {
         return value.compareTo(that.value);
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/BlockedGroup.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedGroup.java
@@ -7,7 +7,7 @@
 
 import org.acaciafold.core.model.Resources;
 
-/** Queues that wait for the same: room for as much, or the allotment of one team. */
+/** Queues that wait for the same: room for as much, or the allotment of one workspace. */
 final class BlockedGroup {
     private static final int CLASSES = JobClass.values().length;
 
@@ -60,12 +60,12 @@
         }
     }
 
-    /** Returns the place of a queue in the order of starts: the rank of its class, then the share of its team. */
+    /** Returns the place of a queue in the order of starts: the rank of its class, then the share of its workspace. */
     private static double turn(ShapeQueue queue) {
         ClassQueue parent = queue.parent;
-        boolean later = parent.jobClass != JobClass.URGENT && parent.team.wasAboveShare;
+        boolean later = parent.jobClass != JobClass.URGENT && parent.workspace.wasAboveShare;
         int rank = parent.jobClass.ordinal() + (later ? CLASSES : 0);
-        double share = parent.team.shareBefore;
+        double share = parent.workspace.shareBefore;
         return rank + share / (1 + share);
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
+++ b/core/src/main/java/org/acaciafold/core/placement/BlockedQueues.java
@@ -19,15 +19,15 @@
  */
 final class BlockedQueues {
     private static final int GROUPS_PER_TICK = 32;
-    private static final int QUEUES_OF_TEAM_PER_TICK = 16;
+    private static final int QUEUES_OF_WORKSPACE_PER_TICK = 16;
     private static final int MAX_QUEUES_OF_GROUP = 8;
     private static final int MAX_ROOMS = 32;
 
     private final Map<Resources, Bucket> buckets = new LinkedHashMap<>();
-    private final Map<TeamRow, BlockedGroup> byTeam = new HashMap<>();
+    private final Map<WorkspaceRow, BlockedGroup> byWorkspace = new HashMap<>();
     private final Set<Bucket> dueBuckets = new LinkedHashSet<>();
-    /** The teams that hold less than before, with how many of their queues are still to be tried. */
-    private final Map<TeamRow, Integer> dueTeams = new LinkedHashMap<>();
+    /** The workspaces that hold less than before, with how many of their queues are still to be tried. */
+    private final Map<WorkspaceRow, Integer> dueWorkspaces = new LinkedHashMap<>();
 
     private final Set<BlockedGroup> dueGroups = new LinkedHashSet<>();
     private boolean muted;
@@ -51,16 +51,17 @@
         muted = value;
     }
 
-    /** Tells that a team holds less or may hold more than before. */
-    void allotmentFreed(TeamRow team) {
-        if (!muted && byTeam.containsKey(team)) {
-            dueTeams.put(team, byTeam.get(team).queues.size());
+    /** Tells that a workspace holds less or may hold more than before. */
+    void allotmentFreed(WorkspaceRow workspace) {
+        if (!muted && byWorkspace.containsKey(workspace)) {
+            dueWorkspaces.put(workspace, byWorkspace.get(workspace).queues.size());
         }
     }
 
-    /** Keeps a queue until its team may hold more. */
+    /** Keeps a queue until its workspace may hold more. */
     void blockForAllotment(ShapeQueue queue) {
-        byTeam.computeIfAbsent(queue.parent.team, team -> new BlockedGroup(Resources.empty()))
+        byWorkspace
+                .computeIfAbsent(queue.parent.workspace, workspace -> new BlockedGroup(Resources.empty()))
                 .add(queue);
     }
 
@@ -95,8 +96,8 @@
         for (Bucket bucket : List.copyOf(dueBuckets)) {
             retry(bucket);
         }
-        for (TeamRow team : List.copyOf(dueTeams.keySet())) {
-            retry(team);
+        for (WorkspaceRow workspace : List.copyOf(dueWorkspaces.keySet())) {
+            retry(workspace);
         }
     }
 
@@ -132,17 +133,17 @@
         }
     }
 
-    /** Tries some queues of a team in turn, since their demands differ. */
-    private void retry(TeamRow team) {
-        BlockedGroup group = byTeam.get(team);
-        int left = dueTeams.remove(team);
-        for (ShapeQueue queue : group.oldest(Math.min(left, QUEUES_OF_TEAM_PER_TICK))) {
+    /** Tries some queues of a workspace in turn, since their demands differ. */
+    private void retry(WorkspaceRow workspace) {
+        BlockedGroup group = byWorkspace.get(workspace);
+        int left = dueWorkspaces.remove(workspace);
+        for (ShapeQueue queue : group.oldest(Math.min(left, QUEUES_OF_WORKSPACE_PER_TICK))) {
             queue.parent.unblock(queue);
         }
         if (group.queues.isEmpty()) {
-            byTeam.remove(team);
-        } else if (left > QUEUES_OF_TEAM_PER_TICK) {
-            dueTeams.put(team, left - QUEUES_OF_TEAM_PER_TICK);
+            byWorkspace.remove(workspace);
+        } else if (left > QUEUES_OF_WORKSPACE_PER_TICK) {
+            dueWorkspaces.put(workspace, left - QUEUES_OF_WORKSPACE_PER_TICK);
         }
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/ClassQueue.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ClassQueue.java
@@ -6,17 +6,17 @@
 
 import org.acaciafold.core.model.Resources;
 
-/** The waiting jobs of one team and class, grouped by what their tasks demand. */
+/** The waiting jobs of one workspace and class, grouped by what their tasks demand. */
 final class ClassQueue {
-    final TeamRow team;
+    final WorkspaceRow workspace;
     final JobClass jobClass;
 
     private final Map<Shape, ShapeQueue> shapes = new HashMap<>();
     private final TreeSet<ShapeQueue> ready = new TreeSet<>(ShapeQueue.BY_HEAD);
 
-    ClassQueue(TeamRow team, JobClass jobClass) {
+    ClassQueue(WorkspaceRow workspace, JobClass jobClass) {
         this.jobClass = jobClass;
-        this.team = team;
+        this.workspace = workspace;
     }
 
     /** The demand of each task and how many tasks must start at once. */
--- a/core/src/main/java/org/acaciafold/core/placement/Decision.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Decision.java
@@ -4,8 +4,8 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.StopMode;
 
 /** A decision of a tick, to be carried out by the caller. */
@@ -41,10 +41,10 @@
     record JobStuck(JobId job, String reason, Resources largest) implements Decision {}
 
     /**
-     * Asks for more of a team's upper limit.
+     * Asks for more of a workspace's upper limit.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param missing what its waiting tasks need beyond its allotment
      */
-    record WantsAllotment(TeamId team, Resources missing) implements Decision {}
+    record WantsAllotment(WorkspaceId workspace, Resources missing) implements Decision {}
 }
--- a/core/src/main/java/org/acaciafold/core/placement/Due.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Due.java
@@ -11,7 +11,7 @@
     /** An attempt that was asked to stop is asked again, or more strongly. */
     record RepeatStop(AttemptRow attempt) implements Due {}
 
-    /** A job that needs more than its team's allotment is reported unless that has changed. */
+    /** A job that needs more than its workspace's allotment is reported unless that has changed. */
     record CheckAllotment(JobRow job) implements Due {}
 
     /** A queue whose first job did not fit is tried again. */
--- a/core/src/main/java/org/acaciafold/core/placement/ExcessSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ExcessSystem.java
@@ -6,7 +6,7 @@
 
 import org.acaciafold.core.model.Resources;
 
-/** Stops what a team has running beyond its allotment after the allotment was lowered. */
+/** Stops what a workspace has running beyond its allotment after the allotment was lowered. */
 final class ExcessSystem {
     private static final Comparator<AttemptRow> FIRST_TO_STOP = Comparator.<AttemptRow>comparingInt(
                     attempt -> -attempt.task.job.jobClass.ordinal())
@@ -20,31 +20,32 @@
     }
 
     void run(Tick tick) {
-        for (TeamRow team : tables.teams.values()) {
-            if (!staying(team).fitsIn(team.terms.allotment())) {
-                stopExcess(tick, team);
+        for (WorkspaceRow workspace : tables.workspaces.values()) {
+            if (!staying(workspace).fitsIn(workspace.terms.allotment())) {
+                stopExcess(tick, workspace);
             }
         }
     }
 
     /** Stops the lowest class first and the latest start first, until what stays fits. */
-    private void stopExcess(Tick tick, TeamRow team) {
-        for (AttemptRow attempt : running(team)) {
-            Resources excess = staying(team).minus(team.terms.allotment()).max(Resources.empty());
+    private void stopExcess(Tick tick, WorkspaceRow workspace) {
+        for (AttemptRow attempt : running(workspace)) {
+            Resources excess =
+                    staying(workspace).minus(workspace.terms.allotment()).max(Resources.empty());
             if (excess.equals(Resources.empty())) {
                 return;
             }
             if (!attempt.demand.min(excess).equals(Resources.empty())) {
-                tick.stop(attempt, StopSystem.gentle(attempt.task.job), "the team's limit was lowered");
+                tick.stop(attempt, StopSystem.gentle(attempt.task.job), "the workspace's limit was lowered");
             }
         }
     }
 
-    private List<AttemptRow> running(TeamRow team) {
+    private List<AttemptRow> running(WorkspaceRow workspace) {
         List<AttemptRow> running = new ArrayList<>();
         for (WorkerRow worker : tables.workers.values()) {
             for (AttemptRow attempt : worker.attempts) {
-                if (attempt.task.job.team == team && attempt.stopMode == null) {
+                if (attempt.task.job.workspace == workspace && attempt.stopMode == null) {
                     running.add(attempt);
                 }
             }
@@ -53,7 +54,7 @@
         return running;
     }
 
-    private static Resources staying(TeamRow team) {
-        return team.used.minus(team.stopping);
+    private static Resources staying(WorkspaceRow workspace) {
+        return workspace.used.minus(workspace.stopping);
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/FailureTracker.java
+++ b/core/src/main/java/org/acaciafold/core/placement/FailureTracker.java
@@ -37,7 +37,7 @@
             worker.successesBeforeFailures = tables.runTimes.successes();
         }
         worker.failuresInRow++;
-        worker.failedNames.add(job.spec.team() + "/" + job.spec.name());
+        worker.failedNames.add(job.spec.workspace() + "/" + job.spec.name());
         if (worker.trust == WorkerRow.Trust.PROBING) {
             sendAside(worker, nowMs);
         } else if (suspect(job, worker)) {
--- a/core/src/main/java/org/acaciafold/core/placement/JobRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/JobRow.java
@@ -17,7 +17,7 @@
 /** A job in the table of jobs. */
 final class JobRow {
     final JobSpec spec;
-    final TeamRow team;
+    final WorkspaceRow workspace;
     final JobClass jobClass;
     final long sequence;
     final BitSet ended = new BitSet();
@@ -32,7 +32,7 @@
     boolean homed;
     boolean cancelled;
     boolean queued;
-    /** Whether its waiting tasks count in what its team wants. */
+    /** Whether its waiting tasks count in what its workspace wants. */
     boolean counted = true;
 
     boolean allotmentTimer;
@@ -52,9 +52,9 @@
     int nextFresh;
     Optional<String> problem = Optional.empty();
 
-    JobRow(JobSpec spec, TeamRow team, long sequence) {
+    JobRow(JobSpec spec, WorkspaceRow workspace, long sequence) {
         this.spec = spec;
-        this.team = team;
+        this.workspace = workspace;
         this.jobClass = JobClass.of(spec);
         this.sequence = sequence;
     }
--- a/core/src/main/java/org/acaciafold/core/placement/PlacementPlane.java
+++ b/core/src/main/java/org/acaciafold/core/placement/PlacementPlane.java
@@ -8,8 +8,8 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TaskEnd;
 import org.acaciafold.core.port.TaskView;
 
@@ -123,12 +123,12 @@
     PlacementSummary summary();
 
     /**
-     * Sets what a team may have in this slice.
+     * Sets what a workspace may have in this slice.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param terms weight, allotment and policies
      */
-    void team(TeamId team, TeamTerms terms);
+    void workspace(WorkspaceId workspace, WorkspaceTerms terms);
 
     /**
      * Runs the systems once.
@@ -139,10 +139,10 @@
     List<Decision> tick(long nowMs);
 
     /**
-     * Returns what a team has reserved in this slice.
+     * Returns what a workspace has reserved in this slice.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @return the resources of its tasks that run or are being started or stopped
      */
-    Resources usage(TeamId team);
+    Resources usage(WorkspaceId workspace);
 }
--- a/core/src/main/java/org/acaciafold/core/placement/PlaneFeature.java
+++ b/core/src/main/java/org/acaciafold/core/placement/PlaneFeature.java
@@ -6,11 +6,11 @@
     ESTIMATES,
     /** Reserves room for all-at-once jobs and fills it with jobs that end in time. */
     RESERVATION,
-    /** Checkpoints the tasks of teams above their share for teams below it, and low ones for urgent ones. */
+    /** Checkpoints the tasks of workspaces above their share for workspaces below it, and low ones for urgent ones. */
     RECLAIM,
     /** Sets workers aside on which unlike jobs fail. */
     SET_ASIDE,
-    /** Starts the jobs of teams below their share before those of other teams, in all classes but urgent. */
+    /** Starts the jobs of workspaces below their share before those of other workspaces, in all classes but urgent. */
     SHARE_FIRST,
     /** Prefers the candidate with the least room left. */
     TIGHT_FIT
--- a/core/src/main/java/org/acaciafold/core/placement/QueueOrder.java
+++ b/core/src/main/java/org/acaciafold/core/placement/QueueOrder.java
@@ -2,7 +2,7 @@
 
 import org.acaciafold.core.model.JobKind;
 
-/** The order of the jobs of one team and class. */
+/** The order of the jobs of one workspace and class. */
 final class QueueOrder {
     private static final double SLOW_QUANTILE = 0.9;
 
@@ -19,7 +19,7 @@
 
     /** The latest time of start at which the job is expected to end in time. */
     private static long batchKey(JobRow job, RunTimes runTimes, long finishWithinMs) {
-        return switch (job.team.terms.batch()) {
+        return switch (job.workspace.terms.batch()) {
             case BatchPolicy.SubmissionOrder order -> job.submittedMs;
             case BatchPolicy.DeadlineOrder order ->
                 job.submittedMs
--- a/core/src/main/java/org/acaciafold/core/placement/ReclaimSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ReclaimSystem.java
@@ -8,7 +8,7 @@
 import org.acaciafold.core.port.StopMode;
 
 /**
- * Makes room for teams below their share and for urgent jobs by checkpointing tasks of teams above theirs.
+ * Makes room for workspaces below their share and for urgent jobs by checkpointing tasks of workspaces above theirs.
  *
  * <p>A few workers are looked at for each task that waits; the one is chosen on which the least has to stop, and it is
  * kept for the job until its room is free.
@@ -50,7 +50,7 @@
     private void reclaim(Tick tick, ShapeQueue queue, JobRow job) {
         boolean urgent = job.jobClass == JobClass.URGENT;
         Resources claimed = job.spec.demand().times(job.held.size() + 1);
-        boolean entitled = job.jobClass != JobClass.LOW && !job.team.aboveShare(claimed, tables.capacity);
+        boolean entitled = job.jobClass != JobClass.LOW && !job.workspace.aboveShare(claimed, tables.capacity);
         if (!urgent && !entitled || tick.nowMs < queue.reclaimAtMs) {
             return;
         }
@@ -64,7 +64,7 @@
             tryAgain(queue, tick.nowMs + PATIENCE_MS);
             return;
         }
-        String reason = "its room is needed by team " + job.team.id;
+        String reason = "its room is needed by workspace " + job.workspace.id;
         plan.victims().forEach(victim -> tick.stop(victim, StopMode.CHECKPOINT, reason));
         tables.hold(plan.worker(), job, tick.nowMs, plan.spare());
         job.heldUntilMs = tick.nowMs + HOLD_MS;
@@ -125,9 +125,9 @@
             return false;
         }
         boolean low = job.jobClass == JobClass.LOW && claimant.jobClass != JobClass.LOW;
-        boolean above = job.team != claimant.team
-                && job.team.wasAboveShare
-                && job.team.aboveShare(Resources.empty().minus(attempt.demand), tables.capacity);
+        boolean above = job.workspace != claimant.workspace
+                && job.workspace.wasAboveShare
+                && job.workspace.aboveShare(Resources.empty().minus(attempt.demand), tables.capacity);
         return low || above;
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ReservationSystem.java
@@ -67,7 +67,7 @@
         if (!job.gang()) {
             return nowMs >= Math.max(job.blockedSinceMs + LARGE_TASK_WAIT_MS, job.reserveAtMs);
         }
-        return switch (job.team.terms.gang()) {
+        return switch (job.workspace.terms.gang()) {
             case GangPolicy.Reserve reserve ->
                 nowMs >= Math.max(job.blockedSinceMs + reserve.afterMs(), job.reserveAtMs);
             case GangPolicy.WhenFree free -> false;
@@ -76,7 +76,7 @@
 
     private void reserve(JobRow job, long nowMs) {
         int tasks = job.gang() ? job.waiting : 1;
-        if (!job.team.allows(job.spec.demand().times(tasks))) {
+        if (!job.workspace.allows(job.spec.demand().times(tasks))) {
             return;
         }
         List<Place> places = places(job, nowMs);
--- a/core/src/main/java/org/acaciafold/core/placement/RunTimes.java
+++ b/core/src/main/java/org/acaciafold/core/placement/RunTimes.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 import org.acaciafold.core.model.JobSpec;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
-/** Run times and successes learnt for each job name of each team; the names used last are kept. */
+/** Run times and successes learnt for each job name of each workspace; the names used last are kept. */
 final class RunTimes {
     private static final int MAX_NAMES = 4_096;
 
@@ -25,7 +25,7 @@
         this.enabled = enabled;
     }
 
-    private record Name(TeamId team, String name) {}
+    private record Name(WorkspaceId workspace, String name) {}
 
     private static final class Learnt {
         final RunTimeHistogram histogram = new RunTimeHistogram();
@@ -59,6 +59,6 @@
     }
 
     private static Name name(JobSpec spec) {
-        return new Name(spec.team(), spec.name());
+        return new Name(spec.workspace(), spec.name());
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ShapeQueue.java
@@ -5,7 +5,10 @@
 
 import org.acaciafold.core.model.Resources;
 
-/** The jobs of one team and class whose tasks demand the same and that start as many tasks at once; all are blocked when one does not fit. */
+/**
+ * The jobs of one workspace and class whose tasks demand the same and that start as many tasks at once; all are blocked
+ * when one does not fit.
+ */
 final class ShapeQueue {
     /** Orders queues by their first jobs. */
     static final Comparator<ShapeQueue> BY_HEAD =
--- a/core/src/main/java/org/acaciafold/core/placement/ShareSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/ShareSystem.java
@@ -1,6 +1,6 @@
 package org.acaciafold.core.placement;
 
-/** Works out the share of each team among the teams that hold or want something. */
+/** Works out the share of each workspace among the workspaces that hold or want something. */
 final class ShareSystem {
     private final Tables tables;
 
@@ -10,13 +10,13 @@
 
     void run() {
         double weights = 0;
-        for (TeamRow team : tables.teams.values()) {
-            weights += team.active() ? team.terms.weight() : 0;
+        for (WorkspaceRow workspace : tables.workspaces.values()) {
+            weights += workspace.active() ? workspace.terms.weight() : 0;
         }
-        for (TeamRow team : tables.teams.values()) {
-            team.fairShare = team.active() ? team.terms.weight() / weights : 0;
-            team.shareBefore = team.weightedShare(tables.capacity);
-            team.wasAboveShare = team.shareBefore * team.terms.weight() >= team.fairShare;
+        for (WorkspaceRow workspace : tables.workspaces.values()) {
+            workspace.fairShare = workspace.active() ? workspace.terms.weight() / weights : 0;
+            workspace.shareBefore = workspace.weightedShare(tables.capacity);
+            workspace.wasAboveShare = workspace.shareBefore * workspace.terms.weight() >= workspace.fairShare;
         }
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/StartSystem.java
@@ -8,7 +8,7 @@
 
 import org.acaciafold.core.model.Resources;
 
-/** Starts waiting tasks: by class, and within a class by the weighted dominant shares of the teams. */
+/** Starts waiting tasks: by class, and within a class by the weighted dominant shares of the workspaces. */
 final class StartSystem {
     private static final int STARTS_PER_TICK = 512;
     /** A task is large when it takes more than one of so many parts of an average worker. */
@@ -32,13 +32,13 @@
         this.shareFirst = features.contains(PlaneFeature.SHARE_FIRST);
     }
 
-    /** Which teams may start tasks in a pass over the classes. */
+    /** Which workspaces may start tasks in a pass over the classes. */
     private enum Pass {
         ALL,
         BELOW_SHARE
     }
 
-    private record Turn(TeamRow team, double share, int order) {}
+    private record Turn(WorkspaceRow workspace, double share, int order) {}
 
     void run(Tick tick) {
         if (!tables.open) {
@@ -71,27 +71,28 @@
         PriorityQueue<Turn> turns =
                 new PriorityQueue<>(Comparator.comparingDouble(Turn::share).thenComparingInt(Turn::order));
         int order = 0;
-        for (TeamRow team : tables.teams.values()) {
-            if (team.queue(jobClass).first() != null) {
-                turns.add(turn(team, order));
+        for (WorkspaceRow workspace : tables.workspaces.values()) {
+            if (workspace.queue(jobClass).first() != null) {
+                turns.add(turn(workspace, order));
             }
             order++;
         }
         while (startsLeft > 0 && !turns.isEmpty()) {
             Turn turn = turns.poll();
-            ShapeQueue queue = turn.team().queue(jobClass).first();
-            if (queue == null || pass == Pass.BELOW_SHARE && turn.team().aboveShare(queue.demand, tables.capacity)) {
+            ShapeQueue queue = turn.workspace().queue(jobClass).first();
+            if (queue == null
+                    || pass == Pass.BELOW_SHARE && turn.workspace().aboveShare(queue.demand, tables.capacity)) {
                 continue;
             }
             startHead(tick, queue);
-            turns.add(turn(turn.team(), turn.order()));
+            turns.add(turn(turn.workspace(), turn.order()));
         }
     }
 
     private void startHead(Tick tick, ShapeQueue queue) {
         JobRow job = queue.head();
         int tasks = job.gang() ? job.waiting : 1;
-        if (!job.team.allows(queue.demand.times(tasks))) {
+        if (!job.workspace.allows(queue.demand.times(tasks))) {
             blockForAllotment(tick, queue, job);
             return;
         }
@@ -174,7 +175,7 @@
 
     /** Tells whether small tasks of the same class could keep the job from ever finding room. */
     private boolean large(JobRow job) {
-        boolean entitled = job.jobClass != JobClass.LOW && !job.team.wasAboveShare;
+        boolean entitled = job.jobClass != JobClass.LOW && !job.workspace.wasAboveShare;
         Resources average = tables.capacity.part(Math.max(1, LARGE_PARTS * tables.readyWorkers));
         return entitled && !job.spec.demand().fitsIn(average);
     }
@@ -206,7 +207,7 @@
         tables.addWaiting(task.job, 1);
     }
 
-    private Turn turn(TeamRow team, int order) {
-        return new Turn(team, team.weightedShare(tables.capacity), order);
+    private Turn turn(WorkspaceRow workspace, int order) {
+        return new Turn(workspace, workspace.weightedShare(tables.capacity), order);
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TablePlane.java
@@ -11,8 +11,8 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TaskEnd;
 import org.acaciafold.core.port.TaskView;
 
@@ -135,8 +135,8 @@
         tables.cancelled.add(row);
         tables.releaseHolds(row);
         tables.tooLarge.remove(row);
-        row.team.aboveAllotment.remove(row);
-        row.team.queue(row.jobClass).leave(row);
+        row.workspace.aboveAllotment.remove(row);
+        row.workspace.queue(row.jobClass).leave(row);
     }
 
     @Override
@@ -222,9 +222,9 @@
     }
 
     @Override
-    public void team(TeamId team, TeamTerms terms) {
+    public void workspace(WorkspaceId workspace, WorkspaceTerms terms) {
         Objects.requireNonNull(terms, "terms");
-        TeamRow row = tables.team(team);
+        WorkspaceRow row = tables.workspace(workspace);
         row.terms = terms;
         tables.blocked.allotmentFreed(row);
         List.copyOf(row.aboveAllotment).forEach(tables::unstick);
@@ -250,8 +250,8 @@
     }
 
     @Override
-    public Resources usage(TeamId team) {
-        TeamRow row = tables.teams.get(team);
+    public Resources usage(WorkspaceId workspace) {
+        WorkspaceRow row = tables.workspaces.get(workspace);
         return row == null ? Resources.empty() : row.used;
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/Tables.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Tables.java
@@ -16,15 +16,15 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 
-/** The tables of workers, jobs and teams, with the indexes that every change keeps up to date. */
+/** The tables of workers, jobs and workspaces, with the indexes that every change keeps up to date. */
 final class Tables {
     final List<WorkerRow> slots = new ArrayList<>();
     final Map<WorkerId, WorkerRow> workers = new HashMap<>();
     final Map<JobId, JobRow> jobs = new HashMap<>();
-    final Map<TeamId, TeamRow> teams = new LinkedHashMap<>();
+    final Map<WorkspaceId, WorkspaceRow> workspaces = new LinkedHashMap<>();
     final WorkerIndex plainIndex = new WorkerIndex();
     final WorkerIndex acceleratedIndex = new WorkerIndex();
     /** The workers that are kept for a job. */
@@ -88,7 +88,7 @@
     /** Puts a job with a task to start into its queue. */
     void enqueue(JobRow job) {
         if (job.live() && job.hasReadyTask()) {
-            job.team.queue(job.jobClass).add(job, QueueOrder.key(job, runTimes));
+            job.workspace.queue(job.jobClass).add(job, QueueOrder.key(job, runTimes));
         }
     }
 
@@ -97,7 +97,7 @@
         job.problem = Optional.of(reason);
         stuckReports.add(new Decision.JobStuck(job.spec.id(), reason, largest));
         releaseHolds(job);
-        job.team.queue(job.jobClass).leave(job);
+        job.workspace.queue(job.jobClass).leave(job);
         if (!counted && job.counted) {
             job.counted = false;
             addWanted(job, -job.waiting);
@@ -116,11 +116,11 @@
 
     /** Finds a job, or adds one that is not homed here. */
     JobRow job(JobSpec spec) {
-        return jobs.computeIfAbsent(spec.id(), id -> new JobRow(spec, team(spec.team()), nextSequence++));
+        return jobs.computeIfAbsent(spec.id(), id -> new JobRow(spec, workspace(spec.workspace()), nextSequence++));
     }
 
-    TeamRow team(TeamId id) {
-        return teams.computeIfAbsent(id, TeamRow::new);
+    WorkspaceRow workspace(WorkspaceId id) {
+        return workspaces.computeIfAbsent(id, WorkspaceRow::new);
     }
 
     /** Finds the attempt that holds resources, null when there is none. */
@@ -146,7 +146,7 @@
             worker.trust = WorkerRow.Trust.PROBING;
         }
         JobRow job = attempt.task.job;
-        job.team.used = job.team.used.plus(attempt.demand);
+        job.workspace.used = job.workspace.used.plus(attempt.demand);
         if (job.service()) {
             job.perRack.merge(worker.spec.rack(), 1, Integer::sum);
         }
@@ -164,10 +164,10 @@
             worker.heldSpare = worker.heldSpare.plus(attempt.demand);
         }
         JobRow job = attempt.task.job;
-        TeamRow team = job.team;
-        team.used = team.used.minus(attempt.demand);
+        WorkspaceRow workspace = job.workspace;
+        workspace.used = workspace.used.minus(attempt.demand);
         if (attempt.stopMode != null) {
-            team.stopping = team.stopping.minus(attempt.demand);
+            workspace.stopping = workspace.stopping.minus(attempt.demand);
         }
         if (job.service()) {
             job.perRack.merge(worker.spec.rack(), -1, Integer::sum);
@@ -175,7 +175,7 @@
         reserved = reserved.minus(attempt.demand);
         running--;
         reindex(worker);
-        blocked.allotmentFreed(team);
+        blocked.allotmentFreed(workspace);
         if (worker.removed && worker.attempts.isEmpty()) {
             forget(worker);
         }
@@ -260,7 +260,7 @@
         if (worker.heldFor != null) {
             heldIndex.set(worker.slot, worker.free);
             worker.inHeldIndex = true;
-            worker.heldFor.team.queue(worker.heldFor.jobClass).wake(worker.heldFor);
+            worker.heldFor.workspace.queue(worker.heldFor.jobClass).wake(worker.heldFor);
         } else if (worker.inHeldIndex) {
             heldIndex.clear(worker.slot);
             worker.inHeldIndex = false;
@@ -269,8 +269,8 @@
     }
 
     private void addWanted(JobRow job, int change) {
-        TeamRow team = job.team;
-        team.waitingDemand = team.waitingDemand.plus(job.spec.demand().times(change));
+        WorkspaceRow workspace = job.workspace;
+        workspace.waitingDemand = workspace.waitingDemand.plus(job.spec.demand().times(change));
     }
 
     private void count(WorkerRow worker, int sign) {
--- a/core/src/main/java/org/acaciafold/core/placement/TaskFacts.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TaskFacts.java
@@ -112,8 +112,8 @@
         job.tasks.values().forEach(TaskFacts::undelay);
         tables.releaseHolds(job);
         tables.tooLarge.remove(job);
-        job.team.aboveAllotment.remove(job);
-        job.team.queue(job.jobClass).leave(job);
+        job.workspace.aboveAllotment.remove(job);
+        job.workspace.queue(job.jobClass).leave(job);
         job.tasks.values().removeIf(task -> task.current == null && task.strays.isEmpty());
         job.nextFresh = 0;
         job.ended.clear();
--- a/core/src/main/java/org/acaciafold/core/placement/Tick.java
+++ b/core/src/main/java/org/acaciafold/core/placement/Tick.java
@@ -25,8 +25,8 @@
             return;
         }
         if (!asked) {
-            TeamRow team = attempt.task.job.team;
-            team.stopping = team.stopping.plus(attempt.demand);
+            WorkspaceRow workspace = attempt.task.job.workspace;
+            workspace.stopping = workspace.stopping.plus(attempt.demand);
             tables.timers.add(nowMs + STOP_REPEAT_MS, new Due.RepeatStop(attempt));
         }
         attempt.phase = AttemptRow.Phase.STOPPING;
--- a/core/src/main/java/org/acaciafold/core/placement/TimerSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/TimerSystem.java
@@ -72,11 +72,11 @@
 
     private void checkAllotment(JobRow job) {
         job.allotmentTimer = false;
-        Resources allotment = job.team.terms.allotment();
+        Resources allotment = job.workspace.terms.allotment();
         int atOnce = job.spec.kind() instanceof JobKind.Gang ? job.waiting : Math.min(1, job.waiting);
         if (job.live() && !job.spec.demand().times(atOnce).fitsIn(allotment)) {
-            job.team.aboveAllotment.add(job);
-            tables.stick(job, "the job needs more than the team may have", allotment, true);
+            job.workspace.aboveAllotment.add(job);
+            tables.stick(job, "the job needs more than the workspace may have", allotment, true);
         }
     }
 
--- a/core/src/main/java/org/acaciafold/core/placement/WantSystem.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WantSystem.java
@@ -2,7 +2,7 @@
 
 import org.acaciafold.core.model.Resources;
 
-/** Tells what the waiting tasks of each team need beyond its allotment. */
+/** Tells what the waiting tasks of each workspace need beyond its allotment. */
 final class WantSystem {
     private final Tables tables;
 
@@ -11,18 +11,22 @@
     }
 
     void run(Tick tick) {
-        for (TeamRow team : tables.teams.values()) {
-            Resources missing = missing(team);
+        for (WorkspaceRow workspace : tables.workspaces.values()) {
+            Resources missing = missing(workspace);
             if (!missing.equals(Resources.empty())) {
-                tick.decisions.add(new Decision.WantsAllotment(team.id, missing));
+                tick.decisions.add(new Decision.WantsAllotment(workspace.id, missing));
             }
         }
     }
 
-    private static Resources missing(TeamRow team) {
-        if (team.waitingDemand.equals(Resources.empty())) {
+    private static Resources missing(WorkspaceRow workspace) {
+        if (workspace.waitingDemand.equals(Resources.empty())) {
             return Resources.empty();
         }
-        return team.used.plus(team.waitingDemand).minus(team.terms.allotment()).max(Resources.empty());
+        return workspace
+                .used
+                .plus(workspace.waitingDemand)
+                .minus(workspace.terms.allotment())
+                .max(Resources.empty());
     }
 }
--- a/core/src/main/java/org/acaciafold/core/placement/WorkerChoice.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WorkerChoice.java
@@ -123,14 +123,14 @@
 
     private static boolean spreads(JobRow job) {
         return job.service()
-                && switch (job.team.terms.service()) {
+                && switch (job.workspace.terms.service()) {
                     case ServicePolicy.Spread spread -> true;
                     case ServicePolicy.Pack pack -> false;
                 };
     }
 
     private static boolean spreadsOn(WorkerRow worker, JobRow job) {
-        int perRack = ((ServicePolicy.Spread) job.team.terms.service()).perRack();
+        int perRack = ((ServicePolicy.Spread) job.workspace.terms.service()).perRack();
         if (job.perRack.getOrDefault(worker.spec.rack(), 0) >= perRack) {
             return false;
         }
--- a/core/src/main/java/org/acaciafold/core/placement/TeamRow.java
+++ b/core/src/main/java/org/acaciafold/core/placement/WorkspaceRow.java
@@ -4,36 +4,36 @@
 import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
-/** A team in the table of teams. */
-final class TeamRow {
-    private static final TeamTerms NO_TERMS = new TeamTerms(
+/** A workspace in the table of workspaces. */
+final class WorkspaceRow {
+    private static final WorkspaceTerms NO_TERMS = new WorkspaceTerms(
             1,
             Resources.empty(),
             new ServicePolicy.Spread(1),
             new BatchPolicy.SubmissionOrder(),
             new GangPolicy.WhenFree());
 
-    final TeamId id;
+    final WorkspaceId id;
     final ClassQueue[] queues = new ClassQueue[JobClass.values().length];
     /** The jobs that cannot run because the allotment is too small. */
     final Set<JobRow> aboveAllotment = new LinkedHashSet<>();
 
-    TeamTerms terms = NO_TERMS;
+    WorkspaceTerms terms = NO_TERMS;
     Resources used = Resources.empty();
     /** What its tasks hold that were asked to stop. */
     Resources stopping = Resources.empty();
 
     Resources waitingDemand = Resources.empty();
-    /** The part of the slice that is its share while all teams with work want theirs. */
+    /** The part of the slice that is its share while all workspaces with work want theirs. */
     double fairShare = 1;
     /** Its weighted share at the begin of the tick. */
     double shareBefore;
     /** Whether it held more than its share at the begin of the tick. */
     boolean wasAboveShare;
 
-    TeamRow(TeamId id) {
+    WorkspaceRow(WorkspaceId id) {
         this.id = id;
         for (JobClass jobClass : JobClass.values()) {
             queues[jobClass.ordinal()] = new ClassQueue(this, jobClass);
@@ -49,7 +49,7 @@
         return queues[jobClass.ordinal()];
     }
 
-    /** Tells whether the team would hold more than its share with a further demand. */
+    /** Tells whether the workspace would hold more than its share with a further demand. */
     boolean aboveShare(Resources demand, Resources capacity) {
         return used.minus(stopping).plus(demand).dominantShare(capacity) > fairShare;
     }
@@ -58,7 +58,7 @@
         return !used.equals(Resources.empty()) || !waitingDemand.equals(Resources.empty());
     }
 
-    /** Returns the dominant share of the team over its weight. */
+    /** Returns the dominant share of the workspace over its weight. */
     double weightedShare(Resources capacity) {
         return used.dominantShare(capacity) / terms.weight();
     }
--- a/core/src/main/java/org/acaciafold/core/placement/package-info.java
+++ b/core/src/main/java/org/acaciafold/core/placement/package-info.java
@@ -1,2 +1,2 @@
-/** Tables of workers, tasks and teams, the systems that run over them each tick, and the policies they apply. */
+/** Tables of workers, tasks and workspaces, the systems that run over them each tick, and the policies they apply. */
 package org.acaciafold.core.placement;
--- a/core/src/main/java/org/acaciafold/core/request/FairQueue.java
+++ b/core/src/main/java/org/acaciafold/core/request/FairQueue.java
@@ -10,10 +10,10 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
- * A queue that serves teams in proportion to their weights, each team's lanes in turn and each lane in order.
+ * A queue that serves workspaces in proportion to their weights, each workspace's lanes in turn and each lane in order.
  *
  * <p>Example: {@code queue.take(lane -> hasRoom(lane))} takes the next item whose lane has room.
  *
@@ -23,8 +23,8 @@
 public final class FairQueue<L, T> {
     private static final double DEFAULT_WEIGHT = 1;
 
-    private final Map<TeamId, TeamQueue<L, T>> teams = new TreeMap<>();
-    private final Map<TeamId, Double> weights = new TreeMap<>();
+    private final Map<WorkspaceId, WorkspaceQueue<L, T>> workspaces = new TreeMap<>();
+    private final Map<WorkspaceId, Double> weights = new TreeMap<>();
     private double served;
 
     private FairQueue() {}
@@ -43,12 +43,12 @@
     /**
      * Adds an item at the end of its lane.
      *
-     * @param team the team
-     * @param lane the lane of the team
+     * @param workspace the workspace
+     * @param lane the lane of the workspace
      * @param item the item
      */
-    public void add(TeamId team, L lane, T item) {
-        TeamQueue<L, T> queue = teams.computeIfAbsent(team, key -> new TeamQueue<>(served));
+    public void add(WorkspaceId workspace, L lane, T item) {
+        WorkspaceQueue<L, T> queue = workspaces.computeIfAbsent(workspace, key -> new WorkspaceQueue<>(served));
         queue.lanes.computeIfAbsent(lane, key -> new ArrayDeque<>()).add(item);
         queue.size++;
     }
@@ -56,41 +56,41 @@
     /**
      * Removes an item.
      *
-     * @param team its team
+     * @param workspace its workspace
      * @param lane its lane
      * @param item the item
      */
-    public void remove(TeamId team, L lane, T item) {
-        TeamQueue<L, T> queue = teams.get(team);
+    public void remove(WorkspaceId workspace, L lane, T item) {
+        WorkspaceQueue<L, T> queue = workspaces.get(workspace);
         if (queue != null
                 && queue.lanes.containsKey(lane)
                 && queue.lanes.get(lane).remove(item)) {
-            shrink(team, queue, lane);
+            shrink(workspace, queue, lane);
         }
     }
 
     /**
-     * Returns the share that a team gets while all teams that wait go on waiting.
+     * Returns the share that a workspace gets while all workspaces that wait go on waiting.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @return a fraction above 0, at most 1
      */
-    public double share(TeamId team) {
-        double sum = teams.containsKey(team) ? 0 : weight(team);
-        for (TeamId waiting : teams.keySet()) {
+    public double share(WorkspaceId workspace) {
+        double sum = workspaces.containsKey(workspace) ? 0 : weight(workspace);
+        for (WorkspaceId waiting : workspaces.keySet()) {
             sum += weight(waiting);
         }
-        return weight(team) / sum;
+        return weight(workspace) / sum;
     }
 
     /**
-     * Returns how many items of a team wait.
+     * Returns how many items of a workspace wait.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @return the number of items
      */
-    public int size(TeamId team) {
-        TeamQueue<L, T> queue = teams.get(team);
+    public int size(WorkspaceId workspace) {
+        WorkspaceQueue<L, T> queue = workspaces.get(workspace);
         return queue == null ? 0 : queue.size;
     }
 
@@ -101,61 +101,61 @@
      * @return the item, empty when no lane is ready
      */
     public Optional<T> take(Predicate<L> ready) {
-        if (teams.isEmpty()) {
+        if (workspaces.isEmpty()) {
             return Optional.empty();
         }
-        Comparator<TeamId> fair = Comparator.comparingDouble(team -> teams.get(team).passed);
-        List<TeamId> order = teams.keySet().stream().sorted(fair).toList();
-        for (TeamId team : order) {
-            TeamQueue<L, T> queue = teams.get(team);
+        Comparator<WorkspaceId> fair = Comparator.comparingDouble(workspace -> workspaces.get(workspace).passed);
+        List<WorkspaceId> order = workspaces.keySet().stream().sorted(fair).toList();
+        for (WorkspaceId workspace : order) {
+            WorkspaceQueue<L, T> queue = workspaces.get(workspace);
             Optional<L> lane = queue.lanes.keySet().stream().filter(ready).findFirst();
             if (lane.isPresent()) {
-                return Optional.of(take(team, queue, lane.get()));
+                return Optional.of(take(workspace, queue, lane.get()));
             }
         }
         return Optional.empty();
     }
 
     /**
-     * Sets the weight of a team.
+     * Sets the weight of a workspace.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @param value its weight, above 0
      */
-    public void weight(TeamId team, double value) {
-        weights.put(team, value);
+    public void weight(WorkspaceId workspace, double value) {
+        weights.put(workspace, value);
     }
 
-    private void shrink(TeamId team, TeamQueue<L, T> queue, L lane) {
+    private void shrink(WorkspaceId workspace, WorkspaceQueue<L, T> queue, L lane) {
         queue.size--;
         if (queue.lanes.get(lane).isEmpty()) {
             queue.lanes.remove(lane);
         }
         if (queue.size == 0) {
-            teams.remove(team);
+            workspaces.remove(workspace);
         }
     }
 
-    private T take(TeamId team, TeamQueue<L, T> queue, L lane) {
+    private T take(WorkspaceId workspace, WorkspaceQueue<L, T> queue, L lane) {
         Deque<T> items = queue.lanes.remove(lane);
         T item = items.remove();
         queue.lanes.put(lane, items);
         served = Math.max(served, queue.passed);
-        queue.passed += 1 / weight(team);
-        shrink(team, queue, lane);
+        queue.passed += 1 / weight(workspace);
+        shrink(workspace, queue, lane);
         return item;
     }
 
-    private double weight(TeamId team) {
-        return weights.getOrDefault(team, DEFAULT_WEIGHT);
+    private double weight(WorkspaceId workspace) {
+        return weights.getOrDefault(workspace, DEFAULT_WEIGHT);
     }
 
-    private static final class TeamQueue<L, T> {
+    private static final class WorkspaceQueue<L, T> {
         private final Map<L, Deque<T>> lanes = new LinkedHashMap<>();
         private double passed;
         private int size;
 
-        private TeamQueue(double passed) {
+        private WorkspaceQueue(double passed) {
             this.passed = passed;
         }
     }
--- a/core/src/main/java/org/acaciafold/core/request/ServiceKey.java
+++ b/core/src/main/java/org/acaciafold/core/request/ServiceKey.java
@@ -1,17 +1,17 @@
 package org.acaciafold.core.request;
 
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
- * A service: names are unique within a team.
+ * A service: names are unique within a workspace.
  *
- * @param team the team that submitted it
+ * @param workspace the workspace that submitted it
  * @param name its name
  */
-public record ServiceKey(TeamId team, String name) implements Comparable<ServiceKey> {
+public record ServiceKey(WorkspaceId workspace, String name) implements Comparable<ServiceKey> {
     @Override
     public int compareTo(ServiceKey that) {
-        int byTeam = team.compareTo(that.team);
-        return byTeam != 0 ? byTeam : name.compareTo(that.name);
+        int byWorkspace = workspace.compareTo(that.workspace);
+        return byWorkspace != 0 ? byWorkspace : name.compareTo(that.name);
     }
 }
--- a/core/src/main/java/org/acaciafold/core/request/SlotDecision.java
+++ b/core/src/main/java/org/acaciafold/core/request/SlotDecision.java
@@ -32,7 +32,7 @@
 
     /** Why no slot is given. */
     enum Reason {
-        /** The queue of the team is full. */
+        /** The queue of the workspace is full. */
         QUEUE_FULL,
         /** The expected wait is longer than the caller's. */
         TOO_BUSY,
--- a/core/src/main/java/org/acaciafold/core/request/SlotPlane.java
+++ b/core/src/main/java/org/acaciafold/core/request/SlotPlane.java
@@ -13,11 +13,11 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
- * Gives the slots of workers to live requests, in the fair order of the teams.
+ * Gives the slots of workers to live requests, in the fair order of the workspaces.
  *
  * <p>It does no I/O and reads no clock; the same facts and ticks give the same decisions. A slot is given back by
  * {@link #release} alone; when that never comes, it is freed after the caller's deadline once a report of the worker
@@ -31,7 +31,7 @@
     private final long lateArrivalMs;
     private final Map<WorkerId, WorkerSlots> workers = new TreeMap<>();
     private final Map<ServiceKey, ServiceReplicas> services = new TreeMap<>();
-    private final Map<TeamId, Integer> queueLimits = new TreeMap<>();
+    private final Map<WorkspaceId, Integer> queueLimits = new TreeMap<>();
     private final FairQueue<ServiceKey, SlotAsk> queue = FairQueue.empty();
     private final PriorityQueue<SlotAsk> byDeadline =
             new PriorityQueue<>(Comparator.comparingLong(SlotAsk::deadlineMs));
@@ -156,15 +156,15 @@
     }
 
     /**
-     * Sets what a team may have waiting.
+     * Sets what a workspace may have waiting.
      *
-     * @param team the team
-     * @param weight its weight among the teams that wait, above 0
+     * @param workspace the workspace
+     * @param weight its weight among the workspaces that wait, above 0
      * @param queueLimit live requests that may wait
      */
-    public void team(TeamId team, double weight, int queueLimit) {
-        queue.weight(team, weight);
-        queueLimits.put(team, queueLimit);
+    public void workspace(WorkspaceId workspace, double weight, int queueLimit) {
+        queue.weight(workspace, weight);
+        queueLimits.put(workspace, queueLimit);
     }
 
     /**
--- a/core/src/test/java/org/acaciafold/core/codec/CodecTest.java
+++ b/core/src/test/java/org/acaciafold/core/codec/CodecTest.java
@@ -14,7 +14,7 @@
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TableRequest;
 import org.acaciafold.core.port.WorkerCommand;
 import org.acaciafold.core.port.WorkerReply;
@@ -31,7 +31,7 @@
 
 class CodecTest {
     private static final JobSpec SPEC = JobSpec.builder(
-                    JobId.of("j1"), TeamId.of("north"), "ledger", new JobKind.Batch(3, OptionalLong.of(5)))
+                    JobId.of("j1"), WorkspaceId.of("north"), "ledger", new JobKind.Batch(3, OptionalLong.of(5)))
             .exclusive(true)
             .build();
 
--- a/core/src/test/java/org/acaciafold/core/placement/SliceModel.java
+++ b/core/src/test/java/org/acaciafold/core/placement/SliceModel.java
@@ -14,8 +14,8 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.StopMode;
 import org.acaciafold.core.port.TaskEnd;
@@ -58,8 +58,8 @@
     /** An attempt that holds resources. */
     record Running(long attempt, WorkerId worker, JobSpec spec, boolean stopping) {}
 
-    static TeamTerms terms(Resources allotment) {
-        return new TeamTerms(
+    static WorkspaceTerms terms(Resources allotment) {
+        return new WorkspaceTerms(
                 1,
                 allotment,
                 new ServicePolicy.Spread(1),
@@ -109,12 +109,12 @@
     private void newPlane() {
         plane = TablePlane.builder(seed).lastAttempt(epoch++ << 20).build();
         for (int i = 0; i < 3; i++) {
-            plane.team(TeamId.of("team" + i), terms(ALLOTMENT));
+            plane.workspace(WorkspaceId.of("workspace" + i), terms(ALLOTMENT));
         }
     }
 
     void submit(JobSpec spec) {
-        history.add("submit " + spec.id() + " " + spec.team() + " " + spec.kind() + " " + spec.demand() + " "
+        history.add("submit " + spec.id() + " " + spec.workspace() + " " + spec.kind() + " " + spec.demand() + " "
                 + spec.priority());
         jobs.put(spec.id(), spec);
         plane.submit(spec, new BitSet(), nowMs);
@@ -278,7 +278,7 @@
         attempts.put(task, start.attempt());
         running.put(task, new Running(start.attempt(), start.worker(), start.spec(), false));
         assertTrue(held(start.worker()).fitsIn(workers.get(start.worker()).capacity()), "no worker above capacity");
-        assertTrue(heldBy(start.spec().team()).fitsIn(ALLOTMENT), "no team above its allotment");
+        assertTrue(heldBy(start.spec().workspace()).fitsIn(ALLOTMENT), "no workspace above its allotment");
     }
 
     private void applyStop(Decision.StopTask stop) {
@@ -295,9 +295,9 @@
                 .toList());
     }
 
-    private Resources heldBy(TeamId team) {
+    private Resources heldBy(WorkspaceId workspace) {
         return sum(running.values().stream()
-                .filter(run -> run.spec().team().equals(team))
+                .filter(run -> run.spec().workspace().equals(workspace))
                 .toList());
     }
 
--- a/core/src/test/java/org/acaciafold/core/placement/TablePlanePropertyTest.java
+++ b/core/src/test/java/org/acaciafold/core/placement/TablePlanePropertyTest.java
@@ -16,7 +16,7 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Priority;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.EndReason;
 
 class TablePlanePropertyTest {
@@ -84,8 +84,11 @@
                         demands,
                         Arbitraries.of(Priority.class),
                         Arbitraries.integers().between(0, 2))
-                .as((kind, demand, priority, team) -> model -> model.submit(JobSpec.builder(
-                                JobId.of("j" + model.jobs.size()), TeamId.of("team" + team), "name" + team, kind)
+                .as((kind, demand, priority, workspace) -> model -> model.submit(JobSpec.builder(
+                                JobId.of("j" + model.jobs.size()),
+                                WorkspaceId.of("workspace" + workspace),
+                                "name" + workspace,
+                                kind)
                         .demand(demand)
                         .priority(priority)
                         .exclusive(true)
--- a/core/src/test/java/org/acaciafold/core/placement/TablePlaneTest.java
+++ b/core/src/test/java/org/acaciafold/core/placement/TablePlaneTest.java
@@ -13,8 +13,8 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Priority;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.StopMode;
 import org.acaciafold.core.port.TaskEnd;
@@ -43,10 +43,10 @@
         }
     }
 
-    private void team(String team, double weight, Resources allotment) {
-        plane.team(
-                TeamId.of(team),
-                new TeamTerms(
+    private void workspace(String workspace, double weight, Resources allotment) {
+        plane.workspace(
+                WorkspaceId.of(workspace),
+                new WorkspaceTerms(
                         weight,
                         allotment,
                         new ServicePolicy.Spread(1),
@@ -54,8 +54,9 @@
                         new GangPolicy.Reserve(1_000)));
     }
 
-    private static JobSpec.Builder job(String id, String team, JobKind kind) {
-        return JobSpec.builder(JobId.of(id), TeamId.of(team), id, kind).demand(CORE);
+    private static JobSpec.Builder job(String id, String workspace, JobKind kind) {
+        return JobSpec.builder(JobId.of(id), WorkspaceId.of(workspace), id, kind)
+                .demand(CORE);
     }
 
     private static JobKind batch(int tasks) {
@@ -98,7 +99,7 @@
     @ParameterizedTest
     @MethodSource("orders")
     void shouldStartTheSecondJobFirstWhenItsClassOrSlackIsBefore(JobSpec.Builder first, JobSpec.Builder second) {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         submit(first);
         submit(second);
         workers(1);
@@ -109,8 +110,8 @@
     @ParameterizedTest
     @CsvSource({"1,1,4,4", "3,1,6,2"})
     void shouldShareByWeightWhenTheSliceIsFull(double heavy, double light, int heavyStarts, int lightStarts) {
-        team("heavy", heavy, PLENTY);
-        team("light", light, PLENTY);
+        workspace("heavy", heavy, PLENTY);
+        workspace("light", light, PLENTY);
         submit(job("a", "heavy", batch(20)));
         submit(job("b", "light", batch(20)));
         workers(2);
@@ -131,9 +132,9 @@
     @EnumSource(
             value = Priority.class,
             names = {"URGENT", "NORMAL"})
-    void shouldCheckpointABorrowerWhenATeamBelowItsShareWaits(Priority priority) {
-        team("borrower", 1, PLENTY);
-        team("owner", 1, PLENTY);
+    void shouldCheckpointABorrowerWhenAWorkspaceBelowItsShareWaits(Priority priority) {
+        workspace("borrower", 1, PLENTY);
+        workspace("owner", 1, PLENTY);
         submit(job("a", "borrower", batch(20)));
         workers(2);
         assertEquals(8, starts(10).size());
@@ -162,7 +163,7 @@
     @ParameterizedTest
     @MethodSource("largeJobs")
     void shouldKeepRoomForALargeJobWhenSmallTasksKeepComing(JobSpec.Builder large) {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(2);
         List<Decision.Start> running = new ArrayList<>();
         submit(job("small0", "t", batch(8)));
@@ -186,7 +187,7 @@
 
     @Test
     void shouldStopTheRestOfAGangWhenOneTaskFails() {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(2);
         submit(job("gang", "t", new JobKind.Gang(3)));
         List<Decision.Start> starts = starts(10);
@@ -200,7 +201,7 @@
 
     @Test
     void shouldSpreadReplicasWhenSeveralRacksHaveRoom() {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(8);
         submit(job("web", "t", new JobKind.Service(2)));
 
@@ -215,7 +216,7 @@
     @ParameterizedTest
     @EnumSource(EndReason.class)
     void shouldStartAReplicaAgainWhenItEndsForAnyReason(EndReason reason) {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(2);
         submit(job("web", "t", new JobKind.Service(1)));
         Decision.Start first = starts(10).getFirst();
@@ -238,7 +239,7 @@
     @ParameterizedTest
     @MethodSource("stuck")
     void shouldTellAtOnceWhenAJobCanNeverRun(JobSpec.Builder job, Resources mostPerTask) {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(2);
         submit(job);
 
@@ -254,7 +255,7 @@
 
     @Test
     void shouldSetAWorkerAsideWhenUnlikeJobsFailOnIt() {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(8);
         int startsOnBad = 0;
         for (int i = 0; i < 300; i++) {
@@ -272,7 +273,7 @@
 
     @Test
     void shouldStopAJobWhenItFailsOnUnlikeWorkers() {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(8);
         submit(job("bad", "t", batch(6)));
         int starts = 0;
@@ -298,7 +299,7 @@
 
     @Test
     void shouldComeBackStepByStepWhenTheDomainReturns() {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         workers(50);
         submit(job("a", "t", batch(200)));
         List<Decision.Start> running = starts(10);
@@ -322,7 +323,7 @@
 
     @Test
     void shouldNeverStartJobsOfACancellationWaveWhenRoomComes() {
-        team("t", 1, PLENTY);
+        workspace("t", 1, PLENTY);
         for (int i = 0; i < 20_000; i++) {
             submit(job("j" + i, "t", batch(1)));
         }
@@ -339,11 +340,11 @@
         assertEquals(10_000 - 16, plane.summary().waiting());
     }
 
-    // -- team
+    // -- workspace
 
     @Test
     void shouldAskForAllotmentWhenWaitingTasksNeedMore() {
-        team("t", 1, CORE.times(3));
+        workspace("t", 1, CORE.times(3));
         workers(2);
         submit(job("a", "t", batch(5)));
 
@@ -352,8 +353,8 @@
 
         assertEquals(
                 3, decisions.stream().filter(Decision.Start.class::isInstance).count());
-        assertTrue(decisions.contains(new Decision.WantsAllotment(TeamId.of("t"), CORE.times(2))));
-        team("t", 1, CORE.times(5));
+        assertTrue(decisions.contains(new Decision.WantsAllotment(WorkspaceId.of("t"), CORE.times(2))));
+        workspace("t", 1, CORE.times(5));
         assertEquals(2, starts(10).size());
     }
 
@@ -361,13 +362,13 @@
 
     @Test
     void shouldStopTheLowestClassFirstWhenTheAllotmentIsLowered() {
-        team("t", 1, CORE.times(4));
+        workspace("t", 1, CORE.times(4));
         workers(1);
         submit(job("low", "t", batch(2)).priority(Priority.LOW));
         submit(job("high", "t", batch(2)));
         starts(10).forEach(start -> plane.started(start.task(), start.attempt(), nowMs));
 
-        team("t", 1, CORE.times(2));
+        workspace("t", 1, CORE.times(2));
         List<Decision.StopTask> stops = tick(10, Decision.StopTask.class);
 
         assertEquals(2, stops.size());
--- a/core/src/test/java/org/acaciafold/core/request/SlotPlaneTest.java
+++ b/core/src/test/java/org/acaciafold/core/request/SlotPlaneTest.java
@@ -10,8 +10,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,8 +22,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class SlotPlaneTest {
-    private static final TeamId NORTH = TeamId.of("north");
-    private static final TeamId SOUTH = TeamId.of("south");
+    private static final WorkspaceId NORTH = WorkspaceId.of("north");
+    private static final WorkspaceId SOUTH = WorkspaceId.of("south");
     private static final ServiceKey SHOP = new ServiceKey(NORTH, "shop");
     private static final ServiceKey TOURS = new ServiceKey(SOUTH, "tours");
     private static final long LATE_MS = 100;
@@ -35,8 +35,8 @@
     // -- ask
 
     @Test
-    void shouldRefuseAtOnceWhenQueueOfTeamIsFull() {
-        plane.team(NORTH, 1, 2);
+    void shouldRefuseAtOnceWhenQueueOfWorkspaceIsFull() {
+        plane.workspace(NORTH, 1, 2);
         report("w", 1, 1, 0);
         ask(NORTH, SHOP, 0, FAR_MS);
         ask(NORTH, SHOP, 0, FAR_MS);
@@ -69,11 +69,11 @@
 
     @ParameterizedTest
     @CsvSource({"1, 1, 10", "3, 1, 15"})
-    void shouldServeTeamsByWeightWhenOneFloods(double northWeight, double southWeight, int northServed) {
-        plane.team(NORTH, northWeight, 1_000);
-        plane.team(SOUTH, southWeight, 1_000);
+    void shouldServeWorkspacesByWeightWhenOneFloods(double northWeight, double southWeight, int northServed) {
+        plane.workspace(NORTH, northWeight, 1_000);
+        plane.workspace(SOUTH, southWeight, 1_000);
         report("w", 1, 1, 0);
-        Map<Long, TeamId> callers = new HashMap<>();
+        Map<Long, WorkspaceId> callers = new HashMap<>();
         for (int index = 0; index < 500; index++) {
             callers.put(ask(NORTH, SHOP, 0, FAR_MS), NORTH);
         }
@@ -201,8 +201,8 @@
         }
     }
 
-    private long ask(TeamId team, ServiceKey service, long nowMs, long deadlineMs) {
-        plane.ask(new SlotAsk(++lastCall, team, service, deadlineMs), nowMs);
+    private long ask(WorkspaceId workspace, ServiceKey service, long nowMs, long deadlineMs) {
+        plane.ask(new SlotAsk(++lastCall, workspace, service, deadlineMs), nowMs);
         return lastCall;
     }
 
--- a/daemon/src/main/java/org/acaciafold/daemon/AccessKeys.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/AccessKeys.java
@@ -8,13 +8,13 @@
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.settings.FleetSettings;
 import org.acaciafold.settings.KeyHash;
 import org.acaciafold.settings.Keys;
 import org.acaciafold.settings.PresentedKey;
 
-/** Finds the team of the key that came with a request, by the settings in force at this moment. */
+/** Finds the workspace of the key that came with a request, by the settings in force at this moment. */
 final class AccessKeys {
     private static final String SCHEME = "Bearer ";
     private static final String CALLER = "caller";
@@ -45,30 +45,30 @@
     }
 
     /**
-     * Finds the team of a request that may come without a key.
+     * Finds the workspace of a request that may come without a key.
      *
      * @param authorization the value of the header {@code Authorization}, null when absent
-     * @return the team, empty when no key came with the request
+     * @return the workspace, empty when no key came with the request
      * @throws AcaciafoldException when the key is not one in force
      */
-    Optional<TeamId> optionalTeam(String authorization) throws AcaciafoldException {
-        return authorization == null ? Optional.empty() : Optional.of(team(authorization));
+    Optional<WorkspaceId> optionalWorkspace(String authorization) throws AcaciafoldException {
+        return authorization == null ? Optional.empty() : Optional.of(workspace(authorization));
     }
 
     /**
-     * Finds the team of a request.
+     * Finds the workspace of a request.
      *
      * @param authorization the value of the header {@code Authorization}, null when absent
-     * @return the team
+     * @return the workspace
      * @throws AcaciafoldException when no key came with the request or it is not one in force
      */
-    TeamId team(String authorization) throws AcaciafoldException {
+    WorkspaceId workspace(String authorization) throws AcaciafoldException {
         PresentedKey presented = parse(authorization);
-        TeamKey key = current().keys().get(presented.id());
+        WorkspaceKey key = current().keys().get(presented.id());
         if (key == null || !Keys.verify(key.hash(), presented.secret())) {
             throw wrongKey();
         }
-        return key.team();
+        return key.workspace();
     }
 
     private Index current() {
@@ -99,15 +99,15 @@
         return refused("wrong-key", "the key is unknown or withdrawn");
     }
 
-    private record Index(FleetSettings settings, Map<String, TeamKey> keys) {
+    private record Index(FleetSettings settings, Map<String, WorkspaceKey> keys) {
         static Index of(FleetSettings settings) {
-            Map<String, TeamKey> keys = new HashMap<>();
-            settings.teams()
-                    .forEach((team, terms) ->
-                            terms.keys().forEach(hash -> keys.put(hash.id(), new TeamKey(team, hash))));
+            Map<String, WorkspaceKey> keys = new HashMap<>();
+            settings.workspaces()
+                    .forEach((workspace, terms) ->
+                            terms.keys().forEach(hash -> keys.put(hash.id(), new WorkspaceKey(workspace, hash))));
             return new Index(settings, keys);
         }
     }
 
-    private record TeamKey(TeamId team, KeyHash hash) {}
+    private record WorkspaceKey(WorkspaceId workspace, KeyHash hash) {}
 }
--- a/daemon/src/main/java/org/acaciafold/daemon/CallerApi.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/CallerApi.java
@@ -14,7 +14,7 @@
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.daemon.request.LiveRequests;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -72,22 +72,22 @@
     }
 
     private Mono<Void> cancel(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
-        ClientCall call = new ClientCall.Cancel(team(request), job(request));
+        ClientCall call = new ClientCall.Cancel(workspace(request), job(request));
         return core.call(call).flatMap(reply -> answer(response, ACCEPTED, reply));
     }
 
     private Mono<Void> liveRequest(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
-        Optional<TeamId> team = keys.optionalTeam(authorization(request));
-        return live.handle(request, response, team);
+        Optional<WorkspaceId> workspace = keys.optionalWorkspace(authorization(request));
+        return live.handle(request, response, workspace);
     }
 
     private Mono<Void> result(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
-        ClientCall call = new ClientCall.QueryJob(team(request), job(request));
+        ClientCall call = new ClientCall.QueryJob(workspace(request), job(request));
         return core.call(call).flatMap(reply -> result(response, reply));
     }
 
     private Mono<Void> status(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
-        ClientCall call = new ClientCall.QueryJob(team(request), job(request));
+        ClientCall call = new ClientCall.QueryJob(workspace(request), job(request));
         return core.call(call).flatMap(reply -> switch (reply) {
             case ClientReply.JobFound found -> HttpAnswers.json(response, OK, found.status(), JobStatus.class);
             default -> answer(response, OK, reply);
@@ -95,24 +95,24 @@
     }
 
     private Mono<Void> submit(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
-        TeamId team = team(request);
+        WorkspaceId workspace = workspace(request);
         String key = JobRequests.checkKey(request.requestHeaders().get("Idempotency-Key", ""));
         return RequestBodies.read(request, "application/json", maxBodyBytes)
-                .flatMap(body -> submit(team, key, body))
+                .flatMap(body -> submit(workspace, key, body))
                 .flatMap(reply -> answer(response, ACCEPTED, reply));
     }
 
-    private Mono<ClientReply> submit(TeamId team, String key, byte[] body) {
+    private Mono<ClientReply> submit(WorkspaceId workspace, String key, byte[] body) {
         try {
             JobRequest job = JobRequests.read(body);
-            return core.call(new ClientCall.Submit(team, key, job));
+            return core.call(new ClientCall.Submit(workspace, key, job));
         } catch (AcaciafoldException e) {
             return Mono.error(e);
         }
     }
 
-    private TeamId team(HttpServerRequest request) throws AcaciafoldException {
-        return keys.team(authorization(request));
+    private WorkspaceId workspace(HttpServerRequest request) throws AcaciafoldException {
+        return keys.workspace(authorization(request));
     }
 
     private HttpHandler traced(String name, HttpHandler handler) {
--- a/daemon/src/main/java/org/acaciafold/daemon/FailureStatus.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/FailureStatus.java
@@ -30,10 +30,10 @@
         return switch (failure.code()) {
             case "malformed", "bad-request", "request-cut" -> BAD_REQUEST;
             case "no-key", "wrong-key" -> UNAUTHORIZED;
-            case "forbidden", "other-team" -> FORBIDDEN;
+            case "forbidden", "other-workspace" -> FORBIDDEN;
             case "not-found",
                     "unknown-job",
-                    "unknown-team",
+                    "unknown-workspace",
                     "unknown-service",
                     "unknown-edit",
                     "unknown-key",
--- a/daemon/src/main/java/org/acaciafold/daemon/OperatorApi.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/OperatorApi.java
@@ -28,7 +28,7 @@
     private static final String SETTINGS = "/v1/settings/";
     private static final Pattern VERSION = Pattern.compile("\"?(\\d{1,18})\"?");
     private static final Pattern EDIT = Pattern.compile("[A-Za-z0-9_-]{1,64}");
-    private static final Pattern SUBTREE = Pattern.compile("open|(team|domain)/[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+    private static final Pattern SUBTREE = Pattern.compile("open|(workspace|domain)/[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
     private static final int OK = 200;
     private static final int CREATED = 201;
     private static final int ACCEPTED = 202;
@@ -70,8 +70,8 @@
         routes.delete(SETTINGS + "{kind}/{name}", keyed(this::remove));
         routes.delete(SETTINGS + "open", keyed(this::remove));
         routes.get("/v1/edits/{edit}", keyed(this::edit));
-        routes.post("/v1/teams/{team}/keys", keyed(this::createKey));
-        routes.delete("/v1/teams/{team}/keys/{id}", keyed(this::withdrawKey));
+        routes.post("/v1/workspaces/{workspace}/keys", keyed(this::createKey));
+        routes.delete("/v1/workspaces/{workspace}/keys/{id}", keyed(this::withdrawKey));
         routes.post("/v1/domains/{domain}/out", keyed((request, response) -> takeOut(request, response, true)));
         routes.post("/v1/domains/{domain}/in", keyed((request, response) -> takeOut(request, response, false)));
         routes.get("/v1/status", keyed(this::status));
@@ -79,7 +79,7 @@
     }
 
     private Mono<Void> createKey(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
-        String subtree = checkedSubtree("team/" + request.param("team"));
+        String subtree = checkedSubtree("workspace/" + request.param("workspace"));
         return edits.createKey(subtree)
                 .flatMap(created -> HttpAnswers.json(response, CREATED, created, SettingsEdits.CreatedKey.class));
     }
@@ -135,7 +135,7 @@
     }
 
     private Mono<Void> withdrawKey(HttpServerRequest request, HttpServerResponse response) throws AcaciafoldException {
-        String subtree = checkedSubtree("team/" + request.param("team"));
+        String subtree = checkedSubtree("workspace/" + request.param("workspace"));
         return edits.withdrawKey(subtree, request.param("id")).flatMap(reply -> answer(response, ACCEPTED, reply));
     }
 
@@ -156,7 +156,7 @@
 
     private static String checkedSubtree(String subtree) throws AcaciafoldException {
         if (!SUBTREE.matcher(subtree).matches()) {
-            throw malformed("not a subtree: " + subtree + "; expected open, team/NAME or domain/NAME");
+            throw malformed("not a subtree: " + subtree + "; expected open, workspace/NAME or domain/NAME");
         }
         return subtree;
     }
--- a/daemon/src/main/java/org/acaciafold/daemon/SettingsEdits.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/SettingsEdits.java
@@ -31,14 +31,14 @@
     }
 
     /**
-     * Creates a key of a team.
+     * Creates a key of a workspace.
      *
-     * @param subtree the subtree of the team
+     * @param subtree the subtree of the workspace
      * @return the only copy of the key; an error signal carries an {@link AcaciafoldException}
      */
     Mono<CreatedKey> createKey(String subtree) {
         NewKey key = Keys.create(random);
-        return edit(subtree, found -> SubtreeEdits.addKey(existing(found, "unknown-team"), key.hash()), ATTEMPTS)
+        return edit(subtree, found -> SubtreeEdits.addKey(existing(found, "unknown-workspace"), key.hash()), ATTEMPTS)
                 .flatMap(reply -> switch (reply) {
                     case ClientReply.EditState state ->
                         Mono.just(new CreatedKey(key.text(), key.hash().id(), state));
@@ -59,17 +59,17 @@
     }
 
     /**
-     * Withdraws a key of a team.
+     * Withdraws a key of a workspace.
      *
-     * @param subtree the subtree of the team
+     * @param subtree the subtree of the workspace
      * @param id the identifier of the key
      * @return the state of the edit, a conflict or a failure
      */
     Mono<ClientReply> withdrawKey(String subtree, String id) {
         return edit(
                 subtree,
-                found -> SubtreeEdits.withdrawKey(existing(found, "unknown-team"), id)
-                        .orElseThrow(() -> refused("unknown-key", "the team has no key " + id)),
+                found -> SubtreeEdits.withdrawKey(existing(found, "unknown-workspace"), id)
+                        .orElseThrow(() -> refused("unknown-key", "the workspace has no key " + id)),
                 ATTEMPTS);
     }
 
--- a/daemon/src/main/java/org/acaciafold/daemon/request/Attempts.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/Attempts.java
@@ -13,7 +13,7 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.request.RetryBudget;
 import org.acaciafold.daemon.RequestContext;
 import org.acaciafold.wire.RelayHead;
@@ -26,7 +26,8 @@
  *
  * <p>A refusal by the state machine of this host is final, since it has waited as long as that helps; an attempt that
  * was sent is repeated only when it provably did not run, or when the request may run twice; always under the
- * team's retry budget and within the deadline. The pauses grow to about 2.5 s in all, which bridges a takeover of a slice.
+ * workspace's retry budget and within the deadline. The pauses grow to about 2.5 s in all, which bridges a takeover of
+ * a slice.
  */
 final class Attempts {
     private static final int MAX_ATTEMPTS = 8;
@@ -36,11 +37,18 @@
 
     /** Refusals that another attempt would only add to. */
     private static final Set<String> FINAL = Set.of(
-            "queue-full", "too-busy", "deadline", "other-team", "overloaded", "too-long", "request-cut", "body-cut");
+            "queue-full",
+            "too-busy",
+            "deadline",
+            "other-workspace",
+            "overloaded",
+            "too-long",
+            "request-cut",
+            "body-cut");
 
     private final RequestContext context;
     private final WorkerRequests workers;
-    private final Map<TeamId, RetryBudget> budgets = new ConcurrentHashMap<>();
+    private final Map<WorkspaceId, RetryBudget> budgets = new ConcurrentHashMap<>();
 
     private Attempts(RequestContext context, WorkerRequests workers) {
         this.context = context;
@@ -60,14 +68,14 @@
      * @return how the last attempt went; the outcome of a failure covers all attempts
      */
     Mono<AttemptResult> run(RelayHead head, RequestBody body, Deadline deadline) {
-        budget(head.team()).requested();
+        budget(head.workspace()).requested();
         return attempt(Attempt.first(head, body, deadline));
     }
 
     private Mono<AttemptResult> attempt(Attempt attempt) {
         RelayHead numbered = Heads.withRequestId(attempt.head, attempt.head.requestId() + "." + attempt.number);
         ClientCall slot = new ClientCall.AcquireSlot(
-                attempt.head.team(), attempt.head.service(), attempt.deadline.leftMs(), false);
+                attempt.head.workspace(), attempt.head.service(), attempt.deadline.leftMs(), false);
         return context.core().call(slot).flatMap(reply -> switch (reply) {
             case ClientReply.Failed refused -> failed(outcomeOfAll(refused.failure(), attempt.mayHaveRun));
             default ->
@@ -91,14 +99,14 @@
         if (safe
                 && useful
                 && attempt.body.replayable()
-                && budget(attempt.head.team()).tryRetry()) {
+                && budget(attempt.head.workspace()).tryRetry()) {
             return Mono.delay(pause).then(Mono.defer(() -> attempt(attempt.next(mayHaveRun))));
         }
         return failed(outcomeOfAll(failure, mayHaveRun));
     }
 
-    private RetryBudget budget(TeamId team) {
-        return budgets.computeIfAbsent(team, key -> RetryBudget.of(RETRY_RATIO, RETRY_CAPACITY));
+    private RetryBudget budget(WorkspaceId workspace) {
+        return budgets.computeIfAbsent(workspace, key -> RetryBudget.of(RETRY_RATIO, RETRY_CAPACITY));
     }
 
     private Mono<AttemptResult> relay(RelayHead head, RequestBody body, Deadline deadline, HostId owner) {
--- a/daemon/src/main/java/org/acaciafold/daemon/request/CallerRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/CallerRequests.java
@@ -16,7 +16,7 @@
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.daemon.HttpAnswers;
 import org.acaciafold.daemon.RequestContext;
 import org.acaciafold.wire.Header;
@@ -55,11 +55,11 @@
     }
 
     @Override
-    public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response, Optional<TeamId> team) {
+    public Mono<Void> handle(HttpServerRequest request, HttpServerResponse response, Optional<WorkspaceId> workspace) {
         long startMs = context.clock().nowMs();
         String parent = request.requestHeaders().get(LiveHeaders.TRACEPARENT, "");
         Span span = context.tracing().start("entry", SpanKind.SERVER, parent);
-        return parse(request, team, context.tracing().traceparent(span))
+        return parse(request, workspace, context.tracing().traceparent(span))
                 .flatMap(call -> run(call, request))
                 .contextWrite(context.tracing().within(span))
                 .onErrorResume(AcaciafoldException.class, error -> Mono.just(new AttemptResult.Failed(error.failure())))
@@ -69,7 +69,7 @@
                 });
     }
 
-    private Mono<Call> parse(HttpServerRequest request, Optional<TeamId> team, String traceparent) {
+    private Mono<Call> parse(HttpServerRequest request, Optional<WorkspaceId> workspace, String traceparent) {
         try {
             String rest = request.uri().substring(request.uri().indexOf(PREFIX) + PREFIX.length());
             String service = rest.split("[/?]", 2)[0];
@@ -77,7 +77,7 @@
                 throw refused(Step.ROUTING, "not-found", "no service is named");
             }
             boolean open = context.snapshot().get().settings().openServices().containsKey(service);
-            if (team.isEmpty() && !open) {
+            if (workspace.isEmpty() && !open) {
                 throw refused(Step.AUTHORIZATION, "no-key", "the service is not open to callers without a key");
             }
             long deadlineMs = deadlineMs(request.requestHeaders().get(LiveHeaders.DEADLINE));
@@ -86,7 +86,7 @@
             boolean repeatable = method.equals("GET") || method.equals("HEAD");
             RelayHead head = new RelayHead(
                     UUID.randomUUID().toString(),
-                    team.orElse(ClientCall.ANYONE),
+                    workspace.orElse(ClientCall.ANYONE),
                     service,
                     method,
                     rest.substring(service.length()),
--- a/daemon/src/main/java/org/acaciafold/daemon/request/Heads.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/Heads.java
@@ -9,7 +9,7 @@
     static RelayHead withDeadline(RelayHead head, long leftMs) {
         return new RelayHead(
                 head.requestId(),
-                head.team(),
+                head.workspace(),
                 head.service(),
                 head.method(),
                 head.path(),
@@ -22,7 +22,7 @@
     static RelayHead withRequestId(RelayHead head, String requestId) {
         return new RelayHead(
                 requestId,
-                head.team(),
+                head.workspace(),
                 head.service(),
                 head.method(),
                 head.path(),
@@ -35,7 +35,7 @@
     static RelayHead withTrace(RelayHead head, String traceparent) {
         return new RelayHead(
                 head.requestId(),
-                head.team(),
+                head.workspace(),
                 head.service(),
                 head.method(),
                 head.path(),
--- a/daemon/src/main/java/org/acaciafold/daemon/request/IdempotentRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/IdempotentRequests.java
@@ -58,7 +58,7 @@
      */
     Mono<AttemptResult> run(
             RelayHead head, String key, byte[] body, Deadline deadline, Supplier<Mono<AttemptResult>> run) {
-        ClientCall claim = new ClientCall.Claim(head.team(), key, digest(head, body));
+        ClientCall claim = new ClientCall.Claim(head.workspace(), key, digest(head, body));
         AtomicBoolean givenUp = new AtomicBoolean();
         Mono<ClientReply> claimed = core.call(claim)
                 .doOnNext(reply -> abandonLate(head, key, reply, givenUp))
@@ -110,8 +110,8 @@
         Flux<byte[]> body = response.body().doOnNext(part -> keep(kept, part));
         Mono<Void> record = Mono.defer(() -> {
             ended.set(true);
-            ClientCall settle =
-                    new ClientCall.Settle(head.team(), key, outcome(response.head(), kept, SignalType.ON_COMPLETE));
+            ClientCall settle = new ClientCall.Settle(
+                    head.workspace(), key, outcome(response.head(), kept, SignalType.ON_COMPLETE));
             return core.call(settle).timeout(SETTLE_WAIT, Mono.empty()).then();
         });
         Flux<byte[]> held = keptWhole(response.head())
@@ -151,7 +151,7 @@
     }
 
     private void settle(RelayHead head, String key, StoredOutcome outcome) {
-        core.call(new ClientCall.Settle(head.team(), key, outcome)).subscribe();
+        core.call(new ClientCall.Settle(head.workspace(), key, outcome)).subscribe();
     }
 
     private static String digest(RelayHead head, byte[] body) {
--- a/daemon/src/main/java/org/acaciafold/daemon/request/LiveHeaders.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/LiveHeaders.java
@@ -17,7 +17,7 @@
     static final String OUTCOME = "acaciafold-outcome";
     static final String FENCE = "acaciafold-fence";
     static final String LEASE = "acaciafold-lease";
-    static final String TEAM = "acaciafold-team";
+    static final String WORKSPACE = "acaciafold-workspace";
     static final String DEADLINE = "acaciafold-deadline-ms";
     static final String KEY = "idempotency-key";
     static final String TRACEPARENT = "traceparent";
@@ -43,7 +43,7 @@
             OUTCOME,
             FENCE,
             LEASE,
-            TEAM,
+            WORKSPACE,
             DEADLINE,
             TRACEPARENT);
 
--- a/daemon/src/main/java/org/acaciafold/daemon/request/LiveRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/LiveRequests.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -15,8 +15,8 @@
      *
      * @param request the request, its path starts with {@code /v1/services/}
      * @param response the response
-     * @param team the team whose key came with the request, empty when it came with none
+     * @param workspace the workspace whose key came with the request, empty when it came with none
      * @return completes when the response is written
      */
-    Mono<Void> handle(HttpServerRequest request, HttpServerResponse response, Optional<TeamId> team);
+    Mono<Void> handle(HttpServerRequest request, HttpServerResponse response, Optional<WorkspaceId> workspace);
 }
--- a/daemon/src/main/java/org/acaciafold/daemon/request/OwnerRelays.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/OwnerRelays.java
@@ -43,7 +43,7 @@
         RelayRequest traced =
                 new RelayRequest(Heads.withTrace(head, context.tracing().traceparent(span)), request.body());
         return context.core()
-                .call(new ClientCall.AcquireSlot(head.team(), head.service(), deadline.leftMs(), true))
+                .call(new ClientCall.AcquireSlot(head.workspace(), head.service(), deadline.leftMs(), true))
                 .flatMap(reply -> serve(traced, deadline, reply))
                 .map(result -> answer(head, result))
                 .doOnNext(response -> context.tracing()
--- a/daemon/src/main/java/org/acaciafold/daemon/request/WorkerRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/WorkerRequests.java
@@ -109,7 +109,7 @@
         Fence fence = lease.slot().fence();
         headers.set(LiveHeaders.FENCE, fence.epoch() + "." + fence.counter());
         headers.set(LiveHeaders.LEASE, lease.slot().leaseSequence());
-        headers.set(LiveHeaders.TEAM, lease.slot().serviceTeam().value());
+        headers.set(LiveHeaders.WORKSPACE, lease.slot().serviceWorkspace().value());
         headers.set(LiveHeaders.REQUEST, head.requestId());
         headers.set(LiveHeaders.DEADLINE, deadline.leftMs());
         if (!traceparent.isEmpty()) {
--- a/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
@@ -21,8 +21,8 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostList;
 import org.acaciafold.core.port.TableReply;
@@ -49,8 +49,8 @@
 class CoreLoopTest {
     private static final Duration LIMIT = Duration.ofSeconds(20);
     private static final ClientCall QUERY = new ClientCall.QueryEdit("e1");
-    private static final ClientReply.SlotGranted GRANTED =
-            new ClientReply.SlotGranted(7, WorkerId.of("w1"), "127.0.0.1:1", Fence.of(1, 0), 1, TeamId.of("north"));
+    private static final ClientReply.SlotGranted GRANTED = new ClientReply.SlotGranted(
+            7, WorkerId.of("w1"), "127.0.0.1:1", Fence.of(1, 0), 1, WorkspaceId.of("north"));
 
     private final ScriptedMachine machine = new ScriptedMachine();
     private final RecordingTransport transport = new RecordingTransport();
@@ -95,7 +95,7 @@
                     .toList();
         };
         start();
-        Disposable caller = loop.call(new ClientCall.AcquireSlot(TeamId.of("north"), "catalogue", 1_000, false))
+        Disposable caller = loop.call(new ClientCall.AcquireSlot(WorkspaceId.of("north"), "catalogue", 1_000, false))
                 .subscribe();
         await().until(() -> acquiring.size() == 1);
 
--- a/daemon/src/test/java/org/acaciafold/daemon/EntryHostTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/EntryHostTest.java
@@ -81,7 +81,7 @@
 
     private RequestPlane held(RequestContext context) {
         return new RequestPlane(
-                (request, response, team) -> {
+                (request, response, workspace) -> {
                     inProgress.incrementAndGet();
                     return response.sendString(body.asMono()).then();
                 },
--- a/daemon/src/test/java/org/acaciafold/daemon/FailureStatusTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/FailureStatusTest.java
@@ -16,7 +16,7 @@
     @CsvSource(textBlock = """
                     ADMISSION,     malformed,         400
                     AUTHORIZATION, wrong-key,         401
-                    AUTHORIZATION, other-team,        403
+                    AUTHORIZATION, other-workspace,        403
                     ROUTING,       not-found,         404
                     SETTINGS,      unknown-edit,      404
                     SETTINGS,      edit-reused,       409
