--- a/daemon/src/test/java/org/acaciafold/daemon/HostApiTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/HostApiTest.java
@@ -31,8 +31,8 @@
             {"name":"ledger","kind":{"type":"Batch","tasks":%s,"finishWithinMs":null},
              "demand":{"cpuMillis":%s,"memoryMib":%s,"accelerators":0},
              "priority":"NORMAL","exclusive":false,"runTimeMs":1000,"payload":"x"}""";
-    private static final String TEAM = """
-            [team]
+    private static final String WORKSPACE = """
+            [workspace]
             weight = 1
             limit-cpu = 100cores
             limit-memory = 100GiB
@@ -50,8 +50,8 @@
         callers = running.host.callersAddress();
         operators = running.host.operatorsAddress();
         await().until(running.host::ready);
-        northKey = team("north");
-        southKey = team("south");
+        northKey = workspace("north");
+        southKey = workspace("south");
     }
 
     @AfterAll
@@ -136,7 +136,7 @@
     }
 
     @Test
-    void shouldAcceptStatusAndCancellationOfAJobFromItsTeamAlone() throws Exception {
+    void shouldAcceptStatusAndCancellationOfAJobFromItsWorkspaceAlone() throws Exception {
         HttpResponse<String> submitted = await().until(this::submit, response -> response.statusCode() != 503);
         assertEquals(202, submitted.statusCode(), submitted.body());
         String job = submitted.body().replaceAll(".*\"job\":\"([^\"]+)\".*", "$1");
@@ -160,7 +160,7 @@
     }
 
     @Test
-    void shouldHandLiveRequestsToTheRequestPlaneWithTheirTeam() throws Exception {
+    void shouldHandLiveRequestsToTheRequestPlaneWithTheirWorkspace() throws Exception {
         assertEquals(
                 "north",
                 HttpCalls.call("GET", callers, "/v1/services/catalogue/x", northKey, "")
@@ -177,9 +177,9 @@
     @ParameterizedTest
     @CsvSource({
         "GET,/v1/settings",
-        "PUT,/v1/settings/team/x",
-        "DELETE,/v1/settings/team/x",
-        "POST,/v1/teams/x/keys",
+        "PUT,/v1/settings/workspace/x",
+        "DELETE,/v1/settings/workspace/x",
+        "POST,/v1/workspaces/x/keys",
         "POST,/v1/domains/east/out",
         "GET,/v1/status",
         "GET,/v1/edits/e1"
@@ -191,11 +191,11 @@
 
     @ParameterizedTest
     @CsvSource(textBlock = """
-                    /v1/settings/team/west,   '[team',      422
-                    /v1/settings/team/west,   '[team] w=1', 422
-                    /v1/settings/planet/west, '[team]',     400
-                    /v1/settings/team/..,     x,            400
-                    /v1/settings/team/a%2Fb,  x,            400
+                    /v1/settings/workspace/west,   '[workspace',      422
+                    /v1/settings/workspace/west,   '[workspace] w=1', 422
+                    /v1/settings/planet/west, '[workspace]',     400
+                    /v1/settings/workspace/..,     x,            400
+                    /v1/settings/workspace/a%2Fb,  x,            400
                     """)
     void shouldRefuseSettingsThatAreWrong(String path, String text, int status) throws Exception {
         HttpResponse<String> response =
@@ -211,9 +211,9 @@
         HttpResponse<String> response = HttpCalls.call(
                 "PUT",
                 operators,
-                "/v1/settings/team/west",
+                "/v1/settings/workspace/west",
                 OPERATOR,
-                TEAM,
+                WORKSPACE,
                 "Content-Type",
                 "text/plain",
                 header,
@@ -227,9 +227,9 @@
         HttpResponse<String> response = HttpCalls.call(
                 "PUT",
                 operators,
-                "/v1/settings/team/north",
+                "/v1/settings/workspace/north",
                 OPERATOR,
-                TEAM,
+                WORKSPACE,
                 "Content-Type",
                 "text/plain",
                 "If-Match",
@@ -241,17 +241,21 @@
 
     @Test
     void shouldStopAKeyWhenItIsWithdrawn() throws Exception {
-        String key = team("brief");
+        String key = workspace("brief");
         String id = key.substring(0, key.indexOf('.'));
 
-        HttpResponse<String> response = HttpCalls.call("DELETE", operators, "/v1/teams/brief/keys/" + id, OPERATOR, "");
+        HttpResponse<String> response =
+                HttpCalls.call("DELETE", operators, "/v1/workspaces/brief/keys/" + id, OPERATOR, "");
 
         assertEquals(202, response.statusCode(), response.body());
         await().until(() ->
                 HttpCalls.call("GET", callers, "/v1/jobs/none", key, "").statusCode() == 401);
         assertRefused(
-                HttpCalls.call("DELETE", operators, "/v1/teams/brief/keys/" + id, OPERATOR, ""), 404, "unknown-key");
-        assertRefused(HttpCalls.call("POST", operators, "/v1/teams/none/keys", OPERATOR, ""), 404, "unknown-team");
+                HttpCalls.call("DELETE", operators, "/v1/workspaces/brief/keys/" + id, OPERATOR, ""),
+                404,
+                "unknown-key");
+        assertRefused(
+                HttpCalls.call("POST", operators, "/v1/workspaces/none/keys", OPERATOR, ""), 404, "unknown-workspace");
     }
 
     @Test
@@ -302,11 +306,12 @@
                 "once");
     }
 
-    private String team(String name) throws Exception {
+    private String workspace(String name) throws Exception {
         HttpResponse<String> written = HttpCalls.call(
-                "PUT", operators, "/v1/settings/team/" + name, OPERATOR, TEAM, "Content-Type", "text/plain");
+                "PUT", operators, "/v1/settings/workspace/" + name, OPERATOR, WORKSPACE, "Content-Type", "text/plain");
         assertEquals(202, written.statusCode(), written.body());
-        HttpResponse<String> created = HttpCalls.call("POST", operators, "/v1/teams/" + name + "/keys", OPERATOR, "");
+        HttpResponse<String> created =
+                HttpCalls.call("POST", operators, "/v1/workspaces/" + name + "/keys", OPERATOR, "");
         assertEquals(201, created.statusCode(), created.body());
         String key = created.body().replaceAll(".*\"key\":\"([^\"]+)\".*", "$1");
         await().until(() ->
@@ -326,8 +331,8 @@
 
     private static RequestPlane plane(RequestContext context) {
         return new RequestPlane(
-                (request, response, team) -> response.sendString(
-                                Mono.just(team.map(Object::toString).orElse("nobody")))
+                (request, response, workspace) -> response.sendString(
+                                Mono.just(workspace.map(Object::toString).orElse("nobody")))
                         .then(),
                 request -> Mono.error(new IllegalStateException("no relays")));
     }
--- a/daemon/src/test/java/org/acaciafold/daemon/request/FakeCore.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/FakeCore.java
@@ -12,8 +12,8 @@
 import org.acaciafold.coordination.StoredOutcome;
 import org.acaciafold.core.model.Fence;
 import org.acaciafold.core.model.HostId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.daemon.CoreCalls;
 import reactor.core.publisher.Mono;
 
@@ -48,7 +48,7 @@
 
     ClientReply grant(String address) {
         return new ClientReply.SlotGranted(
-                lastSlot.incrementAndGet(), WorkerId.of("w"), address, Fence.of(3, 1), 7, TeamId.of("north"));
+                lastSlot.incrementAndGet(), WorkerId.of("w"), address, Fence.of(3, 1), 7, WorkspaceId.of("north"));
     }
 
     List<ClientCall.ReleaseSlot> releases() {
--- a/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/request/LiveRequestsTest.java
@@ -27,7 +27,7 @@
 import org.acaciafold.core.model.HostId;
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.HostEntry;
 import org.acaciafold.core.port.HostRole;
 import org.acaciafold.daemon.HostMetrics;
@@ -78,7 +78,7 @@
     private final FakeCore core = new FakeCore();
     private final FakeWorker worker = new FakeWorker();
     private final HttpClient client = HttpClient.newHttpClient();
-    private Optional<TeamId> team = Optional.of(TeamId.of("north"));
+    private Optional<WorkspaceId> workspace = Optional.of(WorkspaceId.of("north"));
     private RequestPlane plane;
     private DisposableServer entry;
 
@@ -89,7 +89,7 @@
         entry = HttpServer.create()
                 .host("127.0.0.1")
                 .port(0)
-                .handle((request, response) -> plane.live().handle(request, response, team))
+                .handle((request, response) -> plane.live().handle(request, response, workspace))
                 .bindNow();
     }
 
@@ -208,7 +208,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"queue-full, 429", "too-busy, 503", "deadline, 504", "other-team, 403", "no-replica, 503"})
+    @CsvSource({"queue-full, 429", "too-busy, 503", "deadline, 504", "other-workspace, 403", "no-replica, 503"})
     void shouldNotTryAgainWhenAdmissionRefuses(String code, int status) throws Exception {
         Failure failure = Failure.notRun(Step.ADMISSION, "h", code, "no");
         core.answerSlot(Mono.just(new ClientReply.Failed(failure)));
@@ -254,7 +254,7 @@
 
     @Test
     void shouldRefuseWhenCallerHasNoKeyAndServiceIsNotOpen() throws Exception {
-        team = Optional.empty();
+        workspace = Optional.empty();
         assertEquals(401, send("POST", "body", Map.of()).statusCode());
     }
 
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Action.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Action.java
@@ -16,13 +16,13 @@
         LOSE_ANSWERS
     }
 
-    record Submit(int team, Shape shape, int tasks, int seconds, int host) implements Action {}
+    record Submit(int workspace, Shape shape, int tasks, int seconds, int host) implements Action {}
 
     record CancelWave(int every) implements Action {}
 
     record Hold(int key, int host) implements Action {}
 
-    record SetLimit(int team, int cores, int host) implements Action {}
+    record SetLimit(int workspace, int cores, int host) implements Action {}
 
     record SetDomain(int domain, boolean out, int host) implements Action {}
 
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Bootstrap.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Bootstrap.java
@@ -18,15 +18,15 @@
     }
 
     void run() {
-        for (int team = 0; team < Clients.TEAMS; team++) {
-            world.clients().setLimit(team, LIMIT_CORES, world.host(0));
+        for (int workspace = 0; workspace < Clients.WORKSPACES; workspace++) {
+            world.clients().setLimit(workspace, LIMIT_CORES, world.host(0));
             world.pass(BETWEEN_EDITS_MS);
         }
         Oracle oracle = world.oracle();
-        for (long waited = 0; waited < LONGEST_MS && !oracle.limitsAccepted(Clients.TEAMS); waited += STEP_MS) {
+        for (long waited = 0; waited < LONGEST_MS && !oracle.limitsAccepted(Clients.WORKSPACES); waited += STEP_MS) {
             world.pass(STEP_MS);
         }
-        if (!oracle.limitsAccepted(Clients.TEAMS)) {
+        if (!oracle.limitsAccepted(Clients.WORKSPACES)) {
             oracle.violate(world.nowMs(), "the first settings never came into force");
         }
     }
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Clients.java
@@ -20,11 +20,11 @@
 import org.acaciafold.core.model.Outcome;
 import org.acaciafold.core.model.Priority;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /** The callers and operators of the fuzz world; what they are told goes to the oracle. */
 final class Clients {
-    static final int TEAMS = 3;
+    static final int WORKSPACES = 3;
     private static final List<Action.Shape> PROBES =
             List.of(Action.Shape.BATCH, Action.Shape.EXCLUSIVE, Action.Shape.GANG);
     private static final long POLL_MS = 500;
@@ -51,13 +51,13 @@
         return Resources.of(cores * 1_000L, (long) cores * MEMORY_MIB_PER_CORE, 4);
     }
 
-    static TeamId team(int index) {
-        return TeamId.of("t" + index % TEAMS);
+    static WorkspaceId workspace(int index) {
+        return WorkspaceId.of("t" + index % WORKSPACES);
     }
 
-    static String teamText(int cores) {
+    static String workspaceText(int cores) {
         return """
-                [team]
+                [workspace]
                 weight = 1.0
                 limit-cpu = %dcores
                 limit-memory = %dMiB
@@ -105,7 +105,7 @@
     void pollJobs() {
         accepted.forEach((job, what) -> {
             if (!ended.containsKey(job)) {
-                call(world.anyHost(), new ClientCall.QueryJob(what.team(), job), reply -> notePhase(job, reply));
+                call(world.anyHost(), new ClientCall.QueryJob(what.workspace(), job), reply -> notePhase(job, reply));
             }
         });
     }
@@ -129,7 +129,7 @@
     void hold(int key, SimHost host) {
         String name = "k" + key;
         heldKeys.put(name, name);
-        ClientCall.Claim claim = new ClientCall.Claim(team(0), name, "digest-" + name);
+        ClientCall.Claim claim = new ClientCall.Claim(workspace(0), name, "digest-" + name);
         call(host, claim, reply -> {
             if (reply instanceof ClientReply.Claimed) {
                 execute(name, host);
@@ -140,7 +140,7 @@
     /** Repeats all requests that must not be repeated; each must have a final answer. */
     void repeatHolds() {
         heldKeys.keySet().forEach(name -> {
-            ClientCall.Claim claim = new ClientCall.Claim(team(0), name, "digest-" + name);
+            ClientCall.Claim claim = new ClientCall.Claim(workspace(0), name, "digest-" + name);
             SimHost host = world.anyHost();
             call(host, claim, reply -> {
                 world.counts().add(FuzzCounts.Kind.HOLDS_REPEATED);
@@ -164,11 +164,11 @@
         return waitingFor;
     }
 
-    /** Edits a team's limit. */
-    void setLimit(int team, int cores, SimHost host) {
-        TeamId id = team(team);
+    /** Edits a workspace's limit. */
+    void setLimit(int workspace, int cores, SimHost host) {
+        WorkspaceId id = workspace(workspace);
         Resources limit = limit(cores);
-        edit(host, "team/" + id, teamText(cores), new Sent() {
+        edit(host, "workspace/" + id, workspaceText(cores), new Sent() {
             @Override
             public void sent(long order) {
                 oracle.limitSent(id, limit, order);
@@ -205,13 +205,13 @@
         submit(what, host, "");
     }
 
-    /** Submits one job of each kind for each team, with keys under which a repeat finds the first job. */
+    /** Submits one job of each kind for each workspace, with keys under which a repeat finds the first job. */
     void submitProbes() {
-        for (int team = 0; team < TEAMS; team++) {
+        for (int workspace = 0; workspace < WORKSPACES; workspace++) {
             for (Action.Shape shape : PROBES) {
-                String key = "probe-" + team + "-" + shape;
+                String key = "probe-" + workspace + "-" + shape;
                 if (!probesAccepted.contains(key)) {
-                    submit(new Action.Submit(team, shape, 2, 2, 0), world.anyHost(), key);
+                    submit(new Action.Submit(workspace, shape, 2, 2, 0), world.anyHost(), key);
                 }
             }
         }
@@ -219,15 +219,15 @@
 
     /** Returns whether all jobs that were submitted after the faults are accepted. */
     boolean probesAccepted() {
-        return probesAccepted.size() == TEAMS * PROBES.size();
+        return probesAccepted.size() == WORKSPACES * PROBES.size();
     }
 
     private void submit(Action.Submit what, SimHost host, String key) {
-        TeamId team = team(what.team());
-        call(host, new ClientCall.Submit(team, key, request(what)), reply -> {
+        WorkspaceId workspace = workspace(what.workspace());
+        call(host, new ClientCall.Submit(workspace, key, request(what)), reply -> {
             if (reply instanceof ClientReply.Submitted submitted) {
                 world.counts().add(FuzzCounts.Kind.JOBS_ACCEPTED);
-                accepted.put(submitted.job(), new Accepted(team, what.shape(), what.tasks()));
+                accepted.put(submitted.job(), new Accepted(workspace, what.shape(), what.tasks()));
                 if (!key.isEmpty()) {
                     probesAccepted.add(key);
                 }
@@ -237,7 +237,7 @@
 
     private void cancel(JobId job) {
         Accepted what = accepted.get(job);
-        call(world.anyHost(), new ClientCall.Cancel(what.team(), job), reply -> {
+        call(world.anyHost(), new ClientCall.Cancel(what.workspace(), job), reply -> {
             if (reply instanceof ClientReply.Cancelling) {
                 oracle.cancelled(job);
             }
@@ -270,7 +270,7 @@
         oracle.executed(world.nowMs(), name);
         world.counts().add(FuzzCounts.Kind.HOLDS_EXECUTED);
         StoredOutcome outcome = new StoredOutcome(Outcome.RAN, HTTP_OK, "text/plain", new byte[0]);
-        call(host, new ClientCall.Settle(team(0), name, outcome), ignored -> {});
+        call(host, new ClientCall.Settle(workspace(0), name, outcome), ignored -> {});
     }
 
     private void follow(String id, long order, ClientReply reply, Sent sent) {
@@ -342,7 +342,7 @@
         return new JobRequest(name, kind, demand, Priority.NORMAL, exclusive, runMs, "run=" + runMs);
     }
 
-    record Accepted(TeamId team, Action.Shape shape, int tasks) {}
+    record Accepted(WorkspaceId workspace, Action.Shape shape, int tasks) {}
 
     private interface Sent {
         void sent(long order);
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/FuzzCase.java
@@ -54,7 +54,7 @@
             case Action.CancelWave wave -> world.clients().cancelWave(wave.every());
             case Action.Hold hold -> world.clients().hold(hold.key(), world.host(hold.host()));
             case Action.SetLimit limit ->
-                world.clients().setLimit(limit.team(), limit.cores(), world.host(limit.host()));
+                world.clients().setLimit(limit.workspace(), limit.cores(), world.host(limit.host()));
             case Action.SetDomain set ->
                 world.clients().setDomain(domain(set.domain()), set.out(), world.host(set.host()));
             case Action.KillHost kill -> {
@@ -145,16 +145,17 @@
     }
 
     private void editUnlessAccepted() {
-        for (int team = 0; team < Clients.TEAMS; team++) {
-            if (!world.oracle().limitIs(Clients.team(team), Clients.limit(FINAL_LIMIT_CORES))) {
-                world.clients().setLimit(team, FINAL_LIMIT_CORES, world.anyHost());
+        for (int workspace = 0; workspace < Clients.WORKSPACES; workspace++) {
+            if (!world.oracle().limitIs(Clients.workspace(workspace), Clients.limit(FINAL_LIMIT_CORES))) {
+                world.clients().setLimit(workspace, FINAL_LIMIT_CORES, world.anyHost());
             }
         }
     }
 
     private boolean limitsAccepted() {
-        return IntStream.range(0, Clients.TEAMS)
-                .allMatch(team -> world.oracle().limitIs(Clients.team(team), Clients.limit(FINAL_LIMIT_CORES)));
+        return IntStream.range(0, Clients.WORKSPACES)
+                .allMatch(workspace ->
+                        world.oracle().limitIs(Clients.workspace(workspace), Clients.limit(FINAL_LIMIT_CORES)));
     }
 
     private boolean done() {
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/LiveTraffic.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/LiveTraffic.java
@@ -92,7 +92,7 @@
         }
         add(relayed ? Kind.RELAYED : Kind.SENT);
         String name = "service" + service.tasks();
-        ClientCall call = new ClientCall.AcquireSlot(service.team(), name, leftMs, relayed);
+        ClientCall call = new ClientCall.AcquireSlot(service.workspace(), name, leftMs, relayed);
         world.clients()
                 .call(host, call, reply -> whenAwake(host, () -> continueWith(host, service, deadlineMs, reply)));
     }
@@ -166,7 +166,8 @@
             arrived = true;
             WorkerAgent agent = worker.agent();
             String id = "live-" + ++lastRequest;
-            LiveCall call = new LiveCall(id, slot.serviceTeam(), service(), slot.fence(), slot.leaseSequence(), "");
+            LiveCall call =
+                    new LiveCall(id, slot.serviceWorkspace(), service(), slot.fence(), slot.leaseSequence(), "");
             switch (agent.begin(call, world.nowMs())) {
                 case Admission.Admitted admitted -> world.network().later(runMs(), () -> end(agent, admitted.number()));
                 case Admission.Rejected rejected -> {
@@ -199,11 +200,13 @@
             world.clients().call(holder, call, ignored -> {});
         }
 
-        /** Returns a service of the team on this worker; which of its names was called does not matter for slots. */
+        /**
+         * Returns a service of the workspace on this worker; which of its names was called does not matter for slots.
+         */
         private String service() {
             return worker.tasks(world.nowMs()).stream()
                     .map(task -> task.spec())
-                    .filter(spec -> spec.team().equals(slot.serviceTeam())
+                    .filter(spec -> spec.workspace().equals(slot.serviceWorkspace())
                             && spec.name().startsWith("service"))
                     .map(spec -> spec.name())
                     .findFirst()
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Oracle.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Oracle.java
@@ -12,7 +12,7 @@
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TaskView;
 import org.acaciafold.core.port.WorkerCommand;
 import org.acaciafold.core.port.WorkerReply;
@@ -20,9 +20,9 @@
 /** Knows only what workers and callers saw, and tells where a promise was broken. */
 final class Oracle {
     private final List<String> violations = new ArrayList<>();
-    private final Map<TeamId, Resources> limits = new TreeMap<>();
-    private final Map<TeamId, TreeMap<Long, Resources>> pendingLimits = new HashMap<>();
-    private final Map<TeamId, Long> acceptedOrder = new HashMap<>();
+    private final Map<WorkspaceId, Resources> limits = new TreeMap<>();
+    private final Map<WorkspaceId, TreeMap<Long, Resources>> pendingLimits = new HashMap<>();
+    private final Map<WorkspaceId, Long> acceptedOrder = new HashMap<>();
     private final Map<String, Integer> executions = new TreeMap<>();
     private final Map<String, Long> returnsSent = new HashMap<>();
     private final Set<String> takenOut = new HashSet<>();
@@ -31,19 +31,19 @@
     /** Checks what runs on all workers at one instant. */
     void inspect(long nowMs, Collection<SimWorker> workers) {
         Map<TaskId, SimWorker> exclusive = new HashMap<>();
-        Map<TeamId, Resources> running = new HashMap<>();
+        Map<WorkspaceId, Resources> running = new HashMap<>();
         for (SimWorker worker : workers) {
             for (TaskView task : worker.tasks(nowMs)) {
-                running.merge(task.spec().team(), task.spec().demand(), Resources::plus);
+                running.merge(task.spec().workspace(), task.spec().demand(), Resources::plus);
                 SimWorker other = task.spec().exclusive() ? exclusive.put(task.task(), worker) : null;
                 if (other != null) {
                     violate(nowMs, "task " + task.task() + " runs on " + other.id() + " and on " + worker.id());
                 }
             }
         }
-        running.forEach((team, used) -> {
-            if (!used.fitsIn(highestLimit(team))) {
-                violate(nowMs, "team " + team + " runs " + used + " above " + highestLimit(team));
+        running.forEach((workspace, used) -> {
+            if (!used.fitsIn(highestLimit(workspace))) {
+                violate(nowMs, "workspace " + workspace + " runs " + used + " above " + highestLimit(workspace));
             }
         });
     }
@@ -95,26 +95,29 @@
     }
 
     /** Notes that a limit was sent and may come into force at any time. */
-    void limitSent(TeamId team, Resources limit, long order) {
-        pendingLimits.computeIfAbsent(team, ignored -> new TreeMap<>()).put(order, limit);
+    void limitSent(WorkspaceId workspace, Resources limit, long order) {
+        pendingLimits.computeIfAbsent(workspace, ignored -> new TreeMap<>()).put(order, limit);
     }
 
     /** Notes that a limit was accepted; those sent before it are no longer in force. */
-    void limitAccepted(TeamId team, Resources limit, long order) {
-        if (order > acceptedOrder.getOrDefault(team, 0L)) {
-            acceptedOrder.put(team, order);
-            limits.put(team, limit);
+    void limitAccepted(WorkspaceId workspace, Resources limit, long order) {
+        if (order > acceptedOrder.getOrDefault(workspace, 0L)) {
+            acceptedOrder.put(workspace, order);
+            limits.put(workspace, limit);
         }
-        pendingLimits.getOrDefault(team, new TreeMap<>()).headMap(order, true).clear();
+        pendingLimits
+                .getOrDefault(workspace, new TreeMap<>())
+                .headMap(order, true)
+                .clear();
     }
 
-    /** Tells whether a limit is the last accepted one of a team. */
-    boolean limitIs(TeamId team, Resources limit) {
-        return limit.equals(limits.get(team));
+    /** Tells whether a limit is the last accepted one of a workspace. */
+    boolean limitIs(WorkspaceId workspace, Resources limit) {
+        return limit.equals(limits.get(workspace));
     }
 
-    boolean limitsAccepted(int teams) {
-        return limits.size() >= teams;
+    boolean limitsAccepted(int workspaces) {
+        return limits.size() >= workspaces;
     }
 
     void violate(long nowMs, String what) {
@@ -125,10 +128,10 @@
         return violations;
     }
 
-    private Resources highestLimit(TeamId team) {
-        Resources highest = limits.getOrDefault(team, Resources.empty());
+    private Resources highestLimit(WorkspaceId workspace) {
+        Resources highest = limits.getOrDefault(workspace, Resources.empty());
         for (Resources pending :
-                pendingLimits.getOrDefault(team, new TreeMap<>()).values()) {
+                pendingLimits.getOrDefault(workspace, new TreeMap<>()).values()) {
             highest = highest.max(pending);
         }
         return highest;
--- a/proof/src/test/java/org/acaciafold/proof/fuzz/Recovery.java
+++ b/proof/src/test/java/org/acaciafold/proof/fuzz/Recovery.java
@@ -219,10 +219,10 @@
         return count(world, "t0") + ", " + count(world, "t1") + ", " + count(world, "t2");
     }
 
-    private static long count(World world, String team) {
+    private static long count(World world, String workspace) {
         return world.workers().stream()
                 .flatMap(worker -> worker.tasks(world.nowMs()).stream())
-                .filter(task -> task.spec().team().value().equals(team))
+                .filter(task -> task.spec().workspace().value().equals(workspace))
                 .count();
     }
 
--- a/proof/src/test/java/org/acaciafold/proof/process/Cluster.java
+++ b/proof/src/test/java/org/acaciafold/proof/process/Cluster.java
@@ -23,15 +23,15 @@
 import org.acaciafold.settings.NewKey;
 import org.awaitility.Awaitility;
 
-/** Entry hosts, workers and a platform stand-in in processes of their own, with one team and its key. */
+/** Entry hosts, workers and a platform stand-in in processes of their own, with one workspace and its key. */
 final class Cluster implements AutoCloseable {
     static final long CONTROL_LEASE_MS = 2_000;
     private static final Duration PATIENCE = Duration.ofSeconds(40);
     private static final String ENTRY = "org.acaciafold.cli.Main";
     private static final String STANDIN = "org.acaciafold.standin.Main";
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final String TEAM = """
-            [team]
+    private static final String WORKSPACE = """
+            [workspace]
             weight = 1
             limit-cpu = 96cores
             limit-memory = 256GiB
@@ -50,7 +50,7 @@
     private final List<TcpRelay> peerRelays = new ArrayList<>();
     private final StringBuilder hosts = new StringBuilder("[hosts]\n");
     private final String platform = freeAddress();
-    private String teamKey = "";
+    private String workspaceKey = "";
 
     private Cluster(Path directory) throws IOException {
         this.directory = directory;
@@ -69,7 +69,7 @@
             cluster.addWorker(domain + "-worker", domain);
         }
         cluster.launch();
-        cluster.createTeam();
+        cluster.createWorkspace();
         return cluster;
     }
 
@@ -90,11 +90,11 @@
         http.close();
     }
 
-    /** Calls a service with the team's key through an entry host. */
+    /** Calls a service with the workspace's key through an entry host. */
     HttpResponse<String> call(String entry, String method, String path, Map<String, String> headers, String body)
             throws IOException, InterruptedException {
         Map<String, String> all = new HashMap<>(headers);
-        all.put("Authorization", "Bearer " + teamKey);
+        all.put("Authorization", "Bearer " + workspaceKey);
         return send(method, entries.get(entry).callers(), path, all, body);
     }
 
@@ -220,7 +220,7 @@
         processes.put(name, ChildProcess.start(name, directory, options, main, role, "--settings", settings));
     }
 
-    private void createTeam() throws IOException, InterruptedException {
+    private void createWorkspace() throws IOException, InterruptedException {
         for (Entry entry : entries.values()) {
             await(
                     "a ready entry host",
@@ -233,13 +233,13 @@
         headers.put("Content-Type", "text/plain");
         headers.put("If-Match", "0");
         await(
-                "the team",
-                () -> send("PUT", first.operators(), "/v1/settings/team/desk", headers, TEAM)
+                "the workspace",
+                () -> send("PUT", first.operators(), "/v1/settings/workspace/desk", headers, WORKSPACE)
                                 .statusCode()
                         == 202);
         await("a key", () -> {
-            HttpResponse<String> created = send("POST", first.operators(), "/v1/teams/desk/keys", operator(), "");
-            teamKey = JSON.readTree(created.body()).path("key").asText();
+            HttpResponse<String> created = send("POST", first.operators(), "/v1/workspaces/desk/keys", operator(), "");
+            workspaceKey = JSON.readTree(created.body()).path("key").asText();
             return created.statusCode() == 201;
         });
         for (String entry : entries.keySet()) {
--- a/settings/src/main/java/org/acaciafold/settings/FleetSettings.java
+++ b/settings/src/main/java/org/acaciafold/settings/FleetSettings.java
@@ -6,33 +6,33 @@
 import java.util.TreeMap;
 
 import org.acaciafold.core.model.DomainId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
  * The whole settings tree at one version.
  *
  * @param version the version of the tree, which only goes up; 0 before anything was set
- * @param teams the subtrees of the teams
+ * @param workspaces the subtrees of the workspaces
  * @param domains the subtrees of the failure domains
  * @param openServices the services whose queue is open to all callers, by service name
  */
 public record FleetSettings(
         long version,
-        Map<TeamId, TeamSettings> teams,
+        Map<WorkspaceId, WorkspaceSettings> workspaces,
         Map<DomainId, DomainSettings> domains,
-        Map<String, TeamId> openServices) {
+        Map<String, WorkspaceId> openServices) {
     private static final FleetSettings EMPTY = new FleetSettings(0, Map.of(), Map.of(), Map.of());
 
     /**
      * Copies the subtrees; their order is that of their names, the same in each process.
      *
      * @param version the version of the tree
-     * @param teams the subtrees of the teams
+     * @param workspaces the subtrees of the workspaces
      * @param domains the subtrees of the failure domains
      * @param openServices the services open to all callers
      */
     public FleetSettings {
-        teams = Collections.unmodifiableMap(new TreeMap<>(teams));
+        workspaces = Collections.unmodifiableMap(new TreeMap<>(workspaces));
         domains = Collections.unmodifiableMap(new TreeMap<>(domains));
         openServices = Collections.unmodifiableMap(new TreeMap<>(openServices));
     }
@@ -40,7 +40,7 @@
     /**
      * Returns the tree before anything was set.
      *
-     * @return a tree of version 0 with no teams
+     * @return a tree of version 0 with no workspaces
      */
     public static FleetSettings empty() {
         return EMPTY;
@@ -67,12 +67,12 @@
     }
 
     /**
-     * Looks a team up.
+     * Looks a workspace up.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @return its settings, empty when it has none
      */
-    public Optional<TeamSettings> team(TeamId team) {
-        return Optional.ofNullable(teams.get(team));
+    public Optional<WorkspaceSettings> workspace(WorkspaceId workspace) {
+        return Optional.ofNullable(workspaces.get(workspace));
     }
 }
--- a/settings/src/main/java/org/acaciafold/settings/Policies.java
+++ b/settings/src/main/java/org/acaciafold/settings/Policies.java
@@ -7,7 +7,7 @@
 import org.acaciafold.core.placement.GangPolicy;
 import org.acaciafold.core.placement.ServicePolicy;
 
-/** Reads and writes the policies of a team, each a word with an optional parameter after a colon. */
+/** Reads and writes the policies of a workspace, each a word with an optional parameter after a colon. */
 final class Policies {
     private static final String SPREAD = "spread:";
     private static final String PACK = "pack";
--- a/settings/src/main/java/org/acaciafold/settings/SectionReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/SectionReader.java
@@ -38,7 +38,7 @@
         return new SectionReader(file, section, line, values, problems);
     }
 
-    /** Tells whether a text can be the name of a host, failure domain, team or service. */
+    /** Tells whether a text can be the name of a host, failure domain, workspace or service. */
     static boolean validName(String text) {
         return NAME.matcher(text).matches();
     }
@@ -78,7 +78,7 @@
         return values;
     }
 
-    /** Reads the name of a host, failure domain or team. */
+    /** Reads the name of a host, failure domain or workspace. */
     String name(String name) {
         String text = text(name);
         if (!text.isEmpty() && !validName(text)) {
--- a/settings/src/main/java/org/acaciafold/settings/SettingsTree.java
+++ b/settings/src/main/java/org/acaciafold/settings/SettingsTree.java
@@ -7,19 +7,19 @@
 import java.util.TreeMap;
 
 import org.acaciafold.core.model.DomainId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
  * The settings tree as texts, a text in INI for each subtree.
  *
- * <p>Subtrees are {@code team/NAME}, {@code domain/NAME} and {@code open}. Example:
+ * <p>Subtrees are {@code workspace/NAME}, {@code domain/NAME} and {@code open}. Example:
  * {@code SettingsTree.of(7, texts).check()}.
  */
 public final class SettingsTree {
     /** The subtree of the services that are open to all callers. */
     public static final String OPEN = "open";
 
-    private static final String TEAM = "team/";
+    private static final String WORKSPACE = "workspace/";
     private static final String DOMAIN = "domain/";
     private static final String SOURCE = "settings";
     private static final long MAX_WAITING_AT_ONE_HOST = 65_536;
@@ -51,7 +51,8 @@
      */
     public static SettingsTree of(FleetSettings settings) {
         Map<String, String> texts = new TreeMap<>();
-        settings.teams().forEach((team, value) -> texts.put(subtree(team), SubtreeWriter.team(value)));
+        settings.workspaces()
+                .forEach((workspace, value) -> texts.put(subtree(workspace), SubtreeWriter.workspace(value)));
         settings.domains().forEach((domain, value) -> texts.put(subtree(domain), SubtreeWriter.domain(value)));
         if (!settings.openServices().isEmpty()) {
             texts.put(OPEN, SubtreeWriter.open(settings.openServices()));
@@ -70,20 +71,20 @@
     }
 
     /**
-     * Returns the path of a team's subtree.
+     * Returns the path of a workspace's subtree.
      *
-     * @param team the team
+     * @param workspace the workspace
      * @return the path
      */
-    public static String subtree(TeamId team) {
-        return TEAM + team;
+    public static String subtree(WorkspaceId workspace) {
+        return WORKSPACE + workspace;
     }
 
     /**
      * Tells whether a path can be that of a subtree.
      *
      * @param subtree the path
-     * @return true for {@code open}, {@code team/NAME} and {@code domain/NAME}
+     * @return true for {@code open}, {@code workspace/NAME} and {@code domain/NAME}
      */
     public static boolean validSubtree(String subtree) {
         if (subtree.equals(OPEN)) {
@@ -91,7 +92,7 @@
         }
         int slash = subtree.indexOf('/') + 1;
         String kind = subtree.substring(0, slash);
-        return (kind.equals(TEAM) || kind.equals(DOMAIN)) && SectionReader.validName(subtree.substring(slash));
+        return (kind.equals(WORKSPACE) || kind.equals(DOMAIN)) && SectionReader.validName(subtree.substring(slash));
     }
 
     /**
@@ -102,18 +103,19 @@
      */
     public FleetSettings check() throws SettingsException {
         List<SettingsProblem> problems = new ArrayList<>();
-        Map<TeamId, TeamSettings> teams = new TreeMap<>();
+        Map<WorkspaceId, WorkspaceSettings> workspaces = new TreeMap<>();
         Map<DomainId, DomainSettings> domains = new TreeMap<>();
-        Map<String, TeamId> open = new TreeMap<>();
+        Map<String, WorkspaceId> open = new TreeMap<>();
         texts.forEach((subtree, text) -> {
             if (!validSubtree(subtree)) {
-                problems.add(new SettingsProblem(subtree, 0, "not a subtree; right is team/NAME, domain/NAME or open"));
+                problems.add(
+                        new SettingsProblem(subtree, 0, "not a subtree; right is workspace/NAME, domain/NAME or open"));
                 return;
             }
             SubtreeReader reader = SubtreeReader.of(subtree, text, problems);
-            if (subtree.startsWith(TEAM)) {
-                TeamId team = TeamId.of(subtree.substring(TEAM.length()));
-                teams.put(team, reader.team(team));
+            if (subtree.startsWith(WORKSPACE)) {
+                WorkspaceId workspace = WorkspaceId.of(subtree.substring(WORKSPACE.length()));
+                workspaces.put(workspace, reader.workspace(workspace));
             } else if (subtree.startsWith(DOMAIN)) {
                 DomainId domain = DomainId.of(subtree.substring(DOMAIN.length()));
                 domains.put(domain, reader.domain(domain));
@@ -121,13 +123,13 @@
                 open.putAll(reader.open());
             }
         });
-        checkKeys(teams, problems);
-        checkQueues(teams, problems);
-        checkOpen(open, teams, problems);
+        checkKeys(workspaces, problems);
+        checkQueues(workspaces, problems);
+        checkOpen(open, workspaces, problems);
         if (!problems.isEmpty()) {
             throw new SettingsException(SOURCE, problems);
         }
-        return new FleetSettings(version, teams, domains, open);
+        return new FleetSettings(version, workspaces, domains, open);
     }
 
     /**
@@ -173,34 +175,38 @@
         return new SettingsTree(version, changed);
     }
 
-    private static void checkKeys(Map<TeamId, TeamSettings> teams, List<SettingsProblem> problems) {
-        Map<String, TeamId> holders = new HashMap<>();
-        for (TeamSettings team : teams.values()) {
-            for (KeyHash key : team.keys()) {
-                TeamId holder = holders.putIfAbsent(key.id(), team.team());
+    private static void checkKeys(Map<WorkspaceId, WorkspaceSettings> workspaces, List<SettingsProblem> problems) {
+        Map<String, WorkspaceId> holders = new HashMap<>();
+        for (WorkspaceSettings workspace : workspaces.values()) {
+            for (KeyHash key : workspace.keys()) {
+                WorkspaceId holder = holders.putIfAbsent(key.id(), workspace.workspace());
                 if (holder != null) {
-                    String message = "key " + key.id() + " belongs to team " + holder + " already; create another";
-                    problems.add(new SettingsProblem(subtree(team.team()), 0, message));
+                    String message = "key " + key.id() + " belongs to workspace " + holder + " already; create another";
+                    problems.add(new SettingsProblem(subtree(workspace.workspace()), 0, message));
                 }
             }
         }
     }
 
     private static void checkOpen(
-            Map<String, TeamId> open, Map<TeamId, TeamSettings> teams, List<SettingsProblem> problems) {
-        open.forEach((service, team) -> {
-            if (!teams.containsKey(team)) {
-                String message = service + ": there is no team " + team + "; create team/" + team + " first";
+            Map<String, WorkspaceId> open,
+            Map<WorkspaceId, WorkspaceSettings> workspaces,
+            List<SettingsProblem> problems) {
+        open.forEach((service, workspace) -> {
+            if (!workspaces.containsKey(workspace)) {
+                String message =
+                        service + ": there is no workspace " + workspace + "; create workspace/" + workspace + " first";
                 problems.add(new SettingsProblem(OPEN, 0, message));
             }
         });
     }
 
-    private static void checkQueues(Map<TeamId, TeamSettings> teams, List<SettingsProblem> problems) {
-        long waiting =
-                teams.values().stream().mapToLong(TeamSettings::queueLimit).sum();
+    private static void checkQueues(Map<WorkspaceId, WorkspaceSettings> workspaces, List<SettingsProblem> problems) {
+        long waiting = workspaces.values().stream()
+                .mapToLong(WorkspaceSettings::queueLimit)
+                .sum();
         if (waiting > MAX_WAITING_AT_ONE_HOST) {
-            String message = "the queue limits of all teams add up to " + waiting + "; lower them to "
+            String message = "the queue limits of all workspaces add up to " + waiting + "; lower them to "
                     + MAX_WAITING_AT_ONE_HOST + " or less";
             problems.add(new SettingsProblem(SOURCE, 0, message));
         }
--- a/settings/src/main/java/org/acaciafold/settings/SubtreeEdits.java
+++ b/settings/src/main/java/org/acaciafold/settings/SubtreeEdits.java
@@ -17,9 +17,9 @@
     private SubtreeEdits() {}
 
     /**
-     * Adds a key to a team.
+     * Adds a key to a workspace.
      *
-     * @param text the text of the team's subtree
+     * @param text the text of the workspace's subtree
      * @param key the key
      * @return the changed text
      */
@@ -39,9 +39,9 @@
     }
 
     /**
-     * Withdraws a key of a team.
+     * Withdraws a key of a workspace.
      *
-     * @param text the text of the team's subtree
+     * @param text the text of the workspace's subtree
      * @param id the identifier of the key
      * @return the changed text, empty when there is no such key
      */
--- a/settings/src/main/java/org/acaciafold/settings/SubtreeReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/SubtreeReader.java
@@ -7,7 +7,7 @@
 
 import org.acaciafold.core.model.DomainId;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /** Reads one subtree of the settings tree and collects the errors; {@link SettingsTree} puts them together. */
 final class SubtreeReader {
@@ -44,23 +44,23 @@
     }
 
     /** Reads the services that are open to all callers. */
-    Map<String, TeamId> open() {
-        Map<String, TeamId> services = new TreeMap<>();
-        ini.section("services").free().forEach((service, team) -> {
-            if (SectionReader.validName(service) && SectionReader.validName(team.value())) {
-                services.put(service, TeamId.of(team.value()));
+    Map<String, WorkspaceId> open() {
+        Map<String, WorkspaceId> services = new TreeMap<>();
+        ini.section("services").free().forEach((service, workspace) -> {
+            if (SectionReader.validName(service) && SectionReader.validName(workspace.value())) {
+                services.put(service, WorkspaceId.of(workspace.value()));
             } else {
-                String message = service + ": not of the form SERVICE = TEAM";
-                problems.add(new SettingsProblem(subtree, team.line(), message));
+                String message = service + ": not of the form SERVICE = WORKSPACE";
+                problems.add(new SettingsProblem(subtree, workspace.line(), message));
             }
         });
         ini.finish();
         return services;
     }
 
-    /** Reads the subtree of a team. */
-    TeamSettings team(TeamId team) {
-        SectionReader section = ini.section("team");
+    /** Reads the subtree of a workspace. */
+    WorkspaceSettings workspace(WorkspaceId workspace) {
+        SectionReader section = ini.section("workspace");
         double weight = section.number("weight", 0, MAX_WEIGHT, "1.0");
         Resources limit = Resources.of(
                 section.quantity("limit-cpu", Quantity.PROCESSORS, 0, MAX_CPU_MILLIS),
@@ -69,9 +69,9 @@
         long rehomeAfterMs = section.quantity("rehome-after", Quantity.DURATION, MIN_REHOME_MS, MAX_REHOME_MS, "10min");
         int queueLimit = (int) section.quantity("queue-limit", Quantity.COUNT, 1, MAX_QUEUE, "100");
         List<KeyHash> keys = keys(ini.section("keys"));
-        TeamPolicies policies = policies(ini.section("policy"));
+        WorkspacePolicies policies = policies(ini.section("policy"));
         ini.finish();
-        return new TeamSettings(team, weight, limit, keys, rehomeAfterMs, queueLimit, policies);
+        return new WorkspaceSettings(workspace, weight, limit, keys, rehomeAfterMs, queueLimit, policies);
     }
 
     private List<KeyHash> keys(SectionReader section) {
@@ -84,8 +84,8 @@
         return keys;
     }
 
-    private static TeamPolicies policies(SectionReader section) {
-        return new TeamPolicies(
+    private static WorkspacePolicies policies(SectionReader section) {
+        return new WorkspacePolicies(
                 section.parsed("service", Policies::service, "spread:1 (or more), pack", "spread:2"),
                 section.parsed(
                         "batch", Policies::batch, "submission-order, deadline-order:1.5 (1 to 10)", "submission-order"),
--- a/settings/src/main/java/org/acaciafold/settings/SubtreeWriter.java
+++ b/settings/src/main/java/org/acaciafold/settings/SubtreeWriter.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /** Writes typed settings as the text of their subtree. */
 final class SubtreeWriter {
@@ -19,27 +19,27 @@
                 .done();
     }
 
-    static String open(Map<String, TeamId> services) {
+    static String open(Map<String, WorkspaceId> services) {
         SubtreeWriter writer = new SubtreeWriter().section("services");
-        new TreeMap<>(services).forEach((service, team) -> writer.value(service, team.value()));
+        new TreeMap<>(services).forEach((service, workspace) -> writer.value(service, workspace.value()));
         return writer.done();
     }
 
-    static String team(TeamSettings team) {
+    static String workspace(WorkspaceSettings workspace) {
         SubtreeWriter writer = new SubtreeWriter()
-                .section("team")
-                .value("weight", String.valueOf(team.weight()))
-                .value("limit-cpu", Quantity.PROCESSORS.format(team.limit().cpuMillis()))
-                .value("limit-memory", Quantity.MEMORY.format(team.limit().memoryMib()))
-                .value("limit-accelerators", String.valueOf(team.limit().accelerators()))
-                .value("rehome-after", Quantity.DURATION.format(team.rehomeAfterMs()))
-                .value("queue-limit", String.valueOf(team.queueLimit()))
+                .section("workspace")
+                .value("weight", String.valueOf(workspace.weight()))
+                .value("limit-cpu", Quantity.PROCESSORS.format(workspace.limit().cpuMillis()))
+                .value("limit-memory", Quantity.MEMORY.format(workspace.limit().memoryMib()))
+                .value("limit-accelerators", String.valueOf(workspace.limit().accelerators()))
+                .value("rehome-after", Quantity.DURATION.format(workspace.rehomeAfterMs()))
+                .value("queue-limit", String.valueOf(workspace.queueLimit()))
                 .section("keys");
-        team.keys().forEach(key -> writer.value(key.id(), key.salt() + ":" + key.hash()));
+        workspace.keys().forEach(key -> writer.value(key.id(), key.salt() + ":" + key.hash()));
         return writer.section("policy")
-                .value("service", Policies.format(team.policies().service()))
-                .value("batch", Policies.format(team.policies().batch()))
-                .value("gang", Policies.format(team.policies().gang()))
+                .value("service", Policies.format(workspace.policies().service()))
+                .value("batch", Policies.format(workspace.policies().batch()))
+                .value("gang", Policies.format(workspace.policies().gang()))
                 .done();
     }
 
--- a/settings/src/test/java/org/acaciafold/settings/SettingsTreeTest.java
+++ b/settings/src/test/java/org/acaciafold/settings/SettingsTreeTest.java
@@ -14,7 +14,7 @@
 import net.jqwik.api.Provide;
 import org.acaciafold.core.model.DomainId;
 import org.acaciafold.core.model.Resources;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.placement.BatchPolicy;
 import org.acaciafold.core.placement.GangPolicy;
 import org.acaciafold.core.placement.ServicePolicy;
@@ -31,8 +31,8 @@
 
 class SettingsTreeTest {
     private static final String HASH = "0123456789abcdef".repeat(4);
-    private static final String TEAM = """
-            [team]
+    private static final String WORKSPACE = """
+            [workspace]
             weight = 1.5
             limit-cpu = 64cores
             limit-memory = 256GiB
@@ -54,24 +54,29 @@
     @Test
     void shouldReturnTypedSettingsWhenTheTreeIsRight() throws Exception {
         Map<String, String> texts = Map.of(
-                "team/north", TEAM, "domain/d1", "[domain]\ntaken-out = true\n", "open", "[services]\nx.y = north");
+                "workspace/north",
+                WORKSPACE,
+                "domain/d1",
+                "[domain]\ntaken-out = true\n",
+                "open",
+                "[services]\nx.y = north");
 
         FleetSettings settings = SettingsTree.of(7, texts).check();
 
-        TeamSettings team = new TeamSettings(
-                TeamId.of("north"),
+        WorkspaceSettings workspace = new WorkspaceSettings(
+                WorkspaceId.of("north"),
                 1.5,
                 Resources.of(64_000, 262_144, 4),
                 List.of(new KeyHash("k1", "00112233", HASH)),
                 600_000,
                 100,
-                new TeamPolicies(
+                new WorkspacePolicies(
                         new ServicePolicy.Spread(2),
                         new BatchPolicy.DeadlineOrder(1.5),
                         new GangPolicy.Reserve(30_000)));
-        assertEquals(Optional.of(team), settings.team(TeamId.of("north")));
+        assertEquals(Optional.of(workspace), settings.workspace(WorkspaceId.of("north")));
         assertTrue(settings.takenOut(DomainId.of("d1")));
-        assertEquals(Map.of("x.y", TeamId.of("north")), settings.openServices());
+        assertEquals(Map.of("x.y", WorkspaceId.of("north")), settings.openServices());
         assertEquals(7, settings.version());
     }
 
@@ -98,13 +103,13 @@
     @ParameterizedTest
     @MethodSource("mistakes")
     void shouldTellSubtreeLineAndRightFormWhenAValueIsWrong(String right, String wrong, int line, String message) {
-        assertTrue(TEAM.contains(right));
+        assertTrue(WORKSPACE.contains(right));
 
-        SettingsException thrown = refuse(Map.of("team/north", TEAM.replace(right, wrong)));
+        SettingsException thrown = refuse(Map.of("workspace/north", WORKSPACE.replace(right, wrong)));
 
         assertTrue(
                 thrown.problems().stream()
-                        .anyMatch(problem -> problem.file().equals("team/north")
+                        .anyMatch(problem -> problem.file().equals("workspace/north")
                                 && problem.line() == line
                                 && problem.message().contains(message)),
                 thrown::getMessage);
@@ -113,15 +118,15 @@
     static Stream<Arguments> contradictions() {
         Map<String, String> crowd = new HashMap<>();
         for (int i = 0; i < 7; i++) {
-            crowd.put("team/t" + i, TEAM.replace("100", "10000").replace("k1", "k" + i));
+            crowd.put("workspace/t" + i, WORKSPACE.replace("100", "10000").replace("k1", "k" + i));
         }
         return Stream.of(
-                arguments(Map.of("team/a", TEAM, "team/b", TEAM), "key k1 belongs to team a"),
-                arguments(Map.of("open", "[services]\nx = south"), "there is no team south"),
+                arguments(Map.of("workspace/a", WORKSPACE, "workspace/b", WORKSPACE), "key k1 belongs to workspace a"),
+                arguments(Map.of("open", "[services]\nx = south"), "there is no workspace south"),
                 arguments(Map.of("domain/d1", "[domain]\nslices = 65"), "right is 1 to 64"),
                 arguments(Map.of("domain/d1", "[domain]\nslices = 0"), "right is 1 to 64"),
-                arguments(Map.of("tema/a", TEAM), "right is team/NAME, domain/NAME or open"),
-                arguments(Map.of("team/a b", TEAM), "right is team/NAME, domain/NAME or open"),
+                arguments(Map.of("tema/a", WORKSPACE), "right is workspace/NAME, domain/NAME or open"),
+                arguments(Map.of("workspace/a b", WORKSPACE), "right is workspace/NAME, domain/NAME or open"),
                 arguments(crowd, "add up to 70000"));
     }
 
@@ -152,7 +157,7 @@
                 .as((name, out, slices) -> new DomainSettings(DomainId.of(name), out, slices));
         return Combinators.combine(
                         Arbitraries.longs().between(0, Long.MAX_VALUE),
-                        teams().list().ofMaxSize(4).uniqueElements(TeamSettings::team),
+                        workspaces().list().ofMaxSize(4).uniqueElements(WorkspaceSettings::workspace),
                         domain.list().ofMaxSize(4).uniqueElements(DomainSettings::domain),
                         names().list().ofMaxSize(3).uniqueElements())
                 .as(SettingsTreeTest::tree);
@@ -164,16 +169,16 @@
     void shouldKeepEverythingElseWhenAKeyIsAddedAndWithdrawn() throws Exception {
         KeyHash key = new KeyHash("k2", "44556677", HASH);
 
-        String added = SubtreeEdits.addKey(TEAM, key);
+        String added = SubtreeEdits.addKey(WORKSPACE, key);
 
-        List<KeyHash> keys = SettingsTree.of(1, Map.of("team/a", added))
+        List<KeyHash> keys = SettingsTree.of(1, Map.of("workspace/a", added))
                 .check()
-                .teams()
-                .get(TeamId.of("a"))
+                .workspaces()
+                .get(WorkspaceId.of("a"))
                 .keys();
         assertTrue(keys.contains(key));
-        assertEquals(Optional.of(TEAM), SubtreeEdits.withdrawKey(added, "k2"));
-        assertEquals(Optional.empty(), SubtreeEdits.withdrawKey(TEAM, "weight"));
+        assertEquals(Optional.of(WORKSPACE), SubtreeEdits.withdrawKey(added, "k2"));
+        assertEquals(Optional.empty(), SubtreeEdits.withdrawKey(WORKSPACE, "weight"));
     }
 
     @ParameterizedTest
@@ -212,17 +217,17 @@
                 SettingsException.class, () -> SettingsTree.of(1, texts).check());
     }
 
-    private static Arbitrary<TeamSettings> teams() {
+    private static Arbitrary<WorkspaceSettings> workspaces() {
         Arbitrary<Resources> limits = Combinators.combine(
                         Arbitraries.longs().between(0, 1_000_000),
                         Arbitraries.longs().between(0, 1L << 40),
                         Arbitraries.longs().between(0, 1_000))
                 .as(Resources::of);
-        Arbitrary<TeamPolicies> policies = Combinators.combine(
+        Arbitrary<WorkspacePolicies> policies = Combinators.combine(
                         Arbitraries.of(new ServicePolicy.Spread(3), new ServicePolicy.Pack()),
                         Arbitraries.of(new BatchPolicy.SubmissionOrder(), new BatchPolicy.DeadlineOrder(2.25)),
                         Arbitraries.of(new GangPolicy.Reserve(61_001), new GangPolicy.WhenFree()))
-                .as(TeamPolicies::new);
+                .as(WorkspacePolicies::new);
         return Combinators.combine(
                         names(),
                         Arbitraries.doubles().between(0.01, 1_000).ofScale(2),
@@ -231,35 +236,35 @@
                         Arbitraries.longs().between(1_000, 10_000_000),
                         Arbitraries.integers().between(1, 10_000),
                         policies)
-                .as((name, weight, limit, keys, rehome, queue, policy) ->
-                        new TeamSettings(TeamId.of(name), weight, limit, keys(name, keys), rehome, queue, policy));
+                .as((name, weight, limit, keys, rehome, queue, policy) -> new WorkspaceSettings(
+                        WorkspaceId.of(name), weight, limit, keys(name, keys), rehome, queue, policy));
     }
 
-    private static List<KeyHash> keys(String team, int count) {
+    private static List<KeyHash> keys(String workspace, int count) {
         return Stream.iterate(0, i -> i + 1)
                 .limit(count)
-                .map(i -> new KeyHash("k" + i + "-" + team.replace('.', '_'), "0011223344", HASH))
+                .map(i -> new KeyHash("k" + i + "-" + workspace.replace('.', '_'), "0011223344", HASH))
                 .toList();
     }
 
     private static FleetSettings tree(
-            long version, List<TeamSettings> teams, List<DomainSettings> domains, List<String> services) {
-        Map<TeamId, TeamSettings> byTeam = new HashMap<>();
-        teams.forEach(team -> byTeam.put(team.team(), team));
+            long version, List<WorkspaceSettings> workspaces, List<DomainSettings> domains, List<String> services) {
+        Map<WorkspaceId, WorkspaceSettings> byWorkspace = new HashMap<>();
+        workspaces.forEach(workspace -> byWorkspace.put(workspace.workspace(), workspace));
         Map<DomainId, DomainSettings> byDomain = new HashMap<>();
         domains.forEach(domain -> byDomain.put(domain.domain(), domain));
-        Map<String, TeamId> open = new HashMap<>();
-        services.forEach(service -> teams.forEach(team -> open.putIfAbsent(service, team.team())));
-        return new FleetSettings(version, byTeam, byDomain, open);
+        Map<String, WorkspaceId> open = new HashMap<>();
+        services.forEach(service -> workspaces.forEach(workspace -> open.putIfAbsent(service, workspace.workspace())));
+        return new FleetSettings(version, byWorkspace, byDomain, open);
     }
 
     // -- validSubtree
 
     @Test
     void shouldRefuseAPathWhenItCouldReachOtherRows() {
-        assertFalse(SettingsTree.validSubtree("team/../x"));
-        assertFalse(SettingsTree.validSubtree("team/"));
-        assertFalse(SettingsTree.validSubtree("team"));
-        assertTrue(SettingsTree.validSubtree("team/a.b"));
+        assertFalse(SettingsTree.validSubtree("workspace/../x"));
+        assertFalse(SettingsTree.validSubtree("workspace/"));
+        assertFalse(SettingsTree.validSubtree("workspace"));
+        assertTrue(SettingsTree.validSubtree("workspace/a.b"));
     }
 }
--- a/standin/src/main/java/org/acaciafold/standin/Demo.java
+++ b/standin/src/main/java/org/acaciafold/standin/Demo.java
@@ -11,16 +11,17 @@
 import org.acaciafold.core.model.AcaciafoldException;
 
 /**
- * The caller and operator of {@code bin/demo}: two teams with keys, each with a service, a batch run and an all-at-once
+ * The caller and operator of {@code bin/demo}: two workspaces with keys, each with a service, a batch run and an
+ * all-at-once
  * job, and live requests through the entry host of another failure domain than the worker's.
  */
 final class Demo {
     private static final long WAIT_MS = 60_000;
     private static final long POLL_MS = 50;
     private static final int TIMED_REQUESTS = 500;
-    private static final List<String> TEAMS = List.of("catalogue", "booking");
-    private static final String TEAM_SETTINGS = """
-            [team]
+    private static final List<String> WORKSPACES = List.of("catalogue", "booking");
+    private static final String WORKSPACE_SETTINGS = """
+            [workspace]
             weight = 1
             limit-cpu = 96cores
             limit-memory = 256GiB
@@ -57,15 +58,15 @@
     static int run(StandinSettings settings) throws AcaciafoldException, IOException, InterruptedException {
         Demo demo = new Demo(settings);
         demo.awaitHosts();
-        demo.createTeams();
+        demo.createWorkspaces();
         demo.submitJobs();
-        for (String team : TEAMS) {
-            demo.callService(team);
-            demo.holdOnce(team);
+        for (String workspace : WORKSPACES) {
+            demo.callService(workspace);
+            demo.holdOnce(workspace);
         }
         demo.checkRefusals();
         demo.awaitJobs();
-        demo.measure(TEAMS.getFirst());
+        demo.measure(WORKSPACES.getFirst());
         return demo.wrong;
     }
 
@@ -75,20 +76,21 @@
         }
     }
 
-    private void createTeams() throws IOException, InterruptedException {
+    private void createWorkspaces() throws IOException, InterruptedException {
         Host host = hosts.getFirst();
-        for (String team : TEAMS) {
+        for (String workspace : WORKSPACES) {
             Map<String, String> headers = operator();
             headers.put("If-Match", "0");
             headers.put("Content-Type", "text/plain");
-            DemoHttp.Reply put =
-                    http.send("PUT", host.operators(), "/v1/settings/team/" + team, headers, TEAM_SETTINGS);
-            check("settings of team " + team, put.status() == 202, put);
+            DemoHttp.Reply put = http.send(
+                    "PUT", host.operators(), "/v1/settings/workspace/" + workspace, headers, WORKSPACE_SETTINGS);
+            check("settings of workspace " + workspace, put.status() == 202, put);
             awaitAccepted(host, put.json().path("editId").asText());
-            DemoHttp.Reply key = http.send("POST", host.operators(), "/v1/teams/" + team + "/keys", operator(), "");
-            check("key of team " + team, key.status() == 201, key);
-            keys.put(team, key.json().path("key").asText());
-            awaitKnown(team);
+            DemoHttp.Reply key =
+                    http.send("POST", host.operators(), "/v1/workspaces/" + workspace + "/keys", operator(), "");
+            check("key of workspace " + workspace, key.status() == 201, key);
+            keys.put(workspace, key.json().path("key").asText());
+            awaitKnown(workspace);
         }
     }
 
@@ -103,60 +105,62 @@
         System.out.println("    in force everywhere after " + (System.nanoTime() / 1_000_000 - startMs) + " ms");
     }
 
-    private void awaitKnown(String team) throws IOException, InterruptedException {
+    private void awaitKnown(String workspace) throws IOException, InterruptedException {
         for (Host host : hosts) {
-            await("key of " + team, () -> status("GET", host.callers(), "/v1/jobs/none", caller(team)) != 401);
+            await(
+                    "key of " + workspace,
+                    () -> status("GET", host.callers(), "/v1/jobs/none", caller(workspace)) != 401);
         }
     }
 
     private void submitJobs() throws IOException, InterruptedException {
-        for (String team : TEAMS) {
-            Host host = hosts.get(TEAMS.indexOf(team));
-            submit(host, team, "desk", "{\"type\":\"Service\",\"tasks\":1}", "hold");
-            submit(host, team, "nightly", "{\"type\":\"Batch\",\"tasks\":4,\"finishWithinMs\":60000}", "run=300");
-            submit(host, team, "rebuild", "{\"type\":\"Gang\",\"tasks\":3}", "run=300");
+        for (String workspace : WORKSPACES) {
+            Host host = hosts.get(WORKSPACES.indexOf(workspace));
+            submit(host, workspace, "desk", "{\"type\":\"Service\",\"tasks\":1}", "hold");
+            submit(host, workspace, "nightly", "{\"type\":\"Batch\",\"tasks\":4,\"finishWithinMs\":60000}", "run=300");
+            submit(host, workspace, "rebuild", "{\"type\":\"Gang\",\"tasks\":3}", "run=300");
         }
-        for (String team : TEAMS) {
-            Host host = hosts.get(TEAMS.indexOf(team));
-            submit(host, team, "echo", "{\"type\":\"Service\",\"tasks\":1}", "");
+        for (String workspace : WORKSPACES) {
+            Host host = hosts.get(WORKSPACES.indexOf(workspace));
+            submit(host, workspace, "echo", "{\"type\":\"Service\",\"tasks\":1}", "");
         }
     }
 
-    private void submit(Host host, String team, String name, String kind, String payload)
+    private void submit(Host host, String workspace, String name, String kind, String payload)
             throws IOException, InterruptedException {
         String job = "{\"name\":\"" + name + "\",\"kind\":" + kind
                 + ",\"demand\":{\"cpuMillis\":1000,\"memoryMib\":256,\"accelerators\":0}"
                 + ",\"priority\":\"NORMAL\",\"exclusive\":false,\"runTimeMs\":1000,\"payload\":\"" + payload + "\"}";
-        Map<String, String> headers = caller(team);
+        Map<String, String> headers = caller(workspace);
         headers.put("Content-Type", "application/json");
         DemoHttp.Reply reply = http.send("POST", host.callers(), "/v1/jobs", headers, job);
-        check(team + " submits " + name, reply.status() == 202, reply);
-        jobs.put(team + "/" + name, reply.json().path("job").asText());
+        check(workspace + " submits " + name, reply.status() == 202, reply);
+        jobs.put(workspace + "/" + name, reply.json().path("job").asText());
     }
 
-    private void callService(String team) throws IOException, InterruptedException {
+    private void callService(String workspace) throws IOException, InterruptedException {
         String path = "/v1/services/echo/greeting";
         for (Host host : hosts) {
             await(
-                    team + " echo",
-                    () -> http.send("POST", host.callers(), path, caller(team), "ready?")
+                    workspace + " echo",
+                    () -> http.send("POST", host.callers(), path, caller(workspace), "ready?")
                                     .status()
                             == 200);
             String text = "hello from " + host.domain();
-            DemoHttp.Reply reply = http.send("POST", host.callers(), path, caller(team), text);
-            String route = team + " calls echo through " + host.domain() + ", answered by " + reply.worker();
+            DemoHttp.Reply reply = http.send("POST", host.callers(), path, caller(workspace), text);
+            String route = workspace + " calls echo through " + host.domain() + ", answered by " + reply.worker();
             check(route, reply.status() == 200 && reply.body().equals(text), reply);
         }
     }
 
-    private void holdOnce(String team) throws IOException, InterruptedException {
+    private void holdOnce(String workspace) throws IOException, InterruptedException {
         String path = "/v1/services/desk/holds";
-        await(team + " desk", () -> status("GET", hosts.getFirst().callers(), path, caller(team)) == 200);
-        Map<String, String> headers = caller(team);
+        await(workspace + " desk", () -> status("GET", hosts.getFirst().callers(), path, caller(workspace)) == 200);
+        Map<String, String> headers = caller(workspace);
         headers.put("Idempotency-Key", "hold-1");
         String expected = "{\"key\":\"hold-1\",\"execution\":1}";
         for (Host host : hosts) {
-            String what = team + " sends the same hold through " + host.domain();
+            String what = workspace + " sends the same hold through " + host.domain();
             DemoHttp.Reply reply = http.send("POST", host.callers(), path, headers, "lamp 7");
             check(what, reply.status() == 200 && reply.body().equals(expected), reply);
         }
@@ -175,22 +179,24 @@
     }
 
     private void awaitJobs() throws IOException, InterruptedException {
-        for (String team : TEAMS) {
+        for (String workspace : WORKSPACES) {
             Host host = hosts.getLast();
             for (String name : List.of("nightly", "rebuild")) {
-                String path = "/v1/jobs/" + jobs.get(team + "/" + name);
-                await(team + " " + name, () -> !phase(host, team, path).matches("WAITING|RUNNING|"));
-                DemoHttp.Reply result = http.send("GET", host.callers(), path + "/result", caller(team), "");
-                String what = team + "'s " + name + " ended, asked through " + host.domain();
+                String path = "/v1/jobs/" + jobs.get(workspace + "/" + name);
+                await(
+                        workspace + " " + name,
+                        () -> !phase(host, workspace, path).matches("WAITING|RUNNING|"));
+                DemoHttp.Reply result = http.send("GET", host.callers(), path + "/result", caller(workspace), "");
+                String what = workspace + "'s " + name + " ended, asked through " + host.domain();
                 check(what, result.json().path("phase").asText().equals("SUCCEEDED"), result);
             }
         }
     }
 
-    private void measure(String team) throws IOException, InterruptedException {
+    private void measure(String workspace) throws IOException, InterruptedException {
         String path = "/v1/services/echo/timed";
         for (Host host : hosts) {
-            String worker = http.send("POST", host.callers(), path, caller(team), "where")
+            String worker = http.send("POST", host.callers(), path, caller(workspace), "where")
                     .worker();
             if (worker.startsWith(host.domain())) {
                 continue;
@@ -198,7 +204,7 @@
             long[] tookMicros = new long[TIMED_REQUESTS];
             for (int index = 0; index < TIMED_REQUESTS; index++) {
                 long start = System.nanoTime();
-                DemoHttp.Reply reply = http.send("POST", host.callers(), path, caller(team), "x" + index);
+                DemoHttp.Reply reply = http.send("POST", host.callers(), path, caller(workspace), "x" + index);
                 tookMicros[index] = (System.nanoTime() - start) / 1_000;
                 if (!reply.body().equals("x" + index)) {
                     check("timed request", false, reply);
@@ -218,8 +224,8 @@
         wrong++;
     }
 
-    private String phase(Host host, String team, String path) throws IOException, InterruptedException {
-        return http.send("GET", host.callers(), path, caller(team), "")
+    private String phase(Host host, String workspace, String path) throws IOException, InterruptedException {
+        return http.send("GET", host.callers(), path, caller(workspace), "")
                 .json()
                 .path("phase")
                 .asText();
@@ -230,8 +236,8 @@
         return http.send(method, address, path, headers, "").status();
     }
 
-    private Map<String, String> caller(String team) {
-        return new HashMap<>(Map.of("Authorization", "Bearer " + keys.get(team)));
+    private Map<String, String> caller(String workspace) {
+        return new HashMap<>(Map.of("Authorization", "Bearer " + keys.get(workspace)));
     }
 
     private Map<String, String> operator() {
--- a/standin/src/main/java/org/acaciafold/standin/HeldTask.java
+++ b/standin/src/main/java/org/acaciafold/standin/HeldTask.java
@@ -2,7 +2,7 @@
 
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TaskPhase;
 import org.acaciafold.core.port.TaskView;
 
@@ -30,10 +30,10 @@
         this.endsMs = runMs == Long.MAX_VALUE ? Long.MAX_VALUE : nowMs + runMs;
     }
 
-    boolean answers(TeamId team, String service) {
+    boolean answers(WorkspaceId workspace, String service) {
         return phase == TaskPhase.RUNNING
                 && !draining
-                && spec.team().equals(team)
+                && spec.workspace().equals(workspace)
                 && spec.name().equals(service);
     }
 
--- a/standin/src/main/java/org/acaciafold/standin/Journal.java
+++ b/standin/src/main/java/org/acaciafold/standin/Journal.java
@@ -9,7 +9,7 @@
  * @param nowMs the worker's clock in milliseconds
  * @param peak the most in use at once
  * @param slotsInUse live requests that run now
- * @param executions executions by team, slash and idempotency key
+ * @param executions executions by workspace, slash and idempotency key
  * @param entries what happened, in order
  */
 public record Journal(
--- a/standin/src/main/java/org/acaciafold/standin/LiveServer.java
+++ b/standin/src/main/java/org/acaciafold/standin/LiveServer.java
@@ -15,7 +15,7 @@
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Fence;
 import org.acaciafold.core.model.Step;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -114,7 +114,7 @@
 
     private byte[] execute(HttpServerRequest request) {
         String key = header(request, "idempotency-key");
-        int count = executions.merge(header(request, "acaciafold-team") + "/" + key, 1, Integer::sum);
+        int count = executions.merge(header(request, "acaciafold-workspace") + "/" + key, 1, Integer::sum);
         return ("{\"key\":\"" + key + "\",\"execution\":" + count + "}").getBytes(StandardCharsets.UTF_8);
     }
 
@@ -132,7 +132,7 @@
         String service = path.split("[/?]", 2)[0];
         return new LiveCall(
                 header(request, "acaciafold-request"),
-                teamOf(request),
+                workspaceOf(request),
                 service,
                 fenceOf(header(request, "acaciafold-fence")),
                 numberOf(header(request, "acaciafold-lease")),
@@ -157,9 +157,9 @@
         }
     }
 
-    private static TeamId teamOf(HttpServerRequest request) {
-        String team = header(request, "acaciafold-team");
-        return TeamId.of(team.isBlank() ? "none" : team);
+    private static WorkspaceId workspaceOf(HttpServerRequest request) {
+        String workspace = header(request, "acaciafold-workspace");
+        return WorkspaceId.of(workspace.isBlank() ? "none" : workspace);
     }
 
     private static String parameter(QueryStringDecoder query, String name, String otherwise) {
--- a/standin/src/main/java/org/acaciafold/standin/WorkerAgent.java
+++ b/standin/src/main/java/org/acaciafold/standin/WorkerAgent.java
@@ -311,7 +311,7 @@
     }
 
     private Optional<HeldTask> replicaOf(LiveCall call) {
-        Predicate<HeldTask> answers = task -> task.answers(call.team(), call.service());
+        Predicate<HeldTask> answers = task -> task.answers(call.workspace(), call.service());
         return tasks.values().stream().filter(answers).min((a, b) -> Integer.compare(a.requests(), b.requests()));
     }
 
--- a/standin/src/test/java/org/acaciafold/standin/StandinServerTest.java
+++ b/standin/src/test/java/org/acaciafold/standin/StandinServerTest.java
@@ -20,7 +20,7 @@
 import org.acaciafold.core.model.JobId;
 import org.acaciafold.core.model.JobKind;
 import org.acaciafold.core.model.JobSpec;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.TableReply;
 import org.acaciafold.core.port.TableRequest;
 import org.acaciafold.core.port.WorkerCommand;
@@ -145,7 +145,7 @@
                 .headers(headers -> headers.set("acaciafold-fence", "1.0")
                         .set("acaciafold-lease", sent)
                         .set("acaciafold-request", "r1")
-                        .set("acaciafold-team", "t")
+                        .set("acaciafold-workspace", "t")
                         .set("idempotency-key", "k1"))
                 .post()
                 .uri("http://" + Listener.address(worker.get(1)) + "/v1/serve/shop/x")
@@ -184,7 +184,7 @@
         WorkerCommand claim =
                 new WorkerCommand.Claim(FENCE, HostId.of("a"), TIMEOUT_MS, 0, TIMEOUT_MS, TIMEOUT_MS, 0, List.of());
         long sequence = ((WorkerReply.Claimed) client.command(address, claim).block()).leaseSequence();
-        JobSpec spec = JobSpec.builder(JobId.of("s"), TeamId.of("t"), "shop", new JobKind.Service(1))
+        JobSpec spec = JobSpec.builder(JobId.of("s"), WorkspaceId.of("t"), "shop", new JobKind.Service(1))
                 .payload(payload)
                 .build();
         WorkerCommand start = new WorkerCommand.Start(FENCE, sequence, spec.task(0), 1, spec, TIMEOUT_MS);
--- a/standin/src/test/java/org/acaciafold/standin/WorkerAgentTest.java
+++ b/standin/src/test/java/org/acaciafold/standin/WorkerAgentTest.java
@@ -11,8 +11,8 @@
 import org.acaciafold.core.model.JobSpec;
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.core.model.TaskId;
-import org.acaciafold.core.model.TeamId;
 import org.acaciafold.core.model.WorkerId;
+import org.acaciafold.core.model.WorkspaceId;
 import org.acaciafold.core.port.EndReason;
 import org.acaciafold.core.port.StopMode;
 import org.acaciafold.core.port.WorkerCommand;
@@ -174,10 +174,10 @@
     }
 
     @Test
-    void shouldRefuseRequestWhenReplicaIsOfOtherTeam() {
+    void shouldRefuseRequestWhenReplicaIsOfOtherWorkspace() {
         long sequence = claim(OLD, A, 0, 0);
         start(OLD, sequence, service(), 1, 0);
-        LiveCall call = new LiveCall("r", TeamId.of("other"), "shop", OLD, sequence, "");
+        LiveCall call = new LiveCall("r", WorkspaceId.of("other"), "shop", OLD, sequence, "");
         assertRejected("no-replica", agent.begin(call, 1));
     }
 
@@ -198,7 +198,7 @@
     }
 
     private Admission request(long sequence, long nowMs) {
-        return agent.begin(new LiveCall("r", TeamId.of("t"), "shop", OLD, sequence, ""), nowMs);
+        return agent.begin(new LiveCall("r", WorkspaceId.of("t"), "shop", OLD, sequence, ""), nowMs);
     }
 
     private static void assertRefused(String code, WorkerReply reply) {
@@ -215,19 +215,19 @@
     }
 
     private static JobSpec big(String name) {
-        return JobSpec.builder(JobId.of(name), TeamId.of("t"), name, new JobKind.Gang(1))
+        return JobSpec.builder(JobId.of(name), WorkspaceId.of("t"), name, new JobKind.Gang(1))
                 .demand(Resources.of(3_000, 64, 0))
                 .payload("run=90")
                 .build();
     }
 
     private static JobSpec service() {
-        return JobSpec.builder(JobId.of("s"), TeamId.of("t"), "shop", new JobKind.Service(1))
+        return JobSpec.builder(JobId.of("s"), WorkspaceId.of("t"), "shop", new JobKind.Service(1))
                 .build();
     }
 
     private static JobSpec spec(String name, String payload) {
-        return JobSpec.builder(JobId.of(name), TeamId.of("t"), name, new JobKind.Gang(1))
+        return JobSpec.builder(JobId.of(name), WorkspaceId.of("t"), name, new JobKind.Gang(1))
                 .payload(payload)
                 .build();
     }
--- a/wire/src/main/java/org/acaciafold/wire/RelayHead.java
+++ b/wire/src/main/java/org/acaciafold/wire/RelayHead.java
@@ -2,13 +2,13 @@
 
 import java.util.List;
 
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 
 /**
  * What an entry host tells the owner of a slice of a live request.
  *
  * @param requestId the correlation id, which the response repeats
- * @param team the calling team, already authorized
+ * @param workspace the calling workspace, already authorized
  * @param service the service
  * @param method the HTTP method
  * @param path the path after the service, with its query
@@ -19,7 +19,7 @@
  */
 public record RelayHead(
         String requestId,
-        TeamId team,
+        WorkspaceId workspace,
         String service,
         String method,
         String path,
--- a/wire/src/test/java/org/acaciafold/wire/TestRelays.java
+++ b/wire/src/test/java/org/acaciafold/wire/TestRelays.java
@@ -6,7 +6,7 @@
 
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Failure;
-import org.acaciafold.core.model.TeamId;
+import org.acaciafold.core.model.WorkspaceId;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -34,7 +34,7 @@
     }
 
     static RelayHead head(String id, long deadlineMs) {
-        return new RelayHead(id, TeamId.of("north"), "catalogue", "POST", "/", List.of(), deadlineMs, "", false);
+        return new RelayHead(id, WorkspaceId.of("north"), "catalogue", "POST", "/", List.of(), deadlineMs, "", false);
     }
 
     static Mono<String> relay(PeerTransport transport, String address, String id, String body) {
