A host whose store does not answer refuses at once; heartbeats every 150 ms, silence noticed after 380 ms

Change: after 400 ms without any answer (more in a slow store) a new job is refused with 503 before anything is sent, and one whose write is unanswered gets 504 as soon as the write is given up. EntryHostTest.shouldRefuseAtOnceWhenTheStoreHasStoppedToAnswer. Change: shorter heartbeats; a leader without answers hands over after 450 ms. Not measured yet.

--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -92,6 +92,10 @@
             log(request, id, BAD_REQUEST, "body cannot be read");
             return Mono.just(ConsumerReply.of(BAD_REQUEST));
         }
+        if (host.store().silent()) {
+            log(request, id, UNAVAILABLE, "store does not answer, nothing was sent to it");
+            return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+        }
         return record(request, job.get(), Records.encode(job.get(), Job.class));
     }
 
@@ -111,7 +115,8 @@
 
     /** Repeats a write whose outcome is unknown, so that the consumer is told only what is certain. */
     private Mono<ConsumerReply> again(ConsumerRequest request, Job job, byte[] value) {
-        if (host.loop().nowMs() + ANSWER_MARGIN_MS >= request.deadlineMs()) {
+        boolean tooLate = host.loop().nowMs() + ANSWER_MARGIN_MS >= request.deadlineMs();
+        if (tooLate || host.store().silent()) {
             log(request, job.id(), GATEWAY_TIMEOUT, "outcome of the write unknown");
             return Mono.just(ConsumerReply.of(GATEWAY_TIMEOUT));
         }
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -19,10 +19,13 @@
 final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     private static final long POLL_MS = 100;
-    private static final long BEAT_MS = 250;
+    private static final long BEAT_MS = 150;
 
     /** Without a heartbeat for this long a follower looks at the lease in the store. */
-    private static final long LEADER_SILENT_MS = 600;
+    private static final long LEADER_SILENT_MS = 380;
+
+    /** States are told without the store when the leader was heard of within this time. */
+    private static final long IN_TOUCH_MS = 600;
 
     /** What drifting clocks may add to a lease; they are two percent apart at most. */
     private static final long CHALLENGE_MARGIN_MS = 120;
@@ -31,7 +34,7 @@
     private static final long SETTLE_MS = 1_100;
 
     /** A leader that hears nothing from the store for this long looks for a host that reaches the store. */
-    private static final long HAND_OVER_AFTER_MS = 700;
+    private static final long HAND_OVER_AFTER_MS = 450;
 
     /** Counts of waiting jobs may be two seconds old, by the contract with consumers. */
     private static final long MAX_COUNT_AGE_MS = 1_500;
@@ -72,7 +75,7 @@
 
     /** Tells whether states and counts from the leader are no older than a few heartbeats. */
     boolean inTouchWithLeader() {
-        return leads() && term.running() || !leads() && silentMs() < LEADER_SILENT_MS && seenSequence >= 0;
+        return leads() && term.running() || !leads() && silentMs() < IN_TOUCH_MS && seenSequence >= 0;
     }
 
     boolean leads() {
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,15 +40,18 @@
     /** A wait lasts this multiple of what answers took of late, so that a slow store is not asked over and over. */
     private static final double TIMEOUT_FACTOR = 2.5;
 
+    /** Without any answer for this long, forty times the usual, the store may be out of reach. */
+    private static final long SILENT_MS = 400;
+
+    /** The same in a slow store, in multiples of what answers took of late. */
+    private static final double SILENT_FACTOR = 2;
+
     /** What is assumed of a store that did not answer: half as long a wait again next time. */
     private static final double UNANSWERED_MS = 600;
 
     /** Reads at a time when a term begins; opening a connection costs a new process more than waiting for another. */
     private static final int LOAD_CONCURRENCY = 3;
 
-    /** Consumers wait for three seconds; a slow store with a queue needs most of it. */
-    private static final long CREATE_TIMEOUT_MS = 2_200;
-
     private final RowStore rows;
     private final Loop loop;
     private final HostMetrics metrics;
@@ -55,6 +59,10 @@
     private long answeredAtMs = Long.MIN_VALUE / 2;
     private long failedAtMs = Long.MIN_VALUE / 2;
     private double recentMs;
+    /** When each call that is not answered yet was sent, the oldest first; calls that wait for changes do not count. */
+    private final Map<Long, Long> open = new LinkedHashMap<>();
+
+    private long lastCall;
 
     StoreAccess(RowStore rows, Loop loop, HostMetrics metrics) {
         this.rows = rows;
@@ -70,6 +78,14 @@
         return failedAtMs;
     }
 
+    /** Tells whether calls have got no answer for much longer than answers took of late. */
+    boolean silent() {
+        long limitMs = Math.max(SILENT_MS, Math.round(SILENT_FACTOR * recentMs));
+        long oldestMs =
+                open.isEmpty() ? 0 : loop.nowMs() - open.values().iterator().next();
+        return Math.min(oldestMs, loop.nowMs() - answeredAtMs) > limitMs;
+    }
+
     Mono<RowChanges> changes(String table, long after, long waitMs) {
         return rows.changes(table, after, waitMs)
                 .doOnNext(changes -> answered())
@@ -81,12 +97,12 @@
     }
 
     Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
-        long sentAtMs = loop.nowMs();
-        return rows.commit(transaction, timeoutMs).doOnNext(reply -> {
-            long tookMs = loop.nowMs() - sentAtMs;
-            took(!(reply instanceof TxReply.Unknown), tookMs);
-            metrics.storeCall("transaction", reply.getClass().getSimpleName(), tookMs);
-            observe(reply);
+        return Mono.defer(() -> {
+            long sentAtMs = loop.nowMs();
+            long call = begin();
+            return rows.commit(transaction, timeoutMs)
+                    .doFinally(signal -> open.remove(call))
+                    .doOnNext(reply -> committed(reply, loop.nowMs() - sentAtMs));
         });
     }
 
@@ -153,6 +169,12 @@
                 });
     }
 
+    private long begin() {
+        long call = lastCall++;
+        open.put(call, loop.nowMs());
+        return call;
+    }
+
     /** Notes how long an answer took; one that did not come may have needed a little longer. */
     private void took(boolean answered, long elapsedMs) {
         recentMs = answered ? (recentMs + elapsedMs) / 2 : Math.max(recentMs, UNANSWERED_MS);
@@ -176,6 +198,12 @@
         failedAtMs = loop.nowMs();
     }
 
+    private void committed(TxReply reply, long tookMs) {
+        took(!(reply instanceof TxReply.Unknown), tookMs);
+        metrics.storeCall("transaction", reply.getClass().getSimpleName(), tookMs);
+        observe(reply);
+    }
+
     private void observe(TxReply reply) {
         switch (reply) {
             case TxReply.Applied ignored -> answered();
@@ -186,18 +214,22 @@
     }
 
     private Mono<RowPage> page(String table, String partition, String from, Optional<String> to, int limit) {
-        long sentAtMs = loop.nowMs();
-        return rows.read(table, partition, from, to, limit, timeoutMs())
-                .doOnNext(page -> {
-                    took(true, loop.nowMs() - sentAtMs);
-                    metrics.storeCall("read", "answered", loop.nowMs() - sentAtMs);
-                    answered();
-                })
-                .doOnError(error -> {
-                    took(false, loop.nowMs() - sentAtMs);
-                    metrics.storeCall("read", "failed", loop.nowMs() - sentAtMs);
-                    failed("read of " + table, error.getMessage());
-                });
+        return Mono.defer(() -> {
+            long sentAtMs = loop.nowMs();
+            long call = begin();
+            return rows.read(table, partition, from, to, limit, timeoutMs())
+                    .doFinally(signal -> open.remove(call))
+                    .doOnNext(page -> {
+                        took(true, loop.nowMs() - sentAtMs);
+                        metrics.storeCall("read", "answered", loop.nowMs() - sentAtMs);
+                        answered();
+                    })
+                    .doOnError(error -> {
+                        took(false, loop.nowMs() - sentAtMs);
+                        metrics.storeCall("read", "failed", loop.nowMs() - sentAtMs);
+                        failed("read of " + table, error.getMessage());
+                    });
+        });
     }
 
     private Mono<RowPage> readFrom(
--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -14,11 +14,19 @@
 import reactor.netty.resources.LoopResources;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Whole hosts over an emulated platform. */
 class EntryHostTest {
     private static final Duration LIMIT = Duration.ofSeconds(20);
     private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    /** What a consumer waits when it does not say. */
+    private static final long CONSUMER_DEADLINE_MS = 3_000;
+
     private static final int TASKS = 3;
     private static final long SHORT_TASK_MS = 50;
     private static final long LONG_TASK_MS = 60_000;
@@ -89,6 +97,22 @@
         await("the end", only.state("j1"), "completed");
     }
 
+    @Test
+    void shouldRefuseAtOnceWhenTheStoreHasStoppedToAnswer() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        EmulatedConsumer only = host("only");
+        platform.silence(true);
+        assertEquals(GATEWAY_TIMEOUT, only.submit("j1", TASKS).block(LIMIT));
+
+        long beganAtMs = System.nanoTime() / NANOS_PER_MS;
+        assertEquals(UNAVAILABLE, only.submit("j2", TASKS).block(LIMIT));
+        assertTrue(System.nanoTime() / NANOS_PER_MS - beganAtMs < CONSUMER_DEADLINE_MS / 2);
+
+        platform.silence(false);
+        await("the second job's acceptance", only.submit("j2", TASKS), OK);
+        await("its end", only.state("j2"), "completed");
+    }
+
     @Test
     void shouldLeadInTheTermThatItTookWhenTheAnswerWasLost() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
