--- a/entry/src/main/java/org/acaciafold/entry/HostTable.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostTable.java
@@ -16,18 +16,27 @@
     private static final long FORGET_MS = 30_000;
 
     private final Map<String, Host> hosts = new TreeMap<>();
+    /** The addresses of all hosts; empty when it has to be made anew. */
+    private Map<String, String> addresses = Map.of();
 
     void heard(PeerMessage.HostBeat beat, long nowMs) {
-        hosts.put(beat.host(), new Host(beat.address(), nowMs, beat.stopping()));
+        Host before = hosts.put(beat.host(), new Host(beat.address(), nowMs, beat.stopping()));
+        if (before == null || !before.address.equals(beat.address())) {
+            addresses = Map.of();
+        }
     }
 
     /** Adds a host that another one has told of. */
     void told(String host, String address, long nowMs) {
-        hosts.putIfAbsent(host, new Host(address, nowMs - SILENT_MS, false));
+        if (hosts.putIfAbsent(host, new Host(address, nowMs - SILENT_MS, false)) == null) {
+            addresses = Map.of();
+        }
     }
 
     void forgetSilent(long nowMs) {
-        hosts.values().removeIf(host -> nowMs - host.heardAtMs > FORGET_MS);
+        if (hosts.values().removeIf(host -> nowMs - host.heardAtMs > FORGET_MS)) {
+            addresses = Map.of();
+        }
     }
 
     Optional<String> address(String host) {
@@ -35,8 +44,11 @@
     }
 
     Map<String, String> addresses() {
-        Map<String, String> addresses = new HashMap<>();
-        hosts.forEach((name, host) -> addresses.put(name, host.address));
+        if (addresses.isEmpty()) {
+            Map<String, String> all = new HashMap<>();
+            hosts.forEach((name, host) -> all.put(name, host.address));
+            addresses = Map.copyOf(all);
+        }
         return addresses;
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -8,7 +8,6 @@
 import java.util.function.Consumer;
 
 import org.acaciafold.core.model.AcaciafoldException;
-import org.acaciafold.fleet.AdviceTerms;
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.FleetSummary;
 import org.acaciafold.fleet.Job;
@@ -233,14 +232,7 @@
     }
 
     private void advise(Effect.Advise advise) {
-        AdviceTerms advice = host.config()
-                .config()
-                .flatMap(config -> config.routes().stream()
-                        .map(route -> route.advice())
-                        .flatMap(Optional::stream)
-                        .max((a, b) -> Double.compare(a.decideMs(), b.decideMs())))
-                .orElse(new AdviceTerms(0, 0, 0));
-        long timeoutMs = advice.callMs(advise.workers().size()) + ADVICE_GRACE_MS;
+        long timeoutMs = advise.expectedMs() + ADVICE_GRACE_MS;
         long epoch = lease.record().epoch();
         if (advise.host().equals(host.name())) {
             host.advise(
--- a/fleet/src/main/java/org/acaciafold/fleet/Effect.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/Effect.java
@@ -90,8 +90,9 @@
      * @param host the entry host that makes the call
      * @param step the step
      * @param workers the workers to ask about
+     * @param expectedMs how long the call takes by the queue's terms
      */
-    record Advise(String host, StepName step, List<String> workers) implements Effect {}
+    record Advise(String host, StepName step, List<String> workers, long expectedMs) implements Effect {}
 
     /**
      * Tells all entry hosts of states that have changed.
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
@@ -66,7 +66,7 @@
                 long giveUpAtMs = tables.nowMs + callMs + GRACE_MS;
                 calls.put(step.name(), new Call(step, host.get(), want.getValue(), callMs, giveUpAtMs));
                 step.adviceAsked = true;
-                effects.add(new Effect.Advise(host.get(), step.name(), want.getValue()));
+                effects.add(new Effect.Advise(host.get(), step.name(), want.getValue(), callMs));
             }
         }
         wanted.clear();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
-import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.HoldView;
 import org.acaciafold.fleet.RunEnd;
@@ -151,8 +150,7 @@
         }
         if (second) {
             LOG.error("second run task={} run={} worker={}", task.name, view.run(), worker.id);
-            worker.add(run);
-            tables.usedByWorkspace.merge(task.step.job.job.workspace(), run.resources, Resources::plus);
+            tables.occupy(run);
         } else {
             tables.begin(run);
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -64,6 +64,11 @@
 
     void begin(RunRow run) {
         run.task.begin(run);
+        occupy(run);
+    }
+
+    /** Counts a run against its worker and its workspace, also when it is not the run of its task. */
+    void occupy(RunRow run) {
         run.worker.add(run);
         String workspace = run.task.step.job.job.workspace();
         usedByWorkspace.merge(workspace, run.resources, Resources::plus);
