--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -113,6 +113,21 @@
         await("its end", only.state("j2"), "completed");
     }
 
+    @Test
+    void shouldNeverRunAJobThatItRefused() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        EmulatedConsumer only = host("only");
+        platform.silence(true);
+        only.submit("unknown", TASKS).block(LIMIT);
+        assertEquals(UNAVAILABLE, only.submit("refused", TASKS).block(LIMIT));
+
+        platform.silence(false);
+        await("a later job's acceptance", only.submit("later", TASKS), OK);
+        await("its end", only.state("later"), "completed");
+
+        assertEquals("", only.state("refused").block(LIMIT));
+    }
+
     @Test
     void shouldLeadInTheTermThatItTookWhenTheAnswerWasLost() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/EligibilityTest.java
@@ -0,0 +1,84 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.List;
+import java.util.Set;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.WorkerEntry;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.BORN_MS;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Which workers may get a task at all: by service, label, failure domain, state and the bound for one worker. */
+class EligibilityTest {
+    private static WorkerEntry worker(String service, String label, String domain, boolean draining) {
+        return new WorkerEntry(
+                "a",
+                "a:1",
+                domain,
+                service,
+                Resources.of(10_000, 100_000, 0),
+                Set.of(label, "r1"),
+                "r1",
+                draining,
+                BORN_MS);
+    }
+
+    private static int starts(WorkerEntry worker, Set<String> evacuated) {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker);
+        fixture.scheduler.configure(SchedulerFixture.config(Resources.empty()), evacuated);
+        fixture.scheduler.accept(fixture.job("job", step(1, 500).label("fast").build()));
+        return fixture.starts().size();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "catalogue, fast, east, false, 1",
+        "billing, fast, east, false, 0",
+        "catalogue, slow, east, false, 0",
+        "catalogue, fast, west, false, 0",
+        "catalogue, fast, east, true, 0"
+    })
+    void shouldStartOnlyWhereServiceLabelDomainAndStateAllow(
+            String service, String label, String domain, boolean draining, int starts) {
+        assertEquals(starts, starts(worker(service, label, domain, draining), Set.of("west")));
+    }
+
+    @Test
+    void shouldOrderNothingWhenTheDomainIsEvacuatedAfterTheClaim() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("catalogue", "fast", "east", false));
+        fixture.scheduler.accept(fixture.job("job", step(1, 500).build()));
+        fixture.tick();
+
+        fixture.scheduler.configure(SchedulerFixture.config(Resources.empty()), Set.of("east"));
+
+        assertEquals(List.of(), fixture.starts());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 4", "1, 1", "3, 3"})
+    void shouldKeepTheBoundOfTasksOnOneWorker(int maxPerWorker, int starts) {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("catalogue", "fast", "east", false));
+        fixture.scheduler.accept(
+                fixture.job("job", step(4, 500).maxPerWorker(maxPerWorker).build()));
+
+        assertEquals(starts, fixture.startsConfirmed().size());
+        List<Effect.Start> more = fixture.starts();
+        assertEquals(0, more.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 4", "1000, 2", "1700, 3"})
+    void shouldStayWithinTheWorkspacesLimit(long limitCpuMillis, int starts) {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("catalogue", "fast", "east", false));
+        fixture.scheduler.configure(SchedulerFixture.config(Resources.of(limitCpuMillis, 0, 0)), Set.of());
+        fixture.scheduler.accept(fixture.job("job", step(4, 500).build()));
+
+        assertEquals(starts, fixture.startsConfirmed().size());
+    }
+}
