Removals count against the store's bound of entries in a transaction, too

Found by reading: a batch with many claims and the removals of needless progress together could hold more than the 100 entries that the store takes; it would have been refused and sent again for ever, and the leader would have lost its lease. TermStoreTest fails without the change (112, 151, 252 entries); the emulated store refuses such transactions, too.

--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -120,11 +120,13 @@
 
     private static void write(
             LeaseKeeper lease, List<Transaction.Write> writes, List<Transaction.Removal> removals, Runnable then) {
-        int first = Math.min(ROWS_PER_TRANSACTION, writes.size());
-        List<Transaction.Write> rest = writes.subList(first, writes.size());
-        List<Transaction.Removal> now = rest.isEmpty() ? removals : List.of();
-        Runnable next = rest.isEmpty() ? then : () -> write(lease, rest, removals, then);
-        lease.commit(writes.subList(0, first), now, next);
+        int written = Math.min(ROWS_PER_TRANSACTION, writes.size());
+        int removed = Math.min(ROWS_PER_TRANSACTION - written, removals.size());
+        List<Transaction.Write> writesLeft = writes.subList(written, writes.size());
+        List<Transaction.Removal> removalsLeft = removals.subList(removed, removals.size());
+        boolean last = writesLeft.isEmpty() && removalsLeft.isEmpty();
+        Runnable next = last ? then : () -> write(lease, writesLeft, removalsLeft, then);
+        lease.commit(writes.subList(0, written), removals.subList(0, removed), next);
     }
 
     private static Loaded loaded(RowPage jobs, RowPage cancellations, RowPage progress, RowPage workers, long nowMs) {
