Read-through: only new jobs are measured; listeners of two tests are made in one place

One that had ended before that was taken up by JobTimes anew and kept until the end of the term; the scheduler's answer whether a job is new decides now.

--- a/daemon/src/test/java/org/acaciafold/daemon/HttpListenerTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/HttpListenerTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.wire.Addresses;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
@@ -28,10 +29,7 @@
 
     @Test
     void shouldHaveClosedIdleConnectionsWhenStopReturns() throws Exception {
-        HttpListener listener = HttpListener.bind(
-                "test",
-                "127.0.0.1:0",
-                routes -> routes.get("/healthz", (request, response) -> response.sendString(Mono.just("fine"))));
+        HttpListener listener = listen();
         InetSocketAddress address = Addresses.parse(listener.address());
         try (Socket idle = new Socket(address.getAddress(), address.getPort())) {
             idle.setSoTimeout(Math.toIntExact(LIMIT.toMillis()));
@@ -45,10 +43,7 @@
 
     @Test
     void shouldAnswerNothingMoreWhenItStopsAmidRequests() throws Exception {
-        HttpListener listener = HttpListener.bind(
-                "test",
-                "127.0.0.1:0",
-                routes -> routes.get("/healthz", (request, response) -> response.sendString(Mono.just("fine"))));
+        HttpListener listener = listen();
         InetSocketAddress address = Addresses.parse(listener.address());
         CountDownLatch busy = new CountDownLatch(CONNECTIONS);
         CountDownLatch stopped = new CountDownLatch(1);
@@ -67,6 +62,13 @@
         }
     }
 
+    private static HttpListener listen() throws AcaciafoldException {
+        return HttpListener.bind(
+                "test",
+                "127.0.0.1:0",
+                routes -> routes.get("/healthz", (request, response) -> response.sendString(Mono.just("fine"))));
+    }
+
     /** Sends requests on one connection until the listener has stopped, and returns what one more is answered. */
     private static String answerAfterStop(InetSocketAddress address, CountDownLatch busy, CountDownLatch stopped) {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -107,8 +107,8 @@
     void accept(List<Job> jobs) {
         if (running()) {
             advance();
-            jobs.forEach(scheduler::accept);
-            jobs.forEach(times::accepted);
+            // the sweep hands in every job again; one that has ended meanwhile must not be measured anew
+            jobs.stream().filter(scheduler::accept).forEach(times::accepted);
             wake();
         }
     }
--- a/entry/src/test/java/org/acaciafold/entry/ConsumerServerTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/ConsumerServerTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
+import org.acaciafold.core.model.AcaciafoldException;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
 
@@ -25,12 +26,7 @@
     @Test
     void shouldCloseAConnectionAfterItsAnswerWhenTheHostIsLeaving() throws Exception {
         int port = freePort();
-        ConsumerServer server = ConsumerServer.listen(
-                "127.0.0.1:" + port,
-                loop,
-                request -> Mono.just(ConsumerReply.of(200)),
-                new HostMetrics(),
-                () -> leaving);
+        ConsumerServer server = listen(port);
         try (Socket open = new Socket("127.0.0.1", port)) {
             open.setSoTimeout(LIMIT_MS);
             assertTrue(answer(open).contains("200"));
@@ -47,12 +43,7 @@
     @Test
     void shouldHaveClosedIdleConnectionsWhenCloseReturns() throws Exception {
         int port = freePort();
-        ConsumerServer server = ConsumerServer.listen(
-                "127.0.0.1:" + port,
-                loop,
-                request -> Mono.just(ConsumerReply.of(200)),
-                new HostMetrics(),
-                () -> leaving);
+        ConsumerServer server = listen(port);
         try (Socket idle = new Socket("127.0.0.1", port)) {
             idle.setSoTimeout(LIMIT_MS);
             assertTrue(answer(idle).contains("200"));
@@ -63,6 +54,15 @@
         }
     }
 
+    private ConsumerServer listen(int port) throws AcaciafoldException {
+        return ConsumerServer.listen(
+                "127.0.0.1:" + port,
+                loop,
+                request -> Mono.just(ConsumerReply.of(200)),
+                new HostMetrics(),
+                () -> leaving);
+    }
+
     private static String answer(Socket socket) throws IOException {
         try {
             socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
