The known red HostApiTest is traced and mended: an answer written outside its event loop could leave a later request unread

Cause: in Reactor Netty 1.3.7, when an answer is written from another thread than the connection's event loop and that thread is preempted between its write and the end of the answer, the caller's next request arrives while the old one is not yet noted as ended. It is buffered as if it were pipelined; when its own answer is then written at once on the event loop, the rest of the queue is not drained and the request after it waits until the connection closes (trace of the server: 'Buffering keep-alive request', 'Draining next pipelined HTTP request, queued: 1', then nothing for 20 s). Ruled out: the state machine, the table's calls and the client's connection; the request reached the server. Change: answers are written on the event loop of their connection, in HttpAnswers and for streamed answers.

--- a/daemon/src/main/java/org/acaciafold/daemon/HttpAnswers.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/HttpAnswers.java
@@ -2,12 +2,15 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.buffer.Unpooled;
 import org.acaciafold.core.codec.Codec;
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Outcome;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.server.HttpServerResponse;
 
 /** Writes JSON answers and typed errors. */
@@ -58,11 +61,28 @@
         return bytes(response, status, contentType, text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Writes an answer on the event loop of its connection.
+     *
+     * <p>Reactor Netty 1.3.7 hands the next request on before it has noted the end of an answer that another thread
+     * writes, and then may leave the one after it unread.
+     *
+     * @param response the response
+     * @param answer writes it when it is subscribed to
+     * @return completes when it is written
+     */
+    public static Mono<Void> onEventLoop(HttpServerResponse response, Mono<Void> answer) {
+        AtomicReference<Executor> loop = new AtomicReference<>();
+        response.withConnection(connection -> loop.set(connection.channel().eventLoop()));
+        return answer.subscribeOn(Schedulers.fromExecutor(loop.get()));
+    }
+
     private static Mono<Void> bytes(HttpServerResponse response, int status, String contentType, byte[] body) {
-        return response.status(status)
+        Mono<Void> answer = response.status(status)
                 .header("Content-Type", contentType)
                 .header("Content-Length", Integer.toString(body.length))
                 .sendObject(Unpooled.wrappedBuffer(body))
                 .then();
+        return onEventLoop(response, answer);
     }
 }
--- a/daemon/src/main/java/org/acaciafold/daemon/request/CallerRequests.java
+++ b/daemon/src/main/java/org/acaciafold/daemon/request/CallerRequests.java
@@ -164,10 +164,12 @@
         response.header(HttpAnswers.OUTCOME_HEADER, HttpAnswers.outcome(Outcome.RAN));
         OptionalLong length = LiveHeaders.length(answered.head().headers());
         if (length.isPresent() && length.getAsLong() == 0) {
-            return answered.body().then(Mono.defer(response::send));
+            Mono<Void> empty = Mono.defer(response::send);
+            return answered.body().then(HttpAnswers.onEventLoop(response, empty));
         }
-        return response.send(answered.body().map(Unpooled::wrappedBuffer), part -> true)
+        Mono<Void> whole = response.send(answered.body().map(Unpooled::wrappedBuffer), part -> true)
                 .then();
+        return HttpAnswers.onEventLoop(response, whole);
     }
 
     private static long deadlineMs(String text) throws AcaciafoldException {
--- a/daemon/src/test/java/org/acaciafold/daemon/HttpListenerTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/HttpListenerTest.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,11 +13,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.wire.Addresses;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.server.HttpServerResponse;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -25,6 +29,8 @@
 class HttpListenerTest {
     private static final Duration LIMIT = Duration.ofSeconds(5);
     private static final int CONNECTIONS = 50;
+    private static final int REQUESTS = 400;
+    private static final String ELSEWHERE = "GET /elsewhere HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final String REQUEST = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
 
     @Test
@@ -62,11 +68,52 @@
         }
     }
 
+    /** An answer written outside the connection's event loop may leave the request after the next one unread. */
+    @Test
+    void shouldAnswerEachRequestWhenTheAnswersComeFromOtherThreads() throws Exception {
+        HttpListener listener = listen();
+        InetSocketAddress address = Addresses.parse(listener.address());
+        AtomicBoolean done = new AtomicBoolean();
+        // preempt the answering threads between the write and what follows it
+        for (int thread = 0; thread < 2 * Runtime.getRuntime().availableProcessors(); thread++) {
+            Thread.ofPlatform().daemon().start(() -> spin(done));
+        }
+        List<CompletableFuture<Integer>> answered = new ArrayList<>();
+        for (int connection = 0; connection < CONNECTIONS; connection++) {
+            answered.add(
+                    CompletableFuture.supplyAsync(() -> answered(address), command -> new Thread(command).start()));
+        }
+
+        try {
+            for (CompletableFuture<Integer> count : answered) {
+                assertEquals(REQUESTS, count.get());
+            }
+        } finally {
+            done.set(true);
+            listener.stop(LIMIT);
+        }
+    }
+
+    private static Mono<Void> fine(HttpServerResponse response) {
+        return HttpAnswers.text(response, 200, "text/plain", "fine");
+    }
+
+    private static void spin(AtomicBoolean done) {
+        while (!done.get()) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static HttpListener listen() throws AcaciafoldException {
         return HttpListener.bind(
                 "test",
                 "127.0.0.1:0",
-                routes -> routes.get("/healthz", (request, response) -> response.sendString(Mono.just("fine"))));
+                routes -> routes.get("/healthz", (request, response) -> fine(response))
+                        .get(
+                                "/elsewhere",
+                                (request, response) -> Mono.just(response)
+                                        .publishOn(Schedulers.parallel())
+                                        .flatMap(HttpListenerTest::fine)));
     }
 
     /** Sends requests on one connection until the listener has stopped, and returns what one more is answered. */
@@ -88,10 +135,31 @@
         }
     }
 
+    /** Sends requests one after the other on one connection and counts those that are answered before the first is not. */
+    private static int answered(InetSocketAddress address) {
+        int count = 0;
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(Math.toIntExact(LIMIT.toMillis()));
+            while (count < REQUESTS
+                    && answer(socket, count % 2 == 0 ? ELSEWHERE : REQUEST).contains("200")) {
+                count++;
+            }
+        } catch (SocketTimeoutException e) {
+            return count;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return count;
+    }
+
     /** Sends a request and returns what is answered, empty when the connection is closed. */
     private static String answer(Socket socket) throws IOException {
+        return answer(socket, REQUEST);
+    }
+
+    private static String answer(Socket socket, String request) throws IOException {
         try {
-            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
             byte[] buffer = new byte[4_096];
             int read = in.read(buffer);
