--- a/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
@@ -30,6 +30,8 @@
     private static final String DEADLINE = "deadline-ms";
     private static final long DEFAULT_DEADLINE_MS = 3_000;
     private static final int INTERNAL_ERROR = 500;
+    private static final String JSON = "application/json";
+    private static final String PROMETHEUS_TEXT = "text/plain; version=0.0.4";
     private static final byte[] NO_BODY = new byte[0];
 
     private final DisposableServer server;
@@ -75,7 +77,8 @@
                                 LOG.error("request failed method={} uri={}", request.method(), request.uri(), error);
                                 return Mono.just(ConsumerReply.of(INTERNAL_ERROR));
                             })
-                            .flatMap(reply -> send(response, reply, leaving.getAsBoolean()))
+                            .flatMap(reply ->
+                                    leaving.getAsBoolean() ? sendLast(response, reply) : send(response, reply, JSON))
                             .doFinally(signal -> {
                                 inProgress.decrementAndGet();
                                 metrics.request(
@@ -92,9 +95,9 @@
         DisposableServer server =
                 bind(address, loop, connections, HttpServer.create().handle((request, response) -> {
                     boolean metrics = request.uri().startsWith("/metrics");
-                    ConsumerReply reply =
-                            metrics ? ConsumerReply.ok(readiness.metrics()) : ConsumerReply.of(readiness.status());
-                    return send(response, reply, false);
+                    return metrics
+                            ? send(response, ConsumerReply.ok(readiness.metrics()), PROMETHEUS_TEXT)
+                            : send(response, ConsumerReply.of(readiness.status()), JSON);
                 }));
         return new ConsumerServer(server, connections, new AtomicInteger());
     }
@@ -148,19 +151,20 @@
         }
     }
 
-    private static Mono<Void> send(HttpServerResponse response, ConsumerReply reply, boolean last) {
+    private static Mono<Void> sendLast(HttpServerResponse response, ConsumerReply reply) {
+        return send(response.keepAlive(false), reply, JSON);
+    }
+
+    private static Mono<Void> send(HttpServerResponse response, ConsumerReply reply, String contentType) {
         response.status(reply.status());
         if (reply.retryAfterS() > 0) {
             response.header(HttpHeaderNames.RETRY_AFTER, Integer.toString(reply.retryAfterS()));
         }
-        if (last) {
-            response.keepAlive(false);
-        }
         response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(reply.body().length));
         if (reply.body().length == 0) {
             return response.send().then();
         }
-        response.header(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        response.header(HttpHeaderNames.CONTENT_TYPE, contentType);
         return response.sendByteArray(Mono.just(reply.body())).then();
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -59,16 +59,12 @@
         }
         Optional<Route> route = config.get().route(request.host(), request.path());
         if (route.isEmpty()) {
-            log(request, "", NOT_FOUND, "no route in version " + config.get().version());
+            log(request, "", NOT_FOUND, "no route");
             return Mono.just(ConsumerReply.of(NOT_FOUND));
         }
         Optional<Workspace> workspace = config.get().workspaceOf(JobBodies.key(request.authorization()));
         if (workspace.isEmpty() && !route.get().open()) {
-            log(
-                    request,
-                    "",
-                    UNAUTHORIZED,
-                    "unknown key in version " + config.get().version());
+            log(request, "", UNAUTHORIZED, "unknown key");
             return Mono.just(ConsumerReply.of(UNAUTHORIZED));
         }
         String id = request.path().substring(route.get().pathPrefix().length());
@@ -96,19 +92,17 @@
             log(request, id, UNAVAILABLE, "store does not answer, nothing was sent to it");
             return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
         }
-        return record(request, job.get(), Records.encode(job.get(), Job.class));
+        return record(request, job.get(), Records.encode(job.get(), Job.class), true);
     }
 
-    private Mono<ConsumerReply> record(ConsumerRequest request, Job job, byte[] value) {
+    /** Writes a job; once a first write may still be applied, a second one that is not done proves nothing. */
+    private Mono<ConsumerReply> record(ConsumerRequest request, Job job, byte[] value, boolean first) {
         return host.store()
                 .create(Records.JOBS, Records.partitionOf(job.id()), job.id(), value)
                 .flatMap(creation -> switch (creation) {
                     case CREATED -> Mono.just(accepted(request, job));
                     case EXISTED -> Mono.just(existed(request, job.id()));
-                    case NOT_DONE -> {
-                        log(request, job.id(), UNAVAILABLE, "store does not take writes");
-                        yield Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
-                    }
+                    case NOT_DONE -> first ? notTaken(request, job) : again(request, job, value);
                     case UNKNOWN -> again(request, job, value);
                 });
     }
@@ -120,18 +114,12 @@
             log(request, job.id(), GATEWAY_TIMEOUT, "outcome of the write unknown");
             return Mono.just(ConsumerReply.of(GATEWAY_TIMEOUT));
         }
-        return host.loop().delay(UNKNOWN_RETRY_MS).then(Mono.defer(() -> resolve(request, job, value)));
+        return host.loop().delay(UNKNOWN_RETRY_MS).then(Mono.defer(() -> record(request, job, value, false)));
     }
 
-    private Mono<ConsumerReply> resolve(ConsumerRequest request, Job job, byte[] value) {
-        return host.store()
-                .create(Records.JOBS, Records.partitionOf(job.id()), job.id(), value)
-                .flatMap(creation -> switch (creation) {
-                    case CREATED -> Mono.just(accepted(request, job));
-                    case EXISTED -> Mono.just(existed(request, job.id()));
-                    // the first write may still be applied, so this is no proof that the job was not taken
-                    case NOT_DONE, UNKNOWN -> again(request, job, value);
-                });
+    private Mono<ConsumerReply> notTaken(ConsumerRequest request, Job job) {
+        log(request, job.id(), UNAVAILABLE, "store does not take writes");
+        return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
     }
 
     private ConsumerReply accepted(ConsumerRequest request, Job job) {
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -113,7 +113,7 @@
         SchedulerTerms terms = new SchedulerTerms(
                 settings.bounds().leaseMaxMs() - LEASE_RESERVE_MS,
                 settings.bounds().stopMs());
-        leadership = new Leadership(context, settings.peers(), loop.wallMs(), terms, directory);
+        leadership = new Leadership(context, settings, loop.wallMs(), terms, directory);
         Consumers answers =
                 new Consumers(context, leadership, directory, settings.bounds().configApplyMs());
         consumers = ConsumerServer.listen(settings.consumers(), loop, answers::answer, metrics, () -> stopping);
--- a/entry/src/main/java/org/acaciafold/entry/HostTable.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostTable.java
@@ -20,7 +20,7 @@
     private Map<String, String> addresses = Map.of();
 
     void heard(PeerMessage.HostBeat beat, long nowMs) {
-        Host before = hosts.put(beat.host(), new Host(beat.address(), nowMs, beat.stopping()));
+        Host before = hosts.put(beat.host(), new Host(beat.address(), beat.processors(), nowMs, beat.stopping()));
         if (before == null || !before.address.equals(beat.address())) {
             addresses = Map.of();
         }
@@ -28,7 +28,7 @@
 
     /** Adds a host that another one has told of. */
     void told(String host, String address, long nowMs) {
-        if (hosts.putIfAbsent(host, new Host(address, nowMs - SILENT_MS, false)) == null) {
+        if (hosts.putIfAbsent(host, new Host(address, 0, nowMs - SILENT_MS, false)) == null) {
             addresses = Map.of();
         }
     }
@@ -62,5 +62,10 @@
         return live;
     }
 
-    private record Host(String address, long heardAtMs, boolean stopping) {}
+    /** Returns how many processors a host has, 0 when it has not said so. */
+    double processors(String host) {
+        return hosts.containsKey(host) ? hosts.get(host).processors : 0;
+    }
+
+    private record Host(String address, double processors, long heardAtMs, boolean stopping) {}
 }
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -6,12 +6,12 @@
 import java.util.OptionalInt;
 
 import org.acaciafold.fleet.FleetSummary;
-import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.leadership.Challenge;
 import org.acaciafold.fleet.scheduling.SchedulerTerms;
 import org.acaciafold.platform.StoredRow;
 import org.acaciafold.platform.Transaction;
 import org.acaciafold.platform.TxReply;
+import org.acaciafold.settings.EntrySettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,6 +36,9 @@
     /** A leader that hears nothing from the store for this long looks for a host that reaches the store. */
     private static final long HAND_OVER_AFTER_MS = 450;
 
+    /** How often a leader looks for a larger host; the first look comes once its term has settled. */
+    private static final long LOOK_FOR_LARGER_MS = 1_000;
+
     /** Counts of waiting jobs may be two seconds old, by the contract with consumers. */
     private static final long MAX_COUNT_AGE_MS = 1_500;
 
@@ -45,6 +48,9 @@
     private final SchedulerTerms terms;
     private final JobDirectory directory;
     private final HostTable hosts = new HostTable();
+    private final double processors;
+    private final Succession succession;
+    private final StoreReach reach;
     private final Challenge challenge = Challenge.of(CHALLENGE_MARGIN_MS, SETTLE_MS);
     /** The lease that this host has last tried to take, until it leads. */
     private LeaseKeeper.Taken asked;
@@ -59,10 +65,14 @@
     private boolean reading;
     private boolean stopping;
     private long lastBeatMs;
+    private long lookedForLargerAtMs;
 
-    Leadership(HostContext host, String address, long life, SchedulerTerms terms, JobDirectory directory) {
+    Leadership(HostContext host, EntrySettings settings, long life, SchedulerTerms terms, JobDirectory directory) {
         this.host = host;
-        this.address = address;
+        this.address = settings.advertisedPeers();
+        this.processors = settings.processors();
+        this.reach = new StoreReach(host, address);
+        this.succession = new Succession(host.name(), processors, hosts);
         this.life = life;
         this.terms = terms;
         this.directory = directory;
@@ -70,7 +80,7 @@
 
     void start() {
         host.loop().every(POLL_MS, this::poll);
-        host.loop().execute(this::readLease);
+        host.loop().execute(() -> readLease(Optional.empty()));
     }
 
     /** Tells whether states and counts from the leader are no older than a few heartbeats. */
@@ -131,7 +141,7 @@
         long epoch = lease.record().epoch();
         LOG.info("leadership released epoch={}", epoch);
         term.end();
-        Optional<String> next = successor();
+        Optional<String> next = succession.successor(host.loop().nowMs());
         lease.release(() -> {
             next.ifPresent(to -> host.bus().send(to, new PeerMessage.Handover(epoch)));
             then.run();
@@ -159,7 +169,11 @@
                     term.advised(from, given);
                 }
             }
-            case PeerMessage.WhoReachesStore asked -> whoReachesStore(asked);
+            case PeerMessage.WhoReachesStore question -> {
+                if (!stopping) {
+                    reach.answer(question);
+                }
+            }
             case PeerMessage.ReachesStore able -> reachesStore(able);
             case PeerMessage.Handover handover -> readLease(Optional.of(handover.epoch()));
         }
@@ -191,10 +205,14 @@
                     term.sequence(),
                     term.running(),
                     term.pending(),
-                    known);
+                    known,
+                    succession.largest(lastBeatMs));
             host.bus().sendAll(hosts.addresses().values(), message);
         } else if (leader != null) {
-            host.bus().send(leader.address(), new PeerMessage.HostBeat(host.name(), address, seenSequence, stopping));
+            host.bus()
+                    .send(
+                            leader.address(),
+                            new PeerMessage.HostBeat(host.name(), address, processors, seenSequence, stopping));
         }
     }
 
@@ -215,6 +233,7 @@
             lose("a newer leader has been heard: " + heard);
         }
         follow(heard);
+        succession.heard(beat.largest());
         leaderHeardAtMs = host.loop().nowMs();
         challenge.heard(beat.leaseVersion(), heard.leaseMs(), leaderHeardAtMs - beat.leaseAgeMs());
         if (beat.running()) {
@@ -251,12 +270,15 @@
         if (leads()) {
             lease.renewWhenDue();
             if (storeSilent()) {
-                PeerMessage question =
-                        new PeerMessage.WhoReachesStore(lease.record().epoch(), address);
-                host.bus().sendAll(hosts.addresses().values(), question);
+                reach.ask(hosts.addresses().values(), lease.record().epoch());
+            } else if (nowMs - lookedForLargerAtMs >= LOOK_FOR_LARGER_MS && term.running()) {
+                lookedForLargerAtMs = nowMs;
+                reach.ask(
+                        succession.larger(nowMs).stream().toList(),
+                        lease.record().epoch());
             }
         } else if (silentMs() > LEADER_SILENT_MS && !stopping) {
-            readLease();
+            readLease(Optional.empty());
         }
         if (nowMs - lastBeatMs >= BEAT_MS) {
             beat();
@@ -264,17 +286,22 @@
     }
 
     private void reachesStore(PeerMessage.ReachesStore able) {
-        if (leads() && lease.record().epoch() == able.epoch() && storeSilent()) {
+        if (!leads() || lease.record().epoch() != able.epoch()) {
+            return;
+        }
+        boolean silent = storeSilent();
+        if (silent
+                || succession
+                        .larger(host.loop().nowMs())
+                        .filter(able.address()::equals)
+                        .isPresent()) {
             long epoch = lease.record().epoch();
-            lose("the store does not answer here; handed over to " + able.address());
+            String reason = silent ? "the store does not answer here" : "a larger host is alive";
+            lose(reason + "; handed over to " + able.address());
             host.bus().send(able.address(), new PeerMessage.Handover(epoch));
         }
     }
 
-    private void readLease() {
-        readLease(Optional.empty());
-    }
-
     /** Reads the lease and takes it when its holder has lost it or has handed over the given term. */
     private void readLease(Optional<Long> handedOver) {
         if (leads() || reading && handedOver.isEmpty() || stopping) {
@@ -315,7 +342,7 @@
             take(holder.epoch() + 1, version, "held by an earlier life of this host");
         } else if (handedOver.isPresent() && handedOver.get() == holder.epoch()) {
             take(holder.epoch() + 1, version, "handed over by " + holder.host());
-        } else if (expired) {
+        } else if (expired && !succession.yields(version, host.loop().nowMs())) {
             take(holder.epoch() + 1, version, "lease of " + holder.host() + " has run out");
         } else {
             follow(holder);
@@ -342,19 +369,9 @@
         return Math.min(answeredMs, lease.unconfirmedMs()) > HAND_OVER_AFTER_MS;
     }
 
-    private Optional<String> successor() {
-        return hosts.live(host.loop().nowMs()).stream()
-                .filter(name -> !name.equals(host.name()))
-                .findFirst()
-                .flatMap(hosts::address);
-    }
-
     private void take(long epoch, long version, String reason) {
         LeaseRecord record = new LeaseRecord(host.name(), address, life, epoch, LeaseKeeper.LEASE_MS, false);
-        Transaction transaction = Transaction.in(Records.SLICE)
-                .require(Records.LEASES, Records.LEASE_KEY, version)
-                .write(Records.LEASES, Records.LEASE_KEY, Records.encode(record, LeaseRecord.class))
-                .build();
+        Transaction transaction = Records.writingLease(record, version).build();
         long sentAtMs = host.loop().nowMs();
         long sentAtWallMs = host.loop().wallMs();
         reading = true;
@@ -374,25 +391,9 @@
         asked = null;
         leader = taken.record();
         lease = new LeaseKeeper(host.store()::commit, host.loop(), taken, this::lose);
-        term = new Term(host, lease, terms, hosts, this::published);
+        term = new Term(host, lease, terms, hosts, directory::update);
+        lookedForLargerAtMs = host.loop().nowMs();
         term.begin();
         beat();
     }
-
-    private void published(Map<String, JobState> states) {
-        directory.update(states);
-    }
-
-    private void whoReachesStore(PeerMessage.WhoReachesStore asked) {
-        if (stopping) {
-            return;
-        }
-        host.store()
-                .readOne(Records.LEASES, Records.SLICE, Records.LEASE_KEY)
-                .subscribe(
-                        row -> host.loop()
-                                .execute(() -> host.bus()
-                                        .send(asked.address(), new PeerMessage.ReachesStore(asked.epoch(), address))),
-                        error -> LOG.info("the store does not answer here either reason={}", error.getMessage()));
-    }
 }
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -141,9 +141,7 @@
 
     private void send(Entry entry) {
         LeaseRecord renewed = record.renewed(lastAnswerMs > SLOW_ANSWER_MS ? SLOW_LEASE_MS : LEASE_MS, releasing);
-        Transaction.Builder transaction = Transaction.in(Records.SLICE);
-        transaction.require(Records.LEASES, Records.LEASE_KEY, version);
-        transaction.write(Records.LEASES, Records.LEASE_KEY, Records.encode(renewed, LeaseRecord.class));
+        Transaction.Builder transaction = Records.writingLease(renewed, version);
         entry.writes.forEach(write -> transaction.write(write.table(), write.key(), write.value()));
         entry.removals.forEach(removal -> transaction.remove(removal.table(), removal.key()));
         long sentAtMs = loop.nowMs();
--- a/entry/src/main/java/org/acaciafold/entry/PeerBus.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerBus.java
@@ -51,7 +51,7 @@
         WireIdentity identity = new WireIdentity(HostId.of(settings.host()), settings.secret());
         WireCounters counters = WireCounters.create();
         TcpPeerTransport transport = TcpPeerTransport.create(identity, Clock.system(), counters);
-        PeerBus bus = new PeerBus(settings.peers(), loop, transport, receiver);
+        PeerBus bus = new PeerBus(settings.advertisedPeers(), loop, transport, receiver);
         bus.server = PeerServer.start(
                 settings.peers(),
                 identity,
--- a/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
@@ -15,10 +15,12 @@
      *
      * @param host the host
      * @param address where its peers reach it
+     * @param processors how many processors it has
      * @param sequence the last state change that it has seen in this term
      * @param stopping true when it is about to stop
      */
-    record HostBeat(String host, String address, long sequence, boolean stopping) implements PeerMessage {}
+    record HostBeat(String host, String address, double processors, long sequence, boolean stopping)
+            implements PeerMessage {}
 
     /**
      * A heartbeat of the leader to all hosts.
@@ -30,6 +32,7 @@
      * @param running true when the leader knows all jobs, so that the counts are right
      * @param pending the jobs of each queue of which no task has started
      * @param hosts the addresses of all hosts by name
+     * @param largest the processors of the largest host that the leader hears
      */
     record LeaderBeat(
             LeaseRecord lease,
@@ -38,7 +41,8 @@
             long sequence,
             boolean running,
             Map<String, Integer> pending,
-            Map<String, String> hosts)
+            Map<String, String> hosts,
+            double largest)
             implements PeerMessage {}
 
     /**
--- a/entry/src/main/java/org/acaciafold/entry/Records.java
+++ b/entry/src/main/java/org/acaciafold/entry/Records.java
@@ -11,6 +11,7 @@
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.platform.StoredRow;
+import org.acaciafold.platform.Transaction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -53,6 +54,13 @@
         return jobPartition(Math.floorMod(jobId.hashCode(), JOB_PARTITIONS));
     }
 
+    /** Returns a transaction that writes the lease over the given version of its row. */
+    static Transaction.Builder writingLease(LeaseRecord lease, long version) {
+        return Transaction.in(SLICE)
+                .require(LEASES, LEASE_KEY, version)
+                .write(LEASES, LEASE_KEY, encode(lease, LeaseRecord.class));
+    }
+
     static <T> byte[] encode(T value, Class<T> type) {
         return Codec.messagePack().encode(value, type);
     }
--- a/entry/src/main/java/org/acaciafold/entry/Rehearsal.java
+++ b/entry/src/main/java/org/acaciafold/entry/Rehearsal.java
@@ -29,6 +29,7 @@
             [host]
             id = %s
             failure-domain = north
+            processors = %s
             [listen]
             consumers = 127.0.0.1:%d
             readiness = 127.0.0.1:%d
@@ -80,8 +81,12 @@
      * @param platform where the emulated platform is
      */
     static EntrySettings settings(String id, String platform) throws SettingsException, IOException {
+        return settings(id, 1, platform);
+    }
+
+    static EntrySettings settings(String id, double processors, String platform) throws SettingsException, IOException {
         List<Integer> ports = freePorts();
-        String text = SETTINGS.formatted(id, ports.get(0), ports.get(1), ports.get(2), platform, platform);
+        String text = SETTINGS.formatted(id, processors, ports.get(0), ports.get(1), ports.get(2), platform, platform);
         return EntrySettingsReader.read("rehearsal", text);
     }
 
--- /dev/null
+++ b/entry/src/main/java/org/acaciafold/entry/StoreReach.java
@@ -0,0 +1,33 @@
+package org.acaciafold.entry;
+
+import java.util.Collection;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Asks hosts whether they reach the store, and answers the same question of others. */
+final class StoreReach {
+    private static final Logger LOG = LoggerFactory.getLogger(StoreReach.class);
+
+    private final HostContext host;
+    private final String address;
+
+    StoreReach(HostContext host, String address) {
+        this.host = host;
+        this.address = address;
+    }
+
+    void ask(Collection<String> hosts, long epoch) {
+        host.bus().sendAll(hosts, new PeerMessage.WhoReachesStore(epoch, address));
+    }
+
+    void answer(PeerMessage.WhoReachesStore asked) {
+        host.store()
+                .readOne(Records.LEASES, Records.SLICE, Records.LEASE_KEY)
+                .subscribe(
+                        row -> host.loop()
+                                .execute(() -> host.bus()
+                                        .send(asked.address(), new PeerMessage.ReachesStore(asked.epoch(), address))),
+                        error -> LOG.info("the store does not answer here either reason={}", error.getMessage()));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/acaciafold/entry/Succession.java
@@ -0,0 +1,77 @@
+package org.acaciafold.entry;
+
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * Decides which host should lead next: the largest one that is alive.
+ *
+ * <p>A leader that hears of a much larger host hands over to it, and a host much smaller than the largest one lets others
+ * take a lease that has run out first.
+ */
+final class Succession {
+    /** A host with this many times the processors is worth the short pause of a handover. */
+    private static final double MUCH_LARGER = 1.5;
+
+    /** How long a small host waits for larger ones to take a lease that has run out: two of their looks at it. */
+    private static final long YIELD_MS = 200;
+
+    private final String self;
+    private final double processors;
+    private final HostTable hosts;
+    private double largestHeard;
+    private long yieldedVersion = -1;
+    private long yieldsUntilMs;
+
+    Succession(String self, double processors, HostTable hosts) {
+        this.self = self;
+        this.processors = processors;
+        this.hosts = hosts;
+    }
+
+    /** Notes the processors of the largest host that the leader hears. */
+    void heard(double largest) {
+        largestHeard = largest;
+    }
+
+    /** Returns the processors of the largest host that is alive. */
+    double largest(long nowMs) {
+        return Math.max(processors, next(nowMs).map(hosts::processors).orElse(0.0));
+    }
+
+    /** Returns where a host listens that should lead instead of this one. */
+    Optional<String> larger(long nowMs) {
+        return next(nowMs)
+                .filter(name -> hosts.processors(name) >= MUCH_LARGER * processors)
+                .flatMap(hosts::address);
+    }
+
+    /** Returns where the host listens that should lead once this one stops. */
+    Optional<String> successor(long nowMs) {
+        return next(nowMs).flatMap(hosts::address);
+    }
+
+    /**
+     * Tells whether a lease that has run out is left to larger hosts for now.
+     *
+     * @param version the version of the lease's row
+     * @param nowMs the time in milliseconds
+     * @return true for a while after the first look at it, when larger hosts are known
+     */
+    boolean yields(long version, long nowMs) {
+        if (largestHeard < MUCH_LARGER * processors) {
+            return false;
+        }
+        if (version != yieldedVersion) {
+            yieldedVersion = version;
+            yieldsUntilMs = nowMs + YIELD_MS;
+        }
+        return nowMs < yieldsUntilMs;
+    }
+
+    private Optional<String> next(long nowMs) {
+        return hosts.live(nowMs).stream()
+                .filter(name -> !name.equals(self))
+                .max(Comparator.comparingDouble(hosts::processors));
+    }
+}
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -261,13 +261,7 @@
                         }),
                         error -> answered(() -> {
                             host.metrics().order("hold", "FAILED", host.loop().nowMs() - askedAtMs);
-                            if (error instanceof AcaciafoldException typed
-                                    && typed.failure().code().equals("fenced")) {
-                                LOG.error(
-                                        "fenced at a worker worker={} epoch={}",
-                                        hold.worker(),
-                                        lease.record().epoch());
-                            }
+                            tellFenced(hold.worker(), error);
                             scheduler.holdFailed(hold.worker());
                         }));
     }
@@ -280,7 +274,21 @@
                         lease.record().epoch())
                 .subscribe(
                         view -> answered(() -> scheduler.probed(probe.worker(), view, askedAtMs)),
-                        error -> answered(() -> scheduler.probeFailed(probe.worker())));
+                        error -> answered(() -> {
+                            tellFenced(probe.worker(), error);
+                            scheduler.probeFailed(probe.worker());
+                        }));
+    }
+
+    private void tellFenced(String worker, Throwable error) {
+        if (error instanceof AcaciafoldException typed && typed.failure().code().equals("fenced")) {
+            tellFenced(worker);
+        }
+    }
+
+    private void tellFenced(String worker) {
+        LOG.error(
+                "fenced at a worker worker={} epoch={}", worker, lease.record().epoch());
     }
 
     private void publish(Map<String, JobState> states) {
@@ -319,10 +327,7 @@
                 .subscribe(outcome -> answered(() -> {
                     host.metrics().order("stop", outcome.name(), host.loop().nowMs() - orderedAtMs);
                     if (outcome == StopOutcome.FENCED) {
-                        LOG.error(
-                                "fenced at a worker worker={} epoch={}",
-                                stop.worker(),
-                                lease.record().epoch());
+                        tellFenced(stop.worker());
                     }
                     scheduler.stopped(stop.worker(), stop.task(), stop.run(), outcome);
                 }));
--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -36,7 +36,11 @@
     private EmulatedPlatform platform;
 
     private EmulatedConsumer host(String id) throws Exception {
-        EntrySettings settings = Rehearsal.settings(id, platform.address());
+        return host(id, 1);
+    }
+
+    private EmulatedConsumer host(String id, double processors) throws Exception {
+        EntrySettings settings = Rehearsal.settings(id, processors, platform.address());
         hosts.add(EntryHost.start(settings));
         EmulatedConsumer consumer = EmulatedConsumer.of(loops, settings.consumers());
         await("a fresh configuration at " + id, consumer.pending(), OK);
@@ -140,6 +144,22 @@
         assertEquals(1, platform.highestToken());
     }
 
+    @Test
+    void shouldHandTheTermOverWhenAMuchLargerHostIsAlive() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        EmulatedConsumer small = host("small", 0.36);
+        assertEquals(OK, small.submit("j1", TASKS).block(LIMIT));
+        await("the first job's end", small.state("j1"), "completed");
+        assertEquals(1, platform.highestToken());
+
+        EmulatedConsumer large = host("large", 0.75);
+
+        await("the term of the larger host", Mono.fromSupplier(platform::highestToken), 2L);
+        assertEquals(OK, small.submit("j2", TASKS).block(LIMIT));
+        await("the second job's end", large.state("j2"), "completed");
+        assertEquals(2 * 2 * TASKS, platform.starts());
+    }
+
     @Test
     void shouldFinishAJobWhenItsLeaderStops() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
--- /dev/null
+++ b/entry/src/test/java/org/acaciafold/entry/SuccessionTest.java
@@ -0,0 +1,67 @@
+package org.acaciafold.entry;
+
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class SuccessionTest {
+    private static final double SMALL = 0.36;
+    private static final double LARGE = 0.75;
+    private static final long NOW_MS = 10_000;
+    private static final long VERSION = 7;
+
+    private final HostTable hosts = new HostTable();
+
+    private static PeerMessage.HostBeat beat(String host, double processors, boolean stopping) {
+        return new PeerMessage.HostBeat(host, host + ":1", processors, 0, stopping);
+    }
+
+    @Test
+    void shouldHandOverToTheLargestHostWhenTheLeaderIsMuchSmaller() {
+        hosts.heard(beat("small", SMALL, false), NOW_MS);
+        hosts.heard(beat("large", LARGE, false), NOW_MS);
+
+        Succession succession = new Succession("leader", SMALL, hosts);
+
+        assertEquals(Optional.of("large:1"), succession.larger(NOW_MS));
+        assertEquals(LARGE, succession.largest(NOW_MS));
+    }
+
+    @Test
+    void shouldKeepTheTermWhenNoHostIsMuchLarger() {
+        hosts.heard(beat("other", LARGE, false), NOW_MS);
+
+        assertEquals(Optional.empty(), new Succession("leader", LARGE, hosts).larger(NOW_MS));
+    }
+
+    @Test
+    void shouldChooseTheLargestSuccessorThatGoesOn() {
+        hosts.heard(beat("stopping", LARGE, true), NOW_MS);
+        hosts.heard(beat("small", SMALL, false), NOW_MS);
+        hosts.told("silent", "silent:1", NOW_MS);
+
+        assertEquals(Optional.of("small:1"), new Succession("leader", LARGE, hosts).successor(NOW_MS));
+    }
+
+    @Test
+    void shouldLetLargerHostsTakeALapsedLeaseFirstButNotForLong() {
+        Succession succession = new Succession("small", SMALL, hosts);
+        succession.heard(LARGE);
+
+        assertTrue(succession.yields(VERSION, NOW_MS));
+        assertTrue(succession.yields(VERSION, NOW_MS + 199));
+        assertFalse(succession.yields(VERSION, NOW_MS + 200));
+    }
+
+    @Test
+    void shouldYieldToNobodyWhenItIsAmongTheLargest() {
+        Succession succession = new Succession("large", LARGE, hosts);
+        succession.heard(LARGE);
+
+        assertFalse(succession.yields(VERSION, NOW_MS));
+    }
+}
--- a/proof/src/test/java/org/acaciafold/proof/process/ChildProcess.java
+++ b/proof/src/test/java/org/acaciafold/proof/process/ChildProcess.java
@@ -5,10 +5,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A process of the test, started from the class path of the test. */
-final class ChildProcess implements AutoCloseable {
+public final class ChildProcess implements AutoCloseable {
     private static final long STOP_LIMIT_S = 40;
 
     private final Process process;
@@ -21,6 +22,13 @@
 
     static ChildProcess start(String name, Path directory, List<String> jvmOptions, String... command)
             throws IOException {
+        return start(name, directory, Map.of(), jvmOptions, command);
+    }
+
+    /** Starts a Java program with further variables in its environment. */
+    public static ChildProcess start(
+            String name, Path directory, Map<String, String> environment, List<String> jvmOptions, String... command)
+            throws IOException {
         Path log = directory.resolve(name + ".log");
         List<String> line = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -32,10 +40,10 @@
         line.addAll(jvmOptions);
         line.addAll(List.of("-cp", System.getProperty("java.class.path")));
         line.addAll(List.of(command));
-        Process process = new ProcessBuilder(line)
-                .redirectErrorStream(true)
-                .redirectOutput(log.toFile())
-                .start();
+        ProcessBuilder builder =
+                new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().putAll(environment);
+        Process process = builder.start();
         return new ChildProcess(process, log);
     }
 
@@ -44,12 +52,12 @@
         process.destroyForcibly();
     }
 
-    String log() throws IOException {
+    public String log() throws IOException {
         return Files.readString(log);
     }
 
     /** Sends a signal, such as STOP. */
-    void signal(String name) throws IOException, InterruptedException {
+    public void signal(String name) throws IOException, InterruptedException {
         Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
         if (kill.waitFor() != 0) {
             throw new IOException("cannot send SIG" + name);
@@ -57,7 +65,7 @@
     }
 
     /** Waits for the end and returns the exit code. */
-    int exitCode() throws IOException, InterruptedException {
+    public int exitCode() throws IOException, InterruptedException {
         if (!process.waitFor(STOP_LIMIT_S, TimeUnit.SECONDS)) {
             throw new IOException("did not end within " + STOP_LIMIT_S + " s:\n" + log());
         }
--- a/proof/src/test/java/org/acaciafold/proof/process/TcpRelay.java
+++ b/proof/src/test/java/org/acaciafold/proof/process/TcpRelay.java
@@ -9,22 +9,28 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 
-/** Passes connections on to another port, until they are cut. */
-final class TcpRelay implements AutoCloseable {
+/** Passes connections on to another port, and cuts, delays or holds up what they carry. */
+public final class TcpRelay implements AutoCloseable {
     private static final int BUFFER_BYTES = 8_192;
+    private static final long HOLD_POLL_MS = 5;
 
     private final ServerSocket listener;
     private final InetSocketAddress target;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private volatile boolean cut;
+    private volatile boolean holdsRequests;
+    private volatile boolean holdsAnswers;
+    private volatile long delayMs;
 
     private TcpRelay(ServerSocket listener, InetSocketAddress target) {
         this.listener = listener;
         this.target = target;
     }
 
-    static TcpRelay start(String target) throws IOException {
+    /** Starts to listen on a free port of loopback. */
+    public static TcpRelay start(String target) throws IOException {
         String[] parts = target.split(":");
         TcpRelay relay = new TcpRelay(
                 new ServerSocket(0, 50, InetAddress.getLoopbackAddress()),
@@ -33,7 +39,7 @@
         return relay;
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
@@ -44,7 +50,7 @@
     }
 
     /** Closes all connections and refuses new ones while cut. */
-    void cut(boolean value) throws IOException {
+    public void cut(boolean value) throws IOException {
         cut = value;
         if (value) {
             for (Socket socket : open) {
@@ -53,6 +59,17 @@
         }
     }
 
+    /** Holds back what callers send, what they are answered, or both; nothing of it is lost. */
+    public void hold(boolean requests, boolean answers) {
+        holdsRequests = requests;
+        holdsAnswers = answers;
+    }
+
+    /** Passes everything on later, by so many milliseconds. */
+    public void delay(long value) {
+        delayMs = value;
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
@@ -77,21 +94,29 @@
             caller.close();
             throw e;
         }
-        Thread.ofVirtual().start(() -> pass(caller, called));
-        Thread.ofVirtual().start(() -> pass(called, caller));
+        Thread.ofVirtual().start(() -> pass(caller, called, () -> holdsRequests));
+        Thread.ofVirtual().start(() -> pass(called, caller, () -> holdsAnswers));
     }
 
-    private void pass(Socket from, Socket to) {
+    private void pass(Socket from, Socket to, BooleanSupplier held) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try (from;
                 to) {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+                if (delayMs > 0) {
+                    Thread.sleep(delayMs);
+                }
+                while (held.getAsBoolean() && !to.isClosed()) {
+                    Thread.sleep(HOLD_POLL_MS);
+                }
                 out.write(buffer, 0, read);
             }
         } catch (IOException e) {
             // one side has closed
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } finally {
             open.remove(from);
             open.remove(to);
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/soak/Callers.java
@@ -0,0 +1,113 @@
+package org.acaciafold.proof.soak;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.acaciafold.platform.EmulatedConsumer;
+
+/** Consumers that hand jobs in, repeat what was not answered, ask for states and cancel some. */
+final class Callers {
+    private static final Duration LIMIT = Duration.ofSeconds(8);
+    private static final int ATTEMPTS = 4;
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final int NO_ANSWER = 0;
+    private static final long PAUSE_MS = 250;
+    private static final int ONE_IN_CANCELLED = 12;
+
+    private final List<EmulatedConsumer> hosts;
+    private final Promises promises;
+    private final int cpuMillis;
+    private final AtomicInteger next = new AtomicInteger();
+    private final AtomicBoolean stopped = new AtomicBoolean();
+    private final AtomicInteger working = new AtomicInteger();
+
+    Callers(List<EmulatedConsumer> hosts, Promises promises, int cpuMillis) {
+        this.hosts = hosts;
+        this.promises = promises;
+        this.cpuMillis = cpuMillis;
+    }
+
+    /** Lets so many consumers work, each with draws of its own. */
+    void start(int consumers, long seed) {
+        for (int consumer = 0; consumer < consumers; consumer++) {
+            Random random = new Random(seed * 1_000 + consumer);
+            working.incrementAndGet();
+            Thread.ofVirtual().start(() -> {
+                try {
+                    work(random);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                } finally {
+                    working.decrementAndGet();
+                }
+            });
+        }
+    }
+
+    /** Lets consumers finish what they are at. */
+    void stop() throws InterruptedException {
+        stopped.set(true);
+        while (working.get() > 0) {
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
+    /** Asks one host for a job; empty when it gives no state. */
+    String state(int host, String job) {
+        String state = hosts.get(host).state(job).onErrorReturn("").block(LIMIT);
+        if (!state.isEmpty()) {
+            promises.told(job, state);
+        }
+        return state;
+    }
+
+    private void work(Random random) throws InterruptedException {
+        while (!stopped.get()) {
+            String job = "%016x".formatted(next.incrementAndGet());
+            int tasks = 1 + random.nextInt(5);
+            if (submit(job, tasks, random)) {
+                if (random.nextInt(ONE_IN_CANCELLED) == 0) {
+                    cancel(job, random);
+                }
+                state(random.nextInt(hosts.size()), job);
+            }
+            Thread.sleep(random.nextLong(PAUSE_MS));
+        }
+    }
+
+    private boolean submit(String job, int tasks, Random random) throws InterruptedException {
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            promises.submitted(job, tasks);
+            int status = hosts.get(random.nextInt(hosts.size()))
+                    .submit(job, tasks, cpuMillis, false)
+                    .onErrorReturn(NO_ANSWER)
+                    .block(LIMIT);
+            promises.answered(job, status);
+            if (status == OK) {
+                return true;
+            }
+            Thread.sleep(ThreadLocalRandom.current().nextLong(2 * PAUSE_MS));
+        }
+        return false;
+    }
+
+    private void cancel(String job, Random random) throws InterruptedException {
+        promises.cancelling(job);
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            int status = hosts.get(random.nextInt(hosts.size()))
+                    .cancel(job)
+                    .onErrorReturn(NO_ANSWER)
+                    .block(LIMIT);
+            if (status == OK || status == GONE) {
+                promises.cancelled(job);
+                return;
+            }
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/soak/SoakHost.java
@@ -0,0 +1,149 @@
+package org.acaciafold.proof.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import org.acaciafold.platform.EmulatedPlatform;
+import org.acaciafold.proof.process.ChildProcess;
+import org.acaciafold.proof.process.TcpRelay;
+
+/** An entry host as a process of its own, all of whose connections pass through relays. */
+final class SoakHost implements AutoCloseable {
+    private static final String SETTINGS = """
+            [host]
+            id = %s
+            failure-domain = north
+            processors = %s
+            [listen]
+            consumers = 127.0.0.1:%d
+            readiness = 127.0.0.1:%d
+            peers = 127.0.0.1:%d
+            advertised-peers = %s
+            [platform]
+            store = %s
+            advice = %s
+            [cluster]
+            secret = secret-of-a-soak
+            [bounds]
+            grace-s = 2
+            """;
+
+    private static final long DELAY_MS = 150;
+
+    private final String name;
+    private final Path directory;
+    private final Path settings;
+    private final Map<Fault.Link, TcpRelay> relays = new EnumMap<>(Fault.Link.class);
+    private ChildProcess process;
+    private boolean running;
+    private int lives;
+
+    private SoakHost(String name, Path directory) {
+        this.name = name;
+        this.directory = directory;
+        this.settings = directory.resolve(name + ".ini");
+    }
+
+    static SoakHost create(String name, double processors, EmulatedPlatform platform, Path directory)
+            throws IOException {
+        SoakHost host = new SoakHost(name, directory);
+        int consumers = freePort();
+        int readiness = freePort();
+        int peers = freePort();
+        TcpRelay workers = TcpRelay.start(platform.address());
+        TcpRelay store = TcpRelay.start(platform.view(workers.address()));
+        TcpRelay fromPeers = TcpRelay.start("127.0.0.1:" + peers);
+        host.relays.put(Fault.Link.WORKERS, workers);
+        host.relays.put(Fault.Link.STORE, store);
+        host.relays.put(Fault.Link.PEERS, fromPeers);
+        host.relays.put(Fault.Link.CONSUMERS, TcpRelay.start("127.0.0.1:" + consumers));
+        Files.writeString(
+                host.settings,
+                SETTINGS.formatted(
+                        name,
+                        processors,
+                        consumers,
+                        readiness,
+                        peers,
+                        fromPeers.address(),
+                        store.address(),
+                        workers.address()));
+        return host;
+    }
+
+    /** Returns where consumers reach it. */
+    String consumers() {
+        return relays.get(Fault.Link.CONSUMERS).address();
+    }
+
+    synchronized void start() throws IOException {
+        if (!running) {
+            running = true;
+            lives++;
+            process = ChildProcess.start(
+                    name + "-" + lives,
+                    directory,
+                    Map.of("ACACIAFOLD_NODE_FILE", settings.toString()),
+                    List.of("-Dreactor.netty.ioWorkerCount=1", "-Dio.netty.allocator.type=unpooled"),
+                    "org.acaciafold.entry.EntryMain");
+        }
+    }
+
+    synchronized void end(Fault.Ending ending) throws IOException, InterruptedException {
+        if (running) {
+            running = false;
+            process.signal("CONT");
+            process.signal(ending.name());
+            process.exitCode();
+        }
+    }
+
+    synchronized void signal(String signal) throws IOException, InterruptedException {
+        if (running) {
+            process.signal(signal);
+        }
+    }
+
+    void harm(Fault.Link link, Fault.Harm harm) throws IOException {
+        TcpRelay relay = relays.get(link);
+        switch (harm) {
+            case RESET -> relay.cut(true);
+            case SILENT -> relay.hold(true, true);
+            case REQUESTS_HELD -> relay.hold(true, false);
+            case ANSWERS_HELD -> relay.hold(false, true);
+            case DELAYED -> relay.delay(DELAY_MS);
+        }
+    }
+
+    void mend(Fault.Link link) throws IOException {
+        TcpRelay relay = relays.get(link);
+        relay.cut(false);
+        relay.hold(false, false);
+        relay.delay(0);
+    }
+
+    /** Returns the log of its latest life. */
+    String log() throws IOException {
+        return process.log();
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        process.close();
+        for (TcpRelay relay : relays.values()) {
+            relay.close();
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/soak/SoakMain.java
@@ -0,0 +1,51 @@
+package org.acaciafold.proof.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Runs the soak from the command line: {@code SoakMain --seed N [--seeds N] [--minutes M] [--hosts N] [--logs DIR]}. */
+public final class SoakMain {
+    private static final double DEFAULT_MINUTES = 0.5;
+    private static final int DEFAULT_HOSTS = 4;
+    private static final double MS_PER_MINUTE = 60_000;
+
+    private SoakMain() {}
+
+    /** Exits with 0 when every promise was kept, else with 1. */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        long first = Long.parseLong(option(arguments, "--seed", "1"));
+        long count = Long.parseLong(option(arguments, "--seeds", "1"));
+        int hosts = Integer.parseInt(option(arguments, "--hosts", Integer.toString(DEFAULT_HOSTS)));
+        double minutes = Double.parseDouble(option(arguments, "--minutes", Double.toString(DEFAULT_MINUTES)));
+        Path logs = Path.of(option(arguments, "--logs", "target/soak"));
+        int failed = 0;
+        for (long seed = first; seed < first + count; seed++) {
+            Path directory =
+                    Files.createDirectories(logs.resolve("seed-" + seed)).toAbsolutePath();
+            SoakRun.Verdict verdict = SoakRun.run(seed, hosts, Math.round(minutes * MS_PER_MINUTE), directory);
+            failed += verdict.broken().isEmpty() ? 0 : 1;
+            print(verdict, directory);
+        }
+        System.out.println((count - failed) + " passed, " + failed + " failed");
+        System.exit(failed == 0 ? 0 : 1);
+    }
+
+    private static void print(SoakRun.Verdict verdict, Path directory) throws IOException {
+        System.out.printf(
+                "%s seed %d: %d faults, %d jobs accepted, %d runs started%n",
+                verdict.broken().isEmpty() ? "GREEN" : "RED",
+                verdict.seed(),
+                verdict.faults().size(),
+                verdict.accepted(),
+                verdict.starts());
+        verdict.broken().forEach(line -> System.out.println("  " + line));
+        Files.write(directory.resolve("faults.txt"), verdict.faults());
+    }
+
+    private static String option(String[] arguments, String name, String otherwise) {
+        int index = List.of(arguments).indexOf(name);
+        return index >= 0 && index + 1 < arguments.length ? arguments[index + 1] : otherwise;
+    }
+}
--- /dev/null
+++ b/proof/src/test/java/org/acaciafold/proof/soak/SoakRun.java
@@ -0,0 +1,204 @@
+package org.acaciafold.proof.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciafold.core.model.Clock;
+import org.acaciafold.platform.EmulatedConsumer;
+import org.acaciafold.platform.EmulatedPlatform;
+import org.awaitility.Awaitility;
+import org.awaitility.core.ConditionTimeoutException;
+import reactor.netty.resources.LoopResources;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+/** One run of the soak: hosts as processes, consumers at work, and the faults of a seed. */
+final class SoakRun implements AutoCloseable {
+    private static final int WORKERS = 6;
+    private static final int CONSUMERS = 8;
+
+    /** A worker has room for four such tasks. */
+    private static final int CPU_MILLIS = 8_000;
+
+    private static final int ROOM_MILLIS = 32_000;
+    private static final long TASK_MS = 300;
+    private static final double CLOCK_DRIFT = 0.02;
+    private static final double LARGE = 0.75;
+    private static final double SMALL = 0.36;
+    private static final long READY_LIMIT_MS = 30_000;
+
+    /** As {@code recovery_s} of the deployments, and as long again for the work that waited. */
+    private static final long SETTLE_LIMIT_MS = 30_000;
+
+    private static final long POLL_MS = 200;
+
+    private final long seed;
+    private final long lengthMs;
+    private final Clock clock = Clock.system();
+    private final long beganAtMs = clock.nowMs();
+    private final Promises promises = new Promises(() -> clock.nowMs() - beganAtMs, CPU_MILLIS, ROOM_MILLIS);
+    private final LoopResources loops = LoopResources.create("soak", 1, true);
+    private final List<SoakHost> hosts = new ArrayList<>();
+    private final List<String> faults = new ArrayList<>();
+    private EmulatedPlatform platform;
+
+    private SoakRun(long seed, long lengthMs) {
+        this.seed = seed;
+        this.lengthMs = lengthMs;
+    }
+
+    /**
+     * Runs a seed.
+     *
+     * @param seed decides the faults and what consumers do
+     * @param hostCount how many hosts there are
+     * @param lengthMs for how long faults begin
+     * @param directory where logs and settings go
+     * @return what was broken and counted
+     */
+    static Verdict run(long seed, int hostCount, long lengthMs, Path directory)
+            throws IOException, InterruptedException {
+        try (SoakRun run = new SoakRun(seed, lengthMs)) {
+            return run.run(hostCount, directory);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (SoakHost host : hosts) {
+            host.close();
+        }
+        platform.close();
+        loops.dispose();
+    }
+
+    private Verdict run(int hostCount, Path directory) throws IOException, InterruptedException {
+        platform = EmulatedPlatform.start(new EmulatedPlatform.Shape(WORKERS, TASK_MS, true, CLOCK_DRIFT), promises);
+        List<EmulatedConsumer> consumers = new ArrayList<>();
+        for (int i = 0; i < hostCount; i++) {
+            SoakHost host = SoakHost.create("host-" + i, i % 2 == 0 ? LARGE : SMALL, platform, directory);
+            hosts.add(host);
+            host.start();
+            consumers.add(EmulatedConsumer.of(loops, host.consumers()));
+        }
+        consumers.forEach(consumer -> Awaitility.await()
+                .atMost(READY_LIMIT_MS, MILLISECONDS)
+                .until(() -> consumer.pending().onErrorReturn(0).block() == 200));
+        Callers callers = new Callers(consumers, promises, CPU_MILLIS);
+        callers.start(CONSUMERS, seed);
+        play(FaultPlan.draw(seed, hostCount, WORKERS, lengthMs));
+        callers.stop();
+        settle(callers);
+        return new Verdict(seed, promises.broken(), faults, promises.accepted(), promises.starts());
+    }
+
+    private void play(List<FaultPlan.Entry> plan) throws InterruptedException {
+        long startMs = clock.nowMs();
+        List<Thread> playing = new ArrayList<>();
+        for (FaultPlan.Entry entry : plan) {
+            playing.add(Thread.ofVirtual().start(() -> play(entry, startMs)));
+        }
+        for (Thread thread : playing) {
+            thread.join();
+        }
+        Thread.sleep(Math.max(0, startMs + lengthMs - clock.nowMs()));
+    }
+
+    private void play(FaultPlan.Entry entry, long startMs) {
+        try {
+            Thread.sleep(Math.max(0, startMs + entry.beginsAtMs() - clock.nowMs()));
+            note(entry);
+            begin(entry.fault());
+            Thread.sleep(Math.max(0, startMs + entry.endsAtMs() - clock.nowMs()));
+            end(entry.fault());
+        } catch (IOException e) {
+            promises.broken("soak", "fault " + entry + " cannot be played: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void note(FaultPlan.Entry entry) {
+        faults.add((clock.nowMs() - beganAtMs) + " ms: " + entry);
+    }
+
+    private void begin(Fault fault) throws IOException, InterruptedException {
+        switch (fault) {
+            case Fault.LinkHarmed harmed -> hosts.get(harmed.host()).harm(harmed.link(), harmed.harm());
+            case Fault.HostDown down -> hosts.get(down.host()).end(down.ending());
+            case Fault.AllHostsDown ignored -> {
+                for (SoakHost host : hosts) {
+                    host.end(Fault.Ending.KILL);
+                }
+            }
+            case Fault.HostFrozen frozen -> hosts.get(frozen.host()).signal("STOP");
+            case Fault.HostReloads reloads -> hosts.get(reloads.host()).signal("HUP");
+            case Fault.StoreSilent ignored -> platform.silence(true);
+            case Fault.StoreSlow slow -> platform.delay(slow.delayMs());
+            case Fault.AnswersLost lost -> platform.loseAnswers(lost.transactions());
+            case Fault.WorkerCrashed crashed -> platform.crash(crashed.worker());
+        }
+    }
+
+    private void end(Fault fault) throws IOException, InterruptedException {
+        switch (fault) {
+            case Fault.LinkHarmed harmed -> hosts.get(harmed.host()).mend(harmed.link());
+            case Fault.HostDown down -> hosts.get(down.host()).start();
+            case Fault.AllHostsDown ignored -> {
+                for (SoakHost host : hosts) {
+                    host.start();
+                }
+            }
+            case Fault.HostFrozen frozen -> hosts.get(frozen.host()).signal("CONT");
+            case Fault.StoreSilent ignored -> platform.silence(false);
+            case Fault.StoreSlow ignored -> platform.delay(0);
+            case Fault.AnswersLost ignored -> platform.loseAnswers(0);
+            case Fault.HostReloads ignored -> {
+                // over at once
+            }
+            case Fault.WorkerCrashed ignored -> {
+                // the worker is back at once
+            }
+        }
+    }
+
+    /** Without faults, every accepted job ends at last and every host knows it. */
+    private void settle(Callers callers) {
+        List<String> owed = new ArrayList<>(promises.owed());
+        try {
+            Awaitility.await()
+                    .atMost(SETTLE_LIMIT_MS, MILLISECONDS)
+                    .pollInterval(POLL_MS, MILLISECONDS)
+                    .until(() -> owed.stream().allMatch(job -> known(callers, job)));
+        } catch (ConditionTimeoutException e) {
+            owed.stream()
+                    .filter(job -> !known(callers, job))
+                    .forEach(job -> promises.broken("not finished", job + " " + states(callers, job)));
+        }
+    }
+
+    private boolean known(Callers callers, String job) {
+        return states(callers, job).stream().allMatch("completed"::equals);
+    }
+
+    private List<String> states(Callers callers, String job) {
+        List<String> states = new ArrayList<>();
+        for (int host = 0; host < hosts.size(); host++) {
+            states.add(callers.state(host, job));
+        }
+        return states;
+    }
+
+    /**
+     * How a run went.
+     *
+     * @param seed its seed
+     * @param broken the promises that were broken
+     * @param faults the faults that were played, with their times
+     * @param accepted how many jobs were accepted
+     * @param starts how many runs were started
+     */
+    record Verdict(long seed, List<String> broken, List<String> faults, int accepted, long starts) {}
+}
--- a/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
@@ -13,6 +13,9 @@
     /** No bound of the contract is longer than ten minutes. */
     private static final double MAX_BOUND_MS = 600_000;
 
+    /** More than any machine has; a larger figure is a slip. */
+    private static final double MAX_PROCESSORS = 4_096;
+
     private static final double MS_PER_S = 1_000;
 
     private EntrySettingsReader() {}
@@ -52,13 +55,16 @@
         if (!secret.isEmpty() && secret.length() < MIN_SECRET_LENGTH) {
             cluster.problem("secret", "too short; use " + MIN_SECRET_LENGTH + " or more characters");
         }
+        String peers = listen.address("peers");
         EntrySettings settings = new EntrySettings(
                 host.name("id"),
                 host.name("failure-domain"),
+                host.number("processors", 0, MAX_PROCESSORS, "1"),
                 listen.address("consumers"),
                 listen.address("readiness"),
                 listen.text("metrics", "").isEmpty() ? "" : listen.address("metrics"),
-                listen.address("peers"),
+                peers,
+                listen.text("advertised-peers", "").isEmpty() ? peers : listen.address("advertised-peers"),
                 platform.address("store"),
                 platform.text("advice", "").isEmpty() ? "" : platform.address("advice"),
                 secret,
