States in gathered messages, more partitions of jobs, answers within consumers' deadlines, no retaking after a handover

Changes: 32 partitions of jobs, 4 of cancellations (38 reads at a takeover instead of 34); calls to the store end 150 ms before the consumer's deadline; state changes are gathered for 5 ms a host, the accepting host hears of ends at once; addresses are told once a second, followers' heartbeats every 300 ms. It now leaves the receiver the time of a silent leader.

--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -97,14 +97,14 @@
 
     /** Writes a job; once a first write may still be applied, a second one that is not done proves nothing. */
     private Mono<ConsumerReply> record(ConsumerRequest request, Job job, byte[] value, boolean first) {
-        return host.store()
-                .create(Records.JOBS, Records.partitionOf(job.id()), job.id(), value)
-                .flatMap(creation -> switch (creation) {
-                    case CREATED -> Mono.just(accepted(request, job));
-                    case EXISTED -> Mono.just(existed(request, job.id()));
-                    case NOT_DONE -> first ? notTaken(request, job) : again(request, job, value);
-                    case UNKNOWN -> again(request, job, value);
-                });
+        Mono<StoreAccess.Creation> written =
+                host.store().create(Records.JOBS, Records.partitionOf(Records.JOBS, job.id()), job.id(), value);
+        return withinDeadline(request, written, StoreAccess.Creation.UNKNOWN).flatMap(creation -> switch (creation) {
+            case CREATED -> Mono.just(accepted(request, job));
+            case EXISTED -> Mono.just(existed(request, job.id()));
+            case NOT_DONE -> first ? notTaken(request, job) : again(request, job, value);
+            case UNKNOWN -> again(request, job, value);
+        });
     }
 
     /** Repeats a write whose outcome is unknown, so that the consumer is told only what is certain. */
@@ -122,6 +122,12 @@
         return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
     }
 
+    /** Waits for a call no longer than the consumer waits for its answer. */
+    private <T> Mono<T> withinDeadline(ConsumerRequest request, Mono<T> call, T otherwise) {
+        long leftMs = request.deadlineMs() - ANSWER_MARGIN_MS - host.loop().nowMs();
+        return Mono.firstWithSignal(call, host.loop().delay(Math.max(0, leftMs)).thenReturn(otherwise));
+    }
+
     private ConsumerReply accepted(ConsumerRequest request, Job job) {
         directory.accepted(job);
         leadership.tellLeader(new PeerMessage.Accepted(List.of(job)));
@@ -149,25 +155,26 @@
         if (current) {
             return Mono.just(ConsumerReply.ok(JobBodies.state(known.get())));
         }
-        return lookUp(id)
+        ConsumerReply otherwise = known.map(state -> ConsumerReply.ok(JobBodies.state(state)))
+                .orElse(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+        Mono<ConsumerReply> read = lookUp(id)
                 .map(found -> found.map(state -> ConsumerReply.ok(JobBodies.state(state)))
                         .orElseGet(() -> {
                             log(request, id, GONE, "no such job in the store");
                             return ConsumerReply.of(GONE);
                         }))
-                .onErrorResume(error -> Mono.just(known.map(state -> ConsumerReply.ok(JobBodies.state(state)))
-                        .orElse(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S))));
+                .onErrorResume(error -> Mono.just(otherwise));
+        return withinDeadline(request, read, otherwise);
     }
 
     /** Reads what the store holds of a job. */
     private Mono<Optional<JobState>> lookUp(String id) {
-        String partition = Records.partitionOf(id);
         // the job's own row comes last: progress is removed only once that row tells the final state
         return Mono.zip(
-                        host.store().readOne(Records.CANCELLATIONS, partition, id),
+                        host.store().readOne(Records.CANCELLATIONS, Records.partitionOf(Records.CANCELLATIONS, id), id),
                         host.store().readOne(Records.PROGRESS, Records.SLICE, id))
                 .flatMap(earlier -> host.store()
-                        .readOne(Records.JOBS, partition, id)
+                        .readOne(Records.JOBS, Records.partitionOf(Records.JOBS, id), id)
                         .map(job -> Tuples.of(job, earlier.getT1(), earlier.getT2())))
                 .map(rows -> {
                     if (rows.getT1().isEmpty()) {
@@ -202,18 +209,18 @@
     }
 
     private Mono<ConsumerReply> recordCancellation(ConsumerRequest request, String id) {
-        return host.store()
-                .create(Records.CANCELLATIONS, Records.partitionOf(id), id, new byte[] {1})
-                .map(creation -> switch (creation) {
-                    case CREATED, EXISTED -> {
-                        directory.update(id, JobState.CANCELLED);
-                        leadership.tellLeader(new PeerMessage.Cancelled(id));
-                        log(request, id, OK, "cancelled");
-                        yield ConsumerReply.of(OK);
-                    }
-                    case NOT_DONE -> ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S);
-                    case UNKNOWN -> ConsumerReply.of(GATEWAY_TIMEOUT);
-                });
+        Mono<StoreAccess.Creation> written = host.store()
+                .create(Records.CANCELLATIONS, Records.partitionOf(Records.CANCELLATIONS, id), id, new byte[] {1});
+        return withinDeadline(request, written, StoreAccess.Creation.UNKNOWN).map(creation -> switch (creation) {
+            case CREATED, EXISTED -> {
+                directory.update(id, JobState.CANCELLED);
+                leadership.tellLeader(new PeerMessage.Cancelled(id));
+                log(request, id, OK, "cancelled");
+                yield ConsumerReply.of(OK);
+            }
+            case NOT_DONE -> ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S);
+            case UNKNOWN -> ConsumerReply.of(GATEWAY_TIMEOUT);
+        });
     }
 
     private void log(ConsumerRequest request, String id, int status, String reason) {
--- a/entry/src/main/java/org/acaciafold/entry/HostTable.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostTable.java
@@ -15,7 +15,11 @@
     /** A host that has been silent for this long is not written to any more. */
     private static final long FORGET_MS = 30_000;
 
+    /** How often all addresses are told, which change seldom. */
+    private static final long TELL_MS = 1_000;
+
     private final Map<String, Host> hosts = new TreeMap<>();
+    private long toldAtMs = Long.MIN_VALUE / 2;
     /** The addresses of all hosts; empty when it has to be made anew. */
     private Map<String, String> addresses = Map.of();
 
@@ -39,6 +43,15 @@
         }
     }
 
+    /** Returns the addresses of all hosts when it is time to tell them again, else none. */
+    Map<String, String> toTell(long nowMs) {
+        if (nowMs - toldAtMs < TELL_MS) {
+            return Map.of();
+        }
+        toldAtMs = nowMs;
+        return addresses();
+    }
+
     Optional<String> address(String host) {
         return Optional.ofNullable(hosts.get(host)).map(Host::address);
     }
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -1,6 +1,5 @@
 package org.acaciafold.entry;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -21,6 +20,9 @@
     private static final long POLL_MS = 100;
     private static final long BEAT_MS = 150;
 
+    /** Followers' heartbeats only tell the leader whom to give work, which may be noticed later. */
+    private static final long FOLLOWER_BEAT_MS = 300;
+
     /** Without a heartbeat for this long a follower looks at the lease in the store. */
     private static final long LEADER_SILENT_MS = 380;
 
@@ -152,23 +154,11 @@
         switch (message) {
             case PeerMessage.HostBeat beat -> hostBeat(beat);
             case PeerMessage.LeaderBeat beat -> leaderBeat(beat);
-            case PeerMessage.Accepted accepted -> {
-                if (leads()) {
-                    term.accept(accepted.jobs());
-                }
-            }
-            case PeerMessage.Cancelled cancelled -> {
-                if (leads()) {
-                    term.cancel(cancelled.job());
-                }
-            }
+            case PeerMessage.Accepted accepted -> whenLeading(() -> term.accept(from, accepted.jobs()));
+            case PeerMessage.Cancelled cancelled -> whenLeading(() -> term.cancel(cancelled.job()));
             case PeerMessage.States states -> states(states);
             case PeerMessage.AdviceWanted wanted -> adviceWanted(from, wanted);
-            case PeerMessage.AdviceGiven given -> {
-                if (leads()) {
-                    term.advised(from, given);
-                }
-            }
+            case PeerMessage.AdviceGiven given -> whenLeading(() -> term.advised(from, given));
             case PeerMessage.WhoReachesStore question -> {
                 if (!stopping) {
                     reach.answer(question);
@@ -179,6 +169,12 @@
         }
     }
 
+    private void whenLeading(Runnable action) {
+        if (leads()) {
+            action.run();
+        }
+    }
+
     private void adviceWanted(String from, PeerMessage.AdviceWanted wanted) {
         Optional<String> replyTo = Optional.ofNullable(leader)
                 .filter(one -> one.host().equals(from))
@@ -196,8 +192,6 @@
         if (leads() && !stopping) {
             hosts.forgetSilent(lastBeatMs);
             term.settleSequence();
-            Map<String, String> known = new HashMap<>(hosts.addresses());
-            known.put(host.name(), address);
             PeerMessage message = new PeerMessage.LeaderBeat(
                     lease.record(),
                     lease.version(),
@@ -205,7 +199,7 @@
                     term.sequence(),
                     term.running(),
                     term.pending(),
-                    known,
+                    hosts.toTell(lastBeatMs),
                     succession.largest(lastBeatMs));
             host.bus().sendAll(hosts.addresses().values(), message);
         } else if (leader != null) {
@@ -240,6 +234,7 @@
             pending = beat.pending();
             countedAtMs = leaderHeardAtMs;
         }
+        hosts.told(heard.host(), heard.address(), leaderHeardAtMs);
         beat.hosts().forEach((name, to) -> {
             if (!name.equals(host.name())) {
                 hosts.told(name, to, leaderHeardAtMs);
@@ -280,7 +275,7 @@
         } else if (silentMs() > LEADER_SILENT_MS && !stopping) {
             readLease(Optional.empty());
         }
-        if (nowMs - lastBeatMs >= BEAT_MS) {
+        if (nowMs - lastBeatMs >= (leads() ? BEAT_MS : FOLLOWER_BEAT_MS)) {
             beat();
         }
     }
@@ -298,6 +293,8 @@
             long epoch = lease.record().epoch();
             String reason = silent ? "the store does not answer here" : "a larger host is alive";
             lose(reason + "; handed over to " + able.address());
+            // the receiver takes the lease first, unless it stays silent
+            leaderHeardAtMs = host.loop().nowMs();
             host.bus().send(able.address(), new PeerMessage.Handover(epoch));
         }
     }
--- a/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
@@ -31,7 +31,7 @@
      * @param sequence the last state change of this term
      * @param running true when the leader knows all jobs, so that the counts are right
      * @param pending the jobs of each queue of which no task has started
-     * @param hosts the addresses of all hosts by name
+     * @param hosts the addresses of all hosts by name, in one heartbeat of several; else empty
      * @param largest the processors of the largest host that the leader hears
      */
     record LeaderBeat(
--- a/entry/src/main/java/org/acaciafold/entry/Records.java
+++ b/entry/src/main/java/org/acaciafold/entry/Records.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.acaciafold.core.codec.Codec;
 import org.acaciafold.core.model.AcaciafoldException;
@@ -20,7 +21,7 @@
     /** Accepted jobs, by identifier, in the partition of the job. */
     static final String JOBS = "jobs";
 
-    /** Cancellations, by the job's identifier, in the partition of the job. */
+    /** Cancellations, by the job's identifier, in few partitions, since few jobs are cancelled. */
     static final String CANCELLATIONS = "cancellations";
 
     /** Progress of jobs, by identifier, in the partition of the slice. */
@@ -35,8 +36,13 @@
     static final String LEASE_KEY = "leader";
     static final String SLICE = "slice-0";
 
-    /** Transactions of one partition are applied one after the other, so jobs are spread over several. */
-    static final int JOB_PARTITIONS = 16;
+    /**
+     * Transactions of one partition are applied one after the other, so jobs are spread over several. A hundred jobs a
+     * second, each a transaction, wait for less than a second where one takes a quarter of a second.
+     */
+    private static final int JOB_PARTITIONS = 32;
+
+    private static final int CANCELLATION_PARTITIONS = 4;
 
     private static final Logger LOG = LoggerFactory.getLogger(Records.class);
     /** A state and a time; no whole job is as short. */
@@ -46,12 +52,24 @@
 
     private Records() {}
 
-    static String jobPartition(int number) {
-        return "jobs-" + number;
+    /** Returns the partition of a job's row in one of the tables by job. */
+    static String partitionOf(String table, String jobId) {
+        return partition(table, Math.floorMod(jobId.hashCode(), partitionCount(table)));
+    }
+
+    /** Returns all partitions of one of the tables by job. */
+    static List<String> partitions(String table) {
+        return IntStream.range(0, partitionCount(table))
+                .mapToObj(number -> partition(table, number))
+                .toList();
+    }
+
+    private static String partition(String table, int number) {
+        return table + "-" + number;
     }
 
-    static String partitionOf(String jobId) {
-        return jobPartition(Math.floorMod(jobId.hashCode(), JOB_PARTITIONS));
+    private static int partitionCount(String table) {
+        return table.equals(JOBS) ? JOB_PARTITIONS : CANCELLATION_PARTITIONS;
     }
 
     /** Returns a transaction that writes the lease over the given version of its row. */
--- /dev/null
+++ b/entry/src/main/java/org/acaciafold/entry/StateNews.java
@@ -0,0 +1,99 @@
+package org.acaciafold.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.acaciafold.fleet.Job;
+import org.acaciafold.fleet.JobState;
+
+/**
+ * Tells all hosts how jobs fare.
+ *
+ * <p>Changes are gathered for a while that grows with the number of hosts, so that the messages of a large deployment stay
+ * bounded. The host that accepted a job hears of its end at once, since its consumer most likely asks there.
+ */
+final class StateNews {
+    /** With this much for each host, forty hosts hear of changes five times a second. */
+    private static final long GATHER_MS_PER_HOST = 5;
+
+    /** The sequence of messages that are not part of the changes in order. */
+    private static final long OUT_OF_ORDER = 0;
+
+    private final HostContext host;
+    private final HostTable hosts;
+    private final long epoch;
+    private final Map<String, String> acceptedBy = new HashMap<>();
+    private Map<String, JobState> gathered = new HashMap<>();
+    private long toldAtMs = Long.MIN_VALUE / 2;
+    private long sequence;
+    private boolean due;
+    private boolean ended;
+
+    StateNews(HostContext host, HostTable hosts, long epoch) {
+        this.host = host;
+        this.hosts = hosts;
+        this.epoch = epoch;
+    }
+
+    /** Returns the number of the last change that was told. */
+    long sequence() {
+        return sequence;
+    }
+
+    void begin() {
+        sequence = 1;
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    /** Notes which host has accepted jobs; empty when that is not known. */
+    void accepted(String from, List<Job> jobs) {
+        if (!from.isEmpty() && !from.equals(host.name())) {
+            jobs.forEach(job -> acceptedBy.put(job.id(), from));
+        }
+    }
+
+    void changed(Map<String, JobState> states) {
+        tellAcceptingHosts(states);
+        gathered.putAll(states);
+        if (!due) {
+            due = true;
+            long gatherMs = GATHER_MS_PER_HOST * hosts.addresses().size();
+            long inMs = toldAtMs + gatherMs - host.loop().nowMs();
+            if (inMs <= 0) {
+                tell();
+            } else {
+                host.loop().after(inMs, this::tell);
+            }
+        }
+    }
+
+    private void tell() {
+        due = false;
+        if (ended) {
+            return;
+        }
+        toldAtMs = host.loop().nowMs();
+        sequence++;
+        host.bus().sendAll(hosts.addresses().values(), new PeerMessage.States(epoch, sequence, false, gathered));
+        gathered = new HashMap<>();
+    }
+
+    private void tellAcceptingHosts(Map<String, JobState> states) {
+        Map<String, Map<String, JobState>> ends = new HashMap<>();
+        states.forEach((job, state) -> {
+            if (state.ended()) {
+                Optional.ofNullable(acceptedBy.remove(job))
+                        .ifPresent(name -> ends.computeIfAbsent(name, key -> new HashMap<>())
+                                .put(job, state));
+            }
+        });
+        ends.forEach((name, told) -> hosts.address(name)
+                .ifPresent(
+                        address -> host.bus().send(address, new PeerMessage.States(epoch, OUT_OF_ORDER, false, told))));
+    }
+}
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -155,8 +155,8 @@
      * @return all rows, with the lowest version of the pages
      */
     Mono<RowPage> readJobTable(String table) {
-        return Flux.range(0, Records.JOB_PARTITIONS)
-                .flatMap(number -> readAll(table, Records.jobPartition(number)), LOAD_CONCURRENCY)
+        return Flux.fromIterable(Records.partitions(table))
+                .flatMap(partition -> readAll(table, partition), LOAD_CONCURRENCY)
                 .collectList()
                 .map(pages -> {
                     List<StoredRow> all = new ArrayList<>();
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -42,10 +42,10 @@
     private final Consumer<Map<String, JobState>> publish;
     private final JobSweep sweep;
     private final JobTimes times;
+    private final StateNews news;
     private Scheduler scheduler;
     private boolean ended;
     private boolean tickDue;
-    private long sequence;
     private long settledSequence;
     private boolean listing;
 
@@ -60,7 +60,8 @@
         this.terms = terms;
         this.hosts = hosts;
         this.publish = publish;
-        this.sweep = new JobSweep(host, this::accept, this::cancel);
+        this.sweep = new JobSweep(host, jobs -> accept("", jobs), this::cancel);
+        this.news = new StateNews(host, hosts, lease.record().epoch());
         this.times = new JobTimes(host.metrics());
     }
 
@@ -71,6 +72,7 @@
     void end() {
         ended = true;
         sweep.end();
+        news.end();
     }
 
     boolean running() {
@@ -78,7 +80,7 @@
     }
 
     long sequence() {
-        return sequence;
+        return news.sequence();
     }
 
     FleetSummary summary() {
@@ -92,7 +94,7 @@
     /** Notes that a heartbeat of the leader has been sent, so that hosts should know all before it by the next one. */
     long settleSequence() {
         long before = settledSequence;
-        settledSequence = sequence;
+        settledSequence = news.sequence();
         return before;
     }
 
@@ -101,12 +103,22 @@
     }
 
     void sendAll(String address) {
-        host.bus().send(address, new PeerMessage.States(lease.record().epoch(), sequence, true, scheduler.states()));
-    }
-
-    void accept(List<Job> jobs) {
+        host.bus()
+                .send(
+                        address,
+                        new PeerMessage.States(lease.record().epoch(), news.sequence(), true, scheduler.states()));
+    }
+
+    /**
+     * Takes accepted jobs.
+     *
+     * @param from the host that accepted them, empty when it is not known
+     * @param jobs the jobs
+     */
+    void accept(String from, List<Job> jobs) {
         if (running()) {
             advance();
+            news.accepted(from, jobs);
             // the sweep hands in every job again; one that has ended meanwhile must not be measured anew
             jobs.stream().filter(scheduler::accept).forEach(times::accepted);
             wake();
@@ -174,7 +186,7 @@
         advance();
         configure();
         scheduler.restore(loaded.jobs(), loaded.ended(), loaded.unretired(), loaded.workers());
-        sequence = 1;
+        news.begin();
         Map<String, JobState> states = scheduler.states();
         publish.accept(states);
         hosts.addresses().values().forEach(this::sendAll);
@@ -292,9 +304,7 @@
     }
 
     private void publish(Map<String, JobState> states) {
-        sequence++;
-        PeerMessage message = new PeerMessage.States(lease.record().epoch(), sequence, false, states);
-        host.bus().sendAll(hosts.addresses().values(), message);
+        news.changed(states);
         publish.accept(states);
         times.published(states, host.loop().wallMs());
     }
--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -81,7 +81,9 @@
      */
     Flux<Set<String>> retire(Map<String, EndedJob> jobs) {
         return inPartitions(
-                jobs.keySet(), (transaction, id) -> transaction.write(Records.JOBS, id, Records.encode(jobs.get(id))));
+                Records.JOBS,
+                jobs.keySet(),
+                (transaction, id) -> transaction.write(Records.JOBS, id, Records.encode(jobs.get(id))));
     }
 
     /**
@@ -91,18 +93,22 @@
      * @return the jobs whose records are removed, transaction by transaction; those that failed are left out
      */
     Flux<Set<String>> remove(Map<String, EndedJob> jobs) {
-        return inPartitions(jobs.keySet(), (transaction, id) -> {
-            transaction.remove(Records.JOBS, id);
-            if (jobs.get(id).state() == JobState.CANCELLED) {
-                transaction.remove(Records.CANCELLATIONS, id);
-            }
-        });
+        List<String> cancelled = jobs.keySet().stream()
+                .filter(id -> jobs.get(id).state() == JobState.CANCELLED)
+                .toList();
+        Flux<Set<String>> cancellations = inPartitions(
+                Records.CANCELLATIONS, cancelled, (transaction, id) -> transaction.remove(Records.CANCELLATIONS, id));
+        Flux<Set<String>> records =
+                inPartitions(Records.JOBS, jobs.keySet(), (transaction, id) -> transaction.remove(Records.JOBS, id));
+        // an ended job's short record tells that it was cancelled, so its cancellation may go first
+        return Flux.concat(cancellations.thenMany(Flux.empty()), records);
     }
 
-    private Flux<Set<String>> inPartitions(Collection<String> ids, BiConsumer<Transaction.Builder, String> add) {
+    private Flux<Set<String>> inPartitions(
+            String table, Collection<String> ids, BiConsumer<Transaction.Builder, String> add) {
         Map<String, List<String>> byPartition = new TreeMap<>();
         ids.forEach(id -> byPartition
-                .computeIfAbsent(Records.partitionOf(id), name -> new ArrayList<>())
+                .computeIfAbsent(Records.partitionOf(table, id), name -> new ArrayList<>())
                 .add(id));
         List<Mono<Set<String>>> calls = new ArrayList<>();
         byPartition.forEach((partition, all) -> {
--- a/proof/src/test/java/org/acaciafold/proof/soak/SoakMain.java
+++ b/proof/src/test/java/org/acaciafold/proof/soak/SoakMain.java
@@ -9,6 +9,7 @@
 public final class SoakMain {
     private static final double DEFAULT_MINUTES = 0.5;
     private static final int DEFAULT_HOSTS = 4;
+    private static final int SHOWN = 10;
     private static final double MS_PER_MINUTE = 60_000;
 
     private SoakMain() {}
@@ -40,7 +41,8 @@
                 verdict.faults().size(),
                 verdict.accepted(),
                 verdict.starts());
-        verdict.broken().forEach(line -> System.out.println("  " + line));
+        verdict.broken().stream().limit(SHOWN).forEach(line -> System.out.println("  " + line));
+        Files.write(directory.resolve("broken.txt"), verdict.broken());
         Files.write(directory.resolve("faults.txt"), verdict.faults());
     }
 
