--- a/entry/src/main/java/org/acaciafold/entry/StateNews.java
+++ b/entry/src/main/java/org/acaciafold/entry/StateNews.java
@@ -1,11 +1,12 @@
 package org.acaciafold.entry;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 
-import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
 
 /**
@@ -21,7 +22,9 @@
     /** The sequence of messages that are not part of the changes in order. */
     private static final long OUT_OF_ORDER = 0;
 
-    private final HostContext host;
+    private final String self;
+    private final Timers loop;
+    private final BiConsumer<Collection<String>, PeerMessage> bus;
     private final HostTable hosts;
     private final long epoch;
     private final Map<String, String> acceptedBy = new HashMap<>();
@@ -31,8 +34,19 @@
     private boolean due;
     private boolean ended;
 
-    StateNews(HostContext host, HostTable hosts, long epoch) {
-        this.host = host;
+    /**
+     * Creates the news of a term.
+     *
+     * @param self the leader's name
+     * @param loop the leader's thread
+     * @param bus sends a message to addresses
+     * @param hosts all hosts
+     * @param epoch the term
+     */
+    StateNews(String self, Timers loop, BiConsumer<Collection<String>, PeerMessage> bus, HostTable hosts, long epoch) {
+        this.self = self;
+        this.loop = loop;
+        this.bus = bus;
         this.hosts = hosts;
         this.epoch = epoch;
     }
@@ -50,10 +64,10 @@
         ended = true;
     }
 
-    /** Notes which host has accepted jobs; empty when that is not known. */
-    void accepted(String from, List<Job> jobs) {
-        if (!from.isEmpty() && !from.equals(host.name())) {
-            jobs.forEach(job -> acceptedBy.put(job.id(), from));
+    /** Notes which host has accepted a job; empty when that is not known. */
+    void accepted(String from, String job) {
+        if (!from.isEmpty() && !from.equals(self)) {
+            acceptedBy.put(job, from);
         }
     }
 
@@ -63,11 +77,11 @@
         if (!due) {
             due = true;
             long gatherMs = GATHER_MS_PER_HOST * hosts.addresses().size();
-            long inMs = toldAtMs + gatherMs - host.loop().nowMs();
+            long inMs = toldAtMs + gatherMs - loop.nowMs();
             if (inMs <= 0) {
                 tell();
             } else {
-                host.loop().after(inMs, this::tell);
+                loop.after(inMs, this::tell);
             }
         }
     }
@@ -77,9 +91,9 @@
         if (ended) {
             return;
         }
-        toldAtMs = host.loop().nowMs();
+        toldAtMs = loop.nowMs();
         sequence++;
-        host.bus().sendAll(hosts.addresses().values(), new PeerMessage.States(epoch, sequence, false, gathered));
+        bus.accept(hosts.addresses().values(), new PeerMessage.States(epoch, sequence, false, gathered));
         gathered = new HashMap<>();
     }
 
@@ -93,7 +107,7 @@
             }
         });
         ends.forEach((name, told) -> hosts.address(name)
-                .ifPresent(
-                        address -> host.bus().send(address, new PeerMessage.States(epoch, OUT_OF_ORDER, false, told))));
+                .ifPresent(address ->
+                        bus.accept(List.of(address), new PeerMessage.States(epoch, OUT_OF_ORDER, false, told))));
     }
 }
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -61,7 +61,12 @@
         this.hosts = hosts;
         this.publish = publish;
         this.sweep = new JobSweep(host, jobs -> accept("", jobs), this::cancel);
-        this.news = new StateNews(host, hosts, lease.record().epoch());
+        this.news = new StateNews(
+                host.name(),
+                host.loop(),
+                host.bus()::sendAll,
+                hosts,
+                lease.record().epoch());
         this.times = new JobTimes(host.metrics());
     }
 
@@ -118,7 +123,7 @@
     void accept(String from, List<Job> jobs) {
         if (running()) {
             advance();
-            news.accepted(from, jobs);
+            jobs.forEach(job -> news.accepted(from, job.id()));
             // the sweep hands in every job again; one that has ended meanwhile must not be measured anew
             jobs.stream().filter(scheduler::accept).forEach(times::accepted);
             wake();
--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -10,8 +10,10 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
+import reactor.util.function.Tuple2;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -27,6 +29,7 @@
     /** What a consumer waits when it does not say. */
     private static final long CONSUMER_DEADLINE_MS = 3_000;
 
+    private static final int CONNECTIONS = 4;
     private static final int TASKS = 3;
     private static final long SHORT_TASK_MS = 50;
     private static final long LONG_TASK_MS = 60_000;
@@ -117,6 +120,22 @@
         await("its end", only.state("j2"), "completed");
     }
 
+    @Test
+    void shouldAnswerBeforeTheConsumersDeadlineWhenTheStoreIsSlow() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        EmulatedConsumer only = host("only");
+        platform.delay(800);
+
+        long longest = Flux.range(0, 12)
+                .flatMap(job -> only.submit("j" + job, TASKS).elapsed(), CONNECTIONS)
+                .map(Tuple2::getT1)
+                .reduce(Math::max)
+                .block(LIMIT);
+
+        assertTrue(longest < CONSUMER_DEADLINE_MS, "took " + longest + " ms");
+        platform.delay(0);
+    }
+
     @Test
     void shouldNeverRunAJobThatItRefused() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
--- /dev/null
+++ b/entry/src/test/java/org/acaciafold/entry/StateNewsTest.java
@@ -0,0 +1,92 @@
+package org.acaciafold.entry;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+
+import org.acaciafold.fleet.JobState;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A large deployment: forty hosts hear of many short jobs. */
+class StateNewsTest {
+    private static final int HOSTS = 40;
+    private static final long GATHER_MS = 200;
+    private static final long EPOCH = 3;
+
+    private final ManualTimers timers = new ManualTimers();
+    private final HostTable hosts = new HostTable();
+    private final List<Sent> sent = new ArrayList<>();
+    private final StateNews news = new StateNews(
+            "leader", timers, (to, message) -> sent.add(new Sent(List.copyOf(to), message)), hosts, EPOCH);
+
+    private static Map<String, JobState> running(String job) {
+        return Map.of(job, JobState.RUNNING);
+    }
+
+    @BeforeEach
+    void hearOfHosts() {
+        for (int i = 0; i < HOSTS; i++) {
+            hosts.heard(new PeerMessage.HostBeat("host-" + i, "address-" + i, 1, 0, false), timers.nowMs());
+        }
+        news.begin();
+    }
+
+    @Test
+    void shouldTellAllHostsOfTheFirstChangeAtOnce() {
+        news.changed(running("j1"));
+
+        assertEquals(1, sent.size());
+        assertEquals(HOSTS, sent.getFirst().to.size());
+        assertEquals(new PeerMessage.States(EPOCH, 2, false, running("j1")), sent.getFirst().message);
+    }
+
+    @Test
+    void shouldGatherChangesThatFollowSoon() {
+        news.changed(running("j1"));
+        for (int tick = 0; tick < 4; tick++) {
+            timers.advance(40);
+            news.changed(running("j" + (2 + tick)));
+        }
+        assertEquals(1, sent.size());
+
+        timers.advance(GATHER_MS);
+
+        assertEquals(2, sent.size());
+        PeerMessage.States second = (PeerMessage.States) sent.getLast().message;
+        assertEquals(3, second.sequence());
+        assertEquals(4, second.states().size());
+    }
+
+    @Test
+    void shouldTellTheAcceptingHostOfAnEndAtOnce() {
+        news.accepted("host-7", "j2");
+        news.changed(running("j1"));
+        timers.advance(1);
+
+        news.changed(Map.of("j2", JobState.COMPLETED));
+
+        assertEquals(List.of("address-7"), sent.getLast().to);
+        PeerMessage.States told = (PeerMessage.States) sent.getLast().message;
+        assertEquals(JobState.COMPLETED, told.states().get("j2"));
+        assertTrue(told.sequence() < news.sequence());
+    }
+
+    @Test
+    void shouldTellNothingMoreAfterTheTerm() {
+        news.changed(running("j1"));
+        timers.advance(1);
+        news.changed(running("j2"));
+        news.end();
+
+        timers.advance(GATHER_MS);
+
+        assertEquals(1, sent.size());
+    }
+
+    private record Sent(Collection<String> to, PeerMessage message) {}
+}
