--- a/bench/src/main/java/org/acaciafold/bench/Main.java
+++ b/bench/src/main/java/org/acaciafold/bench/Main.java
@@ -6,8 +6,10 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 
+import org.acaciafold.bench.load.LoadBench;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.placement.PlaneFeature;
 import org.apache.commons.cli.CommandLine;
@@ -16,7 +18,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 
-/** The command line of the benchmarks: {@code policy} or {@code decisions}. */
+/** The command line of the benchmarks: {@code policy}, {@code decisions} or {@code load}. */
 public final class Main {
     private static final Options OPTIONS = new Options()
             .addOption(Option.builder()
@@ -31,13 +33,20 @@
                     .argName("N")
                     .desc("seed of the workloads, 1 by default")
                     .get())
+            .addOption(Option.builder()
+                    .longOpt("pattern")
+                    .hasArg()
+                    .argName("TITLE")
+                    .desc("only patterns of load with this in their title")
+                    .get())
             .addOption(Option.builder()
                     .longOpt("without")
                     .hasArg()
                     .argName("PART")
                     .desc("leave a part of our policy out")
                     .get());
-    private static final String USAGE = "usage: bin/bench policy|decisions [--seed N] [--without PART] [--write DIR]";
+    private static final String USAGE =
+            "usage: bin/bench policy|decisions|load [--seed N] [--without PART] [--pattern TITLE] [--write DIR]";
 
     private Main() {}
 
@@ -60,6 +69,7 @@
                     switch (names.getFirst()) {
                         case "policy" -> PolicyBench.run(seed, without(line));
                         case "decisions" -> DecisionsBench.run(seed);
+                        case "load" -> load(seed, line);
                         default -> throw new ParseException("unknown benchmark " + names.getFirst());
                     };
             String command = "bin/bench " + String.join(" ", args);
@@ -71,6 +81,18 @@
         }
     }
 
+    private static List<ResultTable> load(long seed, CommandLine line) {
+        return LoadBench.run(seed, Optional.ofNullable(line.getOptionValue("pattern"))).stream()
+                .map(Main::table)
+                .toList();
+    }
+
+    private static ResultTable table(LoadBench.Outcomes outcomes) {
+        ResultTable table = new ResultTable(outcomes.title(), outcomes.columns(), ResultTable.Better.NEITHER);
+        outcomes.outcomes().forEach(outcome -> table.add(outcome.pattern(), outcome.values()));
+        return table;
+    }
+
     private static Set<PlaneFeature> without(CommandLine line) {
         Set<PlaneFeature> features = EnumSet.noneOf(PlaneFeature.class);
         for (String name : line.getOptionValues("without") == null ? new String[0] : line.getOptionValues("without")) {
--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/load/Deployment.java
@@ -0,0 +1,77 @@
+package org.acaciafold.bench.load;
+
+import java.util.List;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.AdviceTerms;
+
+/**
+ * A deployment that load is played on.
+ *
+ * @param name its name
+ * @param hosts how many entry hosts make calls for advice
+ * @param workers how many workers there are
+ * @param workersPerRack how many of them share a rack
+ * @param room what each worker has
+ * @param workspaces how many workspaces send jobs
+ * @param classes the kinds of jobs
+ */
+record Deployment(
+        String name,
+        int hosts,
+        int workers,
+        int workersPerRack,
+        Resources room,
+        int workspaces,
+        List<JobClass> classes) {
+    /** Failure domains of every deployment. */
+    static final int DOMAINS = 3;
+
+    private static final Resources ROOM = Resources.of(32_000, 131_072, 0);
+    private static final long TICKET_MS = 2_500;
+
+    /** Returns a deployment of today's size. */
+    static Deployment small() {
+        return new Deployment(
+                "small",
+                8,
+                33,
+                8,
+                ROOM,
+                6,
+                List.of(
+                        nightly(1.15, 5, new AdviceTerms(640, 6.5, TICKET_MS)),
+                        pricing(3.05, 10, 1_800, new AdviceTerms(260, 3, TICKET_MS)),
+                        holds(21.6, 2.2, 2_600, new AdviceTerms(15, 0.3, TICKET_MS))));
+    }
+
+    /** Returns a deployment that has grown about seven times. */
+    static Deployment grown() {
+        return new Deployment(
+                "grown",
+                29,
+                245,
+                8,
+                ROOM,
+                20,
+                List.of(
+                        nightly(3.4, 13, new AdviceTerms(380, 5.5, TICKET_MS)),
+                        pricing(5.02, 25, 3_200, new AdviceTerms(120, 1.8, TICKET_MS)),
+                        holds(56.2, 3.2, 4_500, new AdviceTerms(11, 0.16, TICKET_MS))));
+    }
+
+    private static JobClass nightly(double perSecond, double width, AdviceTerms advice) {
+        return new JobClass(
+                "nightly", 1, perSecond, 1.2, width, 6_200, 9_000, 33_000, 1, 2.2, 1_000, 0.05, 8, advice, 0.35);
+    }
+
+    private static JobClass pricing(double perSecond, double width, double cpu, AdviceTerms advice) {
+        return new JobClass(
+                "pricing", 2, perSecond, 1.5, width, 3_400, cpu, 12_000, 0, 4, 3_000, 0.005, 2.5, advice, 0.45);
+    }
+
+    private static JobClass holds(double perSecond, double width, double cpu, AdviceTerms advice) {
+        return new JobClass(
+                "holds", 0, perSecond, 1, width, 1_000, cpu, 13_000, 0.3, 1.5, 250, 0.02, 0.42, advice, 0.7);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
@@ -0,0 +1,359 @@
+package org.acaciafold.bench.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndedJob;
+import org.acaciafold.fleet.FleetConfig;
+import org.acaciafold.fleet.Grant;
+import org.acaciafold.fleet.JobState;
+import org.acaciafold.fleet.Progress;
+import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StopOutcome;
+import org.acaciafold.fleet.StoredJob;
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
+import org.acaciafold.fleet.Workspace;
+import org.acaciafold.fleet.scheduling.Scheduler;
+import org.acaciafold.fleet.scheduling.SchedulerTerms;
+
+/** One pattern of load on a deployment, from an empty fleet; the same seed plays the same. */
+final class LoadSimulation {
+    /** As on the users' deployments: links, orders without an answer, and transactions. */
+    private static final long LINK_MS = 1;
+
+    private static final long ORDER_TIMEOUT_MS = 900;
+    private static final long STORE_MS = 10;
+    private static final long STEP_MS = 10;
+    private static final long TICK_MS = 40;
+    private static final long LIST_MS = 500;
+    private static final long WALL_MS = 1_700_000_000_000L;
+    private static final SchedulerTerms TERMS = new SchedulerTerms(9_000, 400);
+
+    /** From the death of a leader to the begin of the next term, as measured on the users' bench. */
+    private static final long TAKEOVER_MS = 1_700;
+
+    private final Deployment deployment;
+    private final LoadPattern pattern;
+    private final Random random;
+    private final LoadMeasures measures = new LoadMeasures();
+    private final SimulatedGangs gangs = new SimulatedGangs();
+    private final Map<String, SimulatedWorker> workers = new TreeMap<>();
+    private final Map<String, SimulatedJob> jobs = new HashMap<>();
+    private final Set<String> started = new HashSet<>();
+    private final Map<String, JobState> ended = new HashMap<>();
+    private final Map<String, Progress> progress = new HashMap<>();
+    private final Map<String, WorkerClaims> claims = new TreeMap<>();
+    private final Map<String, Long> adviserFreeAtMs = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final FleetConfig config;
+    private Scheduler leader;
+    private long epoch;
+    private long nowMs;
+    private long sequence;
+
+    private LoadSimulation(Deployment deployment, LoadPattern pattern, long seed) {
+        this.deployment = deployment;
+        this.pattern = pattern;
+        this.random = new Random(seed);
+        List<Workspace> workspaces = new ArrayList<>();
+        for (int i = 0; i < deployment.workspaces(); i++) {
+            workspaces.add(new Workspace("w" + i, Set.of("key" + i), 1_000, Resources.empty()));
+        }
+        config = FleetConfig.of(1, List.of(), workspaces);
+        for (int i = 0; i < deployment.workers(); i++) {
+            String domain = "d" + i % Deployment.DOMAINS;
+            String rack = domain + "-" + i / Deployment.DOMAINS / deployment.workersPerRack();
+            String id = String.format("worker-%03d", i);
+            workers.put(id, new SimulatedWorker(id, domain, rack, deployment.room(), gangs, measures));
+        }
+    }
+
+    /** Plays a pattern for some time and lets what has come be finished, within the same time again at most. */
+    static LoadMeasures play(Deployment deployment, LoadPattern pattern, long seed, long lengthMs) {
+        LoadSimulation simulation = new LoadSimulation(deployment, pattern, seed);
+        simulation.elect();
+        simulation.schedule();
+        while (simulation.nowMs < lengthMs) {
+            simulation.arrivals();
+            simulation.step();
+        }
+        while (simulation.nowMs < 2 * lengthMs && simulation.ended.size() < simulation.jobs.size()) {
+            simulation.step();
+        }
+        return simulation.measures;
+    }
+
+    private void schedule() {
+        switch (pattern) {
+            case LoadPattern.SlowWorkers slow -> {
+                at(slow.fromMs(), () -> some(slow.share()).forEach(worker -> worker.slowness = slow.factor()));
+                at(slow.toMs(), () -> workers.values().forEach(worker -> worker.slowness = 1));
+            }
+            case LoadPattern.FailingWorkers failing -> {
+                at(failing.fromMs(), () -> some(failing.share()).forEach(worker -> worker.failing = true));
+                at(failing.toMs(), () -> workers.values().forEach(worker -> worker.failing = false));
+            }
+            case LoadPattern.DomainLost lost -> {
+                at(lost.fromMs(), () -> reach("d0", false));
+                at(lost.toMs(), () -> reach("d0", true));
+            }
+            case LoadPattern.LeaderLost lost -> {
+                at(lost.atMs(), () -> leader = null);
+                at(lost.atMs() + TAKEOVER_MS, this::elect);
+            }
+            case LoadPattern.Steady ignored -> {}
+            case LoadPattern.Burst ignored -> {}
+            case LoadPattern.Flood ignored -> {}
+            case LoadPattern.SlowStore ignored -> {}
+        }
+    }
+
+    private List<SimulatedWorker> some(double share) {
+        List<SimulatedWorker> all = new ArrayList<>(workers.values());
+        java.util.Collections.shuffle(all, random);
+        return all.subList(0, (int) Math.ceil(share * all.size()));
+    }
+
+    private void reach(String domain, boolean reachable) {
+        workers.values().stream()
+                .filter(worker -> worker.domain.equals(domain))
+                .forEach(worker -> worker.reachable = reachable);
+    }
+
+    private void arrivals() {
+        for (JobClass jobClass : deployment.classes()) {
+            double rate = jobClass.perSecond();
+            if (pattern instanceof LoadPattern.Burst burst
+                    && burst.jobs().equals(jobClass.name())
+                    && within(burst.fromMs(), burst.toMs())) {
+                rate *= burst.factor();
+            }
+            arrive(jobClass, rate, random.nextInt(deployment.workspaces()));
+            if (pattern instanceof LoadPattern.Flood flood && within(flood.fromMs(), flood.toMs())) {
+                arrive(jobClass, flood.factor() * jobClass.perSecond() / deployment.workspaces(), 0);
+            }
+        }
+    }
+
+    private void arrive(JobClass jobClass, double rate, int workspace) {
+        if (random.nextDouble() >= rate * STEP_MS / 1_000) {
+            return;
+        }
+        String id = String.format("%016x", ++sequence);
+        SimulatedJob job = SimulatedJob.draw(jobClass, id, "w" + workspace, nowMs, WALL_MS + nowMs, random);
+        jobs.put(id, job);
+        measures.owed(jobClass.name(), nowMs, job.worth());
+        at(nowMs + storeMs(), () -> {
+            if (leader != null) {
+                leader.accept(job.job());
+            }
+        });
+    }
+
+    private boolean within(long fromMs, long toMs) {
+        return nowMs >= fromMs && nowMs < toMs;
+    }
+
+    private long storeMs() {
+        return pattern instanceof LoadPattern.SlowStore slow && within(slow.fromMs(), slow.toMs())
+                ? slow.delayMs()
+                : STORE_MS;
+    }
+
+    private void step() {
+        nowMs += STEP_MS;
+        workers.values().forEach(worker -> worker.advance(nowMs));
+        while (!events.isEmpty() && events.peek().atMs <= nowMs) {
+            events.poll().action.run();
+        }
+        if (leader != null && nowMs % TICK_MS == 0) {
+            leader.advance(nowMs, WALL_MS + nowMs);
+            if (nowMs % LIST_MS < TICK_MS) {
+                leader.listed(
+                        workers.values().stream().map(SimulatedWorker::entry).toList(), true);
+            }
+            List<String> advisers = new ArrayList<>();
+            for (int host = 0; host < deployment.hosts(); host++) {
+                advisers.add("h" + host);
+            }
+            leader.advisers(advisers);
+            leader.tick().forEach(this::carryOut);
+        }
+    }
+
+    private void elect() {
+        leader = Scheduler.create(TERMS, ++epoch, config);
+        leader.advance(nowMs, WALL_MS + nowMs);
+        leader.configure(config, Set.of());
+        Map<String, EndedJob> endedJobs = new HashMap<>();
+        ended.forEach((id, state) -> endedJobs.put(id, new EndedJob(state, WALL_MS + nowMs)));
+        List<StoredJob> stored = new ArrayList<>();
+        new TreeMap<>(jobs).forEach((id, job) -> {
+            if (!ended.containsKey(id)) {
+                stored.add(new StoredJob(job.job(), Optional.ofNullable(progress.get(id)), false));
+            }
+        });
+        leader.restore(stored, endedJobs, Set.of(), new ArrayList<>(claims.values()));
+    }
+
+    private void carryOut(Effect effect) {
+        Scheduler term = leader;
+        switch (effect) {
+            case Effect.Start start -> start(term, start);
+            case Effect.Stop stop ->
+                order(
+                        term,
+                        stop.worker(),
+                        worker -> {
+                            worker.stop(stop, nowMs);
+                            return () -> term.stopped(stop.worker(), stop.task(), stop.run(), StopOutcome.STOPPED);
+                        },
+                        () -> term.stopped(stop.worker(), stop.task(), stop.run(), StopOutcome.UNKNOWN));
+            case Effect.Hold hold -> hold(term, hold, nowMs + hold.waitMs());
+            case Effect.Probe probe -> {
+                long askedAtMs = nowMs;
+                order(
+                        term,
+                        probe.worker(),
+                        worker -> {
+                            var view = worker.hold(0, false, nowMs).orElseThrow();
+                            return () -> term.probed(probe.worker(), view, askedAtMs);
+                        },
+                        () -> term.probeFailed(probe.worker()));
+            }
+            case Effect.Save save -> at(nowMs + storeMs(), () -> save(term, save));
+            case Effect.Retire retire ->
+                later(term, storeMs(), () -> term.retired(retire.jobs().keySet()));
+            case Effect.Advise advise -> advise(term, advise);
+            case Effect.Publish news -> news.states().forEach(this::published);
+        }
+    }
+
+    private void start(Scheduler term, Effect.Start start) {
+        SimulatedTask work = work(start.task());
+        order(
+                term,
+                start.worker(),
+                worker -> {
+                    StartOutcome outcome = worker.start(start, work, nowMs);
+                    if (outcome == StartOutcome.STARTED
+                            && started.add(start.task().job())) {
+                        measures.firstStart(nowMs - jobs.get(start.task().job()).cameAtMs());
+                    }
+                    return () -> term.started(start.worker(), start.task(), start.run(), outcome);
+                },
+                () -> term.started(start.worker(), start.task(), start.run(), StartOutcome.UNKNOWN));
+    }
+
+    private SimulatedTask work(TaskName task) {
+        SimulatedJob job = jobs.get(task.job());
+        var step = job.job().steps().get(task.step());
+        boolean fails = random.nextDouble() < job.jobs().failing() / step.count();
+        return new SimulatedTask(
+                job.workMs().get(task.step()), fails, step.each().cpuMillis(), step.gang() ? step.count() : 0);
+    }
+
+    private void hold(Scheduler term, Effect.Hold hold, long waitsUntilMs) {
+        long askedAtMs = nowMs;
+        SimulatedWorker worker = workers.get(hold.worker());
+        at(nowMs + LINK_MS, () -> poll(term, hold, worker, askedAtMs, waitsUntilMs));
+    }
+
+    /** Answers a renewal once there is an end, or the wait is over. */
+    private void poll(Scheduler term, Effect.Hold hold, SimulatedWorker worker, long askedAtMs, long waitsUntilMs) {
+        if (!worker.reachable) {
+            later(term, ORDER_TIMEOUT_MS, () -> term.holdFailed(worker.id));
+            return;
+        }
+        worker.hold(hold.acknowledged(), nowMs < waitsUntilMs, nowMs)
+                .ifPresentOrElse(
+                        view -> later(term, LINK_MS, () -> term.held(worker.id, view, askedAtMs)),
+                        () -> at(nowMs + STEP_MS, () -> poll(term, hold, worker, askedAtMs, waitsUntilMs)));
+    }
+
+    /** Delivers an order to a worker that is reachable; the answer, or its absence, comes later. */
+    private void order(
+            Scheduler term,
+            String id,
+            java.util.function.Function<SimulatedWorker, Runnable> execute,
+            Runnable unanswered) {
+        SimulatedWorker worker = workers.get(id);
+        at(nowMs + LINK_MS, () -> {
+            if (worker.reachable) {
+                later(term, LINK_MS, execute.apply(worker));
+            } else {
+                later(term, ORDER_TIMEOUT_MS, unanswered);
+            }
+        });
+    }
+
+    private void save(Scheduler term, Effect.Save save) {
+        if (term == leader) {
+            progress.putAll(save.progress());
+            save.claims().forEach(record -> claims.put(record.id(), record));
+            save.forgotten().forEach(claims::remove);
+            save.needless().forEach(progress::remove);
+            term.advance(nowMs, WALL_MS + nowMs);
+            term.saved(save.batch());
+        }
+    }
+
+    /** Each host makes one call at a time; which workers a step is allowed on does not change. */
+    private void advise(Scheduler term, Effect.Advise advise) {
+        SimulatedJob job = jobs.get(advise.step().job());
+        long beginsAtMs = Math.max(nowMs, adviserFreeAtMs.getOrDefault(advise.host(), 0L));
+        long answersAtMs =
+                beginsAtMs + job.jobs().advice().callMs(advise.workers().size());
+        adviserFreeAtMs.put(advise.host(), answersAtMs);
+        List<Grant> granted = advise.workers().stream()
+                .filter(worker -> allowed(advise, worker, job.jobs().allowed()))
+                .map(worker -> new Grant(worker, "ticket"))
+                .toList();
+        later(term, answersAtMs - nowMs, () -> term.advised(advise.host(), advise.step(), Optional.of(granted)));
+    }
+
+    private static boolean allowed(Effect.Advise advise, String worker, double share) {
+        int draw = Math.floorMod((advise.step() + worker).hashCode() * 0x9E3779B1, 1_000);
+        return draw < share * 1_000;
+    }
+
+    private void published(String id, JobState state) {
+        if (state.ended() && ended.putIfAbsent(id, state) == null && state == JobState.COMPLETED) {
+            SimulatedJob job = jobs.get(id);
+            measures.completed(
+                    job.jobs().name(), job.cameAtMs(), nowMs - job.cameAtMs(), job.objectiveMs(), job.worth());
+        }
+    }
+
+    private void later(Scheduler term, long inMs, Runnable action) {
+        at(nowMs + inMs, () -> {
+            if (term == leader) {
+                term.advance(nowMs, WALL_MS + nowMs);
+                action.run();
+            }
+        });
+    }
+
+    private void at(long atMs, Runnable action) {
+        events.add(new Event(atMs, sequence++, action));
+    }
+
+    private record Event(long atMs, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event that) {
+            int byTime = Long.compare(atMs, that.atMs);
+            return byTime != 0 ? byTime : Long.compare(order, that.order);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/load/SimulatedGangs.java
@@ -0,0 +1,62 @@
+package org.acaciafold.bench.load;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.acaciafold.fleet.EndKind;
+import org.acaciafold.fleet.StepName;
+import org.acaciafold.fleet.TaskName;
+
+/** Gangs work from the moment when all members are present, and end together. */
+final class SimulatedGangs {
+    /** As {@code gang_timeout_ms} of the users' deployments. */
+    private static final long ALONE_AFTER_MS = 3_000;
+
+    private final Map<Key, Gang> gangs = new HashMap<>();
+
+    void join(TaskName task, int run, int size, long workMs, boolean fails, long nowMs) {
+        Gang gang = gangs.computeIfAbsent(new Key(task.stepName(), run), key -> new Gang(nowMs));
+        gang.present++;
+        gang.workMs = Math.max(gang.workMs, workMs);
+        gang.fails |= fails;
+        if (gang.present == size) {
+            gang.endsAtMs = nowMs + gang.workMs;
+        }
+    }
+
+    /** Notes that a member ended otherwise, which breaks the others. */
+    void left(TaskName task, int run) {
+        Gang gang = gangs.get(new Key(task.stepName(), run));
+        if (gang != null && gang.ending == null) {
+            gang.ending = EndKind.BROKEN;
+        }
+    }
+
+    /** Returns how a member ends now; empty while it works or waits. */
+    Optional<EndKind> ending(TaskName task, int run, long nowMs) {
+        Gang gang = gangs.get(new Key(task.stepName(), run));
+        if (gang.ending == null && nowMs >= gang.endsAtMs) {
+            gang.ending = gang.fails ? EndKind.FAILED : EndKind.DONE;
+        }
+        if (gang.ending == null && gang.endsAtMs == Long.MAX_VALUE && nowMs - gang.beganAtMs > ALONE_AFTER_MS) {
+            return Optional.of(EndKind.ALONE);
+        }
+        return Optional.ofNullable(gang.ending);
+    }
+
+    private record Key(StepName step, int run) {}
+
+    private static final class Gang {
+        private final long beganAtMs;
+        private int present;
+        private long workMs;
+        private boolean fails;
+        private long endsAtMs = Long.MAX_VALUE;
+        private EndKind ending;
+
+        private Gang(long beganAtMs) {
+            this.beganAtMs = beganAtMs;
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/acaciafold/bench/load/SimulatedWorker.java
@@ -0,0 +1,113 @@
+package org.acaciafold.bench.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndKind;
+import org.acaciafold.fleet.HoldView;
+import org.acaciafold.fleet.RunEnd;
+import org.acaciafold.fleet.RunView;
+import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StopOutcome;
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerEntry;
+
+/** A worker on the simulated clock. Its lease is never let run out by the patterns, so it keeps none. */
+final class SimulatedWorker {
+    private static final long FAILS_AFTER_MS = 100;
+    private static final long BORN_MS = 1;
+
+    final String id;
+    final String domain;
+    private final String rack;
+    private final Resources room;
+    private final SimulatedGangs gangs;
+    private final Map<TaskName, Run> runs = new HashMap<>();
+    private final Map<TaskName, Integer> barred = new HashMap<>();
+    private final List<RunEnd> ends = new ArrayList<>();
+    private final LoadMeasures measures;
+    private long lastEnd;
+    boolean reachable = true;
+    double slowness = 1;
+    boolean failing;
+
+    SimulatedWorker(
+            String id, String domain, String rack, Resources room, SimulatedGangs gangs, LoadMeasures measures) {
+        this.id = id;
+        this.domain = domain;
+        this.rack = rack;
+        this.room = room;
+        this.gangs = gangs;
+        this.measures = measures;
+    }
+
+    WorkerEntry entry() {
+        return new WorkerEntry(id, id + ":1", domain, "service", room, Set.of("a", rack), rack, false, BORN_MS);
+    }
+
+    void advance(long nowMs) {
+        for (Run run : List.copyOf(runs.values())) {
+            if (run.work.gang()) {
+                gangs.ending(run.task, run.number, nowMs).ifPresent(kind -> end(run, kind, nowMs));
+            } else if (nowMs >= run.endsAtMs) {
+                end(run, run.fails ? EndKind.FAILED : EndKind.DONE, nowMs);
+            }
+        }
+    }
+
+    StartOutcome start(Effect.Start order, SimulatedTask work, long nowMs) {
+        Run known = runs.get(order.task());
+        if (known != null && known.number == order.run()) {
+            return StartOutcome.STARTED;
+        }
+        if (known != null || order.run() <= barred.getOrDefault(order.task(), 0)) {
+            return StartOutcome.OLD_RUN;
+        }
+        boolean fails = failing || work.fails();
+        long lastsMs = failing ? FAILS_AFTER_MS : Math.round(work.workMs() * slowness);
+        runs.put(order.task(), new Run(order.task(), order.run(), nowMs, nowMs + lastsMs, fails, work));
+        if (work.gang()) {
+            gangs.join(order.task(), order.run(), work.gangSize(), lastsMs, fails, nowMs);
+        }
+        return StartOutcome.STARTED;
+    }
+
+    StopOutcome stop(Effect.Stop order, long nowMs) {
+        barred.merge(order.task(), order.run(), Math::max);
+        Run run = runs.get(order.task());
+        if (run != null && run.number <= order.run()) {
+            end(run, EndKind.STOPPED, nowMs);
+        }
+        return StopOutcome.STOPPED;
+    }
+
+    /** Returns its lists, when there are ends above the acknowledged ones or it must wait no longer. */
+    Optional<HoldView> hold(long acknowledged, boolean mayWait, long nowMs) {
+        ends.removeIf(end -> end.number() <= acknowledged);
+        if (ends.isEmpty() && mayWait) {
+            return Optional.empty();
+        }
+        List<RunView> running = runs.values().stream()
+                .map(run -> new RunView(run.task, run.number, "", 0))
+                .toList();
+        return Optional.of(new HoldView(nowMs, BORN_MS, running, ends));
+    }
+
+    private void end(Run run, EndKind kind, long nowMs) {
+        runs.remove(run.task);
+        barred.merge(run.task, run.number, Math::max);
+        ends.add(new RunEnd(++lastEnd, run.task, run.number, kind, ""));
+        measures.ran(run.work.cpuMillis() * (double) (nowMs - run.startedAtMs), kind == EndKind.DONE);
+        if (run.work.gang() && kind != EndKind.DONE) {
+            gangs.left(run.task, run.number);
+        }
+    }
+
+    private record Run(TaskName task, int number, long startedAtMs, long endsAtMs, boolean fails, SimulatedTask work) {}
+}
