An out-of-order message of states does not make a new follower pass for up to date

Found in the read-through: such a message had the number 0, which follows -1, what a host has seen that has heard nothing of a term yet; it then told states as current before it had got all. StateNewsTest.shouldTellTheAcceptingHostOfAnEndAtOnce, red with 0.

--- a/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
@@ -1,6 +1,7 @@
 package org.acaciafold.bench.load;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,15 +11,18 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.Grant;
+import org.acaciafold.fleet.HoldView;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StepSpec;
 import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.StoredJob;
 import org.acaciafold.fleet.TaskName;
@@ -121,7 +125,7 @@
 
     private List<SimulatedWorker> some(double share) {
         List<SimulatedWorker> all = new ArrayList<>(workers.values());
-        java.util.Collections.shuffle(all, random);
+        Collections.shuffle(all, random);
         return all.subList(0, (int) Math.ceil(share * all.size()));
     }
 
@@ -227,7 +231,7 @@
                         term,
                         probe.worker(),
                         worker -> {
-                            var view = worker.hold(0, false, nowMs).orElseThrow();
+                            HoldView view = worker.hold(0, false, nowMs).orElseThrow();
                             return () -> term.probed(probe.worker(), view, askedAtMs);
                         },
                         () -> term.probeFailed(probe.worker()));
@@ -258,7 +262,7 @@
 
     private SimulatedTask work(TaskName task) {
         SimulatedJob job = jobs.get(task.job());
-        var step = job.job().steps().get(task.step());
+        StepSpec step = job.job().steps().get(task.step());
         boolean fails = random.nextDouble() < job.jobs().failing() / step.count();
         return new SimulatedTask(
                 job.workMs().get(task.step()), fails, step.each().cpuMillis(), step.gang() ? step.count() : 0);
@@ -283,11 +287,7 @@
     }
 
     /** Delivers an order to a worker that is reachable; the answer, or its absence, comes later. */
-    private void order(
-            Scheduler term,
-            String id,
-            java.util.function.Function<SimulatedWorker, Runnable> execute,
-            Runnable unanswered) {
+    private void order(Scheduler term, String id, Function<SimulatedWorker, Runnable> execute, Runnable unanswered) {
         SimulatedWorker worker = workers.get(id);
         at(nowMs + LINK_MS, () -> {
             if (worker.reachable) {
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -62,7 +62,7 @@
     private LeaseRecord leader;
     private long countedAtMs = Long.MIN_VALUE / 2;
     private long leaderHeardAtMs = Long.MIN_VALUE / 2;
-    private long seenSequence = -1;
+    private long seenSequence = PeerMessage.States.NONE_SEEN;
     private Map<String, Integer> pending = Map.of();
     private boolean reading;
     private boolean stopping;
@@ -87,7 +87,8 @@
 
     /** Tells whether states and counts from the leader are no older than a few heartbeats. */
     boolean inTouchWithLeader() {
-        return leads() && term.running() || !leads() && silentMs() < IN_TOUCH_MS && seenSequence >= 0;
+        return leads() && term.running()
+                || !leads() && silentMs() < IN_TOUCH_MS && seenSequence > PeerMessage.States.NONE_SEEN;
     }
 
     boolean leads() {
@@ -246,7 +247,7 @@
         if (leader == null || leader.epoch() != record.epoch()) {
             LOG.info("leader host={} epoch={}", record.host(), record.epoch());
             leader = record;
-            seenSequence = -1;
+            seenSequence = PeerMessage.States.NONE_SEEN;
             beat();
         }
     }
@@ -257,7 +258,7 @@
         term.end();
         lease = null;
         term = null;
-        seenSequence = -1;
+        seenSequence = PeerMessage.States.NONE_SEEN;
     }
 
     private void poll() {
@@ -351,7 +352,7 @@
             return;
         }
         directory.update(states.states());
-        if (states.whole() || states.sequence() == seenSequence + 1) {
+        if (states.follows(seenSequence)) {
             seenSequence = states.sequence();
         }
     }
--- a/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
@@ -67,7 +67,18 @@
      * @param whole true when these are the states of all jobs
      * @param states the states by job
      */
-    record States(long epoch, long sequence, boolean whole, Map<String, JobState> states) implements PeerMessage {}
+    record States(long epoch, long sequence, boolean whole, Map<String, JobState> states) implements PeerMessage {
+        /** What a host has seen that has heard nothing of a term yet. */
+        static final long NONE_SEEN = -1;
+
+        /** The number of a message that is not one of the changes in order, and follows none. */
+        static final long OUT_OF_ORDER = Long.MIN_VALUE;
+
+        /** Tells whether a host that has seen changes up to the given number knows all up to this message. */
+        boolean follows(long seen) {
+            return whole || sequence == seen + 1;
+        }
+    }
 
     /**
      * Asks a host to make a call for placement advice.
--- a/entry/src/main/java/org/acaciafold/entry/StateNews.java
+++ b/entry/src/main/java/org/acaciafold/entry/StateNews.java
@@ -19,9 +19,6 @@
     /** With this much for each host, forty hosts hear of changes five times a second. */
     private static final long GATHER_MS_PER_HOST = 5;
 
-    /** The sequence of messages that are not part of the changes in order. */
-    private static final long OUT_OF_ORDER = 0;
-
     private final String self;
     private final Timers loop;
     private final BiConsumer<Collection<String>, PeerMessage> bus;
@@ -107,7 +104,8 @@
             }
         });
         ends.forEach((name, told) -> hosts.address(name)
-                .ifPresent(address ->
-                        bus.accept(List.of(address), new PeerMessage.States(epoch, OUT_OF_ORDER, false, told))));
+                .ifPresent(address -> bus.accept(
+                        List.of(address),
+                        new PeerMessage.States(epoch, PeerMessage.States.OUT_OF_ORDER, false, told))));
     }
 }
--- a/entry/src/test/java/org/acaciafold/entry/StateNewsTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/StateNewsTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 /** A large deployment: forty hosts hear of many short jobs. */
 class StateNewsTest {
@@ -73,7 +73,8 @@
         assertEquals(List.of("address-7"), sent.getLast().to);
         PeerMessage.States told = (PeerMessage.States) sent.getLast().message;
         assertEquals(JobState.COMPLETED, told.states().get("j2"));
-        assertTrue(told.sequence() < news.sequence());
+        assertFalse(told.follows(PeerMessage.States.NONE_SEEN));
+        assertFalse(told.follows(news.sequence()));
     }
 
     @Test
