--- a/entry/src/main/java/org/acaciafold/entry/QueueAppender.java
+++ b/entry/src/main/java/org/acaciafold/entry/QueueAppender.java
@@ -9,26 +9,41 @@
 import ch.qos.logback.classic.spi.LoggingEvent;
 
 /**
- * A bounded queue of log lines that never blocks, and counts the lines for which it had no room.
+ * A bounded queue of log lines that never blocks, and counts the lines that it drops.
  *
- * <p>The last part of the queue is kept for warnings and errors, among them refusals and failures. When there is room again,
- * a line tells how many were dropped.
+ * <p>Of lines below a warning it takes so many a second and no more. The last part of the queue is kept for warnings and
+ * errors, among them refusals and failures. When it takes lines again, one tells how many were dropped.
  */
 public final class QueueAppender extends AsyncAppender {
     private static final AtomicLong DROPPED = new AtomicLong();
     private static final String LOGGER = QueueAppender.class.getName();
 
+    private static final long SECOND_MS = 1_000;
+
     private final AtomicLong untold = new AtomicLong();
+    private int linesPerSecond = Integer.MAX_VALUE;
+    private long second;
+    private int linesOfSecond;
 
     /** Returns how many lines this process has dropped. */
     static long dropped() {
         return DROPPED.get();
     }
 
+    /**
+     * Sets how many lines below a warning are taken in a second.
+     *
+     * @param value the number, without bound by default
+     */
+    public void setLinesPerSecond(int value) {
+        linesPerSecond = value;
+    }
+
     @Override
     protected void append(ILoggingEvent event) {
         boolean reserved = getRemainingCapacity() <= getDiscardingThreshold();
-        if (getRemainingCapacity() == 0 || reserved && isDiscardable(event)) {
+        boolean tooMany = reserved || !withinRate(event.getTimeStamp());
+        if (getRemainingCapacity() == 0 || tooMany && isDiscardable(event)) {
             DROPPED.incrementAndGet();
             untold.incrementAndGet();
             return;
@@ -40,6 +55,14 @@
         }
     }
 
+    private synchronized boolean withinRate(long atMs) {
+        if (atMs / SECOND_MS != second) {
+            second = atMs / SECOND_MS;
+            linesOfSecond = 0;
+        }
+        return ++linesOfSecond <= linesPerSecond;
+    }
+
     private ILoggingEvent tell(long missing) {
         LoggerContext context = (LoggerContext) getContext();
         return new LoggingEvent(
--- a/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
@@ -16,6 +16,7 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -23,6 +24,7 @@
     /** Many times the lines of the queue, at a rate that no reader follows. */
     private static final int LINES = 50_000;
 
+    private static final int LINES_PER_SECOND = 2_400;
     private static final String DROPPED = "log lines dropped count=";
 
     private static final Duration LIMIT = Duration.ofSeconds(20);
@@ -94,6 +96,47 @@
         context.stop();
     }
 
+    /** The load of the tests is ten times that of which the rate is twice the lines. */
+    @Test
+    void shouldKeepItsVolumeWithinTheRateAtTenTimesTheLoad() throws Exception {
+        LoggerContext context = context();
+        ListAppender<ILoggingEvent> written = new ListAppender<>();
+        written.setContext(context);
+        written.start();
+        QueueAppender queue = new QueueAppender();
+        queue.setContext(context);
+        queue.setLinesPerSecond(LINES_PER_SECOND);
+        queue.setQueueSize(LINES);
+        queue.setDiscardingThreshold(25);
+        queue.setNeverBlock(true);
+        queue.addAppender(written);
+        queue.start();
+        Logger log = context.getLogger("test");
+        log.addAppender(queue);
+        long before = QueueAppender.dropped();
+        long beganAtNanos = System.nanoTime();
+
+        for (int i = 0; i < 10 * LINES_PER_SECOND / 2; i++) {
+            log.info("decision number={} outcome=started", i);
+            if (i % 100 == 0) {
+                log.warn("request status=503");
+            }
+        }
+        long seconds = Duration.ofNanos(System.nanoTime() - beganAtNanos).toSeconds() + 2;
+        Awaitility.await().until(() -> queue.getNumberOfElementsInQueue() == 0);
+        queue.stop();
+
+        long decisions = texts(written).stream()
+                .filter(text -> text.startsWith("decision"))
+                .count();
+        assertTrue(decisions <= seconds * LINES_PER_SECOND, "wrote " + decisions + " lines in " + seconds + " s");
+        assertEquals(10 * LINES_PER_SECOND / 2, decisions + QueueAppender.dropped() - before);
+        assertEquals(
+                10 * LINES_PER_SECOND / 2 / 100,
+                texts(written).stream().filter("request status=503"::equals).count());
+        context.stop();
+    }
+
     /** A context of its own; without an adapter for contexts of threads every line would fail before it is queued. */
     private static LoggerContext context() {
         LoggerContext context = new LoggerContext();
