Read-through: an end is told once, timers end with their wait, small copies in one place

StateNews told the accepting host of an end in a message of its own also when all hosts heard at once, which is every time on a small deployment; StateNewsTest.shouldTellAnEndOnceWhenAllHostsHearAtOnce, red before (2 messages). Loop.delay left its timer behind when nobody waited any more, one for each submission and each read of a state. Checks and bounds are as they were.

--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -153,20 +153,22 @@
         Optional<JobState> known = directory.state(id);
         boolean current = known.isPresent() && (known.get().ended() || leadership.inTouchWithLeader());
         if (current) {
-            return Mono.just(ConsumerReply.ok(JobBodies.state(known.get())));
+            return Mono.just(told(known.get()));
         }
-        ConsumerReply otherwise = known.map(state -> ConsumerReply.ok(JobBodies.state(state)))
-                .orElse(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+        ConsumerReply otherwise = known.map(Consumers::told).orElse(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
         Mono<ConsumerReply> read = lookUp(id)
-                .map(found -> found.map(state -> ConsumerReply.ok(JobBodies.state(state)))
-                        .orElseGet(() -> {
-                            log(request, id, GONE, "no such job in the store");
-                            return ConsumerReply.of(GONE);
-                        }))
+                .map(found -> found.map(Consumers::told).orElseGet(() -> {
+                    log(request, id, GONE, "no such job in the store");
+                    return ConsumerReply.of(GONE);
+                }))
                 .onErrorResume(error -> Mono.just(otherwise));
         return withinDeadline(request, read, otherwise);
     }
 
+    private static ConsumerReply told(JobState state) {
+        return ConsumerReply.ok(JobBodies.state(state));
+    }
+
     /** Reads what the store holds of a job. */
     private Mono<Optional<JobState>> lookUp(String id) {
         // the job's own row comes last: progress is removed only once that row tells the final state
--- a/entry/src/main/java/org/acaciafold/entry/Loop.java
+++ b/entry/src/main/java/org/acaciafold/entry/Loop.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.acaciafold.core.model.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,9 +54,12 @@
         thread.schedule(guarded(task), delayMs, TimeUnit.MILLISECONDS);
     }
 
-    /** Returns a signal after a while, on this thread. */
+    /** Returns a signal after a while, on this thread; nothing is left waiting once nobody listens any more. */
     Mono<Void> delay(long delayMs) {
-        return Mono.create(sink -> after(delayMs, sink::success));
+        return Mono.create(sink -> {
+            Future<?> timer = thread.schedule(guarded(sink::success), delayMs, TimeUnit.MILLISECONDS);
+            sink.onDispose(() -> timer.cancel(false));
+        });
     }
 
     void every(long periodMs, Runnable task) {
--- a/entry/src/main/java/org/acaciafold/entry/StateNews.java
+++ b/entry/src/main/java/org/acaciafold/entry/StateNews.java
@@ -13,7 +13,8 @@
  * Tells all hosts how jobs fare.
  *
  * <p>Changes are gathered for a while that grows with the number of hosts, so that the messages of a large deployment stay
- * bounded. The host that accepted a job hears of its end at once, since its consumer most likely asks there.
+ * bounded. The host that accepted a job hears of its end at once, without the others if need be, since its consumer most
+ * likely asks there.
  */
 final class StateNews {
     /** With this much for each host, forty hosts hear of changes five times a second. */
@@ -69,17 +70,17 @@
     }
 
     void changed(Map<String, JobState> states) {
-        tellAcceptingHosts(states);
+        Map<String, Map<String, JobState>> endsByHost = takeEnds(states);
         gathered.putAll(states);
+        long inMs = toldAtMs + GATHER_MS_PER_HOST * hosts.addresses().size() - loop.nowMs();
+        if (!due && inMs <= 0) {
+            tell();
+            return;
+        }
+        endsByHost.forEach(this::tellAcceptingHost);
         if (!due) {
             due = true;
-            long gatherMs = GATHER_MS_PER_HOST * hosts.addresses().size();
-            long inMs = toldAtMs + gatherMs - loop.nowMs();
-            if (inMs <= 0) {
-                tell();
-            } else {
-                loop.after(inMs, this::tell);
-            }
+            loop.after(inMs, this::tell);
         }
     }
 
@@ -94,7 +95,8 @@
         gathered = new HashMap<>();
     }
 
-    private void tellAcceptingHosts(Map<String, JobState> states) {
+    /** Returns the final states by the host that accepted the job, and forgets who did. */
+    private Map<String, Map<String, JobState>> takeEnds(Map<String, JobState> states) {
         Map<String, Map<String, JobState>> ends = new HashMap<>();
         states.forEach((job, state) -> {
             if (state.ended()) {
@@ -103,9 +105,11 @@
                                 .put(job, state));
             }
         });
-        ends.forEach((name, told) -> hosts.address(name)
-                .ifPresent(address -> bus.accept(
-                        List.of(address),
-                        new PeerMessage.States(epoch, PeerMessage.States.OUT_OF_ORDER, false, told))));
+        return ends;
+    }
+
+    private void tellAcceptingHost(String name, Map<String, JobState> ends) {
+        PeerMessage message = new PeerMessage.States(epoch, PeerMessage.States.OUT_OF_ORDER, false, ends);
+        hosts.address(name).ifPresent(address -> bus.accept(List.of(address), message));
     }
 }
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -70,8 +70,25 @@
         this.times = new JobTimes(host.metrics());
     }
 
+    /** Reads the records until that succeeds, and starts to schedule. */
     void begin() {
-        load();
+        if (ended) {
+            return;
+        }
+        if (host.config().config().isEmpty()) {
+            host.loop().after(LOAD_RETRY_MS, this::begin);
+            return;
+        }
+        long askedAtMs = host.loop().nowMs();
+        host.records()
+                .load(host.loop().wallMs())
+                .subscribe(loaded -> host.loop().execute(() -> loaded(loaded, askedAtMs)), error -> {
+                    LOG.warn(
+                            "records cannot be read epoch={} reason={}",
+                            lease.record().epoch(),
+                            error.getMessage());
+                    host.loop().after(LOAD_RETRY_MS, this::begin);
+                });
     }
 
     void end() {
@@ -97,10 +114,8 @@
     }
 
     /** Notes that a heartbeat of the leader has been sent, so that hosts should know all before it by the next one. */
-    long settleSequence() {
-        long before = settledSequence;
+    void settleSequence() {
         settledSequence = news.sequence();
-        return before;
     }
 
     boolean lags(long seen) {
@@ -156,26 +171,6 @@
         }
     }
 
-    private void load() {
-        if (ended) {
-            return;
-        }
-        if (host.config().config().isEmpty()) {
-            host.loop().after(LOAD_RETRY_MS, this::load);
-            return;
-        }
-        long askedAtMs = host.loop().nowMs();
-        host.records()
-                .load(host.loop().wallMs())
-                .subscribe(loaded -> host.loop().execute(() -> loaded(loaded, askedAtMs)), error -> {
-                    LOG.warn(
-                            "records cannot be read epoch={} reason={}",
-                            lease.record().epoch(),
-                            error.getMessage());
-                    host.loop().after(LOAD_RETRY_MS, this::load);
-                });
-    }
-
     private void loaded(TermStore.Loaded loaded, long askedAtMs) {
         if (ended) {
             return;
--- a/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
@@ -66,17 +66,8 @@
                 super.append(event);
             }
         };
-        written.setContext(context);
-        written.start();
-        QueueAppender queue = new QueueAppender();
-        queue.setContext(context);
-        queue.setQueueSize(100);
-        queue.setDiscardingThreshold(25);
-        queue.setNeverBlock(true);
-        queue.addAppender(written);
-        queue.start();
+        QueueAppender queue = queue(context, written, 100, Integer.MAX_VALUE);
         Logger log = context.getLogger("test");
-        log.addAppender(queue);
         long before = QueueAppender.dropped();
 
         for (int i = 0; i < 10 * 100; i++) {
@@ -101,18 +92,8 @@
     void shouldKeepItsVolumeWithinTheRateAtTenTimesTheLoad() throws Exception {
         LoggerContext context = context();
         ListAppender<ILoggingEvent> written = new ListAppender<>();
-        written.setContext(context);
-        written.start();
-        QueueAppender queue = new QueueAppender();
-        queue.setContext(context);
-        queue.setLinesPerSecond(LINES_PER_SECOND);
-        queue.setQueueSize(LINES);
-        queue.setDiscardingThreshold(25);
-        queue.setNeverBlock(true);
-        queue.addAppender(written);
-        queue.start();
+        QueueAppender queue = queue(context, written, LINES, LINES_PER_SECOND);
         Logger log = context.getLogger("test");
-        log.addAppender(queue);
         long before = QueueAppender.dropped();
         long beganAtNanos = System.nanoTime();
 
@@ -144,6 +125,23 @@
         return context;
     }
 
+    /** Starts a queue before an appender, and hands it the lines of the context's test logger. */
+    private static QueueAppender queue(
+            LoggerContext context, ListAppender<ILoggingEvent> written, int size, int linesPerSecond) {
+        written.setContext(context);
+        written.start();
+        QueueAppender queue = new QueueAppender();
+        queue.setContext(context);
+        queue.setLinesPerSecond(linesPerSecond);
+        queue.setQueueSize(size);
+        queue.setDiscardingThreshold(25);
+        queue.setNeverBlock(true);
+        queue.addAppender(written);
+        queue.start();
+        context.getLogger("test").addAppender(queue);
+        return queue;
+    }
+
     /** Returns how many dropped lines have been told of, over all lines that tell of any. */
     private static long told(ListAppender<ILoggingEvent> written) {
         return texts(written).stream()
--- a/entry/src/test/java/org/acaciafold/entry/StateNewsTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/StateNewsTest.java
@@ -77,6 +77,16 @@
         assertFalse(told.follows(news.sequence()));
     }
 
+    @Test
+    void shouldTellAnEndOnceWhenAllHostsHearAtOnce() {
+        news.accepted("host-7", "j1");
+
+        news.changed(Map.of("j1", JobState.COMPLETED));
+
+        assertEquals(1, sent.size());
+        assertEquals(HOSTS, sent.getFirst().to.size());
+    }
+
     @Test
     void shouldTellNothingMoreAfterTheTerm() {
         news.changed(running("j1"));
