Read-through of the tools: patterns share a window and one list of titles, results use the table that there is

LoadBench had types of its own beside ResultTable, and Main a conversion; JobClass.withRate and a result of LoadMeasures were used nowhere; the list of advisers was made at each tick; the soak's consumers asked in two copies.

--- a/bench/src/main/java/org/acaciafold/bench/Main.java
+++ b/bench/src/main/java/org/acaciafold/bench/Main.java
@@ -69,7 +69,7 @@
                     switch (names.getFirst()) {
                         case "policy" -> PolicyBench.run(seed, without(line));
                         case "decisions" -> DecisionsBench.run(seed);
-                        case "load" -> load(seed, line);
+                        case "load" -> LoadBench.run(seed, Optional.ofNullable(line.getOptionValue("pattern")));
                         default -> throw new ParseException("unknown benchmark " + names.getFirst());
                     };
             String command = "bin/bench " + String.join(" ", args);
@@ -81,18 +81,6 @@
         }
     }
 
-    private static List<ResultTable> load(long seed, CommandLine line) {
-        return LoadBench.run(seed, Optional.ofNullable(line.getOptionValue("pattern"))).stream()
-                .map(Main::table)
-                .toList();
-    }
-
-    private static ResultTable table(LoadBench.Outcomes outcomes) {
-        ResultTable table = new ResultTable(outcomes.title(), outcomes.columns(), ResultTable.Better.NEITHER);
-        outcomes.outcomes().forEach(outcome -> table.add(outcome.pattern(), outcome.values()));
-        return table;
-    }
-
     private static Set<PlaneFeature> without(CommandLine line) {
         Set<PlaneFeature> features = EnumSet.noneOf(PlaneFeature.class);
         for (String name : line.getOptionValues("without") == null ? new String[0] : line.getOptionValues("without")) {
--- a/bench/src/main/java/org/acaciafold/bench/ResultTable.java
+++ b/bench/src/main/java/org/acaciafold/bench/ResultTable.java
@@ -5,11 +5,14 @@
 import java.util.Locale;
 
 /** A table of numbers with a row for each policy or size, whose last line compares the last row with the best other. */
-final class ResultTable {
+public final class ResultTable {
     /** Which values are better. */
-    enum Better {
+    public enum Better {
+        /** Lower ones. */
         LOWER,
+        /** Higher ones. */
         HIGHER,
+        /** Neither; rows are not compared. */
         NEITHER
     }
 
@@ -19,13 +22,26 @@
     private final List<String> names = new ArrayList<>();
     private final List<double[]> rows = new ArrayList<>();
 
-    ResultTable(String title, List<String> columns, Better better) {
+    /**
+     * Creates a table without rows.
+     *
+     * @param title what was measured
+     * @param columns the names of the columns
+     * @param better which values are better, for the last line
+     */
+    public ResultTable(String title, List<String> columns, Better better) {
         this.title = title;
         this.columns = List.copyOf(columns);
         this.better = better;
     }
 
-    void add(String name, double... values) {
+    /**
+     * Adds a row.
+     *
+     * @param name what it tells of
+     * @param values a value for each column
+     */
+    public void add(String name, double... values) {
         names.add(name);
         rows.add(values);
     }
--- a/bench/src/main/java/org/acaciafold/bench/load/JobClass.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/JobClass.java
@@ -55,23 +55,4 @@
                 Optional.of(advice),
                 false);
     }
-
-    JobClass withRate(double value) {
-        return new JobClass(
-                name,
-                priority,
-                value,
-                meanSteps,
-                meanWidth,
-                meanWorkMs,
-                meanCpuMillis,
-                meanMemoryMib,
-                gang,
-                stretch,
-                targetMs,
-                failing,
-                worth,
-                advice,
-                allowed);
-    }
 }
--- a/bench/src/main/java/org/acaciafold/bench/load/LoadBench.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadBench.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.acaciafold.bench.ResultTable;
+
 /** Plays all patterns of load on the deployments, each in seconds, so that a change of policy is judged before a day. */
 public final class LoadBench {
     private static final long LENGTH_MS = 24_000;
@@ -26,19 +28,19 @@
      *
      * @param seed the seed of the jobs
      * @param pattern only those whose title has this in it; empty for all
-     * @return the outcome of each pattern, for each deployment
+     * @return a table for each deployment, with a row for each pattern
      */
-    public static List<Outcomes> run(long seed, Optional<String> pattern) {
-        List<Outcomes> all = new ArrayList<>();
+    public static List<ResultTable> run(long seed, Optional<String> pattern) {
+        List<ResultTable> all = new ArrayList<>();
         for (Deployment deployment : List.of(Deployment.small(), Deployment.grown())) {
-            List<Outcome> outcomes = new ArrayList<>();
+            ResultTable table = new ResultTable(title(deployment, seed), COLUMNS, ResultTable.Better.NEITHER);
             for (LoadPattern one : LoadPattern.all()) {
                 if (pattern.isEmpty() || one.title().contains(pattern.get())) {
                     LoadMeasures measures = LoadSimulation.play(deployment, one, seed, LENGTH_MS);
-                    outcomes.add(new Outcome(one.title(), values(measures)));
+                    table.add(one.title(), values(measures));
                 }
             }
-            all.add(new Outcomes(title(deployment, seed), COLUMNS, List.copyOf(outcomes)));
+            all.add(table);
         }
         return all;
     }
@@ -60,21 +62,4 @@
             measures.wasted()
         };
     }
-
-    /**
-     * The outcomes on one deployment.
-     *
-     * @param title what was played
-     * @param columns the names of the figures
-     * @param outcomes the figures by pattern
-     */
-    public record Outcomes(String title, List<String> columns, List<Outcome> outcomes) {}
-
-    /**
-     * The outcome of one pattern.
-     *
-     * @param pattern its title
-     * @param values the figures, as the columns name them
-     */
-    public record Outcome(String pattern, double[] values) {}
 }
--- a/bench/src/main/java/org/acaciafold/bench/load/LoadMeasures.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadMeasures.java
@@ -32,12 +32,11 @@
         ofClass(jobs)[1] += worth;
     }
 
-    /** Notes a job that has completed, and returns what it was worth. */
-    double completed(String jobs, long cameAtMs, long tookMs, double objectiveMs, double worth) {
+    /** Notes a job that has completed. */
+    void completed(String jobs, long cameAtMs, long tookMs, double objectiveMs, double worth) {
         double earned = tookMs <= objectiveMs ? worth : tookMs <= LATE_FACTOR * objectiveMs ? LATE_SHARE * worth : 0;
         window(cameAtMs)[0] += earned;
         ofClass(jobs)[0] += earned;
-        return earned;
     }
 
     void firstStart(long waitedMs) {
--- a/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.stream.IntStream;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
@@ -61,6 +62,7 @@
     private final Map<String, Long> adviserFreeAtMs = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final FleetConfig config;
+    private final List<String> advisers;
     private Scheduler leader;
     private long epoch;
     private long nowMs;
@@ -75,6 +77,9 @@
             workspaces.add(new Workspace("w" + i, Set.of("key" + i), 1_000, Resources.empty()));
         }
         config = FleetConfig.of(1, List.of(), workspaces);
+        advisers = IntStream.range(0, deployment.hosts())
+                .mapToObj(host -> "h" + host)
+                .toList();
         for (int i = 0; i < deployment.workers(); i++) {
             String domain = "d" + i % Deployment.DOMAINS;
             String rack = domain + "-" + i / Deployment.DOMAINS / deployment.workersPerRack();
@@ -101,16 +106,16 @@
     private void schedule() {
         switch (pattern) {
             case LoadPattern.SlowWorkers slow -> {
-                at(slow.fromMs(), () -> some(slow.share()).forEach(worker -> worker.slowness = slow.factor()));
-                at(slow.toMs(), () -> workers.values().forEach(worker -> worker.slowness = 1));
+                at(slow.window().fromMs(), () -> some(slow.share()).forEach(worker -> worker.slowness = slow.factor()));
+                at(slow.window().toMs(), () -> workers.values().forEach(worker -> worker.slowness = 1));
             }
             case LoadPattern.FailingWorkers failing -> {
-                at(failing.fromMs(), () -> some(failing.share()).forEach(worker -> worker.failing = true));
-                at(failing.toMs(), () -> workers.values().forEach(worker -> worker.failing = false));
+                at(failing.window().fromMs(), () -> some(failing.share()).forEach(worker -> worker.failing = true));
+                at(failing.window().toMs(), () -> workers.values().forEach(worker -> worker.failing = false));
             }
             case LoadPattern.DomainLost lost -> {
-                at(lost.fromMs(), () -> reach("d0", false));
-                at(lost.toMs(), () -> reach("d0", true));
+                at(lost.window().fromMs(), () -> reach("d0", false));
+                at(lost.window().toMs(), () -> reach("d0", true));
             }
             case LoadPattern.LeaderLost lost -> {
                 at(lost.atMs(), () -> leader = null);
@@ -140,11 +145,11 @@
             double rate = jobClass.perSecond();
             if (pattern instanceof LoadPattern.Burst burst
                     && burst.jobs().equals(jobClass.name())
-                    && within(burst.fromMs(), burst.toMs())) {
+                    && burst.window().contains(nowMs)) {
                 rate *= burst.factor();
             }
             arrive(jobClass, rate, random.nextInt(deployment.workspaces()));
-            if (pattern instanceof LoadPattern.Flood flood && within(flood.fromMs(), flood.toMs())) {
+            if (pattern instanceof LoadPattern.Flood flood && flood.window().contains(nowMs)) {
                 arrive(jobClass, flood.factor() * jobClass.perSecond() / deployment.workspaces(), 0);
             }
         }
@@ -165,12 +170,8 @@
         });
     }
 
-    private boolean within(long fromMs, long toMs) {
-        return nowMs >= fromMs && nowMs < toMs;
-    }
-
     private long storeMs() {
-        return pattern instanceof LoadPattern.SlowStore slow && within(slow.fromMs(), slow.toMs())
+        return pattern instanceof LoadPattern.SlowStore slow && slow.window().contains(nowMs)
                 ? slow.delayMs()
                 : STORE_MS;
     }
@@ -187,10 +188,6 @@
                 leader.listed(
                         workers.values().stream().map(SimulatedWorker::entry).toList(), true);
             }
-            List<String> advisers = new ArrayList<>();
-            for (int host = 0; host < deployment.hosts(); host++) {
-                advisers.add("h" + host);
-            }
             leader.advisers(advisers);
             leader.tick().forEach(this::carryOut);
         }
--- a/bench/src/test/java/org/acaciafold/bench/load/LoadSimulationTest.java
+++ b/bench/src/test/java/org/acaciafold/bench/load/LoadSimulationTest.java
@@ -21,7 +21,7 @@
 
     @Test
     void shouldPlayTheSameWhenTheSeedIsTheSame() {
-        LoadPattern pattern = new LoadPattern.Burst("holds", 2, 4_000, 8_000);
+        LoadPattern pattern = new LoadPattern.Burst("holds", 2, new LoadPattern.Window(4_000, 8_000));
 
         assertEquals(play(pattern, SEED).worth(), play(pattern, SEED).worth());
         assertNotEquals(play(pattern, SEED).worth(), play(pattern, SEED + 1).worth());
@@ -37,7 +37,7 @@
 
     @Test
     void shouldCountWorkThatFailsAsWasted() {
-        LoadMeasures measures = play(new LoadPattern.FailingWorkers(0.3, 2_000, 10_000), SEED);
+        LoadMeasures measures = play(new LoadPattern.FailingWorkers(0.3, new LoadPattern.Window(2_000, 10_000)), SEED);
 
         assertTrue(measures.wasted() > play(new LoadPattern.Steady(), SEED).wasted());
     }
--- a/proof/src/test/java/org/acaciafold/proof/soak/Callers.java
+++ b/proof/src/test/java/org/acaciafold/proof/soak/Callers.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.acaciafold.platform.EmulatedConsumer;
+import reactor.core.publisher.Mono;
 
 /** Consumers that hand jobs in, repeat what was not answered, ask for states and cancel some. */
 final class Callers {
@@ -83,10 +84,7 @@
     private boolean submit(String job, int tasks, Random random) throws InterruptedException {
         for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
             promises.submitted(job, tasks);
-            int status = hosts.get(random.nextInt(hosts.size()))
-                    .submit(job, tasks, cpuMillis, false)
-                    .onErrorReturn(NO_ANSWER)
-                    .block(LIMIT);
+            int status = status(anyHost(random).submit(job, tasks, cpuMillis, false));
             promises.answered(job, status);
             if (status == OK) {
                 return true;
@@ -99,10 +97,7 @@
     private void cancel(String job, Random random) throws InterruptedException {
         promises.cancelling(job);
         for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-            int status = hosts.get(random.nextInt(hosts.size()))
-                    .cancel(job)
-                    .onErrorReturn(NO_ANSWER)
-                    .block(LIMIT);
+            int status = status(anyHost(random).cancel(job));
             if (status == OK || status == GONE) {
                 promises.cancelled(job);
                 return;
@@ -110,4 +105,12 @@
             Thread.sleep(PAUSE_MS);
         }
     }
+
+    private EmulatedConsumer anyHost(Random random) {
+        return hosts.get(random.nextInt(hosts.size()));
+    }
+
+    private static int status(Mono<Integer> call) {
+        return call.onErrorReturn(NO_ANSWER).block(LIMIT);
+    }
 }
--- a/proof/src/test/java/org/acaciafold/proof/soak/Promises.java
+++ b/proof/src/test/java/org/acaciafold/proof/soak/Promises.java
@@ -22,6 +22,10 @@
     /** Orders that are held up on the way are carried out this long after a cancellation at most. */
     private static final long CANCEL_LIMIT_MS = 12_000;
 
+    private static final int OK = 200;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+
     private final Clock clock;
     private final int cpuMillis;
     private final int roomMillis;
@@ -44,9 +48,9 @@
     /** Notes an answer to a submission; 0 stands for none. */
     synchronized void answered(String job, int status) {
         Job known = jobs.get(job);
-        if (status == 200) {
+        if (status == OK) {
             known.accepted = true;
-        } else if (status == 429 || status == 503) {
+        } else if (status == TOO_MANY || status == UNAVAILABLE) {
             known.refusals++;
         }
     }
