A tick's cost follows what can start, not what waits

Change: steps of one kind share one list of workers, room is held in plain numbers, a size that has found no room is not looked for again in the tick, gangs are summed up before they are grouped; ticks come 4 ms apart at least.

--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -26,6 +26,13 @@
 final class Term {
     private static final Logger LOG = LoggerFactory.getLogger(Term.class);
     private static final long TICK_MS = 40;
+
+    /**
+     * Answers that come within this time share a tick; a tenth of what the shortest call for advice takes, so that it does
+     * not delay urgent jobs noticeably.
+     */
+    private static final long MIN_TICK_GAP_MS = 4;
+
     private static final long LIST_WORKERS_MS = 500;
     private static final long LOAD_RETRY_MS = 150;
 
@@ -46,6 +53,7 @@
     private Scheduler scheduler;
     private boolean ended;
     private boolean tickDue;
+    private long tickedAtMs = Long.MIN_VALUE / 2;
     private long settledSequence;
     private boolean listing;
 
@@ -202,7 +210,19 @@
     private void wake() {
         if (!tickDue) {
             tickDue = true;
-            host.loop().execute(this::tick);
+            long inMs = tickedAtMs + MIN_TICK_GAP_MS - host.loop().nowMs();
+            if (inMs > 0) {
+                host.loop().after(inMs, this::tickWhenDue);
+            } else {
+                host.loop().execute(this::tickWhenDue);
+            }
+        }
+    }
+
+    /** Ticks unless a periodic tick has come before. */
+    private void tickWhenDue() {
+        if (tickDue) {
+            tick();
         }
     }
 
@@ -219,6 +239,7 @@
             return;
         }
         long beganAtMs = host.loop().nowMs();
+        tickedAtMs = beganAtMs;
         advance();
         List<String> advisers = new ArrayList<>(hosts.live(host.loop().nowMs()));
         advisers.remove(host.name());
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -4,139 +4,198 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.WorkerEntry;
 
-/** Chooses workers for tasks within the room that a tick has left. */
+/**
+ * Chooses workers for tasks within the room that a tick has left.
+ *
+ * <p>Steps that ask for the same kind of workers share one list of them, and a size that has found no room is not looked
+ * for again in the same tick, so that the cost of a tick follows what can start and not what waits.
+ */
 final class Placement {
-    private final Map<WorkerRow, Resources> free = new HashMap<>();
+    private final List<Room> rooms = new ArrayList<>();
+    private final Map<String, Room> byWorker = new HashMap<>();
+    private final Map<Kind, List<Room>> byKind = new HashMap<>();
+    private final Set<Need> withoutRoom = new HashSet<>();
+    private int searches;
 
+    /**
+     * Creates the placement of a tick.
+     *
+     * @param workers the registered workers that may start tasks
+     */
     Placement(Collection<WorkerRow> workers) {
-        workers.forEach(worker -> free.put(worker, worker.free()));
+        for (WorkerRow worker : workers) {
+            Room room = Room.of(worker);
+            rooms.add(room);
+            byWorker.put(worker.id, room);
+        }
     }
 
-    Resources free(WorkerRow worker) {
-        return free.getOrDefault(worker, Resources.empty());
+    /** Returns the room of a worker that may start tasks. */
+    Optional<Room> room(String worker) {
+        return Optional.ofNullable(byWorker.get(worker));
     }
 
-    void take(WorkerRow worker, Resources amount) {
-        free.merge(worker, amount, Resources::minus);
+    /** Returns how often all workers of a kind were looked at for room. */
+    int searches() {
+        return searches;
     }
 
-    void close(WorkerRow worker) {
-        free.put(worker, Resources.empty());
+    /** Returns the workers of a step's service that have the label it asks for. */
+    List<Room> candidates(StepRow step) {
+        return byKind.computeIfAbsent(kind(step), kind -> {
+            List<Room> found = new ArrayList<>();
+            for (Room room : rooms) {
+                boolean labelled = kind.label.isEmpty() || room.entry.labels().contains(kind.label);
+                if (labelled && room.entry.service().equals(kind.service)) {
+                    found.add(room);
+                }
+            }
+            return found;
+        });
+    }
+
+    /** Tells whether any candidate has room for one task of a step. */
+    boolean fitsAnywhere(StepRow step) {
+        Need need = new Need(kind(step), step.spec.each());
+        // room only shrinks within a tick
+        if (withoutRoom.contains(need)) {
+            return false;
+        }
+        searches++;
+        for (Room room : candidates(step)) {
+            if (room.fits(need.each)) {
+                return true;
+            }
+        }
+        withoutRoom.add(need);
+        return false;
     }
 
     /**
-     * Chooses workers for tasks of a step, as many as fit.
+     * Chooses workers for tasks of a step, as many as fit; for a gang whole or none.
      *
      * @param tasks the tasks, in order
      * @param candidates the workers that may run them
      * @return the chosen workers by task; the room is not taken yet
      */
-    Map<TaskRow, WorkerRow> choose(List<TaskRow> tasks, List<WorkerRow> candidates) {
+    Map<TaskRow, Room> choose(List<TaskRow> tasks, List<Room> candidates) {
         if (tasks.isEmpty() || candidates.isEmpty()) {
             return Map.of();
         }
         StepRow step = tasks.getFirst().step;
-        if (step.spec.gang()) {
-            Optional<Map<TaskRow, WorkerRow>> near =
-                    step.spec.sameRack() ? together(tasks, candidates, WorkerEntry::rack) : Optional.empty();
-            // a gang that spans failure domains breaks when any of them is cut off
-            return near.or(() -> together(tasks, candidates, WorkerEntry::domain))
-                    .orElseGet(() -> spread(tasks, candidates));
+        if (!step.spec.gang()) {
+            return spread(tasks, candidates);
         }
-        return spread(tasks, candidates);
+        if (!holds(step, candidates, tasks.size())) {
+            return Map.of();
+        }
+        Optional<Map<TaskRow, Room>> near =
+                step.spec.sameRack() ? together(tasks, candidates, WorkerEntry::rack) : Optional.empty();
+        // a gang that spans failure domains breaks when any of them is cut off
+        return near.or(() -> together(tasks, candidates, WorkerEntry::domain))
+                .orElseGet(() -> spread(tasks, candidates));
     }
 
-    /**
-     * Returns how many tasks of a step would fit if the workers were empty.
-     *
-     * @param step the step
-     * @param worker the worker
-     * @return the number of tasks
-     */
-    static int capacityFor(StepRow step, WorkerRow worker) {
-        Resources capacity = worker.entry().map(entry -> entry.capacity()).orElse(Resources.empty());
-        return limited(step, fitting(capacity, step.spec.each()));
+    /** Returns how many tasks of a step would fit on a worker if it were empty. */
+    static int capacityFor(StepRow step, Room room) {
+        return limited(step, room.fittingWhenEmpty(step.spec.each()));
+    }
+
+    private static boolean holds(StepRow step, List<Room> candidates, int tasks) {
+        long fits = 0;
+        for (Room room : candidates) {
+            fits += vacancies(step, room);
+        }
+        return fits >= tasks;
     }
 
     /** Chooses workers for all tasks in one group of workers, the one with the least room that holds them. */
-    private Optional<Map<TaskRow, WorkerRow>> together(
-            List<TaskRow> tasks, List<WorkerRow> candidates, Function<WorkerEntry, String> group) {
-        Map<String, List<WorkerRow>> groups = new TreeMap<>();
-        for (WorkerRow worker : candidates) {
-            String name = worker.entry().map(group).orElse("");
-            groups.computeIfAbsent(name, key -> new ArrayList<>()).add(worker);
+    private Optional<Map<TaskRow, Room>> together(
+            List<TaskRow> tasks, List<Room> candidates, Function<WorkerEntry, String> group) {
+        Map<String, List<Room>> groups = new TreeMap<>();
+        for (Room room : candidates) {
+            groups.computeIfAbsent(group.apply(room.entry), key -> new ArrayList<>())
+                    .add(room);
         }
-        List<List<WorkerRow>> ordered = new ArrayList<>(groups.values());
-        ordered.sort(Comparator.comparingLong(workers ->
-                workers.stream().mapToLong(worker -> free(worker).cpuMillis()).sum()));
-        for (List<WorkerRow> workers : ordered) {
-            Map<TaskRow, WorkerRow> chosen = spread(tasks, workers);
-            if (chosen.size() == tasks.size()) {
-                return Optional.of(chosen);
+        List<List<Room>> ordered = new ArrayList<>(groups.values());
+        ordered.sort(Comparator.comparingLong(
+                members -> members.stream().mapToLong(Room::cpuMillis).sum()));
+        for (List<Room> members : ordered) {
+            if (holds(tasks.getFirst().step, members, tasks.size())) {
+                return Optional.of(spread(tasks, members));
             }
         }
         return Optional.empty();
     }
 
-    private Map<TaskRow, WorkerRow> spread(List<TaskRow> tasks, List<WorkerRow> candidates) {
+    private Map<TaskRow, Room> spread(List<TaskRow> tasks, List<Room> candidates) {
+        searches++;
         StepRow step = tasks.getFirst().step;
-        Resources each = step.spec.each();
-        Map<WorkerRow, Integer> room = new HashMap<>();
-        for (WorkerRow worker : candidates) {
-            int already = running(step, worker);
-            int fits = Math.min(fitting(free(worker), each), limited(step, Integer.MAX_VALUE) - already);
+        List<Vacancy> vacancies = new ArrayList<>();
+        for (Room room : candidates) {
+            int fits = vacancies(step, room);
             if (fits > 0) {
-                room.put(worker, fits);
+                vacancies.add(new Vacancy(room, fits));
             }
         }
-        List<WorkerRow> ordered = new ArrayList<>(room.keySet());
-        ordered.sort(preference(step));
-        Map<TaskRow, WorkerRow> chosen = new LinkedHashMap<>();
+        vacancies.sort(preference(step));
+        Map<TaskRow, Room> chosen = new LinkedHashMap<>();
         for (TaskRow task : tasks) {
-            pick(task, ordered, room).ifPresent(worker -> {
-                chosen.put(task, worker);
-                room.merge(worker, -1, Integer::sum);
+            pick(task, vacancies).ifPresent(vacancy -> {
+                chosen.put(task, vacancy.room);
+                vacancy.left--;
             });
         }
         return chosen;
     }
 
     /** Orders by the rack of the data, then by the least room, so that wide gaps stay for wide gangs. */
-    private Comparator<WorkerRow> preference(StepRow step) {
+    private static Comparator<Vacancy> preference(StepRow step) {
         String rack = step.spec.rack();
-        Comparator<WorkerRow> near = Comparator.comparing(worker -> !rack.isEmpty()
-                && !worker.entry().map(entry -> entry.rack().equals(rack)).orElse(false));
-        return near.thenComparing(worker -> free(worker).cpuMillis()).thenComparing(worker -> worker.id);
+        Comparator<Vacancy> least = (a, b) -> {
+            int byRoom = Long.compare(a.room.cpuMillis(), b.room.cpuMillis());
+            return byRoom != 0 ? byRoom : a.room.worker.id.compareTo(b.room.worker.id);
+        };
+        Comparator<Vacancy> near =
+                Comparator.comparing(vacancy -> !vacancy.room.entry.rack().equals(rack));
+        return rack.isEmpty() ? least : near.thenComparing(least);
     }
 
-    private static Optional<WorkerRow> pick(TaskRow task, List<WorkerRow> ordered, Map<WorkerRow, Integer> room) {
-        WorkerRow second = null;
-        for (WorkerRow worker : ordered) {
-            if (room.get(worker) <= 0) {
+    private static Optional<Vacancy> pick(TaskRow task, List<Vacancy> ordered) {
+        Vacancy second = null;
+        for (Vacancy vacancy : ordered) {
+            if (vacancy.left <= 0) {
                 continue;
             }
-            if (!task.failedOn.contains(worker.id)) {
-                return Optional.of(worker);
+            if (!task.failedOn.contains(vacancy.room.worker.id)) {
+                return Optional.of(vacancy);
             }
-            second = second == null ? worker : second;
+            second = second == null ? vacancy : second;
         }
         return Optional.ofNullable(second);
     }
 
+    /** Returns how many further tasks of a step may start on a worker. */
+    private static int vacancies(StepRow step, Room room) {
+        int fits = room.fitting(step.spec.each());
+        return step.spec.maxPerWorker() == 0 || fits == 0
+                ? fits
+                : Math.min(fits, step.spec.maxPerWorker() - running(step, room.worker));
+    }
+
     private static int running(StepRow step, WorkerRow worker) {
-        if (step.spec.maxPerWorker() == 0) {
-            return 0;
-        }
         int count = 0;
         for (RunRow run : worker.runs.values()) {
             count += run.task.step == step ? 1 : 0;
@@ -148,15 +207,23 @@
         return step.spec.maxPerWorker() > 0 ? Math.min(count, step.spec.maxPerWorker()) : count;
     }
 
-    private static int fitting(Resources room, Resources each) {
-        long most = Integer.MAX_VALUE;
-        most = Math.min(most, quotient(room.cpuMillis(), each.cpuMillis()));
-        most = Math.min(most, quotient(room.memoryMib(), each.memoryMib()));
-        most = Math.min(most, quotient(room.accelerators(), each.accelerators()));
-        return (int) Math.max(0, most);
+    private static Kind kind(StepRow step) {
+        return new Kind(step.job.job.route().service(), step.spec.label());
     }
 
-    private static long quotient(long room, long each) {
-        return each <= 0 ? Integer.MAX_VALUE : room / each;
+    /** Which workers may run a step, as far as they themselves decide it. */
+    private record Kind(String service, String label) {}
+
+    private record Need(Kind kind, Resources each) {}
+
+    /** A worker with the number of tasks that it still takes. */
+    private static final class Vacancy {
+        private final Room room;
+        private int left;
+
+        private Vacancy(Room room, int left) {
+            this.room = room;
+            this.left = left;
+        }
     }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/QueueOrder.java
@@ -24,7 +24,7 @@
                 continue;
             }
             for (StepRow step : job.steps) {
-                if (step.ready() && step.tasks.stream().anyMatch(TaskRow::waiting)) {
+                if (step.waits() && step.ready()) {
                     step.readyAtMs = step.readyAtMs < 0 ? tables.nowMs : step.readyAtMs;
                     entries.add(entry(step, tables.wallMs));
                 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -1,13 +1,18 @@
 package org.acaciafold.fleet.scheduling;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.WorkerEntry;
 import org.acaciafold.fleet.Workspace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +47,7 @@
 
     private final Tables tables;
     private final AdviceSystem advice;
+    private int searches;
 
     StartSystem(Tables tables, AdviceSystem advice) {
         this.tables = tables;
@@ -86,63 +92,65 @@
     }
 
     void run() {
-        List<WorkerRow> usable =
-                tables.workers.values().stream().filter(this::usable).toList();
-        Placement room = new Placement(usable);
+        List<WorkerRow> usable = new ArrayList<>();
+        for (WorkerRow worker : tables.workers.values()) {
+            if (usable(worker)) {
+                usable.add(worker);
+            }
+        }
+        Placement placement = new Placement(usable);
         int waitingGangs = 0;
         for (QueueOrder.Entry entry : QueueOrder.ready(tables)) {
             StepRow step = entry.step();
             // the hopeless ones come last
             if (entry.rank() == QueueOrder.Rank.HOPELESS && usedShare() >= MAX_USED_FOR_HOPELESS) {
-                return;
+                break;
             }
-            List<WorkerRow> candidates =
-                    usable.stream().filter(worker -> eligible(step, worker)).toList();
-            boolean blocked = !place(step, candidates, room);
+            boolean blocked = !place(step, placement);
             if (blocked && step.spec.gang() && waitingGangs < MAX_WAITING_GANGS && !step.adviceAsked) {
                 waitingGangs++;
-                keepRoom(step, candidates, room);
+                keepRoom(step, placement);
             }
         }
+        searches = placement.searches();
+    }
+
+    /** Returns how often the last run of this system looked through workers for room. */
+    int searches() {
+        return searches;
     }
 
-    private void ask(StepRow step, List<WorkerRow> candidates, Placement room, Map<TaskRow, WorkerRow> planned) {
+    private void ask(StepRow step, List<Room> open, Map<TaskRow, Room> planned) {
+        Set<Room> chosen = new HashSet<>(planned.values());
         List<String> workers = new ArrayList<>();
-        for (WorkerRow worker : candidates) {
-            boolean unknown = !step.allowed.contains(worker.id)
-                    && !step.denied.contains(worker.id)
-                    && worthAsking(step, worker, room);
-            if (workers.size() < MAX_ADVICE_WORKERS && (unknown || planned.containsValue(worker))) {
-                workers.add(worker.id);
+        for (Room room : open) {
+            if (workers.size() == MAX_ADVICE_WORKERS) {
+                break;
+            }
+            boolean unknown = !step.allowed.contains(room.worker.id) && worthAsking(step, room);
+            if (unknown || chosen.contains(room)) {
+                workers.add(room.worker.id);
             }
         }
-        planned.values().forEach(worker -> {
-            step.reserved.merge(worker.id, 1, Integer::sum);
-            room.take(worker, step.spec.each());
+        planned.values().forEach(room -> {
+            step.reserved.merge(room.worker.id, 1, Integer::sum);
+            room.take(step.spec.each(), 1);
         });
         advice.want(step, workers);
     }
 
-    private boolean eligible(StepRow step, WorkerRow worker) {
-        return worker.entry()
-                .filter(entry -> entry.service().equals(step.job.job.route().service()))
-                .filter(entry -> step.spec.label().isEmpty() || entry.labels().contains(step.spec.label()))
-                .isPresent();
-    }
-
     /** Keeps workers free that, once empty, hold the whole gang; others may not start tasks there meanwhile. */
-    private void keepRoom(StepRow step, List<WorkerRow> candidates, Placement room) {
-        List<WorkerRow> ordered = new ArrayList<>(candidates);
-        ordered.removeIf(worker -> needsAdvice(step) && !step.allowed.contains(worker.id));
-        ordered.sort(
-                (a, b) -> Long.compare(room.free(b).cpuMillis(), room.free(a).cpuMillis()));
+    private void keepRoom(StepRow step, Placement placement) {
+        List<Room> ordered = new ArrayList<>(placement.candidates(step));
+        ordered.removeIf(room -> needsAdvice(step) && !step.allowed.contains(room.worker.id));
+        ordered.sort(Comparator.comparingLong(Room::cpuMillis).reversed());
         int missing = step.spec.count();
-        for (WorkerRow worker : ordered) {
+        for (Room room : ordered) {
             if (missing <= 0) {
                 return;
             }
-            missing -= Placement.capacityFor(step, worker);
-            room.close(worker);
+            missing -= Placement.capacityFor(step, room);
+            room.close();
         }
     }
 
@@ -160,9 +168,12 @@
     }
 
     /** Starts what it can; false when tasks had to wait for room. */
-    private boolean place(StepRow step, List<WorkerRow> candidates, Placement room) {
-        List<TaskRow> tasks = withinLimit(step, step.waiting());
+    private boolean place(StepRow step, Placement placement) {
         boolean gang = step.spec.gang();
+        if (!gang && !step.adviceAsked && !placement.fitsAnywhere(step)) {
+            return false;
+        }
+        List<TaskRow> tasks = withinLimit(step, step.waiting());
         if (tasks.isEmpty()) {
             return true;
         }
@@ -172,55 +183,61 @@
         }
         step.brokenSinceMs = -1;
         if (step.adviceAsked) {
-            holdReserved(step, room);
+            holdReserved(step, placement);
             return true;
         }
-        List<WorkerRow> admitted = candidates.stream()
-                .filter(worker -> !needsAdvice(step) || ticketed(step, worker))
-                .toList();
-        Map<TaskRow, WorkerRow> chosen = room.choose(tasks, admitted);
-        if (gang && chosen.size() < tasks.size()) {
-            chosen = Map.of();
-        }
-        chosen.forEach((task, worker) -> room.take(worker, step.spec.each()));
+        List<Room> candidates = placement.candidates(step);
+        Map<TaskRow, Room> chosen = placement.choose(tasks, needsAdvice(step) ? ticketed(step, placement) : candidates);
+        chosen.values().forEach(room -> room.take(step.spec.each(), 1));
         claim(step, chosen);
         List<TaskRow> left = new ArrayList<>(tasks);
         left.removeAll(chosen.keySet());
-        return left.isEmpty() || needsAdvice(step) && askFor(step, left, candidates, room);
+        return left.isEmpty() || needsAdvice(step) && askFor(step, left, placement);
     }
 
-    private boolean askFor(StepRow step, List<TaskRow> left, List<WorkerRow> candidates, Placement room) {
-        List<WorkerRow> open = candidates.stream()
-                .filter(worker -> !step.denied.contains(worker.id) && !ticketed(step, worker))
-                .toList();
-        boolean unknown =
-                open.stream().anyMatch(worker -> !step.allowed.contains(worker.id) && worthAsking(step, worker, room));
-        List<WorkerRow> allowed = candidates.stream()
-                .filter(worker -> step.allowed.contains(worker.id))
-                .toList();
-        Map<TaskRow, WorkerRow> planned = room.choose(left, allowed);
-        if (step.spec.gang() && planned.size() < left.size()) {
-            planned = Map.of();
+    /** Returns the workers for which a step has valid tickets. */
+    private List<Room> ticketed(StepRow step, Placement placement) {
+        if (step.tickets.isEmpty()) {
+            return List.of();
+        }
+        List<Room> found = new ArrayList<>();
+        for (Room room : placement.candidates(step)) {
+            if (ticketed(step, room.worker)) {
+                found.add(room);
+            }
         }
+        return found;
+    }
+
+    private boolean askFor(StepRow step, List<TaskRow> left, Placement placement) {
+        List<Room> open = new ArrayList<>();
+        List<Room> allowed = new ArrayList<>();
+        boolean unknown = false;
+        for (Room room : placement.candidates(step)) {
+            boolean isAllowed = step.allowed.contains(room.worker.id);
+            if (isAllowed) {
+                allowed.add(room);
+            }
+            if (!step.denied.contains(room.worker.id) && !ticketed(step, room.worker)) {
+                open.add(room);
+                unknown |= !isAllowed && worthAsking(step, room);
+            }
+        }
+        Map<TaskRow, Room> planned = placement.choose(left, allowed);
         if (planned.isEmpty() && !unknown) {
             return false;
         }
-        ask(step, open, room, planned);
+        ask(step, open, planned);
         return true;
     }
 
-    private void holdReserved(StepRow step, Placement room) {
-        step.reserved.forEach((id, count) -> {
-            WorkerRow worker = tables.workers.get(id);
-            if (worker != null) {
-                room.take(worker, step.spec.each().times(count));
-            }
-        });
+    private static void holdReserved(StepRow step, Placement placement) {
+        step.reserved.forEach((id, count) -> placement.room(id).ifPresent(room -> room.take(step.spec.each(), count)));
     }
 
     /** A gang has to know all its workers before it can wait for them; single tasks only need one with room. */
-    private static boolean worthAsking(StepRow step, WorkerRow worker, Placement room) {
-        return step.spec.gang() || step.spec.each().fitsIn(room.free(worker));
+    private static boolean worthAsking(StepRow step, Room room) {
+        return step.spec.gang() || room.fits(step.spec.each());
     }
 
     private static boolean needsAdvice(StepRow step) {
@@ -268,11 +285,11 @@
         }
     }
 
-    private void claim(StepRow step, Map<TaskRow, WorkerRow> chosen) {
+    private void claim(StepRow step, Map<TaskRow, Room> chosen) {
         int gangRun = step.nextGangRun(tables.firstRun);
-        chosen.forEach((task, worker) -> {
+        chosen.forEach((task, room) -> {
             int number = step.spec.gang() ? gangRun : Math.max(task.lastRun + 1, tables.firstRun);
-            RunRow run = new RunRow(task, number, worker, step.spec.each());
+            RunRow run = new RunRow(task, number, room.worker, step.spec.each());
             run.checkpoint = task.checkpoint;
             tables.begin(run);
             tables.claimed.add(run);
@@ -305,6 +322,7 @@
     }
 
     private boolean usable(WorkerRow worker) {
+        Optional<WorkerEntry> entry = worker.entry();
         return worker.listed
                 && worker.missed == 0
                 && !worker.suspect
@@ -312,10 +330,10 @@
                 && tables.nowMs - worker.contactAtMs <= CONTACT_MS
                 && tables.nowMs >= worker.pausedUntilMs
                 && tables.nowMs >= worker.refusedUntilMs
-                && !tables.unsettled.contains(worker)
-                && worker.entry()
-                        .filter(entry -> !entry.draining() && !tables.evacuated.contains(entry.domain()))
-                        .isPresent();
+                && entry.isPresent()
+                && !entry.get().draining()
+                && !tables.evacuated.contains(entry.get().domain())
+                && !tables.unsettled.contains(worker);
     }
 
     private List<TaskRow> withinLimit(StepRow step, List<TaskRow> waiting) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -45,7 +45,15 @@
     }
 
     boolean ready() {
-        return remaining > 0 && spec.after().stream().allMatch(before -> job.step(occurrence, before).remaining == 0);
+        if (remaining == 0) {
+            return false;
+        }
+        for (int before : spec.after()) {
+            if (job.step(occurrence, before).remaining > 0) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Returns the number of the next run of the gang, above that of any run of its members. */
@@ -58,10 +66,30 @@
     }
 
     boolean quiet() {
-        return tasks.stream().allMatch(task -> task.run().isEmpty());
+        for (TaskRow task : tasks) {
+            if (task.run().isPresent()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean waits() {
+        for (TaskRow task : tasks) {
+            if (task.waiting()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     List<TaskRow> waiting() {
-        return tasks.stream().filter(TaskRow::waiting).toList();
+        List<TaskRow> waiting = new ArrayList<>();
+        for (TaskRow task : tasks) {
+            if (task.waiting()) {
+                waiting.add(task);
+            }
+        }
+        return waiting;
     }
 }
