Advice is asked about as few workers as most likely hold a step's tasks

A step that waited for a free host also grew its reservation with every tick.

Change: AdviceChoice takes workers in the order in which tasks prefer them until the room that advice most likely allows is enough (share learned by queue, two standard deviations); a gang asks in the failure domain with the most room, and for what it can wait for when the fleet is full; tickets that ran out are asked for alone. Reservations begin anew with each choice.

Tests: AdviceChoiceTest (no more than the 30 workers that a job's own time counts).

--- /dev/null
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceChoice.java
@@ -0,0 +1,137 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+
+/**
+ * Chooses which workers advice is asked about for a step: as few as most likely hold its tasks.
+ *
+ * <p>A call takes longer with each worker in it and keeps a host busy meanwhile, so a short job must not ask about the
+ * whole fleet. How many are needed follows from the share of workers that the queue's advice usually allows.
+ */
+final class AdviceChoice {
+    /** The contract's bound of workers in one call for advice. */
+    static final int MAX_WORKERS = 100;
+
+    /** Standard deviations by which the expected room is reduced; one call in forty then allows too little. */
+    private static final double SURE = 2;
+
+    /** Other steps may take some of the room while the call lasts. */
+    private static final double CONTENDED = 1.3;
+
+    /** Single tasks choose among this multiple of the workers that they need, so that steps differ in what they ask. */
+    private static final int VARIETY = 3;
+
+    /** A gang looks for this multiple of its room, since it wants all of it in one failure domain. */
+    private static final double TOGETHER = 2;
+
+    /** A gang that waits knows workers that, when empty, hold it this many times. */
+    private static final double CHOICE_OF_WAITING = 5;
+
+    private AdviceChoice() {}
+
+    /**
+     * Chooses workers for single tasks.
+     *
+     * @param step the step
+     * @param tasks how many tasks have no worker yet
+     * @param unknown workers about which nothing is known, in the order in which they are preferred
+     * @param share the share of workers that advice usually allows, above 0
+     * @return the workers to ask about
+     */
+    static List<Room> forTasks(StepRow step, int tasks, List<Room> unknown, double share) {
+        ToIntFunction<Room> vacancies = room -> Math.min(tasks, Placement.vacancies(step, room));
+        List<Room> fitting = new ArrayList<>();
+        for (Room room : unknown) {
+            if (vacancies.applyAsInt(room) > 0) {
+                fitting.add(room);
+            }
+        }
+        int enough = enough(fitting, vacancies, tasks * CONTENDED, share);
+        List<Room> some = new ArrayList<>(fitting.subList(0, Math.min(fitting.size(), VARIETY * enough)));
+        int salt = step.job.job.id().hashCode();
+        some.sort(Comparator.comparingInt(room -> mixed(salt ^ room.worker.id.hashCode())));
+        return some.subList(0, enough(some, vacancies, tasks * CONTENDED, share));
+    }
+
+    /**
+     * Chooses workers for a whole gang, which should stay in one group of workers.
+     *
+     * @param step the step
+     * @param unknown workers about which nothing is known
+     * @param allowed workers that are allowed already
+     * @param share the share of workers that advice usually allows, above 0
+     * @return the workers to ask about; none when enough is known to wait for room
+     */
+    static List<Room> forGang(StepRow step, List<Room> unknown, List<Room> allowed, double share) {
+        int tasks = step.spec.count();
+        ToIntFunction<Room> now = room -> Math.min(tasks, Placement.vacancies(step, room));
+        List<Room> grouped = byGroup(step, unknown, now);
+        double needed = tasks * TOGETHER - total(allowed, now);
+        int enough = enough(grouped, now, needed, share);
+        if (reached(grouped.subList(0, enough), now, needed, share)) {
+            return grouped.subList(0, enough);
+        }
+        // the fleet is full: know enough workers to wait for
+        ToIntFunction<Room> whenEmpty = room -> Math.min(tasks, Placement.capacityFor(step, room));
+        double missing = tasks * CHOICE_OF_WAITING - total(allowed, whenEmpty);
+        return missing <= 0 ? List.of() : grouped.subList(0, enough(grouped, whenEmpty, missing, share));
+    }
+
+    /** Orders workers by the room of their rack or failure domain, the most first, then by their own. */
+    private static List<Room> byGroup(StepRow step, List<Room> rooms, ToIntFunction<Room> vacancies) {
+        Map<String, Integer> byGroup = new HashMap<>();
+        Map<Room, Integer> own = new HashMap<>();
+        for (Room room : rooms) {
+            int fits = vacancies.applyAsInt(room);
+            own.put(room, fits);
+            byGroup.merge(group(step, room), fits, Integer::sum);
+        }
+        List<Room> ordered = new ArrayList<>(rooms);
+        ordered.sort(Comparator.comparingInt((Room room) -> -byGroup.get(group(step, room)))
+                .thenComparing(room -> group(step, room))
+                .thenComparingInt(room -> -own.get(room))
+                .thenComparingLong(room -> -room.cpuMillis()));
+        return ordered;
+    }
+
+    private static String group(StepRow step, Room room) {
+        return step.spec.sameRack() ? room.entry.rack() : room.entry.domain();
+    }
+
+    /** Returns how many of the first workers most likely have the needed room; all, when none are enough. */
+    private static int enough(List<Room> rooms, ToIntFunction<Room> vacancies, double needed, double share) {
+        double mean = 0;
+        double variance = 0;
+        int count = 0;
+        while (count < Math.min(MAX_WORKERS, rooms.size()) && mean - SURE * Math.sqrt(variance) < needed) {
+            int fits = vacancies.applyAsInt(rooms.get(count));
+            mean += share * fits;
+            variance += share * (1 - share) * fits * fits;
+            count++;
+        }
+        return count;
+    }
+
+    private static boolean reached(List<Room> rooms, ToIntFunction<Room> vacancies, double needed, double share) {
+        return share * total(rooms, vacancies) >= needed;
+    }
+
+    private static int total(List<Room> rooms, ToIntFunction<Room> vacancies) {
+        int sum = 0;
+        for (Room room : rooms) {
+            sum += vacancies.applyAsInt(room);
+        }
+        return sum;
+    }
+
+    /** Spreads the bits of a hash, as similar identifiers have similar hashes. */
+    private static int mixed(int hash) {
+        int spread = hash * 0x9E3779B1;
+        return spread ^ spread >>> 15;
+    }
+}
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
@@ -39,6 +39,7 @@
     private final Map<StepRow, List<String>> wanted = new LinkedHashMap<>();
     private final Map<StepName, Call> calls = new HashMap<>();
     private final Map<String, Long> pausedUntilMs = new HashMap<>();
+    private final Map<String, Granted> grantedByQueue = new HashMap<>();
     private final Set<String> hosts = new LinkedHashSet<>();
 
     AdviceSystem(Tables tables) {
@@ -50,6 +51,13 @@
         hosts.addAll(names);
     }
 
+    /** Returns the share of workers that advice allows on the queue of a step, by the answers so far. */
+    double allowedShare(StepRow step) {
+        return grantedByQueue
+                .getOrDefault(step.job.job.route().name(), Granted.NONE)
+                .share();
+    }
+
     void want(StepRow step, List<String> workers) {
         if (!step.adviceAsked && tables.nowMs >= step.adviceAfterMs && !workers.isEmpty()) {
             wanted.put(step, workers);
@@ -92,6 +100,7 @@
             return;
         }
         StepRow step = call.step;
+        learn(step, call.workers, granted.get());
         long expiresAtMs = tables.nowMs + terms(step).validMs() - TICKET_MARGIN_MS;
         step.denied.addAll(call.workers);
         for (Grant grant : granted.get()) {
@@ -109,6 +118,18 @@
                 granted.get().size());
     }
 
+    /** Counts grants for workers of which nothing was known. */
+    private void learn(StepRow step, List<String> asked, List<Grant> granted) {
+        long unknown =
+                asked.stream().filter(worker -> !step.allowed.contains(worker)).count();
+        long allowed = granted.stream()
+                .filter(grant -> !step.allowed.contains(grant.worker()))
+                .count();
+        grantedByQueue.compute(
+                step.job.job.route().name(),
+                (queue, known) -> (known == null ? Granted.NONE : known).plus(unknown, allowed));
+    }
+
     private Optional<String> freeHost(long callMs) {
         int longCalls = 0;
         List<String> free = new ArrayList<>(hosts);
@@ -144,5 +165,27 @@
         return step.job.job.route().advice().orElseThrow();
     }
 
+    /**
+     * How many workers were asked about, and how many of them were allowed.
+     *
+     * @param asked the former
+     * @param allowed the latter
+     */
+    private record Granted(double asked, double allowed) {
+        /** Before the first answers, half of the workers are taken to be allowed, with the weight of a short call. */
+        private static final Granted NONE = new Granted(10, 5);
+
+        /** A share near zero would ask about all workers for a single task. */
+        private static final double LEAST_SHARE = 0.05;
+
+        private Granted plus(double moreAsked, double moreAllowed) {
+            return new Granted(asked + moreAsked, allowed + moreAllowed);
+        }
+
+        private double share() {
+            return Math.max(LEAST_SHARE, allowed / asked);
+        }
+    }
+
     private record Call(StepRow step, String host, List<String> workers, long callMs, long giveUpAtMs) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -108,6 +108,13 @@
                 .orElseGet(() -> spread(tasks, candidates));
     }
 
+    /** Returns workers in the order in which tasks of a step prefer them. */
+    List<Room> preferred(StepRow step, List<Room> some) {
+        List<Room> ordered = new ArrayList<>(some);
+        ordered.sort(preference(step));
+        return ordered;
+    }
+
     /** Returns how many tasks of a step would fit on a worker if it were empty. */
     static int capacityFor(StepRow step, Room room) {
         return limited(step, room.fittingWhenEmpty(step.spec.each()));
@@ -150,7 +157,7 @@
                 vacancies.add(new Vacancy(room, fits));
             }
         }
-        vacancies.sort(preference(step));
+        vacancies.sort(Comparator.comparing(vacancy -> vacancy.room, preference(step)));
         Map<TaskRow, Room> chosen = new LinkedHashMap<>();
         for (TaskRow task : tasks) {
             pick(task, vacancies).ifPresent(vacancy -> {
@@ -162,14 +169,13 @@
     }
 
     /** Orders by the rack of the data, then by the least room, so that wide gaps stay for wide gangs. */
-    private static Comparator<Vacancy> preference(StepRow step) {
+    private static Comparator<Room> preference(StepRow step) {
         String rack = step.spec.rack();
-        Comparator<Vacancy> least = (a, b) -> {
-            int byRoom = Long.compare(a.room.cpuMillis(), b.room.cpuMillis());
-            return byRoom != 0 ? byRoom : a.room.worker.id.compareTo(b.room.worker.id);
+        Comparator<Room> least = (a, b) -> {
+            int byRoom = Long.compare(a.cpuMillis(), b.cpuMillis());
+            return byRoom != 0 ? byRoom : a.worker.id.compareTo(b.worker.id);
         };
-        Comparator<Vacancy> near =
-                Comparator.comparing(vacancy -> !vacancy.room.entry.rack().equals(rack));
+        Comparator<Room> near = Comparator.comparing(room -> !room.entry.rack().equals(rack));
         return rack.isEmpty() ? least : near.thenComparing(least);
     }
 
@@ -188,7 +194,7 @@
     }
 
     /** Returns how many further tasks of a step may start on a worker. */
-    private static int vacancies(StepRow step, Room room) {
+    static int vacancies(StepRow step, Room room) {
         int fits = room.fitting(step.spec.each());
         return step.spec.maxPerWorker() == 0 || fits == 0
                 ? fits
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,9 +30,6 @@
     /** Advice about a step is asked for again after this pause when its tickets ran out unused. */
     private static final long ADVICE_PAUSE_MS = 300;
 
-    /** The contract's bound of workers in one call for advice. */
-    private static final int MAX_ADVICE_WORKERS = 100;
-
     /** Ends of a broken gang are listed within this time by workers that answer. */
     private static final long BROKEN_GANG_MS = 400;
 
@@ -120,23 +117,19 @@
         return searches;
     }
 
-    private void ask(StepRow step, List<Room> open, Map<TaskRow, Room> planned) {
-        Set<Room> chosen = new HashSet<>(planned.values());
-        List<String> workers = new ArrayList<>();
-        for (Room room : open) {
-            if (workers.size() == MAX_ADVICE_WORKERS) {
-                break;
-            }
-            boolean unknown = !step.allowed.contains(room.worker.id) && worthAsking(step, room);
-            if (unknown || chosen.contains(room)) {
-                workers.add(room.worker.id);
-            }
-        }
+    private void ask(StepRow step, Set<Room> asked, Map<TaskRow, Room> planned) {
+        // no host may have been free for an earlier choice
+        step.reserved.clear();
         planned.values().forEach(room -> {
             step.reserved.merge(room.worker.id, 1, Integer::sum);
             room.take(step.spec.each(), 1);
         });
-        advice.want(step, workers);
+        advice.want(
+                step,
+                asked.stream()
+                        .limit(AdviceChoice.MAX_WORKERS)
+                        .map(room -> room.worker.id)
+                        .toList());
     }
 
     /** Keeps workers free that, once empty, hold the whole gang; others may not start tasks there meanwhile. */
@@ -210,24 +203,30 @@
     }
 
     private boolean askFor(StepRow step, List<TaskRow> left, Placement placement) {
-        List<Room> open = new ArrayList<>();
+        List<Room> unknown = new ArrayList<>();
         List<Room> allowed = new ArrayList<>();
-        boolean unknown = false;
         for (Room room : placement.candidates(step)) {
-            boolean isAllowed = step.allowed.contains(room.worker.id);
-            if (isAllowed) {
+            if (step.allowed.contains(room.worker.id)) {
                 allowed.add(room);
-            }
-            if (!step.denied.contains(room.worker.id) && !ticketed(step, room.worker)) {
-                open.add(room);
-                unknown |= !isAllowed && worthAsking(step, room);
+            } else if (!step.denied.contains(room.worker.id)) {
+                unknown.add(room);
             }
         }
         Map<TaskRow, Room> planned = placement.choose(left, allowed);
-        if (planned.isEmpty() && !unknown) {
+        // tickets that ran out are asked for again with what is still unknown
+        Set<Room> asked = new LinkedHashSet<>();
+        planned.values().stream().filter(room -> !ticketed(step, room.worker)).forEach(asked::add);
+        double share = advice.allowedShare(step);
+        if (step.spec.gang() && planned.isEmpty()) {
+            asked.addAll(AdviceChoice.forGang(step, unknown, allowed, share));
+        } else if (planned.size() < left.size()) {
+            int tasks = left.size() - planned.size();
+            asked.addAll(AdviceChoice.forTasks(step, tasks, placement.preferred(step, unknown), share));
+        }
+        if (asked.isEmpty()) {
             return false;
         }
-        ask(step, open, planned);
+        ask(step, asked, planned);
         return true;
     }
 
@@ -235,11 +234,6 @@
         step.reserved.forEach((id, count) -> placement.room(id).ifPresent(room -> room.take(step.spec.each(), count)));
     }
 
-    /** A gang has to know all its workers before it can wait for them; single tasks only need one with room. */
-    private static boolean worthAsking(StepRow step, Room room) {
-        return step.spec.gang() || room.fits(step.spec.each());
-    }
-
     private static boolean needsAdvice(StepRow step) {
         return step.job.job.route().advice().isPresent();
     }
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/AdviceChoiceTest.java
@@ -0,0 +1,119 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.acaciafold.fleet.AdviceTerms;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.Grant;
+import org.acaciafold.fleet.StepSpec;
+import org.acaciafold.fleet.WorkerEntry;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Pattern: many short jobs on a large fleet, each of which waits for advice that takes longer for each worker. */
+class AdviceChoiceTest {
+    private static final int WORKERS = 260;
+    private static final AdviceTerms TERMS = new AdviceTerms(15, 0.3, 2_500);
+
+    /** The users count one call about thirty workers as part of a job's own time. */
+    private static final int CALL_IN_JOBS_TIME = 30;
+
+    private final SchedulerFixture fixture = new SchedulerFixture(1);
+
+    private void fleet(long cpuMillis) {
+        fixture.withWorkers(IntStream.range(0, WORKERS)
+                .mapToObj(i -> worker("w" + i, cpuMillis))
+                .toArray(WorkerEntry[]::new));
+        fixture.scheduler.advisers(List.of("h1", "h2", "h3"));
+    }
+
+    private Effect.Advise advised(String id, StepSpec.Builder step) {
+        fixture.scheduler.accept(fixture.job(id, route(0, 4, Optional.of(TERMS)), step.build()));
+        return fixture.tick().stream()
+                .filter(Effect.Advise.class::isInstance)
+                .map(Effect.Advise.class::cast)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void answer(Effect.Advise call, int everyNth) {
+        List<Grant> grants = IntStream.range(0, call.workers().size())
+                .filter(i -> i % everyNth == 0)
+                .mapToObj(i -> new Grant(call.workers().get(i), "ticket"))
+                .toList();
+        fixture.scheduler.advised(call.host(), call.step(), Optional.of(grants));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, false", "3, false", "8, false", "2, true", "8, true"})
+    void shouldAskAboutNoMoreThanTheJobsTimeCountsWhenMostAreAllowed(int tasks, boolean gang) {
+        fleet(32_000);
+
+        Effect.Advise call = advised("job", step(tasks, 7_400).gang(gang));
+
+        int asked = call.workers().size();
+        assertTrue(asked >= tasks / 4 && asked <= CALL_IN_JOBS_TIME, "asked about " + asked);
+    }
+
+    @Test
+    void shouldAskAboutMoreWhenFewWereAllowedBefore() {
+        fleet(32_000);
+        Effect.Advise first = advised("first", step(3, 20_000));
+        answer(first, 3);
+        for (int i = 0; i < 10; i++) {
+            fixture.tick();
+            answer(advised("next-" + i, step(3, 20_000)), 3);
+        }
+
+        Effect.Advise later = advised("later", step(3, 20_000));
+
+        assertTrue(later.workers().size() > first.workers().size());
+        assertTrue(later.workers().size() <= CALL_IN_JOBS_TIME);
+    }
+
+    @Test
+    void shouldAskOnlyForNewTicketsWhenTheAllowedWorkersAreKnown() {
+        fleet(32_000);
+        fixture.savesAnswered = false;
+        Effect.Advise first = advised("job", step(2, 20_000));
+        answer(first, 1);
+        fixture.tick();
+        fixture.advance(TERMS.validMs());
+
+        // claims of a save without an answer are dropped as their tickets run out
+        fixture.scheduler.saved(1);
+        List<Effect> effects = fixture.tick();
+
+        List<Effect.Advise> again = effects.stream()
+                .filter(Effect.Advise.class::isInstance)
+                .map(Effect.Advise.class::cast)
+                .toList();
+        assertEquals(1, again.size());
+        assertTrue(again.getFirst().workers().size() <= 2);
+        assertTrue(first.workers().containsAll(again.getFirst().workers()));
+    }
+
+    @Test
+    void shouldStillAskAboutOthersWhenTooFewWereAllowed() {
+        fleet(32_000);
+        Effect.Advise first = advised("job", step(8, 20_000));
+        answer(first, first.workers().size());
+
+        Effect.Advise second = fixture.tick().stream()
+                .filter(Effect.Advise.class::isInstance)
+                .map(Effect.Advise.class::cast)
+                .findFirst()
+                .orElseThrow();
+
+        assertTrue(second.workers().stream().noneMatch(first.workers()::contains));
+    }
+}
