Members of a gang that is done are not told to stop

Now only those still listed a second later are stopped. Test: EndSystemTest.shouldStopMembersOfAGangThatIsDoneOnlyWhenTheyDoNotEndByThemselves.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
@@ -114,6 +114,7 @@
         if (!task.done) {
             task.done = true;
             task.step.remaining--;
+            task.step.doneAtMs = tables.nowMs;
         }
     }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -28,6 +28,8 @@
     int remaining;
     long readyAtMs = -1;
     long brokenSinceMs = -1;
+    /** When the last end that it needed was listed. */
+    long doneAtMs;
 
     StepRow(JobRow job, int occurrence, int index, StepSpec spec) {
         this.job = job;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
@@ -12,6 +12,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(StopSystem.class);
     private static final long RETRY_MS = 300;
 
+    /** The members of a gang that is done end by themselves; workers list ends within milliseconds. */
+    private static final long GANG_ENDS_MS = 1_000;
+
     private final Tables tables;
 
     StopSystem(Tables tables) {
@@ -65,12 +68,11 @@
                 && tables.nowMs >= run.stopRetryAtMs;
     }
 
-    private static boolean unneeded(RunRow run) {
-        JobRow job = run.task.step.job;
-        if (!job.active()) {
-            return true;
+    private boolean unneeded(RunRow run) {
+        StepRow step = run.task.step;
+        if (run.task.done && step.spec.gang()) {
+            return tables.nowMs - step.doneAtMs > GANG_ENDS_MS;
         }
-        // the members of a gang end together by themselves once one of them is done
-        return run.task.done && !run.task.step.spec.gang();
+        return run.task.done || !step.job.active();
     }
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
@@ -110,4 +110,23 @@
         assertTrue(after.stream().anyMatch(effect -> effect instanceof Effect.Hold hold && hold.acknowledged() == 0));
         assertTrue(after.stream().noneMatch(effect -> effect instanceof Effect.Hold hold && hold.acknowledged() > 0));
     }
+
+    /** Pattern: a hundred gangs end each second, and none of their members needs an order. */
+    @Test
+    void shouldStopMembersOfAGangThatIsDoneOnlyWhenTheyDoNotEndByThemselves() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("a", 1_000), worker("b", 1_000));
+        fixture.scheduler.accept(fixture.job("gang", step(2, 1_000).gang(true).build()));
+        List<Effect.Start> starts = fixture.startsConfirmed();
+        Effect.Start first = starts.getFirst();
+        fixture.held(first.worker(), List.of(), List.of(end(1, first.task(), first.run(), EndKind.DONE)));
+
+        assertEquals(0, stops(fixture));
+
+        fixture.advance(2_000);
+        assertEquals(1, stops(fixture));
+    }
+
+    private static long stops(SchedulerFixture fixture) {
+        return fixture.tick().stream().filter(Effect.Stop.class::isInstance).count();
+    }
 }
