--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/HoldSystem.java
@@ -33,6 +33,12 @@
     /** Workers answer orders in milliseconds; without an answer for this long one may be cut off. */
     private static final long ORDER_OVERDUE_MS = 300;
 
+    /**
+     * Renewals sent in one tick; a host that has just started sends that many in some fifty milliseconds, so that the first
+     * workers are used while the others are still asked.
+     */
+    private static final int MAX_IN_TICK = 32;
+
     private static final long RETRY_MS = 200;
     private static final long MAX_RETRY_MS = 1_000;
 
@@ -100,8 +106,11 @@
     }
 
     void run(List<Effect> effects) {
+        int sent = 0;
         for (WorkerRow worker : tables.workers.values()) {
-            if (!worker.holdInFlight && tables.nowMs >= worker.nextHoldAtMs && wanted(worker)) {
+            boolean due = !worker.holdInFlight && tables.nowMs >= worker.nextHoldAtMs && wanted(worker);
+            if (due && sent < MAX_IN_TICK) {
+                sent++;
                 effects.add(hold(worker));
             }
         }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
@@ -13,6 +14,7 @@
 import org.acaciafold.fleet.StoredJob;
 import org.acaciafold.fleet.TaskName;
 import org.acaciafold.fleet.WorkerClaims;
+import org.acaciafold.fleet.WorkerEntry;
 import org.junit.jupiter.api.Test;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.BORN_MS;
@@ -136,4 +138,32 @@
 
         assertTrue(fixture.starts().isEmpty());
     }
+
+    /** Pattern: a leader begins its term on a host that has just started, with a large fleet. */
+    @Test
+    void shouldUseTheFirstWorkersWhileTheOthersAreStillAsked() {
+        SchedulerFixture fixture = new SchedulerFixture(1);
+        WorkerEntry[] workers =
+                IntStream.range(0, 260).mapToObj(i -> worker("w" + i, 10_000)).toArray(WorkerEntry[]::new);
+        fixture.scheduler.listed(List.of(workers), true);
+        fixture.scheduler.accept(fixture.job("first", step(1, 1_000).build()));
+
+        List<Effect.Hold> asked = holds(fixture.tick());
+        assertTrue(asked.size() < workers.length / 5, "asked " + asked.size());
+        fixture.held(asked.getFirst().worker(), List.of(), List.of());
+
+        assertEquals(1, fixture.starts().size());
+        int all = asked.size();
+        for (int i = 0; i < 10; i++) {
+            all += holds(fixture.tick()).size();
+        }
+        assertTrue(all >= workers.length / 2);
+    }
+
+    private static List<Effect.Hold> holds(List<Effect> effects) {
+        return effects.stream()
+                .filter(Effect.Hold.class::isInstance)
+                .map(Effect.Hold.class::cast)
+                .toList();
+    }
 }
