--- a/clients/src/main/java/org/acaciafold/clients/JsonHttp.java
+++ b/clients/src/main/java/org/acaciafold/clients/JsonHttp.java
@@ -6,6 +6,7 @@
 
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.resolver.DefaultAddressResolverGroup;
 import org.acaciafold.core.model.AcaciafoldException;
 import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Step;
@@ -82,6 +83,8 @@
                 .build();
         HttpClient client = HttpClient.create(pool)
                 .runOn(loops, false)
+                // addresses are numbers; a resolver of names would only cost time at the start
+                .resolver(DefaultAddressResolverGroup.INSTANCE)
                 .disableRetry(true)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
--- a/entry/src/main/java/org/acaciafold/entry/EntryMain.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryMain.java
@@ -14,7 +14,12 @@
 
 /** Starts an entry host on the users' platform. */
 public final class EntryMain {
-    private static final Logger LOG = LoggerFactory.getLogger(EntryMain.class);
+    private static final Logger LOG;
+
+    static {
+        HostLogging.install();
+        LOG = LoggerFactory.getLogger(EntryMain.class);
+    }
 
     /** The variable that names the settings file. */
     private static final String SETTINGS_FILE = "ACACIAFOLD_NODE_FILE";
--- a/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
@@ -9,7 +9,6 @@
 
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.joran.JoranConfigurator;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.read.ListAppender;
@@ -36,9 +35,7 @@
         LoggerContext context = context();
         System.setOut(new PrintStream(new Unread(reading), true));
         try {
-            JoranConfigurator configurator = new JoranConfigurator();
-            configurator.setContext(context);
-            configurator.doConfigure(LoggingTest.class.getResource("/logback.xml"));
+            HostLogging.configure(context);
             Logger log = context.getLogger("test");
             long before = QueueAppender.dropped();
 
--- a/proof/src/test/java/org/acaciafold/proof/soak/SoakHost.java
+++ b/proof/src/test/java/org/acaciafold/proof/soak/SoakHost.java
@@ -106,10 +106,7 @@
                     name + "-" + lives,
                     directory,
                     Map.of("ACACIAFOLD_NODE_FILE", settings.toString()),
-                    List.of(
-                            "-Dlogback.configurationFile=logback.xml",
-                            "-Dreactor.netty.ioWorkerCount=1",
-                            "-Dio.netty.allocator.type=unpooled"),
+                    List.of("-Dreactor.netty.ioWorkerCount=1", "-Dio.netty.allocator.type=unpooled"),
                     "org.acaciafold.entry.EntryMain");
         }
     }
