A host trusts its view of the configuration from when it asked, not from when it read the answer

Cause (found by reading, after the users' list: a process that was paused acted on a permission that had run out): ConfigWatch counted its view's age from the moment an answer was taken. An answer that waited in the socket of a paused host made a view of before the pause look new; a suspended machine's steady clock stood still, so its view had not aged at all. Change: the age counts from the sending of the call, plus the wait when the store had nothing to tell, on both clocks; a late answer is followed by a call that does not wait; in a slow store calls wait less. Tests: ConfigWatchTest.

--- a/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
@@ -11,25 +11,39 @@
 import org.acaciafold.platform.StoredRow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-
-/** Follows what operators write, and knows until when its view was right. */
+import reactor.core.publisher.Mono;
+
+/**
+ * Follows what operators write, and knows until when its view was right.
+ *
+ * <p>A view is right until the store answered, which is known only from when the call was sent: an answer may wait in the
+ * socket of a host that is paused. Both clocks count, since the steady one stands still while a machine is suspended.
+ */
 final class ConfigWatch {
     private static final Logger LOG = LoggerFactory.getLogger(ConfigWatch.class);
 
     /** The store answers a waiting call at once when something changes; without changes it confirms the view. */
     private static final long WAIT_MS = 1_000;
 
+    /** In a slow store the way takes part of the time for which a view is trusted, so calls wait less. */
+    private static final long SHORT_WAIT_MS = 250;
+
+    /** Answers take some ten milliseconds; longer ones come from a slow store, or were read late. */
+    private static final long LATE_MS = 150;
+
     private static final long RETRY_MS = 100;
 
-    private final StoreAccess store;
-    private final Loop loop;
+    private final Source store;
+    private final Timers loop;
     private final Runnable changed;
     private final Set<String> evacuated = new HashSet<>();
     private FleetConfig config;
     private long confirmedAtMs = Long.MIN_VALUE / 2;
+    private long confirmedWallMs = Long.MIN_VALUE / 2;
     private long version = -1;
+    private long waitMs = WAIT_MS;
 
-    ConfigWatch(StoreAccess store, Loop loop, Runnable changed) {
+    ConfigWatch(Source store, Timers loop, Runnable changed) {
         this.store = store;
         this.loop = loop;
         this.changed = changed;
@@ -49,29 +63,36 @@
 
     /** Returns how long ago the view was known to be the newest one, in milliseconds. */
     long ageMs() {
-        return loop.nowMs() - confirmedAtMs;
+        return Math.max(loop.nowMs() - confirmedAtMs, loop.wallMs() - confirmedWallMs);
     }
 
     private void next() {
+        long sentAtMs = loop.nowMs();
+        long sentWallMs = loop.wallMs();
         if (version < 0) {
             store.readAll(OperatorRow.TABLE, "")
-                    .subscribe(page -> loop.execute(() -> read(page)), error -> loop.after(RETRY_MS, this::next));
+                    .subscribe(
+                            page -> loop.execute(() -> read(page, sentAtMs, sentWallMs)),
+                            error -> loop.after(RETRY_MS, this::next));
         } else {
-            store.changes(OperatorRow.TABLE, version, WAIT_MS)
-                    .subscribe(found -> loop.execute(() -> follow(found)), error -> loop.after(RETRY_MS, this::next));
+            long wait = waitMs;
+            store.changes(OperatorRow.TABLE, version, wait)
+                    .subscribe(
+                            found -> loop.execute(() -> follow(found, wait, sentAtMs, sentWallMs)),
+                            error -> loop.after(RETRY_MS, this::next));
         }
     }
 
-    private void read(RowPage page) {
+    private void read(RowPage page, long sentAtMs, long sentWallMs) {
         evacuated.clear();
         page.rows().forEach(this::apply);
         version = page.version();
-        confirmed();
+        confirmed(sentAtMs, sentWallMs);
         changed.run();
         next();
     }
 
-    private void follow(RowChanges changes) {
+    private void follow(RowChanges changes, long waited, long sentAtMs, long sentWallMs) {
         if (changes.historyLost()) {
             LOG.warn("history of the operators' table lost after={}", version);
             version = -1;
@@ -80,7 +101,12 @@
         }
         changes.rows().forEach(this::apply);
         version = Math.max(version, changes.version());
-        confirmed();
+        boolean unchanged = changes.rows().isEmpty() && loop.nowMs() - sentAtMs >= waited;
+        // without changes the store has waited before it answered
+        long answeredAfterMs = unchanged ? waited : 0;
+        confirmed(sentAtMs + answeredAfterMs, sentWallMs + answeredAfterMs);
+        // a view that is old already is confirmed at once, but not over and over
+        waitMs = ageMs() <= LATE_MS ? WAIT_MS : waited > SHORT_WAIT_MS ? 0 : SHORT_WAIT_MS;
         if (!changes.rows().isEmpty()) {
             changed.run();
         }
@@ -113,7 +139,18 @@
         }
     }
 
-    private void confirmed() {
-        confirmedAtMs = loop.nowMs();
+    private void confirmed(long atMs, long wallMs) {
+        // each clock by itself only ever confirms more; the time of day may have been set back
+        confirmedAtMs = Math.max(confirmedAtMs, atMs);
+        confirmedWallMs = wallMs;
+    }
+
+    /** Where the operators' rows are read. */
+    interface Source {
+        /** Reads all rows of a table in one partition. */
+        Mono<RowPage> readAll(String table, String partition);
+
+        /** Returns the changes of a table after a version, once there are some or after the given milliseconds. */
+        Mono<RowChanges> changes(String table, long after, long waitMs);
     }
 }
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -22,7 +22,7 @@
 import reactor.core.publisher.Sinks;
 
 /** The store as a host sees it: whether it answers, whole tables, and rows that are created at most once. */
-final class StoreAccess {
+final class StoreAccess implements ConfigWatch.Source {
     private static final Logger LOG = LoggerFactory.getLogger(StoreAccess.class);
 
     /** The store's bound of rows in one answer. */
@@ -86,7 +86,8 @@
         return Math.min(oldestMs, loop.nowMs() - answeredAtMs) > limitMs;
     }
 
-    Mono<RowChanges> changes(String table, long after, long waitMs) {
+    @Override
+    public Mono<RowChanges> changes(String table, long after, long waitMs) {
         return rows.changes(table, after, waitMs)
                 .doOnNext(changes -> answered())
                 .doOnError(error -> failed("feed of " + table, error.getMessage()));
@@ -129,7 +130,8 @@
      * @param partition the partition
      * @return the rows with the version of the first page
      */
-    Mono<RowPage> readAll(String table, String partition) {
+    @Override
+    public Mono<RowPage> readAll(String table, String partition) {
         return readFrom(table, partition, "", new ArrayList<>(), Optional.empty());
     }
 
--- /dev/null
+++ b/entry/src/test/java/org/acaciafold/entry/ConfigWatchTest.java
@@ -0,0 +1,118 @@
+package org.acaciafold.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciafold.platform.RowChanges;
+import org.acaciafold.platform.RowPage;
+import org.acaciafold.platform.StoredRow;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Pattern: a host that was paused finds answers in its socket that were right before the pause. */
+class ConfigWatchTest {
+    private static final long PAUSE_MS = 5_000;
+
+    private final ManualTimers timers = new ManualTimers();
+    private final Operators operators = new Operators();
+    private final ConfigWatch watch = new ConfigWatch(operators, timers, () -> {});
+
+    @BeforeEach
+    void readFirst() {
+        watch.start();
+        assertEquals(0, watch.ageMs());
+    }
+
+    @Test
+    void shouldTrustAViewWhenTheStoreHasWaitedWithoutAChange() {
+        for (int i = 0; i < 5; i++) {
+            timers.advance(operators.waitMs + 5);
+            operators.answer(List.of());
+
+            assertTrue(watch.ageMs() <= 5);
+        }
+    }
+
+    @Test
+    void shouldNotTrustAnAnswerThatWasReadLong() {
+        timers.advance(operators.waitMs + PAUSE_MS);
+        operators.answer(List.of());
+
+        assertTrue(watch.ageMs() >= PAUSE_MS, "age " + watch.ageMs());
+    }
+
+    @Test
+    void shouldNotTrustAChangeThatWasReadLong() {
+        timers.advance(PAUSE_MS);
+        operators.answer(List.of(row(2)));
+
+        assertTrue(watch.ageMs() >= PAUSE_MS, "age " + watch.ageMs());
+        assertEquals(2, watch.config().orElseThrow().version());
+    }
+
+    @Test
+    void shouldNotTrustAViewWhenTheMachineWasSuspended() {
+        timers.suspend(PAUSE_MS);
+
+        assertTrue(watch.ageMs() >= PAUSE_MS, "age " + watch.ageMs());
+    }
+
+    @Test
+    void shouldAskAtOnceWhenAnAnswerCameLate() {
+        timers.advance(operators.waitMs + PAUSE_MS);
+        operators.answer(List.of());
+        assertEquals(0, operators.waitMs);
+
+        timers.advance(5);
+        operators.answer(List.of());
+
+        assertTrue(watch.ageMs() <= 5);
+        assertTrue(operators.waitMs > 0);
+    }
+
+    @Test
+    void shouldNotAskOverAndOverWhenTheStoreIsSlow() {
+        int atOnce = 0;
+        for (int i = 0; i < 20; i++) {
+            atOnce += operators.waitMs == 0 ? 1 : 0;
+            timers.advance(operators.waitMs + 400);
+            operators.answer(List.of());
+        }
+
+        assertTrue(atOnce <= 1, "at once " + atOnce);
+    }
+
+    private static StoredRow row(int version) {
+        String body = "{\"version\":" + version + ",\"routes\":[],\"tenants\":[]}";
+        return new StoredRow("op", "", "config", body.getBytes(StandardCharsets.UTF_8), version, false);
+    }
+
+    /** The store's side: a first reading, then calls that a test answers. */
+    private static final class Operators implements ConfigWatch.Source {
+        private final List<Sinks.One<RowChanges>> calls = new ArrayList<>();
+        private long waitMs;
+
+        @Override
+        public Mono<RowPage> readAll(String table, String partition) {
+            return Mono.just(new RowPage(List.of(row(1)), false, 1));
+        }
+
+        @Override
+        public Mono<RowChanges> changes(String table, long after, long wait) {
+            waitMs = wait;
+            Sinks.One<RowChanges> call = Sinks.one();
+            calls.add(call);
+            return call.asMono();
+        }
+
+        private void answer(List<StoredRow> rows) {
+            calls.removeLast().tryEmitValue(new RowChanges(rows, 1 + rows.size(), false));
+        }
+    }
+}
--- a/entry/src/test/java/org/acaciafold/entry/ManualTimers.java
+++ b/entry/src/test/java/org/acaciafold/entry/ManualTimers.java
@@ -9,6 +9,7 @@
 final class ManualTimers implements Timers {
     private final Map<Long, List<Runnable>> due = new TreeMap<>();
     private long nowMs = 1_000;
+    private long suspendedMs;
 
     @Override
     public void after(long delayMs, Runnable task) {
@@ -27,7 +28,12 @@
 
     @Override
     public long wallMs() {
-        return 1_700_000_000_000L + nowMs;
+        return 1_700_000_000_000L + nowMs + suspendedMs;
+    }
+
+    /** Lets time pass that the steady clock does not count. */
+    void suspend(long ms) {
+        suspendedMs += ms;
     }
 
     void advance(long ms) {
