A host that the store turns away takes and cancels jobs through the leader

Change: StoreRelay has the leader create the row, durable before the consumer is answered; without an answer the outcome is unknown, never not run. An old view of the configuration is confirmed by the leader's when both have the same version, counted from when the question was sent. Messages between hosts are of two kinds, for a term and through the leader. A first reading of the configuration that took long is followed by one that does not wait: found by EntryHostTest, which was answered 503 for an age of 1507 ms (limit 1500) on a busy machine.

--- a/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
@@ -66,6 +66,19 @@
         return Math.max(loop.nowMs() - confirmedAtMs, loop.wallMs() - confirmedWallMs);
     }
 
+    /**
+     * Notes when the present view was known to be the newest one.
+     *
+     * @param atMs the time on the steady clock
+     * @param wallMs the same moment by the time of day
+     */
+    void confirmed(long atMs, long wallMs) {
+        if (atMs >= confirmedAtMs) {
+            confirmedAtMs = atMs;
+            confirmedWallMs = wallMs;
+        }
+    }
+
     private void next() {
         long sentAtMs = loop.nowMs();
         long sentWallMs = loop.wallMs();
@@ -88,6 +101,7 @@
         page.rows().forEach(this::apply);
         version = page.version();
         confirmed(sentAtMs, sentWallMs);
+        waitMs = waitAfter(WAIT_MS);
         changed.run();
         next();
     }
@@ -105,14 +119,21 @@
         // without changes the store has waited before it answered
         long answeredAfterMs = unchanged ? waited : 0;
         confirmed(sentAtMs + answeredAfterMs, sentWallMs + answeredAfterMs);
-        // a view that is old already is confirmed at once, but not over and over
-        waitMs = ageMs() <= LATE_MS ? WAIT_MS : waited > SHORT_WAIT_MS ? 0 : SHORT_WAIT_MS;
+        waitMs = waitAfter(waited);
         if (!changes.rows().isEmpty()) {
             changed.run();
         }
         next();
     }
 
+    /** A view that is old when it comes is confirmed at once, but not over and over. */
+    private long waitAfter(long waited) {
+        if (ageMs() <= LATE_MS) {
+            return WAIT_MS;
+        }
+        return waited > SHORT_WAIT_MS ? 0 : SHORT_WAIT_MS;
+    }
+
     private void apply(StoredRow row) {
         switch (OperatorRow.decode(row)) {
             case OperatorRow.Configuration read -> take(read.config());
@@ -139,12 +160,6 @@
         }
     }
 
-    private void confirmed(long atMs, long wallMs) {
-        // each clock by itself only ever confirms more; the time of day may have been set back
-        confirmedAtMs = Math.max(confirmedAtMs, atMs);
-        confirmedWallMs = wallMs;
-    }
-
     /** Where the operators' rows are read. */
     interface Source {
         /** Reads all rows of a table in one partition. */
--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -41,12 +41,14 @@
 
     private final HostContext host;
     private final Leadership leadership;
+    private final StoreRelay relay;
     private final JobDirectory directory;
     private final double maxConfigAgeMs;
 
-    Consumers(HostContext host, Leadership leadership, JobDirectory directory, long configApplyMs) {
+    Consumers(HostContext host, Leadership leadership, StoreRelay relay, JobDirectory directory, long configApplyMs) {
         this.host = host;
         this.leadership = leadership;
+        this.relay = relay;
         this.directory = directory;
         this.maxConfigAgeMs = configApplyMs * MAX_CONFIG_AGE;
     }
@@ -93,7 +95,7 @@
             log(request, id, BAD_REQUEST, fault.get());
             return Mono.just(ConsumerReply.of(BAD_REQUEST));
         }
-        if (host.store().silent()) {
+        if (host.store().silent() && !relay.available()) {
             log(request, id, UNAVAILABLE, "store does not answer, nothing was sent to it");
             return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
         }
@@ -102,8 +104,7 @@
 
     /** Writes a job; once a first write may still be applied, a second one that is not done proves nothing. */
     private Mono<ConsumerReply> record(ConsumerRequest request, Job job, byte[] value, boolean first) {
-        Mono<StoreAccess.Creation> written =
-                host.store().create(Records.JOBS, Records.partitionOf(Records.JOBS, job.id()), job.id(), value);
+        Mono<StoreAccess.Creation> written = create(Records.JOBS, job.id(), value);
         return withinDeadline(request, written, StoreAccess.Creation.UNKNOWN).flatMap(creation -> switch (creation) {
             case CREATED -> Mono.just(accepted(request, job));
             case EXISTED -> Mono.just(existed(request, job.id()));
@@ -115,13 +116,25 @@
     /** Repeats a write whose outcome is unknown, so that the consumer is told only what is certain. */
     private Mono<ConsumerReply> again(ConsumerRequest request, Job job, byte[] value) {
         boolean tooLate = host.loop().nowMs() + ANSWER_MARGIN_MS >= request.deadlineMs();
-        if (tooLate || host.store().silent()) {
+        if (tooLate || host.store().silent() && !relay.available()) {
             log(request, job.id(), GATEWAY_TIMEOUT, "outcome of the write unknown");
             return Mono.just(ConsumerReply.of(GATEWAY_TIMEOUT));
         }
         return host.loop().delay(UNKNOWN_RETRY_MS).then(Mono.defer(() -> record(request, job, value, false)));
     }
 
+    /** Creates a row, through the leader when the store does not take it from this host. */
+    private Mono<StoreAccess.Creation> create(String table, String key, byte[] value) {
+        if (host.store().silent()) {
+            return relay.create(table, key, value);
+        }
+        return host.store()
+                .create(table, Records.partitionOf(table, key), key, value)
+                .flatMap(outcome -> outcome == StoreAccess.Creation.NOT_DONE
+                        ? relay.create(table, key, value)
+                        : Mono.just(outcome));
+    }
+
     private Mono<ConsumerReply> notTaken(ConsumerRequest request, Job job) {
         log(request, job.id(), UNAVAILABLE, "store does not take writes");
         return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
@@ -216,8 +229,7 @@
     }
 
     private Mono<ConsumerReply> recordCancellation(ConsumerRequest request, String id) {
-        Mono<StoreAccess.Creation> written = host.store()
-                .create(Records.CANCELLATIONS, Records.partitionOf(Records.CANCELLATIONS, id), id, new byte[] {1});
+        Mono<StoreAccess.Creation> written = create(Records.CANCELLATIONS, id, new byte[] {1});
         return withinDeadline(request, written, StoreAccess.Creation.UNKNOWN).map(creation -> switch (creation) {
             case CREATED, EXISTED -> {
                 directory.update(id, JobState.CANCELLED);
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -53,6 +53,7 @@
     private final HostMetrics metrics = new HostMetrics();
     private HostContext context;
     private Leadership leadership;
+    private StoreRelay relay;
     private ConsumerServer consumers;
     private ConsumerServer readiness;
     private Optional<ConsumerServer> metricsServer = Optional.empty();
@@ -99,7 +100,7 @@
         StoreAccess store = new StoreAccess(
                 RowStore.of(http("store", STORE_CONNECTIONS, Step.TABLE), settings.store()), loop, metrics);
         ConfigWatch config = new ConfigWatch(store, loop, () -> leadership.configured());
-        bus = PeerBus.start(settings, loop, (from, message) -> leadership.receive(from, message));
+        bus = PeerBus.start(settings, loop, this::receive);
         context = new HostContext(
                 settings.host(),
                 loop,
@@ -114,8 +115,10 @@
                 settings.bounds().leaseMaxMs() - LEASE_RESERVE_MS,
                 settings.bounds().stopMs());
         leadership = new Leadership(context, settings, loop.wallMs(), terms, directory);
-        Consumers answers =
-                new Consumers(context, leadership, directory, settings.bounds().configApplyMs());
+        relay = new StoreRelay(
+                settings.advertisedPeers(), loop, store::create, config, bus::send, leadership::leaderAddress);
+        Consumers answers = new Consumers(
+                context, leadership, relay, directory, settings.bounds().configApplyMs());
         consumers = ConsumerServer.listen(settings.consumers(), loop, answers::answer, metrics, () -> stopping);
         Answers told = new Answers();
         readiness = ConsumerServer.readiness(settings.readiness(), loop, told);
@@ -123,9 +126,17 @@
         loop.execute(config::start);
         loop.every(FORGET_PERIOD_MS, directory::forgetOld);
         leadership.start();
+        loop.execute(relay::start);
         watch(config);
     }
 
+    private void receive(String from, PeerMessage message) {
+        switch (message) {
+            case PeerMessage.Leading leading -> leadership.receive(from, leading);
+            case PeerMessage.ThroughLeader relayed -> relay.receive(relayed);
+        }
+    }
+
     /** Listens for those who read metrics; a port that is taken must not keep the host from serving. */
     private Optional<ConsumerServer> metricsServer(Answers told) {
         if (settings.metrics().isEmpty()) {
--- a/entry/src/main/java/org/acaciafold/entry/HostContext.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostContext.java
@@ -35,6 +35,16 @@
         HostMetrics metrics) {
     private static final Logger LOG = LoggerFactory.getLogger(HostContext.class);
 
+    /** Makes a call for advice that a peer asked for, and sends it the answer. */
+    void advise(String to, PeerMessage.AdviceWanted wanted) {
+        advise(
+                wanted.step(),
+                wanted.workers(),
+                wanted.timeoutMs(),
+                (answered, grants) ->
+                        bus.send(to, new PeerMessage.AdviceGiven(wanted.epoch(), wanted.step(), answered, grants)));
+    }
+
     /** Makes a call for advice and hands its grants on, with false when it failed. */
     void advise(StepName step, List<String> asked, long timeoutMs, BiConsumer<Boolean, List<Grant>> then) {
         long askedAtMs = loop.nowMs();
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -94,6 +94,12 @@
         return lease != null;
     }
 
+    /** Returns where the leader is; empty when this host leads or has not heard of one just now. */
+    Optional<String> leaderAddress() {
+        boolean known = !leads() && leader != null && silentMs() < IN_TOUCH_MS;
+        return known ? Optional.of(leader.address()) : Optional.empty();
+    }
+
     /** Returns the jobs of a queue of which no task has started; empty when no recent count is known. */
     OptionalInt pending(String route) {
         boolean known = leads() ? term.running() : host.loop().nowMs() - countedAtMs < MAX_COUNT_AGE_MS;
@@ -118,7 +124,7 @@
     }
 
     /** Tells the leader at once of what this host has recorded. */
-    void tellLeader(PeerMessage message) {
+    void tellLeader(PeerMessage.Leading message) {
         if (leads()) {
             receive(host.name(), message);
         } else if (leader != null) {
@@ -150,14 +156,18 @@
         });
     }
 
-    void receive(String from, PeerMessage message) {
+    void receive(String from, PeerMessage.Leading message) {
         switch (message) {
             case PeerMessage.HostBeat beat -> hostBeat(beat);
             case PeerMessage.LeaderBeat beat -> leaderBeat(beat);
             case PeerMessage.Accepted accepted -> whenLeading(() -> term.accept(from, accepted.jobs()));
             case PeerMessage.Cancelled cancelled -> whenLeading(() -> term.cancel(cancelled.job()));
             case PeerMessage.States states -> states(states);
-            case PeerMessage.AdviceWanted wanted -> adviceWanted(from, wanted);
+            case PeerMessage.AdviceWanted wanted -> {
+                if (leader != null && leader.host().equals(from)) {
+                    host.advise(leader.address(), wanted);
+                }
+            }
             case PeerMessage.AdviceGiven given -> whenLeading(() -> term.advised(from, given));
             case PeerMessage.WhoReachesStore question -> {
                 if (!stopping) {
@@ -175,18 +185,6 @@
         }
     }
 
-    private void adviceWanted(String from, PeerMessage.AdviceWanted wanted) {
-        Optional<String> replyTo = Optional.ofNullable(leader)
-                .filter(one -> one.host().equals(from))
-                .map(LeaseRecord::address);
-        replyTo.ifPresent(to -> host.advise(
-                wanted.step(),
-                wanted.workers(),
-                wanted.timeoutMs(),
-                (answered, grants) -> host.bus()
-                        .send(to, new PeerMessage.AdviceGiven(wanted.epoch(), wanted.step(), answered, grants))));
-    }
-
     private void beat() {
         lastBeatMs = host.loop().nowMs();
         if (leads() && !stopping) {
--- a/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
@@ -10,6 +10,12 @@
 
 /** What entry hosts tell each other. */
 sealed interface PeerMessage {
+    /** Who leads, and what the leader and the others tell each other for its term. */
+    sealed interface Leading extends PeerMessage {}
+
+    /** What a host that the store turns away asks the leader for, and the answers. */
+    sealed interface ThroughLeader extends PeerMessage {}
+
     /**
      * A heartbeat of a host to the leader.
      *
@@ -20,7 +26,7 @@
      * @param stopping true when it is about to stop
      */
     record HostBeat(String host, String address, double processors, long sequence, boolean stopping)
-            implements PeerMessage {}
+            implements Leading {}
 
     /**
      * A heartbeat of the leader to all hosts.
@@ -43,21 +49,21 @@
             Map<String, Integer> pending,
             Map<String, String> hosts,
             double largest)
-            implements PeerMessage {}
+            implements Leading {}
 
     /**
      * Jobs that a host has just accepted.
      *
      * @param jobs the jobs, which are recorded
      */
-    record Accepted(List<Job> jobs) implements PeerMessage {}
+    record Accepted(List<Job> jobs) implements Leading {}
 
     /**
      * A job whose cancellation a host has just recorded.
      *
      * @param job the job
      */
-    record Cancelled(String job) implements PeerMessage {}
+    record Cancelled(String job) implements Leading {}
 
     /**
      * New states of jobs.
@@ -67,7 +73,7 @@
      * @param whole true when these are the states of all jobs
      * @param states the states by job
      */
-    record States(long epoch, long sequence, boolean whole, Map<String, JobState> states) implements PeerMessage {
+    record States(long epoch, long sequence, boolean whole, Map<String, JobState> states) implements Leading {
         /** What a host has seen that has heard nothing of a term yet. */
         static final long NONE_SEEN = -1;
 
@@ -88,7 +94,7 @@
      * @param workers the workers to ask about
      * @param timeoutMs how long the call may take
      */
-    record AdviceWanted(long epoch, StepName step, List<String> workers, long timeoutMs) implements PeerMessage {}
+    record AdviceWanted(long epoch, StepName step, List<String> workers, long timeoutMs) implements Leading {}
 
     /**
      * The answer to a call for advice.
@@ -98,7 +104,7 @@
      * @param answered false when the call failed
      * @param grants the grants
      */
-    record AdviceGiven(long epoch, StepName step, boolean answered, List<Grant> grants) implements PeerMessage {}
+    record AdviceGiven(long epoch, StepName step, boolean answered, List<Grant> grants) implements Leading {}
 
     /**
      * The leader cannot reach the store and asks who can.
@@ -106,7 +112,7 @@
      * @param epoch the leader's term
      * @param address where to answer
      */
-    record WhoReachesStore(long epoch, String address) implements PeerMessage {}
+    record WhoReachesStore(long epoch, String address) implements Leading {}
 
     /**
      * A host that reaches the store.
@@ -114,12 +120,48 @@
      * @param epoch the term that was asked for
      * @param address where its peers reach it
      */
-    record ReachesStore(long epoch, String address) implements PeerMessage {}
+    record ReachesStore(long epoch, String address) implements Leading {}
 
     /**
      * The leader has stopped commanding and gives its term to the receiver.
      *
      * @param epoch the term that has ended
      */
-    record Handover(long epoch) implements PeerMessage {}
+    record Handover(long epoch) implements Leading {}
+
+    /**
+     * Asks the leader to create a row that does not exist yet.
+     *
+     * @param address where to answer
+     * @param number the number of the question, which the answer repeats
+     * @param table the table
+     * @param key the key
+     * @param value the value
+     */
+    record RowWanted(String address, long number, String table, String key, byte[] value) implements ThroughLeader {}
+
+    /**
+     * What became of a row.
+     *
+     * @param number the number of the question
+     * @param outcome what is known of it
+     */
+    record RowAnswered(long number, StoreAccess.Creation outcome) implements ThroughLeader {}
+
+    /**
+     * Asks the leader which configuration is the newest.
+     *
+     * @param address where to answer
+     * @param number the number of the question, which the answer repeats
+     */
+    record ViewWanted(String address, long number) implements ThroughLeader {}
+
+    /**
+     * The leader's view of the configuration.
+     *
+     * @param number the number of the question
+     * @param version the version of the configuration
+     * @param ageMs how long ago that view was known to be the newest one
+     */
+    record ViewAnswered(long number, long version, long ageMs) implements ThroughLeader {}
 }
--- a/entry/src/test/java/org/acaciafold/entry/ConfigWatchTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/ConfigWatchTest.java
@@ -88,18 +88,32 @@
         assertTrue(atOnce <= 1, "at once " + atOnce);
     }
 
+    @Test
+    void shouldConfirmTheViewAtOnceWhenTheFirstReadingTookLong() {
+        Operators slow = new Operators();
+        slow.readingMs = 600;
+        ConfigWatch late = new ConfigWatch(slow, timers, () -> {});
+
+        late.start();
+
+        assertEquals(600, late.ageMs());
+        assertEquals(0, slow.waitMs);
+    }
+
     private static StoredRow row(int version) {
         String body = "{\"version\":" + version + ",\"routes\":[],\"tenants\":[]}";
         return new StoredRow("op", "", "config", body.getBytes(StandardCharsets.UTF_8), version, false);
     }
 
     /** The store's side: a first reading, then calls that a test answers. */
-    private static final class Operators implements ConfigWatch.Source {
+    private final class Operators implements ConfigWatch.Source {
         private final List<Sinks.One<RowChanges>> calls = new ArrayList<>();
         private long waitMs;
+        private long readingMs;
 
         @Override
         public Mono<RowPage> readAll(String table, String partition) {
+            timers.advance(readingMs);
             return Mono.just(new RowPage(List.of(row(1)), false, 1));
         }
 
--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -31,6 +31,9 @@
     /** What a consumer waits when it does not say. */
     private static final long CONSUMER_DEADLINE_MS = 3_000;
 
+    /** Within this time a version of the configuration has to be in force, when the settings do not say. */
+    private static final long CONFIG_APPLY_MS = 2_000;
+
     private static final int CONNECTIONS = 4;
     private static final int TASKS = 3;
     private static final long SHORT_TASK_MS = 50;
@@ -45,7 +48,11 @@
     }
 
     private EmulatedConsumer host(String id, double processors) throws Exception {
-        EntrySettings settings = Rehearsal.settings(id, processors, platform.address());
+        return host(id, processors, platform.address());
+    }
+
+    private EmulatedConsumer host(String id, double processors, String store) throws Exception {
+        EntrySettings settings = Rehearsal.settings(id, processors, store);
         hosts.add(EntryHost.start(settings));
         EmulatedConsumer consumer = EmulatedConsumer.of(loops, settings.consumers());
         await("a fresh configuration at " + id, consumer.pending(), OK);
@@ -202,6 +209,30 @@
         assertEquals(2 * 2 * TASKS, platform.starts());
     }
 
+    /** Pattern: the store turns some hosts away for seconds and serves the others. */
+    @Test
+    void shouldTakeAndCancelJobsThroughTheLeaderWhenTheStoreTurnsTheHostAway() throws Exception {
+        platform = EmulatedPlatform.start(2, LONG_TASK_MS);
+        EmulatedConsumer leader = host("leader");
+        String view = platform.view(platform.address());
+        EmulatedConsumer other = host("other", 1, view);
+        assertEquals(OK, leader.submit("before", TASKS).block(LIMIT));
+        await("the leader's news at the other host", other.state("before"), "running");
+
+        platform.turnAway(view, true);
+
+        assertEquals(OK, other.submit("j1", TASKS).block(LIMIT));
+        await("its first task", leader.state("j1"), "running");
+        assertEquals(OK, other.cancel("j1").block(LIMIT));
+        await("its cancellation", leader.state("j1"), "cancelled");
+        long turnedAwayMs = System.nanoTime() / NANOS_PER_MS;
+        Awaitility.await("longer than a version may take to be in force")
+                .atMost(LIMIT)
+                .until(() -> System.nanoTime() / NANOS_PER_MS - turnedAwayMs > 2 * CONFIG_APPLY_MS);
+        assertEquals(OK, other.submit("j2", TASKS).block(LIMIT));
+        platform.turnAway(view, false);
+    }
+
     @Test
     void shouldFinishAJobWhenItsLeaderStops() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
