All states go to lagging hosts in one message

Change: hosts that lag within 100 ms are told in one message, written once. Test: StateNewsTest.shouldTellTheStatesOfAllJobsInOneMessageWhenManyHostsLag.

--- a/entry/src/main/java/org/acaciafold/entry/StateNews.java
+++ b/entry/src/main/java/org/acaciafold/entry/StateNews.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 
 import org.acaciafold.fleet.JobState;
 
@@ -20,12 +23,17 @@
     /** With this much for each host, forty hosts hear of changes five times a second. */
     private static final long GATHER_MS_PER_HOST = 5;
 
+    /** After a start of all hosts they all lag within this time; the states of thousands of jobs are then written once. */
+    private static final long GATHER_LAGGING_MS = 100;
+
     private final String self;
     private final Timers loop;
     private final BiConsumer<Collection<String>, PeerMessage> bus;
     private final HostTable hosts;
     private final long epoch;
+    private final Supplier<Map<String, JobState>> all;
     private final Map<String, String> acceptedBy = new HashMap<>();
+    private final Set<String> lagging = new TreeSet<>();
     private Map<String, JobState> gathered = new HashMap<>();
     private long toldAtMs = Long.MIN_VALUE / 2;
     private long sequence;
@@ -40,13 +48,21 @@
      * @param bus sends a message to addresses
      * @param hosts all hosts
      * @param epoch the term
+     * @param all returns the states of all jobs
      */
-    StateNews(String self, Timers loop, BiConsumer<Collection<String>, PeerMessage> bus, HostTable hosts, long epoch) {
+    StateNews(
+            String self,
+            Timers loop,
+            BiConsumer<Collection<String>, PeerMessage> bus,
+            HostTable hosts,
+            long epoch,
+            Supplier<Map<String, JobState>> all) {
         this.self = self;
         this.loop = loop;
         this.bus = bus;
         this.hosts = hosts;
         this.epoch = epoch;
+        this.all = all;
     }
 
     /** Returns the number of the last change that was told. */
@@ -84,6 +100,21 @@
         }
     }
 
+    /** Tells hosts the states of all jobs soon, those that lag at about the same time in one message. */
+    void lag(Collection<String> addresses) {
+        if (lagging.isEmpty() && !addresses.isEmpty()) {
+            loop.after(GATHER_LAGGING_MS, this::tellLagging);
+        }
+        lagging.addAll(addresses);
+    }
+
+    private void tellLagging() {
+        if (!ended) {
+            bus.accept(List.copyOf(lagging), new PeerMessage.States(epoch, sequence, true, all.get()));
+        }
+        lagging.clear();
+    }
+
     private void tell() {
         due = false;
         if (ended) {
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -73,7 +73,8 @@
                 host.loop(),
                 host.bus()::sendAll,
                 hosts,
-                lease.record().epoch());
+                lease.record().epoch(),
+                () -> scheduler.states());
         this.times = new JobTimes(host.metrics());
     }
 
@@ -130,11 +131,9 @@
         return running() && seen < settledSequence;
     }
 
+    /** Tells a host that lags the states of all jobs. */
     void sendAll(String address) {
-        host.bus()
-                .send(
-                        address,
-                        new PeerMessage.States(lease.record().epoch(), news.sequence(), true, scheduler.states()));
+        news.lag(List.of(address));
     }
 
     /**
@@ -186,7 +185,7 @@
         news.begin();
         Map<String, JobState> states = scheduler.states();
         publish.accept(states);
-        hosts.addresses().values().forEach(this::sendAll);
+        news.lag(hosts.addresses().values());
         watch.start();
         tickPeriodically();
         sweep.start(loaded);
--- a/entry/src/test/java/org/acaciafold/entry/StateNewsTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/StateNewsTest.java
@@ -22,7 +22,12 @@
     private final HostTable hosts = new HostTable();
     private final List<Sent> sent = new ArrayList<>();
     private final StateNews news = new StateNews(
-            "leader", timers, (to, message) -> sent.add(new Sent(List.copyOf(to), message)), hosts, EPOCH);
+            "leader",
+            timers,
+            (to, message) -> sent.add(new Sent(List.copyOf(to), message)),
+            hosts,
+            EPOCH,
+            () -> running("all"));
 
     private static Map<String, JobState> running(String job) {
         return Map.of(job, JobState.RUNNING);
@@ -62,6 +67,22 @@
         assertEquals(4, second.states().size());
     }
 
+    /** Pattern: all hosts of a large deployment start at once after a loss of power. */
+    @Test
+    void shouldTellTheStatesOfAllJobsInOneMessageWhenManyHostsLag() {
+        news.lag(hosts.addresses().values());
+        for (int i = 0; i < HOSTS; i++) {
+            timers.advance(1);
+            news.lag(List.of("address-" + i));
+        }
+
+        timers.advance(GATHER_MS);
+
+        assertEquals(1, sent.size());
+        assertEquals(HOSTS, sent.getFirst().to.size());
+        assertEquals(new PeerMessage.States(EPOCH, 1, true, running("all")), sent.getFirst().message);
+    }
+
     @Test
     void shouldTellTheAcceptingHostOfAnEndAtOnce() {
         news.accepted("host-7", "j2");
