A body without end is refused with 413 instead of being gathered

Cause (found by reading, after the users' list: one message took a process down): bodies were aggregated whole, whatever their length. Now 256 KiB at most, then 413 and the end of the connection. Test: ConsumerServerTest.shouldRefuseABodyThatDoesNotEnd, red before (no answer).

--- a/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConsumerServer.java
@@ -1,5 +1,6 @@
 package org.acaciafold.entry;
 
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -32,7 +33,11 @@
     private static final int INTERNAL_ERROR = 500;
     private static final String JSON = "application/json";
     private static final String PROMETHEUS_TEXT = "text/plain; version=0.0.4";
-    private static final byte[] NO_BODY = new byte[0];
+
+    /** Sixty times the longest text that a job carries; longer bodies cannot be stored anyway. */
+    private static final int MAX_BODY_BYTES = 262_144;
+
+    private static final int TOO_LARGE = 413;
 
     private final DisposableServer server;
     private final ChannelGroup connections;
@@ -68,17 +73,12 @@
                 bind(address, loop, connections, HttpServer.create().handle((request, response) -> {
                     inProgress.incrementAndGet();
                     long beganAtMs = loop.nowMs();
-                    return request.receive()
-                            .aggregate()
-                            .asByteArray()
-                            .defaultIfEmpty(NO_BODY)
+                    return body(request)
                             .flatMap(body -> answers.apply(read(request, body, loop)))
-                            .onErrorResume(error -> {
-                                LOG.error("request failed method={} uri={}", request.method(), request.uri(), error);
-                                return Mono.just(ConsumerReply.of(INTERNAL_ERROR));
-                            })
-                            .flatMap(reply ->
-                                    leaving.getAsBoolean() ? sendLast(response, reply) : send(response, reply, JSON))
+                            .onErrorResume(error -> Mono.just(failed(request, error)))
+                            .flatMap(reply -> leaving.getAsBoolean() || reply.status() == TOO_LARGE
+                                    ? sendLast(response, reply)
+                                    : send(response, reply, JSON))
                             .doFinally(signal -> {
                                 inProgress.decrementAndGet();
                                 metrics.request(
@@ -129,6 +129,28 @@
         }
     }
 
+    /** Reads a body whole; one that does not end must not take the host's memory. */
+    private static Mono<byte[]> body(HttpServerRequest request) {
+        return request.receive()
+                .asByteArray()
+                .collect(ByteArrayOutputStream::new, (read, part) -> {
+                    if (read.size() + part.length > MAX_BODY_BYTES) {
+                        throw new BodyTooLargeException();
+                    }
+                    read.writeBytes(part);
+                })
+                .map(ByteArrayOutputStream::toByteArray);
+    }
+
+    private static ConsumerReply failed(HttpServerRequest request, Throwable error) {
+        if (error instanceof BodyTooLargeException) {
+            LOG.warn("body too large method={} uri={} limit={}", request.method(), request.uri(), MAX_BODY_BYTES);
+            return ConsumerReply.of(TOO_LARGE);
+        }
+        LOG.error("request failed method={} uri={}", request.method(), request.uri(), error);
+        return ConsumerReply.of(INTERNAL_ERROR);
+    }
+
     private static ConsumerRequest read(HttpServerRequest request, byte[] body, Loop loop) {
         String uri = request.uri();
         int query = uri.indexOf('?');
@@ -168,6 +190,11 @@
         return response.sendByteArray(Mono.just(reply.body())).then();
     }
 
+    /** Tells that a body is longer than any that is taken. */
+    private static final class BodyTooLargeException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
     /** Answers for the platform and for operators. */
     interface Readiness {
         /** Returns the status for the platform's question whether this host takes requests. */
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -26,7 +26,7 @@
     private static final long TICK_MS = 40;
 
     /**
-     * Answers that come within this time share a tick; a tenth of what the shortest call for advice takes, so that it does
+     * Answers that come within this time share a tick; a quarter of what the shortest call for advice takes, so that it does
      * not delay urgent jobs noticeably.
      */
     private static final long MIN_TICK_GAP_MS = 4;
--- a/entry/src/test/java/org/acaciafold/entry/ConsumerServerTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/ConsumerServerTest.java
@@ -1,7 +1,6 @@
 package org.acaciafold.entry;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -54,6 +53,22 @@
         }
     }
 
+    @Test
+    void shouldRefuseABodyThatDoesNotEnd() throws Exception {
+        int port = freePort();
+        ConsumerServer server = listen(port);
+        try (Socket endless = new Socket("127.0.0.1", port)) {
+            endless.setSoTimeout(LIMIT_MS);
+            String head = "POST /jobs/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2000000000\r\n\r\n";
+            endless.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            endless.getOutputStream().write(new byte[300_000]);
+
+            assertTrue(read(endless).contains("413"));
+        } finally {
+            server.close();
+        }
+    }
+
     private ConsumerServer listen(int port) throws AcaciafoldException {
         return ConsumerServer.listen(
                 "127.0.0.1:" + port,
@@ -66,16 +81,19 @@
     private static String answer(Socket socket) throws IOException {
         try {
             socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
-            InputStream in = socket.getInputStream();
-            byte[] buffer = new byte[4_096];
-            int read = in.read(buffer);
-            return read < 0 ? "" : new String(buffer, 0, read, StandardCharsets.US_ASCII);
+            return read(socket);
         } catch (SocketException e) {
             // a write to a closed connection, or a reset, is as good as its end
             return "";
         }
     }
 
+    private static String read(Socket socket) throws IOException {
+        byte[] buffer = new byte[4_096];
+        int read = socket.getInputStream().read(buffer);
+        return read < 0 ? "" : new String(buffer, 0, read, StandardCharsets.US_ASCII);
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
