A leader that the store turns away asks the largest hosts first to take over

Cause: it took the first host that answered. Change: the largest hosts are asked first, 200 ms later all.

--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -271,13 +271,12 @@
         long nowMs = host.loop().nowMs();
         if (leads()) {
             lease.renewWhenDue();
+            long epoch = lease.record().epoch();
             if (storeSilent()) {
-                reach.ask(hosts.addresses().values(), lease.record().epoch());
+                reach.ask(succession.replacements(overdueMs(), nowMs), epoch);
             } else if (nowMs - lookedForLargerAtMs >= LOOK_FOR_LARGER_MS && term.running()) {
                 lookedForLargerAtMs = nowMs;
-                reach.ask(
-                        succession.larger(nowMs).stream().toList(),
-                        lease.record().epoch());
+                reach.ask(succession.larger(nowMs).stream().toList(), epoch);
             }
         } else if (silentMs() > LEADER_SILENT_MS && !stopping) {
             readLease(Optional.empty());
@@ -294,10 +293,9 @@
         boolean silent = storeSilent();
         Optional<String> larger = succession.larger(host.loop().nowMs());
         if (silent || larger.filter(able.address()::equals).isPresent()) {
-            long epoch = lease.record().epoch();
             String reason = silent ? "the store does not answer here" : "a larger host is alive";
             lose(reason + "; handed over to " + able.address());
-            host.bus().send(able.address(), new PeerMessage.Handover(epoch));
+            host.bus().send(able.address(), new PeerMessage.Handover(able.epoch()));
         }
     }
 
@@ -364,8 +362,11 @@
 
     /** Tells whether this leader gets no answers at all; a slow store is slow for every host. */
     private boolean storeSilent() {
-        long answeredMs = host.loop().nowMs() - host.store().answeredAtMs();
-        return Math.min(answeredMs, lease.unconfirmedMs()) > HAND_OVER_AFTER_MS;
+        return overdueMs() > 0;
+    }
+
+    private long overdueMs() {
+        return Math.min(host.loop().nowMs() - host.store().answeredAtMs(), lease.unconfirmedMs()) - HAND_OVER_AFTER_MS;
     }
 
     private void take(long epoch, long version, String reason) {
--- a/entry/src/main/java/org/acaciafold/entry/Succession.java
+++ b/entry/src/main/java/org/acaciafold/entry/Succession.java
@@ -1,6 +1,8 @@
 package org.acaciafold.entry;
 
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -16,6 +18,9 @@
     /** How long a small host waits for larger ones to take a lease that has run out: two of their looks at it. */
     private static final long YIELD_MS = 200;
 
+    /** The largest hosts have this long to answer a leader without the store: two of its looks at the store. */
+    private static final long LARGEST_FIRST_MS = 200;
+
     private final String self;
     private final double processors;
     private final HostTable hosts;
@@ -46,6 +51,22 @@
                 .flatMap(hosts::address);
     }
 
+    /**
+     * Returns whom a leader that cannot reach the store asks to take over: the largest hosts first, then all.
+     *
+     * @param forMs for how long it has looked for one, in milliseconds
+     * @param nowMs the time in milliseconds
+     * @return where they listen
+     */
+    Collection<String> replacements(long forMs, long nowMs) {
+        double enough = next(nowMs).map(hosts::processors).orElse(0.0) / MUCH_LARGER;
+        List<String> large = hosts.live(nowMs).stream()
+                .filter(name -> !name.equals(self) && hosts.processors(name) > enough)
+                .flatMap(name -> hosts.address(name).stream())
+                .toList();
+        return forMs >= LARGEST_FIRST_MS || large.isEmpty() ? hosts.addresses().values() : large;
+    }
+
     /** Returns where the host listens that should lead once this one stops. */
     Optional<String> successor(long nowMs) {
         return next(nowMs).flatMap(hosts::address);
--- a/entry/src/test/java/org/acaciafold/entry/SuccessionTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/SuccessionTest.java
@@ -1,6 +1,7 @@
 package org.acaciafold.entry;
 
 import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -64,4 +65,24 @@
 
         assertFalse(succession.yields(VERSION, NOW_MS));
     }
+
+    /** Pattern: the store turns away the leader of a deployment whose hosts differ in size. */
+    @Test
+    void shouldAskTheLargestHostsFirstWhenTheLeaderCannotReachTheStore() {
+        hosts.heard(beat("small-1", SMALL, false), NOW_MS);
+        hosts.heard(beat("large-1", LARGE, false), NOW_MS);
+        hosts.heard(beat("large-2", LARGE, false), NOW_MS);
+        hosts.heard(beat("stopping", LARGE, true), NOW_MS);
+        Succession succession = new Succession("leader", LARGE, hosts);
+
+        assertEquals(Set.of("large-1:1", "large-2:1"), Set.copyOf(succession.replacements(0, NOW_MS)));
+        assertEquals(4, succession.replacements(200, NOW_MS).size());
+    }
+
+    @Test
+    void shouldAskAllHostsWhenNoneHasBeenHeard() {
+        hosts.told("silent", "silent:1", NOW_MS);
+
+        assertEquals(Set.of("silent:1"), Set.copyOf(new Succession("leader", LARGE, hosts).replacements(0, NOW_MS)));
+    }
 }
