Read-through: a term that cannot begin is given up like one that cannot go on; one name for a store out of reach

FaultBarrier stood around a term's parts but not around its begin, where the records are restored: an unexpected error there left a leader that scheduled nothing. Consumers asked the same two questions in two places; the list of candidates was made where tickets decide.

--- a/entry/src/main/java/org/acaciafold/entry/Consumers.java
+++ b/entry/src/main/java/org/acaciafold/entry/Consumers.java
@@ -95,7 +95,7 @@
             log(request, id, BAD_REQUEST, fault.get());
             return Mono.just(ConsumerReply.of(BAD_REQUEST));
         }
-        if (host.store().silent() && !relay.available()) {
+        if (storeOutOfReach()) {
             log(request, id, UNAVAILABLE, "store does not answer, nothing was sent to it");
             return Mono.just(ConsumerReply.retry(UNAVAILABLE, RETRY_AFTER_S));
         }
@@ -116,13 +116,17 @@
     /** Repeats a write whose outcome is unknown, so that the consumer is told only what is certain. */
     private Mono<ConsumerReply> again(ConsumerRequest request, Job job, byte[] value) {
         boolean tooLate = host.loop().nowMs() + ANSWER_MARGIN_MS >= request.deadlineMs();
-        if (tooLate || host.store().silent() && !relay.available()) {
+        if (tooLate || storeOutOfReach()) {
             log(request, job.id(), GATEWAY_TIMEOUT, "outcome of the write unknown");
             return Mono.just(ConsumerReply.of(GATEWAY_TIMEOUT));
         }
         return host.loop().delay(UNKNOWN_RETRY_MS).then(Mono.defer(() -> record(request, job, value, false)));
     }
 
+    private boolean storeOutOfReach() {
+        return host.store().silent() && !relay.available();
+    }
+
     /** Creates a row, through the leader when the store does not take it from this host. */
     private Mono<StoreAccess.Creation> create(String table, String key, byte[] value) {
         if (host.store().silent()) {
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -90,7 +90,7 @@
         long askedAtMs = host.loop().nowMs();
         host.records()
                 .load(host.loop().wallMs())
-                .subscribe(loaded -> host.loop().execute(() -> loaded(loaded, askedAtMs)), error -> {
+                .subscribe(loaded -> host.loop().execute(() -> barrier.run(() -> loaded(loaded, askedAtMs))), error -> {
                     LOG.warn(
                             "records cannot be read epoch={} reason={}",
                             lease.record().epoch(),
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -179,8 +179,8 @@
             holdReserved(step, placement);
             return true;
         }
-        List<Room> candidates = placement.candidates(step);
-        Map<TaskRow, Room> chosen = placement.choose(tasks, needsAdvice(step) ? ticketed(step, placement) : candidates);
+        Map<TaskRow, Room> chosen =
+                placement.choose(tasks, needsAdvice(step) ? ticketed(step, placement) : placement.candidates(step));
         chosen.values().forEach(room -> room.take(step.spec.each(), 1));
         claim(step, chosen);
         List<TaskRow> left = new ArrayList<>(tasks);
