Read-through: a gang that knows enough workers is not sorted for again in each tick

AdviceChoice.forGang grouped and sorted all unknown workers before it found that there is room for no gang and enough is known to wait for, in every tick for every waiting gang; it now asks the two sums first. The choice is the same. Term.sendAll, which only notes that a host lags, is bringUpToDate.

--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -211,7 +211,7 @@
     private void hostBeat(PeerMessage.HostBeat beat) {
         hosts.heard(beat, host.loop().nowMs());
         if (leads() && term.lags(beat.sequence())) {
-            term.sendAll(beat.address());
+            term.bringUpToDate(beat.address());
         }
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -132,7 +132,7 @@
     }
 
     /** Tells a host that lags the states of all jobs. */
-    void sendAll(String address) {
+    void bringUpToDate(String address) {
         news.lag(List.of(address));
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceChoice.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceChoice.java
@@ -70,16 +70,22 @@
     static List<Room> forGang(StepRow step, List<Room> unknown, List<Room> allowed, double share) {
         int tasks = step.spec.count();
         ToIntFunction<Room> now = room -> Math.min(tasks, Placement.vacancies(step, room));
-        List<Room> grouped = byGroup(step, unknown, now);
         double needed = tasks * TOGETHER - total(allowed, now);
-        int enough = enough(grouped, now, needed, share);
-        if (reached(grouped.subList(0, enough), now, needed, share)) {
-            return grouped.subList(0, enough);
+        if (share * total(unknown, now) >= needed) {
+            List<Room> grouped = byGroup(step, unknown, now);
+            List<Room> some = grouped.subList(0, enough(grouped, now, needed, share));
+            if (share * total(some, now) >= needed) {
+                return some;
+            }
         }
         // the fleet is full: know enough workers to wait for
         ToIntFunction<Room> whenEmpty = room -> Math.min(tasks, Placement.capacityFor(step, room));
         double missing = tasks * CHOICE_OF_WAITING - total(allowed, whenEmpty);
-        return missing <= 0 ? List.of() : grouped.subList(0, enough(grouped, whenEmpty, missing, share));
+        if (missing <= 0) {
+            return List.of();
+        }
+        List<Room> grouped = byGroup(step, unknown, now);
+        return grouped.subList(0, enough(grouped, whenEmpty, missing, share));
     }
 
     /** Orders workers by the room of their rack or failure domain, the most first, then by their own. */
@@ -117,10 +123,6 @@
         return count;
     }
 
-    private static boolean reached(List<Room> rooms, ToIntFunction<Room> vacancies, double needed, double share) {
-        return share * total(rooms, vacancies) >= needed;
-    }
-
     private static int total(List<Room> rooms, ToIntFunction<Room> vacancies) {
         int sum = 0;
         for (Room room : rooms) {
