A leader tells once a second how much of its time its ticks take, and what for

The line 'term load' has ticks, their time, the longest one, searches through workers, waiting steps and the age of the lease. Placement counts each pass over the workers of a kind, also those for whom to ask and in which order.

--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -44,6 +44,7 @@
     private final JobSweep sweep;
     private final WorkerWatch watch;
     private final JobTimes times;
+    private final TermLoad load;
     private final StateNews news;
     private final FaultBarrier barrier;
     private Scheduler scheduler;
@@ -76,6 +77,7 @@
                 lease.record().epoch(),
                 () -> scheduler.states());
         this.times = new JobTimes(host.metrics());
+        this.load = new TermLoad(lease, host.metrics());
     }
 
     /** Reads the records until that succeeds, and starts to schedule. */
@@ -236,7 +238,7 @@
         for (Effect effect : scheduler.tick()) {
             carryOut(effect);
         }
-        host.metrics().tick(host.loop().nowMs() - beganAtMs);
+        load.ticked(beganAtMs, host.loop().nowMs(), scheduler.lastTick());
     }
 
     private void carryOut(Effect effect) {
--- /dev/null
+++ b/entry/src/main/java/org/acaciafold/entry/TermLoad.java
@@ -0,0 +1,68 @@
+package org.acaciafold.entry;
+
+import org.acaciafold.fleet.scheduling.TickCost;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells once a second how much of the leader's time its ticks take, beside how much waits.
+ *
+ * <p>A leader whose ticks take most of its time answers late and renews its lease late.
+ */
+final class TermLoad {
+    private static final Logger LOG = LoggerFactory.getLogger(TermLoad.class);
+
+    /** Bounds the volume of this line. */
+    private static final long PERIOD_MS = 1_000;
+
+    private final LeaseKeeper lease;
+    private final HostMetrics metrics;
+    private long sinceMs = Long.MIN_VALUE / 2;
+    private int ticks;
+    private int searches;
+    private long busyMs;
+    private long longestMs;
+
+    /**
+     * Creates the measure of a term.
+     *
+     * @param lease the lease of the term
+     * @param metrics where each tick is counted
+     */
+    TermLoad(LeaseKeeper lease, HostMetrics metrics) {
+        this.lease = lease;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Notes a tick.
+     *
+     * @param beganAtMs when it began, on the steady clock
+     * @param endedAtMs when it ended
+     * @param cost what it had to look at
+     */
+    void ticked(long beganAtMs, long endedAtMs, TickCost cost) {
+        long tookMs = endedAtMs - beganAtMs;
+        metrics.tick(tookMs);
+        ticks++;
+        searches += cost.searches();
+        busyMs += tookMs;
+        longestMs = Math.max(longestMs, tookMs);
+        if (endedAtMs - sinceMs >= PERIOD_MS) {
+            LOG.info(
+                    "term load epoch={} ticks={} busyMs={} longestMs={} searches={} waitingSteps={} leaseAgeMs={}",
+                    lease.record().epoch(),
+                    ticks,
+                    busyMs,
+                    longestMs,
+                    searches,
+                    cost.waitingSteps(),
+                    lease.unconfirmedMs());
+            sinceMs = endedAtMs;
+            ticks = 0;
+            searches = 0;
+            busyMs = 0;
+            longestMs = 0;
+        }
+    }
+}
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -47,13 +47,14 @@
         return Optional.ofNullable(byWorker.get(worker));
     }
 
-    /** Returns how often all workers of a kind were looked at for room. */
+    /** Returns how often the workers of a kind were looked through. */
     int searches() {
         return searches;
     }
 
     /** Returns the workers of a step's service that have the label it asks for. */
     List<Room> candidates(StepRow step) {
+        searches++;
         return byKind.computeIfAbsent(kind(step), kind -> {
             List<Room> found = new ArrayList<>();
             for (Room room : rooms) {
@@ -73,7 +74,6 @@
         if (withoutRoom.contains(need)) {
             return false;
         }
-        searches++;
         for (Room room : candidates(step)) {
             if (room.fits(need.each)) {
                 return true;
@@ -110,6 +110,7 @@
 
     /** Returns workers in the order in which tasks of a step prefer them. */
     List<Room> preferred(StepRow step, List<Room> some) {
+        searches++;
         List<Room> ordered = new ArrayList<>(some);
         ordered.sort(preference(step));
         return ordered;
@@ -148,7 +149,6 @@
     }
 
     private Map<TaskRow, Room> spread(List<TaskRow> tasks, List<Room> candidates) {
-        searches++;
         StepRow step = tasks.getFirst().step;
         List<Vacancy> vacancies = new ArrayList<>();
         for (Room room : candidates) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -178,6 +178,15 @@
         worker(worker).ifPresent(holds::failed);
     }
 
+    /**
+     * Returns what the last tick had to look at.
+     *
+     * @return the numbers
+     */
+    public TickCost lastTick() {
+        return starts.cost();
+    }
+
     /**
      * Sets which workers are registered.
      *
@@ -303,11 +312,6 @@
         }
     }
 
-    /** Returns how often the last tick looked through workers for room. */
-    int searches() {
-        return starts.searches();
-    }
-
     /**
      * Returns what consumers are to be told of all known jobs.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -44,7 +44,7 @@
 
     private final Tables tables;
     private final AdviceSystem advice;
-    private int searches;
+    private TickCost cost = new TickCost(0, 0);
 
     StartSystem(Tables tables, AdviceSystem advice) {
         this.tables = tables;
@@ -97,7 +97,8 @@
         }
         Placement placement = new Placement(usable);
         int waitingGangs = 0;
-        for (QueueOrder.Entry entry : QueueOrder.ready(tables)) {
+        List<QueueOrder.Entry> ready = QueueOrder.ready(tables);
+        for (QueueOrder.Entry entry : ready) {
             StepRow step = entry.step();
             // the hopeless ones come last
             if (entry.rank() == QueueOrder.Rank.HOPELESS && usedShare() >= MAX_USED_FOR_HOPELESS) {
@@ -109,12 +110,12 @@
                 keepRoom(step, placement);
             }
         }
-        searches = placement.searches();
+        cost = new TickCost(ready.size(), placement.searches());
     }
 
-    /** Returns how often the last run of this system looked through workers for room. */
-    int searches() {
-        return searches;
+    /** Returns what the last run of this system had to look at. */
+    TickCost cost() {
+        return cost;
     }
 
     private void ask(StepRow step, Set<Room> asked, Map<TaskRow, Room> planned) {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/TickCostTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TickCostTest.java
@@ -43,6 +43,6 @@
 
         assertEquals(0, fixture.starts().size());
 
-        assertEquals(SIZES, fixture.scheduler.searches());
+        assertEquals(SIZES, fixture.scheduler.lastTick().searches());
     }
 }
