--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
@@ -0,0 +1,94 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.acaciafold.fleet.AdviceTerms;
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.Grant;
+import org.acaciafold.fleet.WorkerEntry;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Pattern: all hosts return after a pause, and the jobs that came meanwhile wait for advice, each of its own size. */
+class BacklogTest {
+    private static final int WORKERS = 246;
+    private static final long CPU_MILLIS = 64_000;
+    private static final AdviceTerms TERMS = new AdviceTerms(80, 1.1, 2_000);
+    private static final List<String> HOSTS = List.of("h1", "h2", "h3", "h4");
+
+    /** A step that may ask looks for room, for its tickets, for workers to ask about, and for their order. */
+    private static final int SEARCHES_OF_ONE_STEP = 4;
+
+    private final SchedulerFixture fixture = new SchedulerFixture(1);
+
+    private void backlog(int jobs, boolean gangs) {
+        fixture.withWorkers(IntStream.range(0, WORKERS)
+                .mapToObj(i -> worker("w" + i, CPU_MILLIS))
+                .toArray(WorkerEntry[]::new));
+        fixture.scheduler.advisers(HOSTS);
+        for (int i = 0; i < jobs; i++) {
+            fixture.scheduler.accept(fixture.job(
+                    "waits-" + i,
+                    route(1, 4, Optional.of(TERMS)),
+                    step(4, 6_500 + 10 * i).gang(gangs).build()));
+        }
+    }
+
+    private List<Effect.Advise> asked() {
+        return fixture.tick().stream()
+                .filter(Effect.Advise.class::isInstance)
+                .map(Effect.Advise.class::cast)
+                .toList();
+    }
+
+    /** Guards against a leader whose ticks grow with the backlog until it cannot work it off (RECOVER). */
+    @ParameterizedTest
+    @CsvSource({"10, false", "100, false", "1000, false", "10, true", "100, true", "1000, true"})
+    void shouldLookForWorkersOnlyForStepsThatMayAskWhenAllHostsAreBusy(int jobs, boolean gangs) {
+        backlog(jobs, gangs);
+        assertEquals(HOSTS.size(), asked().size());
+
+        fixture.advance(4);
+        assertEquals(0, asked().size());
+
+        assertEquals(jobs, fixture.scheduler.lastTick().waitingSteps());
+        assertTrue(
+                fixture.scheduler.lastTick().searches() <= SEARCHES_OF_ONE_STEP * HOSTS.size(),
+                "searches " + fixture.scheduler.lastTick().searches());
+    }
+
+    /** Guards against the same for steps whose advice is known and whose workers are full. */
+    @ParameterizedTest
+    @CsvSource({"10", "100"})
+    void shouldLookOnlyAtAllowedWorkersWhenTheseAreFull(int jobs) {
+        backlog(jobs, false);
+        fixture.scheduler.accept(
+                fixture.job("fills", step(WORKERS, CPU_MILLIS - 6_000).build()));
+        fixture.tick();
+        for (int round = 0; round < jobs; round++) {
+            for (Effect.Advise call : asked()) {
+                fixture.scheduler.advised(
+                        call.host(),
+                        call.step(),
+                        Optional.of(call.workers().stream()
+                                .map(worker -> new Grant(worker, "ticket"))
+                                .toList()));
+            }
+        }
+
+        fixture.advance(4);
+        int asked = asked().size();
+
+        assertTrue(
+                fixture.scheduler.lastTick().searches() <= SEARCHES_OF_ONE_STEP * (HOSTS.size() + asked),
+                "searches " + fixture.scheduler.lastTick().searches());
+    }
+}
