--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -44,6 +44,7 @@
 
     private final Tables tables;
     private final AdviceSystem advice;
+    private int passes;
     private TickCost cost = new TickCost(0, 0);
 
     StartSystem(Tables tables, AdviceSystem advice) {
@@ -97,6 +98,7 @@
         }
         Placement placement = new Placement(usable);
         int waitingGangs = 0;
+        passes = 0;
         List<QueueOrder.Entry> ready = QueueOrder.ready(tables);
         for (QueueOrder.Entry entry : ready) {
             StepRow step = entry.step();
@@ -110,7 +112,7 @@
                 keepRoom(step, placement);
             }
         }
-        cost = new TickCost(ready.size(), placement.searches());
+        cost = new TickCost(ready.size(), placement.searches() + passes);
     }
 
     /** Returns what the last run of this system had to look at. */
@@ -150,6 +152,7 @@
 
     /** Returns which part of the processors of all registered workers is used; 1 when there are none. */
     private double usedShare() {
+        passes++;
         long used = 0;
         long all = 0;
         for (WorkerRow worker : tables.workers.values()) {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
@@ -27,6 +27,12 @@
     /** A step that may ask looks for room, for its tickets, for workers to ask about, and for their order. */
     private static final int SEARCHES_OF_ONE_STEP = 4;
 
+    /** Jobs of the fixture are worth nothing after three times their objective, some seven seconds. */
+    private static final long LONG_PAST_ANY_OBJECTIVE_MS = 60_000;
+
+    /** A host whose call got no answer is not asked again for a second. */
+    private static final long PAUSE_OF_FAILED_HOSTS_MS = 1_001;
+
     private final SchedulerFixture fixture = new SchedulerFixture(1);
 
     private void backlog(int jobs, boolean gangs) {
@@ -65,6 +71,26 @@
                 "searches " + fixture.scheduler.lastTick().searches());
     }
 
+    /** Guards against the same for jobs that have waited until they are worth nothing. */
+    @ParameterizedTest
+    @CsvSource({"10", "100", "1000"})
+    void shouldMeasureTheUseOfTheFleetOnceWhenAllJobsAreHopeless(int jobs) {
+        backlog(jobs, false);
+        assertEquals(HOSTS.size(), asked().size());
+
+        fixture.advance(LONG_PAST_ANY_OBJECTIVE_MS);
+        fixture.tick();
+        IntStream.range(0, WORKERS).forEach(i -> fixture.held("w" + i, List.of(), List.of()));
+        fixture.advance(PAUSE_OF_FAILED_HOSTS_MS);
+        assertEquals(HOSTS.size(), asked().size());
+        fixture.advance(4);
+        assertEquals(0, asked().size());
+
+        assertTrue(
+                fixture.scheduler.lastTick().searches() <= SEARCHES_OF_ONE_STEP * HOSTS.size() + 1,
+                "searches " + fixture.scheduler.lastTick().searches());
+    }
+
     /** Guards against the same for steps whose advice is known and whose workers are full. */
     @ParameterizedTest
     @CsvSource({"10", "100"})
