Ticks take half of a leader's time at most

Cause: a tick could follow 4 ms after the begin of the one before, so ticks of 10 ms and more left nothing for answers and renewals but their turn in the queue between two ticks. A leader in that state renews late and lets calls for advice lapse, which adds to what waits. Change: TickPace lets the next tick begin no sooner than the last one took, which gathers more answers in it.

--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -23,14 +23,6 @@
 /** One term of a leader: runs the scheduler and carries out what it decides. */
 final class Term {
     private static final Logger LOG = LoggerFactory.getLogger(Term.class);
-    private static final long TICK_MS = 40;
-
-    /**
-     * Answers that come within this time share a tick; a quarter of what the shortest call for advice takes, so that it does
-     * not delay urgent jobs noticeably.
-     */
-    private static final long MIN_TICK_GAP_MS = 4;
-
     private static final long LOAD_RETRY_MS = 150;
 
     /** Advice may take this much longer than its queue's terms say, for the way and for calls before it. */
@@ -45,12 +37,12 @@
     private final WorkerWatch watch;
     private final JobTimes times;
     private final TermLoad load;
+    private final TickPace pace = new TickPace();
     private final StateNews news;
     private final FaultBarrier barrier;
     private Scheduler scheduler;
     private boolean ended;
     private boolean tickDue;
-    private long tickedAtMs = Long.MIN_VALUE / 2;
     private long settledSequence;
 
     Term(
@@ -200,7 +192,7 @@
     private void wake() {
         if (!tickDue) {
             tickDue = true;
-            long inMs = tickedAtMs + MIN_TICK_GAP_MS - host.loop().nowMs();
+            long inMs = pace.nextInMs(host.loop().nowMs());
             if (inMs > 0) {
                 host.loop().after(inMs, this::tickWhenDue);
             } else {
@@ -219,7 +211,7 @@
     private void tickPeriodically() {
         if (!ended) {
             barrier.run(this::tick);
-            host.loop().after(TICK_MS, this::tickPeriodically);
+            host.loop().after(pace.idleMs(), this::tickPeriodically);
         }
     }
 
@@ -229,7 +221,6 @@
             return;
         }
         long beganAtMs = host.loop().nowMs();
-        tickedAtMs = beganAtMs;
         advance();
         List<String> advisers = new ArrayList<>(hosts.live(host.loop().nowMs()));
         advisers.remove(host.name());
@@ -238,7 +229,9 @@
         for (Effect effect : scheduler.tick()) {
             carryOut(effect);
         }
-        load.ticked(beganAtMs, host.loop().nowMs(), scheduler.lastTick());
+        long endedAtMs = host.loop().nowMs();
+        pace.ticked(beganAtMs, endedAtMs);
+        load.ticked(beganAtMs, endedAtMs, scheduler.lastTick());
     }
 
     private void carryOut(Effect effect) {
