--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -16,6 +16,8 @@
     /** The estimated work from the begin of each step to the end of the job, in milliseconds. */
     private final long[] tailMs;
 
+    private final long objectiveSpanMs;
+
     final List<StepRow> steps = new ArrayList<>();
     JobState state = JobState.QUEUED;
     boolean cancelled;
@@ -35,6 +37,8 @@
     JobRow(Job job) {
         this.job = job;
         this.tailMs = tails(job);
+        this.objectiveSpanMs =
+                Math.round(job.route().stretch() * job.chainMs()) + job.route().targetLatencyMs();
         if (!job.timed()) {
             addOccurrence();
         }
@@ -66,7 +70,7 @@
     }
 
     long objectiveSpanMs() {
-        return Math.round(job.route().stretch() * job.chainMs()) + job.route().targetLatencyMs();
+        return objectiveSpanMs;
     }
 
     /** Returns the estimated work from the begin of a step to the end of its occurrence, in milliseconds. */
