A step whose advice has run out keeps room on its allowed workers while no host can be asked again

Change: such a step plans on the workers that advice has allowed, without a pass over the others. A gang counts as waiting for room only while its last look for somebody to ask is fresh.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -157,8 +157,8 @@
     private boolean place(StepRow step, Placement placement, FleetUse use) {
         boolean gang = step.spec.gang();
         boolean mayAsk = needsAdvice(step) && advice.mayAsk(step);
-        if (needsAdvice(step) && !mayAsk && !step.adviceAsked && step.tickets.isEmpty()) {
-            return !step.waitsForRoom;
+        if (needsAdvice(step) && !mayAsk && !step.adviceAsked && step.allowed.isEmpty()) {
+            return !waitsForRoom(step);
         }
         boolean searches = !needsAdvice(step) || mayAsk;
         if (!gang && searches && !placement.fitsAnywhere(step)) {
@@ -187,7 +187,21 @@
         if (left.isEmpty() || !needsAdvice(step)) {
             return left.isEmpty();
         }
-        return mayAsk ? askFor(step, left, placement) : !step.waitsForRoom;
+        if (mayAsk) {
+            return askFor(step, left, placement);
+        }
+        // what it will ask about again is not left to less urgent steps
+        placement.choose(left, allowed(step, placement)).values().forEach(room -> room.take(step.spec.each(), 1));
+        return !waitsForRoom(step);
+    }
+
+    /** Returns the workers with room in this tick that advice has allowed for a step, with or without a valid ticket. */
+    private static List<Room> allowed(StepRow step, Placement placement) {
+        List<Room> found = new ArrayList<>();
+        for (String worker : step.allowed) {
+            placement.room(step, worker).ifPresent(found::add);
+        }
+        return found;
     }
 
     /** Returns the workers with room in this tick for which a step has valid tickets. */
@@ -238,6 +252,11 @@
                 (id, count) -> placement.room(step, id).ifPresent(room -> room.take(step.spec.each(), count)));
     }
 
+    /** Tells whether a step found nobody to ask about just now. */
+    private boolean waitsForRoom(StepRow step) {
+        return step.waitsForRoom && tables.nowMs < step.adviceAfterMs;
+    }
+
     private static boolean needsAdvice(StepRow step) {
         return step.job.job.route().advice().isPresent();
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
@@ -6,8 +6,11 @@
 
 import org.acaciafold.fleet.AdviceTerms;
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.Grant;
+import org.acaciafold.fleet.StepName;
 import org.acaciafold.fleet.WorkerEntry;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -15,6 +18,7 @@
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Pattern: all hosts return after a pause, and the jobs that came meanwhile wait for advice, each of its own size. */
@@ -117,4 +121,38 @@
                 fixture.scheduler.lastTick().searches() <= SEARCHES_OF_ONE_STEP * (HOSTS.size() + asked),
                 "searches " + fixture.scheduler.lastTick().searches());
     }
+
+    /** Guards against less urgent steps that take the room of a step whose advice has run out while no host is free. */
+    @Test
+    void shouldKeepAllowedRoomFromLessUrgentStepsWhenNoHostCanBeAsked() {
+        fixture.withWorkers(worker("w1", CPU_MILLIS), worker("w2", CPU_MILLIS));
+        fixture.scheduler.advisers(List.of("h1"));
+        accept("urgent", 0, Optional.of(TERMS));
+        assertEquals(1, asked().size());
+        accept("first", 0, Optional.empty());
+        Effect.Start first = fixture.startsConfirmed().getFirst();
+        fixture.scheduler.advised("h1", stepOf("urgent"), Optional.of(List.of(new Grant(first.worker(), "ticket"))));
+        assertEquals(List.of(), asked());
+        fixture.advance(TERMS.validMs());
+        accept("asks", 0, Optional.of(TERMS));
+        assertEquals(stepOf("asks"), asked().getFirst().step());
+        accept("second", 0, Optional.empty());
+        Effect.Start second = fixture.startsConfirmed().getFirst();
+        accept("idle", 2, Optional.empty());
+
+        fixture.held(
+                first.worker(), List.of(), List.of(SchedulerFixture.end(1, first.task(), first.run(), EndKind.DONE)));
+
+        assertEquals(List.of(), fixture.starts());
+        assertNotEquals(first.worker(), second.worker());
+    }
+
+    private void accept(String id, int priority, Optional<AdviceTerms> advice) {
+        fixture.scheduler.accept(
+                fixture.job(id, route(priority, 4, advice), step(1, CPU_MILLIS).build()));
+    }
+
+    private static StepName stepOf(String job) {
+        return new StepName(job, 0, 0);
+    }
 }
