--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -11,6 +11,7 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
@@ -34,6 +35,7 @@
     /** Within this time a version of the configuration has to be in force, when the settings do not say. */
     private static final long CONFIG_APPLY_MS = 2_000;
 
+    private static final Duration LOAD_PERIOD = Duration.ofMillis(50);
     private static final int CONNECTIONS = 4;
     private static final int TASKS = 3;
     private static final long SHORT_TASK_MS = 50;
@@ -233,6 +235,29 @@
         platform.turnAway(view, false);
     }
 
+    /** Guards against a leader whose heartbeats go on while it cannot renew its lease, so that no host takes over. */
+    @Test
+    void shouldFinishJobsWhenTheStoreRefusesOnlyTheLeadersWrites() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        String view = platform.view(platform.address());
+        EmulatedConsumer leader = host("leader", 1, view);
+        EmulatedConsumer other = host("other");
+        assertEquals(OK, leader.submit("before", TASKS).block(LIMIT));
+        await("the first job's end", other.state("before"), "completed");
+        assertEquals(1, platform.highestToken());
+
+        platform.refuseWrites(view, true);
+
+        // the leader reads of new jobs all the time, so that the store does not look silent to it
+        Disposable load = Flux.interval(LOAD_PERIOD)
+                .concatMap(number -> other.submit("load-" + number, TASKS).onErrorComplete())
+                .subscribe();
+        await("a job's acceptance", other.submit("j1", TASKS), OK);
+        await("its end", other.state("j1"), "completed");
+        load.dispose();
+        platform.refuseWrites(view, false);
+    }
+
     @Test
     void shouldFinishAJobWhenItsLeaderStops() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
