The remains of a broken gang are stopped also while no host can be asked for advice

Cause: since a step without allowed workers was passed over while no host was free, before it was looked at whether a gang is broken. A new leader knows no allowed workers, so members of a gang that had lost others ran on, and kept their room, until a host was free. Found by reading the change. Test: TakeoverTest.shouldStopTheRemainsOfAGangWhenNoHostCanBeAsked, red before. Change: only single tasks are passed over; the start of a step stands in a method of its own.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -16,6 +16,7 @@
     /** The estimated work from the begin of each step to the end of the job, in milliseconds. */
     private final long[] tailMs;
 
+    /** For how long after it is due the job is worth its full value, in milliseconds. */
     private final long objectiveSpanMs;
 
     final List<StepRow> steps = new ArrayList<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -155,20 +155,17 @@
 
     /** Starts what it can; false when tasks had to wait for room. */
     private boolean place(StepRow step, Placement placement, FleetUse use) {
-        boolean gang = step.spec.gang();
         boolean mayAsk = needsAdvice(step) && advice.mayAsk(step);
-        if (needsAdvice(step) && !mayAsk && !step.adviceAsked && step.allowed.isEmpty()) {
-            return !waitsForRoom(step);
-        }
         boolean searches = !needsAdvice(step) || mayAsk;
-        if (!gang && searches && !placement.fitsAnywhere(step)) {
+        boolean knowsNobody = !searches && !step.adviceAsked && step.allowed.isEmpty();
+        if (!step.spec.gang() && (knowsNobody || searches && !placement.fitsAnywhere(step))) {
             return false;
         }
         List<TaskRow> tasks = withinLimit(step, step.waiting());
         if (tasks.isEmpty()) {
             return true;
         }
-        if (gang && tasks.size() < step.spec.count()) {
+        if (step.spec.gang() && tasks.size() < step.spec.count()) {
             stopRemains(step);
             return true;
         }
@@ -177,13 +174,7 @@
             holdReserved(step, placement);
             return true;
         }
-        Map<TaskRow, Room> chosen =
-                placement.choose(tasks, needsAdvice(step) ? ticketed(step, placement) : placement.candidates(step));
-        chosen.values().forEach(room -> room.take(step.spec.each(), 1));
-        claim(step, chosen);
-        use.add(step.spec.each(), chosen.size());
-        List<TaskRow> left = new ArrayList<>(tasks);
-        left.removeAll(chosen.keySet());
+        List<TaskRow> left = start(step, tasks, placement, use);
         if (left.isEmpty() || !needsAdvice(step)) {
             return left.isEmpty();
         }
@@ -191,10 +182,26 @@
             return askFor(step, left, placement);
         }
         // what it will ask about again is not left to less urgent steps
-        placement.choose(left, allowed(step, placement)).values().forEach(room -> room.take(step.spec.each(), 1));
+        take(step, placement.choose(left, allowed(step, placement)));
         return !waitsForRoom(step);
     }
 
+    /** Claims runs where there is room, and returns the tasks for which there was none. */
+    private List<TaskRow> start(StepRow step, List<TaskRow> tasks, Placement placement, FleetUse use) {
+        Map<TaskRow, Room> chosen =
+                placement.choose(tasks, needsAdvice(step) ? ticketed(step, placement) : placement.candidates(step));
+        take(step, chosen);
+        claim(step, chosen);
+        use.add(step.spec.each(), chosen.size());
+        List<TaskRow> left = new ArrayList<>(tasks);
+        left.removeAll(chosen.keySet());
+        return left;
+    }
+
+    private static void take(StepRow step, Map<TaskRow, Room> chosen) {
+        chosen.values().forEach(room -> room.take(step.spec.each(), 1));
+    }
+
     /** Returns the workers with room in this tick that advice has allowed for a step, with or without a valid ticket. */
     private static List<Room> allowed(StepRow step, Placement placement) {
         List<Room> found = new ArrayList<>();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
@@ -4,8 +4,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 
+import org.acaciafold.fleet.AdviceTerms;
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.Job;
@@ -20,6 +22,7 @@
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.BORN_MS;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.TERMS;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.end;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -29,10 +32,17 @@
     private static final TaskName FIRST = new TaskName("job", 0, 0, 0);
     private static final TaskName SECOND = new TaskName("job", 0, 0, 1);
 
+    /** The ends of a broken gang are listed within 400 ms by workers that answer. */
+    private static final long LONGER_THAN_ENDS_TAKE_MS = 401;
+
     /** A second term over a job of two tasks, of which the first was claimed on worker "a". */
     private static SchedulerFixture secondTerm() {
+        return secondTerm(fixture -> fixture.job("job", step(2, 500).build()));
+    }
+
+    private static SchedulerFixture secondTerm(Function<SchedulerFixture, Job> jobOf) {
         SchedulerFixture fixture = new SchedulerFixture(2);
-        Job job = fixture.job("job", step(2, 500).build());
+        Job job = jobOf.apply(fixture);
         WorkerClaims claims = new WorkerClaims("a", "a:1", BORN_MS, List.of(new WorkerClaims.Claim(FIRST, 1)));
         fixture.scheduler.restore(
                 List.of(new StoredJob(job, Optional.empty(), false)), Map.of(), Set.of(), List.of(claims));
@@ -166,4 +176,25 @@
                 .map(Effect.Hold.class::cast)
                 .toList();
     }
+
+    /** Guards against remains of a gang that run on as long as no host can be asked for advice. */
+    @Test
+    void shouldStopTheRemainsOfAGangWhenNoHostCanBeAsked() {
+        AdviceTerms terms = new AdviceTerms(80, 1, 2_000);
+        SchedulerFixture fixture = secondTerm(one -> one.job(
+                "job", route(1, 4, Optional.of(terms)), step(2, 500).gang(true).build()));
+        fixture.held("a", List.of(new RunView(FIRST, 1, "", 10)), List.of());
+        fixture.tick();
+
+        fixture.advance(LONGER_THAN_ENDS_TAKE_MS);
+        fixture.tick();
+        List<Effect> effects = fixture.tick();
+
+        assertEquals(
+                List.of(FIRST),
+                effects.stream()
+                        .filter(Effect.Stop.class::isInstance)
+                        .map(effect -> ((Effect.Stop) effect).task())
+                        .toList());
+    }
 }
