BacklogTest counts how often the use of the fleet is measured

Found by reading the change: since the use of the fleet is measured by FleetUse, which the count of passes no longer included, so shouldMeasureTheUseOfTheFleetOnceWhenAllJobsAreHopeless would have stayed green with a measurement for each step again. TickCost has the number now and the test asks for one, besides its bound on passes. What the scheduler decides is the same.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -47,7 +47,8 @@
 
     private final Tables tables;
     private final AdviceSystem advice;
-    private TickCost cost = new TickCost(0, 0);
+    private int measurements;
+    private TickCost cost = new TickCost(0, 0, 0);
 
     StartSystem(Tables tables, AdviceSystem advice) {
         this.tables = tables;
@@ -99,7 +100,8 @@
             }
         }
         Placement placement = new Placement(usable);
-        FleetUse use = FleetUse.of(tables.workers.values());
+        measurements = 0;
+        FleetUse use = measureUse();
         advice.prepare();
         int waitingGangs = 0;
         List<QueueOrder.Entry> ready = QueueOrder.ready(tables);
@@ -115,7 +117,7 @@
                 keepRoom(step, placement);
             }
         }
-        cost = new TickCost(ready.size(), placement.searches());
+        cost = new TickCost(ready.size(), placement.searches(), measurements);
     }
 
     /** Returns what the last run of this system had to look at. */
@@ -138,6 +140,11 @@
                         .toList());
     }
 
+    private FleetUse measureUse() {
+        measurements++;
+        return FleetUse.of(tables.workers.values());
+    }
+
     /** Keeps workers free that, once empty, hold the whole gang; others may not start tasks there meanwhile. */
     private void keepRoom(StepRow step, Placement placement) {
         List<Room> ordered = new ArrayList<>(placement.candidates(step));
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/TickCost.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/TickCost.java
@@ -5,5 +5,6 @@
  *
  * @param waitingSteps how many steps waited to start tasks
  * @param searches how often the workers of a kind were looked through
+ * @param measurements how often the use of the whole fleet was measured
  */
-public record TickCost(int waitingSteps, int searches) {}
+public record TickCost(int waitingSteps, int searches, int measurements) {}
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
@@ -93,6 +93,7 @@
         assertTrue(
                 fixture.scheduler.lastTick().searches() <= SEARCHES_OF_ONE_STEP * HOSTS.size(),
                 "searches " + fixture.scheduler.lastTick().searches());
+        assertEquals(1, fixture.scheduler.lastTick().measurements());
     }
 
     /** Guards against the same for steps whose advice is known and whose workers are full. */
