Notice lost responses of workers when they are overdue, and bar starts that have not arrived

Cause: a renewal waits up to 1.5 s for an end and was given up 0.9 s after that, so when its response was lost the ends of some 2.4 s were noticed late, and its worker was out of service until it was polled again. A start without a response was stopped only after 0.9 s, once a renewal in flight (up to 1.5 s) had ended.

Change: renewals wait until soon after the first expected end of a run there; a renewal that is overdue by 300 ms makes its worker suspect, which is probed at once; a renewal that fails although the worker has answered since counts as no loss; a report that lacks an overdue start stops it at once, and the absence is proved by a probe instead of the next renewal. What proves an absence is unchanged: a report requested after the stop was confirmed plus stopMs. Probing moves to ProbeSystem.

AdviceQueryPlannerTest: its workers now answer the renewals that fall due while its tickets expire, since a worker that answers none is out of service; nothing else in it changes.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
@@ -34,6 +34,19 @@
         return requestedAtMs > Math.min(confirmedAtMs, stopAnsweredAtMs);
     }
 
+    /**
+     * Returns how much longer the run is expected to take. A run that exceeds its estimate is expected to take half as
+     * long again as it has taken so far.
+     */
+    long expectedRemainingMs(long nowMs) {
+        if (orderedAtMs == 0 || task.step.spec.longRunning()) {
+            return Long.MAX_VALUE / 2;
+        }
+        long elapsedMs = nowMs - orderedAtMs;
+        long estimateMs = task.step.spec.estimateMs();
+        return elapsedMs < estimateMs ? estimateMs - elapsedMs : elapsedMs / 2;
+    }
+
     void stop(String reason) {
         stopReason = stopReason.isEmpty() ? reason : stopReason;
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -49,6 +49,7 @@
     private final Tables tables;
     private final EndSystem ends;
     private final WorkerLeaseSystem workerLeases;
+    private final ProbeSystem probes;
     private final StopSystem stops;
     private final AdviceSystem advice;
     private final StartSystem starts;
@@ -60,6 +61,7 @@
         this.tables = tables;
         this.ends = new EndSystem(tables);
         this.workerLeases = new WorkerLeaseSystem(tables, ends);
+        this.probes = new ProbeSystem(tables);
         this.stops = new StopSystem(tables);
         this.advice = new AdviceSystem(tables);
         this.starts = new StartSystem(tables, advice);
@@ -268,7 +270,7 @@
      * @param worker the worker
      */
     public void probeFailed(String worker) {
-        worker(worker).ifPresent(workerLeases::probeFailed);
+        worker(worker).ifPresent(probes::failed);
     }
 
     /**
@@ -363,7 +365,7 @@
         workerLeases.expireLeases(saves.removedWorkers());
         tables.active.removeIf(job -> !job.active() && job.hasNoRuns());
         stops.run(effects);
-        workerLeases.probeSuspects(effects);
+        probes.run(effects);
         starts.sendOrders(effects);
         starts.run();
         advice.run(effects);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StopSystem.java
@@ -26,6 +26,10 @@
         if (outcome == StopOutcome.STOPPED) {
             run.stopAnsweredAtMs = Math.min(run.stopAnsweredAtMs, tables.nowMs + tables.limits.stopMs());
             run.worker.nextRenewalAtMs = Math.min(run.worker.nextRenewalAtMs, tables.nowMs);
+            if (run.phase != RunPhase.RUNNING) {
+                // no end will be listed for a run that has not arrived, so only a new report proves that it is absent
+                run.worker.probeAtMs = Math.min(run.worker.probeAtMs, run.stopAnsweredAtMs + 1);
+            }
         } else {
             run.stopRetryAtMs = tables.nowMs + RETRY_MS;
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -21,6 +21,12 @@
     /** The longest renewal wait of a worker with runs, so that its lease is renewed many times before it expires. */
     private static final long BUSY_WORKER_WAIT_MS = 1_500;
 
+    /** The shortest renewal wait of a worker with runs, which bounds the calls for runs that exceed their estimates. */
+    private static final long MIN_BUSY_WORKER_WAIT_MS = 300;
+
+    /** Added to the wait until the first expected end, so that an end on time is reported by the renewal in flight. */
+    private static final long END_SLACK_MS = 200;
+
     /** The longest renewal wait of a worker without runs, the maximum that the contract with workers allows. */
     private static final long IDLE_WORKER_WAIT_MS = 2_000;
 
@@ -30,9 +36,6 @@
     /** How long a worker with an orphan gets no tasks: the orphan, whose size is unknown, must be stopped first. */
     private static final long ORPHAN_PAUSE_MS = 2_000;
 
-    /** Workers respond to orders in milliseconds; one that does not respond for this long may be unreachable. */
-    private static final long SUSPECT_AFTER_MS = 300;
-
     /**
      * Renewals sent in one tick; a host that has just started sends that many in about 50 ms, so that the first workers
      * get tasks while the others are still being polled.
@@ -71,40 +74,16 @@
         applyReport(worker, report, requestedAtMs);
     }
 
-    void probeFailed(WorkerRow worker) {
-        worker.probeInFlight = false;
-        if (worker.suspect && worker.missedRenewals == 0) {
-            worker.missedRenewals = 1;
-            LOG.warn(
-                    "worker lost worker={} runs={} after=a start order without a response",
-                    worker.id,
-                    worker.runs.size());
-        }
-    }
-
-    /**
-     * Marks workers that do not respond to a start order as suspect, and probes them.
-     *
-     * <p>A suspect gets no further orders until it responds.
-     */
-    void probeSuspects(List<Effect> effects) {
-        for (WorkerRow worker : tables.workers.values()) {
-            for (RunRow run : worker.runs.values()) {
-                boolean overdue = run.phase == RunPhase.STARTING && tables.nowMs - run.orderedAtMs > SUSPECT_AFTER_MS;
-                if (overdue && !run.suspected) {
-                    run.suspected = true;
-                    worker.suspect = true;
-                }
-            }
-            if (worker.suspect && !worker.probeInFlight && worker.missedRenewals == 0) {
-                worker.probeInFlight = true;
-                effects.add(new Effect.Probe(worker.id, worker.address));
-            }
-        }
-    }
-
     void renewalFailed(WorkerRow worker) {
         worker.renewalInFlight = false;
+        if (worker.missedRenewals == 0 && worker.lastContactAtMs > worker.renewalSentAtMs) {
+            LOG.info(
+                    "renewal without a response worker={} contactAgeMs={}",
+                    worker.id,
+                    tables.nowMs - worker.lastContactAtMs);
+            worker.nextRenewalAtMs = tables.nowMs;
+            return;
+        }
         worker.missedRenewals++;
         worker.nextRenewalAtMs =
                 tables.nowMs + Math.min(MAX_RETRY_BACKOFF_MS, RETRY_BACKOFF_MS * worker.missedRenewals);
@@ -192,7 +171,7 @@
                 LOG.debug("run not ordered yet task={} run={}", run.task.name, run.number);
             } else if (run.provenAbsentIn(requestedAtMs)) {
                 ends.removeLostRun(run, "not in the worker report");
-            } else if (run.phase == RunPhase.UNCONFIRMED && requestedAtMs > run.orderedAtMs) {
+            } else if (startUnanswered(run, requestedAtMs)) {
                 run.stop("start order without a response");
             }
         }
@@ -213,21 +192,48 @@
         }
     }
 
+    /** Returns whether a report lacks a run because its start order was lost or has not been executed yet. */
+    private static boolean startUnanswered(RunRow run, long requestedAtMs) {
+        return switch (run.phase) {
+            case UNCONFIRMED -> requestedAtMs > run.orderedAtMs;
+            case STARTING -> requestedAtMs > run.orderedAtMs + ProbeSystem.SUSPECT_AFTER_MS;
+            case CLAIMED, RUNNING -> false;
+        };
+    }
+
     private Effect renewLease(WorkerRow worker) {
         worker.renewalInFlight = true;
+        worker.renewalSuspected = false;
+        worker.renewalSentAtMs = tables.nowMs;
         // a worker that missed renewals is polled without a new lease, so that its lease can expire
         OptionalLong leaseUntil =
                 worker.missedRenewals == 0 ? worker.lease(tables.nowMs, tables.limits.leaseMs()) : OptionalLong.empty();
         leaseUntil.ifPresent(lease -> worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, lease));
         boolean withoutLease = leaseUntil.isEmpty();
         boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
-        long wait = withoutLease || unrecorded ? 0 : worker.runs.isEmpty() ? IDLE_WORKER_WAIT_MS : BUSY_WORKER_WAIT_MS;
+        long wait = withoutLease || unrecorded ? 0 : renewalWaitMs(worker);
+        worker.renewalDueAtMs = tables.nowMs + wait;
         // a worker that missed renewals may be a new incarnation, which numbers its ends from the start: acknowledging
         // by the old numbers would discard ends that were not processed
         long acknowledged = worker.missedRenewals == 0 ? worker.lastAcknowledgedEnd : 0;
         return new Effect.RenewLease(worker.id, worker.address, leaseUntil, acknowledged, wait);
     }
 
+    /**
+     * Returns how long a renewal may wait for an end. If its response is lost, the ends of that time are noticed only
+     * after it, so it ends soon after the first expected end.
+     */
+    private long renewalWaitMs(WorkerRow worker) {
+        if (worker.runs.isEmpty()) {
+            return IDLE_WORKER_WAIT_MS;
+        }
+        long firstEndMs = BUSY_WORKER_WAIT_MS;
+        for (RunRow run : worker.runs.values()) {
+            firstEndMs = Math.min(firstEndMs, run.expectedRemainingMs(tables.nowMs) + END_SLACK_MS);
+        }
+        return Math.max(MIN_BUSY_WORKER_WAIT_MS, firstEndMs);
+    }
+
     private void observeIncarnation(WorkerRow worker, long incarnation) {
         if (incarnation == 0 || incarnation == worker.incarnation) {
             return;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -35,6 +35,13 @@
     boolean recorded;
 
     long nextRenewalAtMs;
+    long renewalSentAtMs;
+    /** When the response to the renewal in flight is due at the latest. */
+    long renewalDueAtMs;
+
+    /** True once the renewal in flight has made the worker suspect because it was overdue. */
+    boolean renewalSuspected;
+
     long lastAcknowledgedEnd;
     long lastProcessedEnd;
     long acknowledgeAfterBatch = -1;
@@ -44,10 +51,13 @@
     long leaseEndsAtMs;
 
     int missedRenewals;
-    /** True from an unanswered order, once it is overdue, until the worker answers a renewal or a probe. */
+    /** True from an unanswered call, once it is overdue, until the worker answers a renewal or a probe. */
     boolean suspect;
 
     boolean probeInFlight;
+    /** When a report is needed, whether or not a renewal is in flight. */
+    long probeAtMs = Long.MAX_VALUE;
+
     long predecessorLeaseEndsAtMs = -1;
     long pausedUntilMs = -1;
     long refusedUntilMs = -1;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/AdviceQueryPlannerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/AdviceQueryPlannerTest.java
@@ -94,6 +94,7 @@
         answerAdvice(first, 1);
         fixture.tick();
         fixture.advance(SETTINGS.validMs());
+        IntStream.range(0, WORKERS).forEach(i -> fixture.leaseRenewed("w" + i, List.of(), List.of()));
 
         // claims whose save is unconfirmed are dropped when their tickets expire
         fixture.scheduler.saved(1);
