A host that can accept no jobs reports that it is not ready, and closes its clients' connections

Cause: hosts of a failure domain that is cut off stayed ready until their configuration was 2.2 s old, and kept their clients' connections for as long as they were cut off, though clients reach all failure domains. Between the failure of one call to the store and the next one they took the store for responsive; and they relayed through a leader whose lease had run out.

Change: ready means that a submission would be taken: a configuration young enough, and the store or a leader within its lease reachable. While that is not so, a connection is closed after its next response, so that the client's next attempt is spread to hosts that serve. CallMonitor: a call that failed counts as unanswered until an answer arrives.

--- a/entry/src/main/java/org/acaciafold/entry/ClientApi.java
+++ b/entry/src/main/java/org/acaciafold/entry/ClientApi.java
@@ -56,9 +56,17 @@
         this.maxConfigAgeMs = configApplyMs * MAX_CONFIG_AGE_FRACTION;
     }
 
+    /**
+     * Returns whether this host can accept jobs: it has a recent configuration, and reaches the store directly or
+     * through the leader. While it cannot, clients are better served by other hosts.
+     */
+    boolean canAcceptJobs() {
+        return hasRecentConfig() && !storeUnreachable();
+    }
+
     Mono<ClientReply> handle(ClientRequest request) {
         Optional<FleetConfig> config = host.config().config();
-        if (config.isEmpty() || host.config().ageMs() > maxConfigAgeMs) {
+        if (config.isEmpty() || !hasRecentConfig()) {
             log(request, "", UNAVAILABLE, "configuration age " + host.config().ageMs() + " ms");
             return Mono.just(ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S));
         }
@@ -82,6 +90,10 @@
         };
     }
 
+    private boolean hasRecentConfig() {
+        return host.config().config().isPresent() && host.config().ageMs() <= maxConfigAgeMs;
+    }
+
     private Mono<ClientReply> submit(ClientRequest request, String id, Route route, String workspace) {
         if (jobStates.state(id).isPresent()) {
             log(request, id, OK, "job already known");
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.acaciafold.clients.JsonHttp;
 import org.acaciafold.core.model.AcaciafoldException;
@@ -30,9 +31,6 @@
     /** Workers' leases are this much shorter than the longest that workers accept, so that none is cut unnoticed. */
     private static final long LEASE_MARGIN_MS = 1_000;
 
-    /** With an older configuration this host reports that it is not ready, so that the platform uses other hosts. */
-    private static final long MAX_READY_CONFIG_AGE_MS = 2_200;
-
     /** After a stop is requested, requests keep arriving until the platform has noticed that the host is not ready. */
     private static final long DRAIN_MS = 2_600;
 
@@ -118,8 +116,11 @@
                 settings.advertisedPeers(), loop, store::create, config, bus::send, leadership::leaderAddress);
         ClientApi clientApi = new ClientApi(
                 context, leadership, relay, jobStates, settings.bounds().configApplyMs());
-        clientServer = ClientServer.listen(settings.consumers(), loop, clientApi::handle, metrics, () -> stopping);
-        HostReadiness statusSource = new HostReadiness();
+        BooleanSupplier ready = () -> !stopping && clientApi.canAcceptJobs();
+        // connections stay with their host, so clients reach another one only by a new connection
+        clientServer = ClientServer.listen(
+                settings.consumers(), loop, clientApi::handle, metrics, () -> !ready.getAsBoolean());
+        HostReadiness statusSource = new HostReadiness(ready);
         readiness = ClientServer.readiness(settings.readiness(), loop, statusSource);
         metricsServer = metricsServer(statusSource);
         loop.execute(config::start);
@@ -183,12 +184,15 @@
 
     /** The readiness and the metrics of this host. */
     private final class HostReadiness implements ClientServer.Readiness {
+        private final BooleanSupplier ready;
+
+        private HostReadiness(BooleanSupplier ready) {
+            this.ready = ready;
+        }
+
         @Override
         public int status() {
-            boolean ready = !stopping
-                    && context.config().config().isPresent()
-                    && context.config().ageMs() < MAX_READY_CONFIG_AGE_MS;
-            return ready ? OK : UNAVAILABLE;
+            return ready.getAsBoolean() ? OK : UNAVAILABLE;
         }
 
         @Override
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -54,6 +54,9 @@
     private LeaseRecord leader;
     private long countsReceivedAtMs = Long.MIN_VALUE / 2;
     private long heartbeatReceivedAtMs = Long.MIN_VALUE / 2;
+    /** When the leader sent the last renewal of its lease that it has announced, by this host's clock. */
+    private long leaderRenewedAtMs = Long.MIN_VALUE / 2;
+
     private long seenSequence = PeerMessage.States.NONE_SEEN;
     private Map<String, Integer> pending = Map.of();
     private boolean leaseCallInFlight;
@@ -92,9 +95,10 @@
         return lease != null;
     }
 
-    /** Returns the leader's address; empty when this host leads or has received no heartbeat recently. */
+    /** Returns the address of another host that leads; empty when none is heard or its last lease has run out. */
     Optional<String> leaderAddress() {
-        boolean known = !leads() && leader != null && sinceHeartbeatMs() < MAX_STATE_AGE_MS;
+        boolean heard = !leads() && leader != null && sinceHeartbeatMs() < MAX_STATE_AGE_MS;
+        boolean known = heard && host.loop().nowMs() - leaderRenewedAtMs < leader.leaseMs();
         return known ? Optional.of(leader.address()) : Optional.empty();
     }
 
@@ -225,7 +229,8 @@
         follow(received);
         selection.recordLargest(beat.largest());
         heartbeatReceivedAtMs = host.loop().nowMs();
-        leaseExpiry.leaseAnnounced(beat.leaseVersion(), received.leaseMs(), heartbeatReceivedAtMs - beat.leaseAgeMs());
+        leaderRenewedAtMs = heartbeatReceivedAtMs - beat.leaseAgeMs();
+        leaseExpiry.leaseAnnounced(beat.leaseVersion(), received.leaseMs(), leaderRenewedAtMs);
         if (beat.running()) {
             pending = beat.pending();
             countsReceivedAtMs = heartbeatReceivedAtMs;
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -3,12 +3,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 
+import org.acaciafold.fleet.leadership.CallMonitor;
 import org.acaciafold.platform.RowChanges;
 import org.acaciafold.platform.RowPage;
 import org.acaciafold.platform.RowStoreClient;
@@ -62,13 +62,11 @@
     private final HostEventLoop loop;
     private final HostMetrics metrics;
     private final Map<String, PartitionWriter> writers = new HashMap<>();
-    private long answeredAtMs = Long.MIN_VALUE / 2;
+    /** Monitors all calls but long polls for changes. */
+    private final CallMonitor calls = CallMonitor.create();
+
     private long failedAtMs = Long.MIN_VALUE / 2;
     private double recentLatencyMs;
-    /** Send times of the calls without a response yet, the oldest first, excluding long polls for changes. */
-    private final Map<Long, Long> openCalls = new LinkedHashMap<>();
-
-    private long nextCallId;
 
     StoreAccess(RowStoreClient rows, HostEventLoop loop, HostMetrics metrics) {
         this.rows = rows;
@@ -77,7 +75,7 @@
     }
 
     long answeredAtMs() {
-        return answeredAtMs;
+        return calls.answeredAtMs();
     }
 
     long failedAtMs() {
@@ -87,10 +85,7 @@
     /** Returns whether calls have had no response for much longer than the recent latency. */
     boolean unresponsive() {
         long limitMs = Math.max(UNRESPONSIVE_MS, Math.round(UNRESPONSIVE_FACTOR * recentLatencyMs));
-        long oldestMs = openCalls.isEmpty()
-                ? 0
-                : loop.nowMs() - openCalls.values().iterator().next();
-        return Math.min(oldestMs, loop.nowMs() - answeredAtMs) > limitMs;
+        return calls.unresponsive(loop.nowMs(), limitMs);
     }
 
     @Override
@@ -107,10 +102,10 @@
     Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
         return Mono.defer(() -> {
             long sentAtMs = loop.nowMs();
-            long call = trackCall();
+            long call = calls.started(sentAtMs);
             return rows.commit(transaction, timeoutMs)
-                    .doFinally(signal -> openCalls.remove(call))
-                    .doOnNext(reply -> committed(reply, loop.nowMs() - sentAtMs));
+                    .doOnNext(reply -> committed(call, reply, loop.nowMs() - sentAtMs))
+                    .doFinally(signal -> calls.ended(call));
         });
     }
 
@@ -178,12 +173,6 @@
                 });
     }
 
-    private long trackCall() {
-        long call = nextCallId++;
-        openCalls.put(call, loop.nowMs());
-        return call;
-    }
-
     /**
      * Updates the recent latency. A call without a response counts with an assumed latency at the least, since its
      * response may have needed only a little longer.
@@ -198,40 +187,40 @@
     }
 
     private void answered() {
-        if (failedAtMs > answeredAtMs) {
-            LOG.info("store regained afterMs={}", loop.nowMs() - answeredAtMs);
+        if (failedAtMs > calls.answeredAtMs()) {
+            LOG.info("store regained afterMs={}", loop.nowMs() - calls.answeredAtMs());
         }
-        answeredAtMs = loop.nowMs();
+        calls.answered(loop.nowMs());
     }
 
     private void failed(String call, String reason) {
-        if (failedAtMs <= answeredAtMs) {
+        if (failedAtMs <= calls.answeredAtMs()) {
             LOG.warn("store lost call={} reason={}", call, reason);
         }
         failedAtMs = loop.nowMs();
     }
 
-    private void committed(TxReply reply, long tookMs) {
+    private void committed(long call, TxReply reply, long tookMs) {
         recordLatency(!(reply instanceof TxReply.Unknown), tookMs);
         metrics.storeCall("transaction", reply.getClass().getSimpleName(), tookMs);
-        observe(reply);
-    }
-
-    private void observe(TxReply reply) {
         switch (reply) {
             case TxReply.Applied ignored -> answered();
             case TxReply.Conflict ignored -> answered();
-            case TxReply.NotDone notDone -> failed("transaction", notDone.reason());
-            case TxReply.Unknown unknown -> failed("transaction", unknown.reason());
+            case TxReply.NotDone notDone -> failed(call, "transaction", notDone.reason());
+            case TxReply.Unknown unknown -> failed(call, "transaction", unknown.reason());
         }
     }
 
+    private void failed(long call, String name, String reason) {
+        calls.failed(call);
+        failed(name, reason);
+    }
+
     private Mono<RowPage> page(String table, String partition, String from, Optional<String> to, int limit) {
         return Mono.defer(() -> {
             long sentAtMs = loop.nowMs();
-            long call = trackCall();
+            long call = calls.started(sentAtMs);
             return rows.read(table, partition, from, to, limit, timeoutMs())
-                    .doFinally(signal -> openCalls.remove(call))
                     .doOnNext(page -> {
                         recordLatency(true, loop.nowMs() - sentAtMs);
                         metrics.storeCall("read", "answered", loop.nowMs() - sentAtMs);
@@ -240,8 +229,9 @@
                     .doOnError(error -> {
                         recordLatency(false, loop.nowMs() - sentAtMs);
                         metrics.storeCall("read", "failed", loop.nowMs() - sentAtMs);
-                        failed("read of " + table, error.getMessage());
-                    });
+                        failed(call, "read of " + table, error.getMessage());
+                    })
+                    .doFinally(signal -> calls.ended(call));
         });
     }
 
