A second short advice call waits at the service while the first one of its host is on its way

Cause: the advice service handles the calls of one host in turn, and each host had one call in flight, so it was idle there while an answer, a tick of the leader and the next call were on their way.

Change: a host may have two short calls in flight; idle hosts come first, and none waits behind a long call.

Tried first and reverted: hosts reserved for short calls by their load, and short calls given to the host with the least overhead.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
@@ -15,13 +15,16 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Distributes the calls for placement advice over the entry hosts, each of which makes one call at a time. */
+/** Distributes the calls for placement advice over the entry hosts, whose calls the advice service handles in turn. */
 final class AdviceSystem {
     private static final Logger LOG = LoggerFactory.getLogger(AdviceSystem.class);
 
     /** Calls longer than this must leave some hosts free, so that urgent short calls never wait for a host. */
     private static final long LONG_CALL_MS = 200;
 
+    /** Short calls of a host in flight: the service handles one while the next one is on its way there. */
+    private static final int MAX_SHORT_CALLS = 2;
+
     /** The share of hosts that may make long calls at the same time. */
     private static final double LONG_CALL_SHARE = 0.75;
 
@@ -60,8 +63,8 @@
 
     /** Counts the hosts that can make a call in this tick. */
     void countFreeSlots() {
-        int free = freeHosts().size();
-        slots = new CallSlots(free, Math.min(free, maxLongCalls() - longCalls()));
+        int idle = idleHosts().size();
+        slots = new CallSlots(idle + queueableHosts().size(), Math.min(idle, maxLongCalls() - longCalls()));
     }
 
     /** Returns whether a call for a step could be made in this tick, so that selecting workers for it is useful. */
@@ -146,18 +149,38 @@
                         (statistics == null ? GrantStatistics.INITIAL : statistics).plus(unknown, allowed));
     }
 
+    /** Returns an idle host, or for a short call a host on which it waits for no more than another short call. */
     private Optional<String> freeHost(long callMs) {
-        if (isLong(callMs) && longCalls() >= maxLongCalls()) {
-            return Optional.empty();
+        if (!isLong(callMs)) {
+            return first(idleHosts()).or(() -> first(queueableHosts()));
+        }
+        return longCalls() < maxLongCalls() ? first(idleHosts()) : Optional.empty();
+    }
+
+    private static Optional<String> first(Set<String> hosts) {
+        return hosts.stream().findFirst();
+    }
+
+    private Set<String> idleHosts() {
+        Set<String> idle = usableHosts();
+        callsInFlight.values().forEach(call -> idle.remove(call.host));
+        return idle;
+    }
+
+    private Set<String> queueableHosts() {
+        Map<String, Integer> calls = new HashMap<>();
+        for (Call call : callsInFlight.values()) {
+            calls.merge(call.host, isLong(call.callMs) ? MAX_SHORT_CALLS : 1, Integer::sum);
         }
-        return freeHosts().stream().findFirst();
+        Set<String> queueable = usableHosts();
+        queueable.removeIf(host -> calls.getOrDefault(host, MAX_SHORT_CALLS) >= MAX_SHORT_CALLS);
+        return queueable;
     }
 
-    private List<String> freeHosts() {
-        Set<String> free = new LinkedHashSet<>(adviceHosts);
-        callsInFlight.values().forEach(call -> free.remove(call.host));
-        free.removeIf(host -> tables.nowMs < backoffUntilMs.getOrDefault(host, Long.MIN_VALUE));
-        return List.copyOf(free);
+    private Set<String> usableHosts() {
+        Set<String> usable = new LinkedHashSet<>(adviceHosts);
+        usable.removeIf(host -> tables.nowMs < backoffUntilMs.getOrDefault(host, Long.MIN_VALUE));
+        return usable;
     }
 
     private int longCalls() {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/BacklogTest.java
@@ -63,12 +63,19 @@
                 .toList();
     }
 
+    /** Starts the two short calls that each host may have in flight: one at the service, one that waits there. */
+    private void occupyAllHosts() {
+        assertEquals(HOSTS.size(), adviceRequests().size());
+        fixture.advance(4);
+        assertEquals(HOSTS.size(), adviceRequests().size());
+    }
+
     /** Guards against ticks whose cost grows with the backlog until the leader can no longer clear it (RECOVER). */
     @ParameterizedTest
     @CsvSource({"10, false", "100, false", "1000, false", "10, true", "100, true", "1000, true"})
     void shouldSearchWorkersOnlyForStepsThatMayRequestAdviceWhenAllHostsAreBusy(int jobs, boolean gangs) {
         createBacklog(jobs, gangs);
-        assertEquals(HOSTS.size(), adviceRequests().size());
+        occupyAllHosts();
 
         fixture.advance(4);
         assertEquals(0, adviceRequests().size());
@@ -84,13 +91,13 @@
     @CsvSource({"10", "100", "1000"})
     void shouldMeasureFleetUtilizationOnceWhenAllJobsAreExpired(int jobs) {
         createBacklog(jobs, false);
-        assertEquals(HOSTS.size(), adviceRequests().size());
+        occupyAllHosts();
 
         fixture.advance(LONG_PAST_ANY_OBJECTIVE_MS);
         fixture.tick();
         IntStream.range(0, WORKERS).forEach(i -> fixture.leaseRenewed("w" + i, List.of(), List.of()));
         fixture.advance(PAUSE_OF_FAILED_HOSTS_MS);
-        assertEquals(HOSTS.size(), adviceRequests().size());
+        occupyAllHosts();
         fixture.advance(4);
         assertEquals(0, adviceRequests().size());
 
