The tasks of a step run in one failure domain where it fits them

Cause: tasks went to the workers with the least room wherever these stood, so nearly every job in flight had a task in a failure domain that was cut off, and waited for its lease or its return.

Change: a step prefers the first failure domain, in an order that its job's hash gives, that fits all its tasks, or the one that fits most; advice is requested about workers of that domain when these most likely suffice. The rack of the data still comes first, and the least room last. HomeDomainTest (two of its three cases fail before).

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceQueryPlanner.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceQueryPlanner.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.ToIntFunction;
 
 /**
@@ -51,14 +52,29 @@
                 fitting.add(capacity);
             }
         }
-        int required = requiredWorkers(fitting, vacancies, tasks * CONTENTION_FACTOR, allowedShare);
-        List<FreeCapacity> selected =
-                new ArrayList<>(fitting.subList(0, Math.min(fitting.size(), SAMPLE_FACTOR * required)));
+        List<FreeCapacity> pool = homePool(step, tasks, fitting, vacancies, allowedShare);
+        int required = requiredWorkers(pool, vacancies, tasks * CONTENTION_FACTOR, allowedShare);
+        List<FreeCapacity> selected = new ArrayList<>(pool.subList(0, Math.min(pool.size(), SAMPLE_FACTOR * required)));
         int salt = step.job.job.id().hashCode();
-        selected.sort(Comparator.comparingInt(capacity -> mixBits(salt ^ capacity.worker.id.hashCode())));
+        selected.sort(Comparator.comparingInt(capacity -> HashMixer.mix(salt ^ capacity.worker.id.hashCode())));
         return selected.subList(0, requiredWorkers(selected, vacancies, tasks * CONTENTION_FACTOR, allowedShare));
     }
 
+    /** Returns the workers of the step's home domain if these most likely fit its tasks, otherwise all. */
+    private static List<FreeCapacity> homePool(
+            StepRow step,
+            int tasks,
+            List<FreeCapacity> fitting,
+            ToIntFunction<FreeCapacity> vacancies,
+            double allowedShare) {
+        Optional<String> home = HomeDomain.of(step, tasks, fitting);
+        List<FreeCapacity> inHome = fitting.stream()
+                .filter(capacity -> home.filter(capacity.entry.domain()::equals).isPresent())
+                .toList();
+        boolean enough = allowedShare * totalVacancies(inHome, vacancies) >= tasks * CONTENTION_FACTOR;
+        return enough ? inHome : fitting;
+    }
+
     /**
      * Selects workers for a whole gang, which should run in one rack or failure domain.
      *
@@ -137,10 +153,4 @@
         }
         return sum;
     }
-
-    /** Mixes the bits of a hash code, since similar identifiers have similar hash codes. */
-    private static int mixBits(int hash) {
-        int product = hash * 0x9E3779B1;
-        return product ^ product >>> 15;
-    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -21,6 +21,10 @@
  * again in the same tick, so that the cost of a tick depends on the tasks that can start and not on those that wait.
  */
 final class Placement {
+    /** Prefers workers with little free CPU, to keep large free capacity for large gangs. */
+    private static final Comparator<FreeCapacity> LEAST_FREE_FIRST =
+            Comparator.comparingLong(FreeCapacity::cpuMillis).thenComparing(capacity -> capacity.worker.id);
+
     private final List<FreeCapacity> capacities = new ArrayList<>();
     private final Map<String, FreeCapacity> byWorker = new HashMap<>();
     private final Map<WorkerSelector, Candidates> candidatesBySelector = new HashMap<>();
@@ -97,7 +101,7 @@
     List<FreeCapacity> orderByPreference(StepRow step, List<FreeCapacity> unordered) {
         searches++;
         List<FreeCapacity> ordered = new ArrayList<>(unordered);
-        ordered.sort(preferenceOrder(step));
+        ordered.sort(sameRackFirst(step).thenComparing(LEAST_FREE_FIRST));
         return ordered;
     }
 
@@ -142,7 +146,12 @@
                 vacancies.add(new Vacancy(capacity, fits));
             }
         }
-        vacancies.sort(Comparator.comparing(vacancy -> vacancy.capacity, preferenceOrder(step)));
+        Optional<String> home = HomeDomain.of(step, tasks.size(), candidates);
+        Comparator<FreeCapacity> homeFirst = Comparator.comparing(
+                capacity -> home.filter(capacity.entry.domain()::equals).isEmpty());
+        vacancies.sort(Comparator.comparing(
+                vacancy -> vacancy.capacity,
+                sameRackFirst(step).thenComparing(homeFirst).thenComparing(LEAST_FREE_FIRST)));
         Map<TaskRow, FreeCapacity> chosen = new LinkedHashMap<>();
         for (TaskRow task : tasks) {
             selectVacancy(task, vacancies).ifPresent(vacancy -> {
@@ -153,16 +162,11 @@
         return chosen;
     }
 
-    /** Orders by the rack of the data, then by the least free CPU, to keep large free capacity for large gangs. */
-    private static Comparator<FreeCapacity> preferenceOrder(StepRow step) {
+    /** Orders the workers on the rack of the step's data before others. */
+    private static Comparator<FreeCapacity> sameRackFirst(StepRow step) {
         String rack = step.spec.rack();
-        Comparator<FreeCapacity> leastFreeFirst = (a, b) -> {
-            int byFreeCpu = Long.compare(a.cpuMillis(), b.cpuMillis());
-            return byFreeCpu != 0 ? byFreeCpu : a.worker.id.compareTo(b.worker.id);
-        };
-        Comparator<FreeCapacity> sameRackFirst =
-                Comparator.comparing(capacity -> !capacity.entry.rack().equals(rack));
-        return rack.isEmpty() ? leastFreeFirst : sameRackFirst.thenComparing(leastFreeFirst);
+        return Comparator.comparing(
+                capacity -> !rack.isEmpty() && !capacity.entry.rack().equals(rack));
     }
 
     /** Returns the first worker on which the task has not failed; if it failed on all, the first with a vacancy. */
