In a rolling restart a stopping leader hands over to a host that has already restarted

Change: among hosts of the same size, the oldest of those that have started over 5 s after the leader and are up for 1.5 s. Heartbeats of hosts tell how long they are up (upMs, a new field; a host of an older release counts as just started). LeaderSelectionTest, the pattern of a rolling restart. The counts of waiting jobs move from Leadership to PendingCounts, without a change.

--- a/entry/src/main/java/org/acaciafold/entry/HostTable.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostTable.java
@@ -24,7 +24,8 @@
     private Map<String, String> addresses = Map.of();
 
     void recordHeartbeat(PeerMessage.HostBeat beat, long nowMs) {
-        Host before = hosts.put(beat.host(), new Host(beat.address(), beat.processors(), nowMs, beat.stopping()));
+        Host before = hosts.put(
+                beat.host(), new Host(beat.address(), beat.processors(), nowMs, beat.stopping(), nowMs - beat.upMs()));
         if (before == null || !before.address.equals(beat.address())) {
             addresses = Map.of();
         }
@@ -32,7 +33,7 @@
 
     /** Adds a host that another host has reported; it is not live until it sends a heartbeat itself. */
     void addReported(String host, String address, long nowMs) {
-        if (hosts.putIfAbsent(host, new Host(address, 0, nowMs - HEARTBEAT_TIMEOUT_MS, false)) == null) {
+        if (hosts.putIfAbsent(host, new Host(address, 0, nowMs - HEARTBEAT_TIMEOUT_MS, false, nowMs)) == null) {
             addresses = Map.of();
         }
     }
@@ -80,5 +81,10 @@
         return hosts.containsKey(host) ? hosts.get(host).processors : 0;
     }
 
-    private record Host(String address, double processors, long heartbeatAtMs, boolean stopping) {}
+    /** Returns when a live host started, on the monotonic clock of this host. */
+    long startedAtMs(String host) {
+        return hosts.get(host).startedAtMs;
+    }
+
+    private record Host(String address, double processors, long heartbeatAtMs, boolean stopping, long startedAtMs) {}
 }
--- a/entry/src/main/java/org/acaciafold/entry/LeaderSelection.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaderSelection.java
@@ -15,6 +15,12 @@
     /** A handover pauses scheduling for a moment, so a new leader must have at least this many times the processors. */
     private static final double HANDOVER_SIZE_RATIO = 1.5;
 
+    /** A host that has just started is busy with its start, and takes over slowly. */
+    private static final long MIN_UP_MS = 1_500;
+
+    /** Hosts of a deployment that start together do so within this time; one that starts later has restarted. */
+    private static final long START_SPREAD_MS = 5_000;
+
     /** How long a small host waits for larger ones to acquire an expired lease: two of their polling periods. */
     private static final long DEFER_MS = 200;
 
@@ -23,14 +29,16 @@
 
     private final String self;
     private final double processors;
+    private final long startedAtMs;
     private final HostTable hosts;
     private double largestReported;
     private long deferredVersion = -1;
     private long deferUntilMs;
 
-    LeaderSelection(String self, double processors, HostTable hosts) {
+    LeaderSelection(String self, double processors, long startedAtMs, HostTable hosts) {
         this.self = self;
         this.processors = processors;
+        this.startedAtMs = startedAtMs;
         this.hosts = hosts;
     }
 
@@ -69,9 +77,23 @@
                 : large;
     }
 
-    /** Returns the address of the host that should lead once this one stops. */
+    /**
+     * Returns the address of the host that should lead once this one stops: among the largest ones the oldest of those
+     * that have restarted since this host started. In a rolling restart the others stop next, and each handover pauses
+     * scheduling for a moment.
+     *
+     * @param nowMs the time on the monotonic clock
+     * @return the address; empty when no other host is live
+     */
     Optional<String> successor(long nowMs) {
-        return largestOther(nowMs).flatMap(hosts::address);
+        double minProcessors = largestOther(nowMs).map(hosts::processors).orElse(0.0) / HANDOVER_SIZE_RATIO;
+        return hosts.live(nowMs).stream()
+                .filter(name -> !name.equals(self) && hosts.processors(name) > minProcessors)
+                .filter(name -> hosts.startedAtMs(name) - startedAtMs > START_SPREAD_MS)
+                .filter(name -> nowMs - hosts.startedAtMs(name) >= MIN_UP_MS)
+                .min(Comparator.comparingLong(hosts::startedAtMs))
+                .or(() -> largestOther(nowMs))
+                .flatMap(hosts::address);
     }
 
     /**
@@ -92,6 +114,11 @@
         return nowMs < deferUntilMs;
     }
 
+    /** Returns how long this host has been running, in milliseconds. */
+    long upMs(long nowMs) {
+        return nowMs - startedAtMs;
+    }
+
     private Optional<String> largestOther(long nowMs) {
         return hosts.live(nowMs).stream()
                 .filter(name -> !name.equals(self))
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -33,8 +33,6 @@
     private static final long STORE_TIMEOUT_MS = 450;
     /** How often a leader checks for a larger host; the first check waits this long, until its term is stable. */
     private static final long LARGER_HOST_CHECK_MS = 1_000;
-    /** Below the two seconds that the contract with clients allows for counts of waiting jobs. */
-    private static final long MAX_COUNT_AGE_MS = 1_500;
 
     private final HostContext host;
     private final String address;
@@ -42,6 +40,7 @@
     private final SchedulerLimits limits;
     private final JobStateCache jobStates;
     private final HostTable hosts = new HostTable();
+    private final PendingCounts pending = new PendingCounts();
     private final double processors;
     private final LeaderSelection selection;
     private final StoreReachability reachability;
@@ -52,13 +51,9 @@
     private LeaseKeeper lease;
     private Term term;
     private LeaseRecord leader;
-    private long countsReceivedAtMs = Long.MIN_VALUE / 2;
     private long heartbeatReceivedAtMs = Long.MIN_VALUE / 2;
-    /** When the leader sent the last renewal of its lease that it has announced, by this host's clock. */
-    private long leaderRenewedAtMs = Long.MIN_VALUE / 2;
-
+    private long announcedRenewalAtMs = Long.MIN_VALUE / 2;
     private long seenSequence = PeerMessage.States.NONE_SEEN;
-    private Map<String, Integer> pending = Map.of();
     private boolean leaseCallInFlight;
     private boolean stopping;
     private long heartbeatSentAtMs;
@@ -74,7 +69,8 @@
         this.address = settings.advertisedPeers();
         this.processors = settings.processors();
         this.reachability = new StoreReachability(host, address);
-        this.selection = new LeaderSelection(host.name(), processors, hosts);
+        this.selection =
+                new LeaderSelection(host.name(), processors, host.loop().nowMs(), hosts);
         this.incarnation = incarnation;
         this.limits = limits;
         this.jobStates = jobStates;
@@ -98,15 +94,16 @@
     /** Returns the address of another host that leads; empty when none is heard or its last lease has run out. */
     Optional<String> leaderAddress() {
         boolean heard = !leads() && leader != null && sinceHeartbeatMs() < MAX_STATE_AGE_MS;
-        boolean known = heard && host.loop().nowMs() - leaderRenewedAtMs < leader.leaseMs();
+        boolean known = heard && host.loop().nowMs() - announcedRenewalAtMs < leader.leaseMs();
         return known ? Optional.of(leader.address()) : Optional.empty();
     }
 
     /** Returns the number of jobs of a queue without a started task; empty when no recent count is available. */
     OptionalInt pending(String route) {
-        boolean known = leads() ? term.running() : host.loop().nowMs() - countsReceivedAtMs < MAX_COUNT_AGE_MS;
-        Map<String, Integer> counts = leads() ? term.pending() : pending;
-        return known ? OptionalInt.of(counts.getOrDefault(route, 0)) : OptionalInt.empty();
+        if (leads()) {
+            return term.running() ? PendingCounts.count(term.pending(), route) : OptionalInt.empty();
+        }
+        return pending.of(route, host.loop().nowMs());
     }
 
     /** Returns the epoch of this host's lease, 0 when it does not lead. */
@@ -206,7 +203,13 @@
             host.bus()
                     .send(
                             leader.address(),
-                            new PeerMessage.HostBeat(host.name(), address, processors, seenSequence, stopping));
+                            new PeerMessage.HostBeat(
+                                    host.name(),
+                                    address,
+                                    processors,
+                                    seenSequence,
+                                    stopping,
+                                    selection.upMs(heartbeatSentAtMs)));
         }
     }
 
@@ -229,11 +232,10 @@
         follow(received);
         selection.recordLargest(beat.largest());
         heartbeatReceivedAtMs = host.loop().nowMs();
-        leaderRenewedAtMs = heartbeatReceivedAtMs - beat.leaseAgeMs();
-        leaseExpiry.leaseAnnounced(beat.leaseVersion(), received.leaseMs(), leaderRenewedAtMs);
+        announcedRenewalAtMs = heartbeatReceivedAtMs - beat.leaseAgeMs();
+        leaseExpiry.leaseAnnounced(beat.leaseVersion(), received.leaseMs(), announcedRenewalAtMs);
         if (beat.running()) {
-            pending = beat.pending();
-            countsReceivedAtMs = heartbeatReceivedAtMs;
+            pending.received(beat.pending(), heartbeatReceivedAtMs);
         }
         hosts.addReported(received.host(), received.address(), heartbeatReceivedAtMs);
         beat.hosts().forEach((name, to) -> {
--- a/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
+++ b/entry/src/main/java/org/acaciafold/entry/PeerMessage.java
@@ -24,8 +24,9 @@
      * @param processors the number of its processors
      * @param sequence the sequence number of the last state change that it has received in this term
      * @param stopping true when it is about to stop
+     * @param upMs how long it has been running, in milliseconds; 0 from hosts of releases that do not report it
      */
-    record HostBeat(String host, String address, double processors, long sequence, boolean stopping)
+    record HostBeat(String host, String address, double processors, long sequence, boolean stopping, long upMs)
             implements Leading {}
 
     /**
--- a/entry/src/test/java/org/acaciafold/entry/LeaderSelectionTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaderSelectionTest.java
@@ -4,6 +4,8 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -18,7 +20,36 @@
     private final HostTable hosts = new HostTable();
 
     private static PeerMessage.HostBeat beat(String host, double processors, boolean stopping) {
-        return new PeerMessage.HostBeat(host, host + ":1", processors, 0, stopping);
+        return new PeerMessage.HostBeat(host, host + ":1", processors, 0, stopping, 0);
+    }
+
+    private static PeerMessage.HostBeat beat(String host, double processors, long upMs) {
+        return new PeerMessage.HostBeat(host, host + ":1", processors, 0, false, upMs);
+    }
+
+    /**
+     * Covers a rolling restart of all hosts: of those that have restarted, the one that has run longest leads next, and
+     * the leader does not move along with the restart.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "20000, 4000, 2000, restarted-1:1",
+        "20000, 2000, 4000, restarted-2:1",
+        "20000, 1000, 2000, restarted-2:1",
+        "20000, 1000, 500, not-restarted:1",
+        "33000, 4000, 2000, restarted-1:1",
+        "1000, 4000, 3000, not-restarted:1"
+    })
+    void shouldHandOverToAHostThatHasAlreadyRestarted(
+            long leaderUpMs, long firstUpMs, long secondUpMs, String successor) {
+        hosts.recordHeartbeat(beat("not-restarted", LARGE, 30_000), NOW_MS);
+        hosts.recordHeartbeat(beat("restarted-1", LARGE, firstUpMs), NOW_MS);
+        hosts.recordHeartbeat(beat("restarted-2", LARGE, secondUpMs), NOW_MS);
+        hosts.recordHeartbeat(beat("small", SMALL, 5_000), NOW_MS);
+
+        LeaderSelection selection = new LeaderSelection("leader", LARGE, NOW_MS - leaderUpMs, hosts);
+
+        assertEquals(Optional.of(successor), selection.successor(NOW_MS));
     }
 
     @Test
@@ -26,7 +57,7 @@
         hosts.recordHeartbeat(beat("small", SMALL, false), NOW_MS);
         hosts.recordHeartbeat(beat("large", LARGE, false), NOW_MS);
 
-        LeaderSelection selection = new LeaderSelection("leader", SMALL, hosts);
+        LeaderSelection selection = new LeaderSelection("leader", SMALL, 0, hosts);
 
         assertEquals(Optional.of("large:1"), selection.preferredLeader(NOW_MS));
         assertEquals(LARGE, selection.largest(NOW_MS));
@@ -36,7 +67,7 @@
     void shouldKeepTheTermWhenNoHostIsMuchLarger() {
         hosts.recordHeartbeat(beat("other", LARGE, false), NOW_MS);
 
-        assertEquals(Optional.empty(), new LeaderSelection("leader", LARGE, hosts).preferredLeader(NOW_MS));
+        assertEquals(Optional.empty(), new LeaderSelection("leader", LARGE, 0, hosts).preferredLeader(NOW_MS));
     }
 
     @Test
@@ -45,12 +76,12 @@
         hosts.recordHeartbeat(beat("small", SMALL, false), NOW_MS);
         hosts.addReported("silent", "silent:1", NOW_MS);
 
-        assertEquals(Optional.of("small:1"), new LeaderSelection("leader", LARGE, hosts).successor(NOW_MS));
+        assertEquals(Optional.of("small:1"), new LeaderSelection("leader", LARGE, 0, hosts).successor(NOW_MS));
     }
 
     @Test
     void shouldDeferToLargerHostsForALimitedTimeWhenTheLeaseHasExpired() {
-        LeaderSelection selection = new LeaderSelection("small", SMALL, hosts);
+        LeaderSelection selection = new LeaderSelection("small", SMALL, 0, hosts);
         selection.recordLargest(LARGE);
 
         assertTrue(selection.shouldDefer(VERSION, NOW_MS));
@@ -60,7 +91,7 @@
 
     @Test
     void shouldNotDeferWhenItIsAmongTheLargest() {
-        LeaderSelection selection = new LeaderSelection("large", LARGE, hosts);
+        LeaderSelection selection = new LeaderSelection("large", LARGE, 0, hosts);
         selection.recordLargest(LARGE);
 
         assertFalse(selection.shouldDefer(VERSION, NOW_MS));
@@ -73,7 +104,7 @@
         hosts.recordHeartbeat(beat("large-1", LARGE, false), NOW_MS);
         hosts.recordHeartbeat(beat("large-2", LARGE, false), NOW_MS);
         hosts.recordHeartbeat(beat("stopping", LARGE, true), NOW_MS);
-        LeaderSelection selection = new LeaderSelection("leader", LARGE, hosts);
+        LeaderSelection selection = new LeaderSelection("leader", LARGE, 0, hosts);
 
         assertEquals(Set.of("large-1:1", "large-2:1"), Set.copyOf(selection.handoverCandidates(0, NOW_MS)));
         assertEquals(4, selection.handoverCandidates(200, NOW_MS).size());
@@ -85,6 +116,6 @@
 
         assertEquals(
                 Set.of("silent:1"),
-                Set.copyOf(new LeaderSelection("leader", LARGE, hosts).handoverCandidates(0, NOW_MS)));
+                Set.copyOf(new LeaderSelection("leader", LARGE, 0, hosts).handoverCandidates(0, NOW_MS)));
     }
 }
--- a/entry/src/test/java/org/acaciafold/entry/StateBroadcasterTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/StateBroadcasterTest.java
@@ -36,7 +36,8 @@
     @BeforeEach
     void registerHosts() {
         for (int i = 0; i < HOSTS; i++) {
-            hosts.recordHeartbeat(new PeerMessage.HostBeat("host-" + i, "address-" + i, 1, 0, false), timers.nowMs());
+            hosts.recordHeartbeat(
+                    new PeerMessage.HostBeat("host-" + i, "address-" + i, 1, 0, false, 0), timers.nowMs());
         }
         broadcaster.begin();
     }
