A poll of the configuration that is overdue is followed by another one beside it

Change: 300 ms after a poll's response was due another poll is sent; each response is applied unless a later poll has read more.

--- a/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
@@ -40,6 +40,12 @@
 
     private static final long RETRY_MS = 100;
 
+    /**
+     * A poll whose response is overdue by this much is followed by another one, since the store may have responded to
+     * new calls long before the overdue call is given up.
+     */
+    private static final long OVERDUE_MS = 300;
+
     private final Source store;
     private final Timers loop;
     private final Runnable onChange;
@@ -49,6 +55,8 @@
     private long confirmedWallMs = Long.MIN_VALUE / 2;
     private long version = -1;
     private long waitMs = WAIT_MS;
+    /** The number of the newest poll; only its response is followed by another poll. */
+    private long newestPoll;
 
     ConfigWatch(Source store, Timers loop, Runnable onChange) {
         this.store = store;
@@ -87,33 +95,50 @@
     }
 
     private void poll() {
-        long sentAtMs = loop.nowMs();
-        long sentWallMs = loop.wallMs();
+        Poll poll = new Poll(++newestPoll, version < 0 ? 0 : waitMs, loop.nowMs(), loop.wallMs());
         if (version < 0) {
             store.readAll(OperatorRow.TABLE, "")
                     .subscribe(
-                            page -> loop.execute(() -> applyAll(page, sentAtMs, sentWallMs)),
-                            error -> loop.after(RETRY_MS, this::poll));
+                            page -> loop.execute(() -> applyAll(page, poll)),
+                            error -> loop.after(RETRY_MS, () -> pollAfter(poll)));
         } else {
-            long wait = waitMs;
-            store.changes(OperatorRow.TABLE, version, wait)
+            store.changes(OperatorRow.TABLE, version, poll.waitMs)
                     .subscribe(
-                            found -> loop.execute(() -> applyChanges(found, wait, sentAtMs, sentWallMs)),
-                            error -> loop.after(RETRY_MS, this::poll));
+                            found -> loop.execute(() -> applyChanges(found, poll)),
+                            error -> loop.after(RETRY_MS, () -> pollAfter(poll)));
+            loop.after(poll.waitMs + OVERDUE_MS, () -> pollBeside(poll));
+        }
+    }
+
+    private void pollAfter(Poll poll) {
+        if (poll.number == newestPoll) {
+            poll();
         }
     }
 
-    private void applyAll(RowPage page, long sentAtMs, long sentWallMs) {
+    private void pollBeside(Poll overdue) {
+        if (overdue.number == newestPoll) {
+            waitMs = nextWaitMs(overdue.waitMs);
+            poll();
+        }
+    }
+
+    private void applyAll(RowPage page, Poll poll) {
         evacuatedDomains.clear();
         page.rows().forEach(this::apply);
         version = page.version();
-        confirm(sentAtMs, sentWallMs);
+        confirm(poll.sentAtMs, poll.sentWallMs);
         waitMs = nextWaitMs(WAIT_MS);
         onChange.run();
-        poll();
+        pollAfter(poll);
     }
 
-    private void applyChanges(RowChanges changes, long requestedWaitMs, long sentAtMs, long sentWallMs) {
+    private void applyChanges(RowChanges changes, Poll poll) {
+        boolean newest = poll.number == newestPoll;
+        if (!newest && (changes.historyLost() || changes.version() < version)) {
+            // a later poll has already read more, and rows must not change back
+            return;
+        }
         if (changes.historyLost()) {
             LOG.warn("change history of the operators' table lost, reading the whole table after={}", version);
             version = -1;
@@ -122,15 +147,15 @@
         }
         changes.rows().forEach(this::apply);
         version = Math.max(version, changes.version());
-        boolean unchanged = changes.rows().isEmpty() && loop.nowMs() - sentAtMs >= requestedWaitMs;
+        boolean unchanged = changes.rows().isEmpty() && loop.nowMs() - poll.sentAtMs >= poll.waitMs;
         // without changes the store held the request for the whole wait before it responded
-        long answeredAfterMs = unchanged ? requestedWaitMs : 0;
-        confirm(sentAtMs + answeredAfterMs, sentWallMs + answeredAfterMs);
-        waitMs = nextWaitMs(requestedWaitMs);
+        long answeredAfterMs = unchanged ? poll.waitMs : 0;
+        confirm(poll.sentAtMs + answeredAfterMs, poll.sentWallMs + answeredAfterMs);
+        waitMs = nextWaitMs(poll.waitMs);
         if (!changes.rows().isEmpty()) {
             onChange.run();
         }
-        poll();
+        pollAfter(poll);
     }
 
     /**
@@ -170,6 +195,16 @@
         }
     }
 
+    /**
+     * A poll for changes, or a read of the whole table.
+     *
+     * @param number the number of the poll
+     * @param waitMs how long the store may wait for a change, in milliseconds
+     * @param sentAtMs when it was sent, on the monotonic clock
+     * @param sentWallMs when it was sent, on the wall clock
+     */
+    private record Poll(long number, long waitMs, long sentAtMs, long sentWallMs) {}
+
     /** Reads the operators' rows from the store. */
     interface Source {
         /** Reads all rows of a table in one partition. */
