Retry-After is as long as the host has been unable to take jobs

Cause: Retry-After was always 1 s, and clients make a few attempts, so those of the first second of an outage used them all up during it.

A log line tells when a host can no longer take jobs, and when it can again.

--- a/entry/src/main/java/org/acaciafold/entry/ClientApi.java
+++ b/entry/src/main/java/org/acaciafold/entry/ClientApi.java
@@ -29,7 +29,6 @@
     private static final int GONE = 410;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
-    private static final int RETRY_AFTER_S = 1;
 
     /**
      * Fraction of the time within which a configuration version must be in force. A configuration that has not been
@@ -46,6 +45,7 @@
     private final Leadership leadership;
     private final StoreRelay relay;
     private final JobStateCache jobStates;
+    private final OutageTracker outage = new OutageTracker();
     private final double maxConfigAgeMs;
 
     ClientApi(HostContext host, Leadership leadership, StoreRelay relay, JobStateCache jobStates, long configApplyMs) {
@@ -61,14 +61,24 @@
      * through the leader. While it cannot, clients are better served by other hosts.
      */
     boolean canAcceptJobs() {
-        return hasRecentConfig() && !storeUnreachable();
+        boolean before = outage.ongoing();
+        outage.observe(hasRecentConfig() && !storeUnreachable(), host.loop().nowMs());
+        if (outage.ongoing() != before) {
+            LOG.info(
+                    "jobs can be accepted={} configAgeMs={} storeResponds={} leaderResponds={}",
+                    before,
+                    host.config().ageMs(),
+                    !host.store().unresponsive(),
+                    relay.available());
+        }
+        return !outage.ongoing();
     }
 
     Mono<ClientReply> handle(ClientRequest request) {
         Optional<FleetConfig> config = host.config().config();
         if (config.isEmpty() || !hasRecentConfig()) {
             log(request, "", UNAVAILABLE, "configuration age " + host.config().ageMs() + " ms");
-            return Mono.just(ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+            return Mono.just(retryLater());
         }
         Optional<Route> route = config.get().route(request.host(), request.path());
         if (route.isEmpty()) {
@@ -90,6 +100,10 @@
         };
     }
 
+    private ClientReply retryLater() {
+        return ClientReply.retry(UNAVAILABLE, outage.retryAfterS(host.loop().nowMs()));
+    }
+
     private boolean hasRecentConfig() {
         return host.config().config().isPresent() && host.config().ageMs() <= maxConfigAgeMs;
     }
@@ -112,7 +126,7 @@
         }
         if (storeUnreachable()) {
             log(request, id, UNAVAILABLE, "store unresponsive, nothing was sent to it");
-            return Mono.just(ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+            return Mono.just(retryLater());
         }
         return writeJob(request, job.get(), StoreRecords.encode(job.get(), Job.class), true);
     }
@@ -162,7 +176,7 @@
 
     private Mono<ClientReply> storeRejected(ClientRequest request, Job job) {
         log(request, job.id(), UNAVAILABLE, "store rejects writes");
-        return Mono.just(ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+        return Mono.just(retryLater());
     }
 
     /** Limits a call to the time for which the client waits for its response. */
@@ -186,7 +200,7 @@
     private Mono<ClientReply> pending(Route route) {
         OptionalInt counted = leadership.pending(route.name());
         if (counted.isEmpty()) {
-            return Mono.just(ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+            return Mono.just(retryLater());
         }
         int count = counted.getAsInt() + jobStates.unacknowledged(route.name());
         return Mono.just(ClientReply.ok(JobJson.encodePending(count)));
@@ -198,7 +212,7 @@
         if (current) {
             return Mono.just(stateReply(known.get()));
         }
-        ClientReply fallback = known.map(ClientApi::stateReply).orElse(ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S));
+        ClientReply fallback = known.map(ClientApi::stateReply).orElse(retryLater());
         Mono<ClientReply> read = readState(id)
                 .map(found -> found.map(ClientApi::stateReply).orElseGet(() -> {
                     log(request, id, GONE, "no such job in the store");
@@ -256,7 +270,7 @@
                     }
                     return found.get().ended() ? Mono.just(ClientReply.of(OK)) : recordCancellation(request, id);
                 })
-                .onErrorResume(error -> Mono.just(ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S)));
+                .onErrorResume(error -> Mono.just(retryLater()));
     }
 
     private Mono<ClientReply> recordCancellation(ClientRequest request, String id) {
@@ -268,7 +282,7 @@
                 log(request, id, OK, "cancelled");
                 yield ClientReply.of(OK);
             }
-            case NOT_DONE -> ClientReply.retry(UNAVAILABLE, RETRY_AFTER_S);
+            case NOT_DONE -> retryLater();
             case UNKNOWN -> ClientReply.of(GATEWAY_TIMEOUT);
         });
     }
