--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -323,14 +323,7 @@
      * @return the states by job
      */
     public Map<String, JobState> states() {
-        Map<String, JobState> states = new LinkedHashMap<>();
-        tables.endedJobs.forEach((id, ended) -> states.put(id, ended.state()));
-        for (JobRow job : tables.jobs.values()) {
-            boolean unrecorded = job.state.ended() && !job.endRecorded;
-            JobState state = job.cancelled ? JobState.CANCELLED : unrecorded ? JobState.RUNNING : job.state;
-            states.put(job.job.id(), state);
-        }
-        return states;
+        return tables.states();
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -84,6 +84,18 @@
         usedByWorkspace.merge(workspace, Resources.empty().minus(run.resources), Resources::plus);
     }
 
+    /** Returns the states of all known jobs as reported to clients. */
+    Map<String, JobState> states() {
+        Map<String, JobState> states = new LinkedHashMap<>();
+        endedJobs.forEach((id, ended) -> states.put(id, ended.state()));
+        for (JobRow job : jobs.values()) {
+            boolean unrecorded = job.state.ended() && !job.endRecorded;
+            JobState state = job.cancelled ? JobState.CANCELLED : unrecorded ? JobState.RUNNING : job.state;
+            states.put(job.job.id(), state);
+        }
+        return states;
+    }
+
     FleetSummary summary() {
         int registered = 0;
         int unresponsive = 0;
