Only hosts that may lead compile their HTTP code ahead

Cause: the calls of the warm-up take some 0.6 s of processor time at each start, on all hosts.

HttpWarmUpTest, LeaderSelectionTest. In Leadership, stepDown takes the check of its two callers; HostTable adds what a heartbeat reports.

--- a/entry/src/main/java/org/acaciafold/entry/HostTable.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostTable.java
@@ -38,6 +38,15 @@
         }
     }
 
+    /** Adds the hosts that the leader has reported, except this one. */
+    void addReported(Map<String, String> addressesByHost, String self, long nowMs) {
+        addressesByHost.forEach((host, address) -> {
+            if (!host.equals(self)) {
+                addReported(host, address, nowMs);
+            }
+        });
+    }
+
     void evictUnresponsive(long nowMs) {
         if (hosts.values().removeIf(host -> nowMs - host.heartbeatAtMs > EVICT_AFTER_MS)) {
             addresses = Map.of();
--- a/entry/src/main/java/org/acaciafold/entry/HttpWarmUp.java
+++ b/entry/src/main/java/org/acaciafold/entry/HttpWarmUp.java
@@ -1,5 +1,6 @@
 package org.acaciafold.entry;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.slf4j.Logger;
@@ -10,10 +11,11 @@
  * Makes calls after the start of a host, so that its HTTP code is compiled before it is needed.
  *
  * <p>A host that takes over leadership makes some hundred calls within a second. On a small processor these take several
- * times as long when their code has hardly run before.
+ * times as long when their code has hardly run before. The calls take about half a second of processor time, so hosts
+ * that will hardly lead do not make them.
  *
  * <pre>{@code
- * new HttpWarmUp(loop, () -> http.exchange(readinessCheck)).run();
+ * new HttpWarmUp(loop, leadership::isAmongLargest, () -> http.exchange(readinessCheck)).run();
  * }</pre>
  */
 final class HttpWarmUp {
@@ -23,9 +25,13 @@
     /** Spreads the calls over some seconds, so that clients' requests hardly wait for them. */
     static final long PAUSE_MS = 12;
 
+    /** How often a host checks whether it may lead, short against the time after which it may take over. */
+    static final long CHECK_MS = 500;
+
     private static final Logger LOG = LoggerFactory.getLogger(HttpWarmUp.class);
 
     private final Timers loop;
+    private final BooleanSupplier mayLead;
     private final Supplier<Mono<?>> call;
     private int remaining = CALLS;
 
@@ -33,19 +39,25 @@
      * Creates the warm-up of a host.
      *
      * @param loop the host's timers
+     * @param mayLead returns whether the host is likely to lead
      * @param call makes one call
      */
-    HttpWarmUp(Timers loop, Supplier<Mono<?>> call) {
+    HttpWarmUp(Timers loop, BooleanSupplier mayLead, Supplier<Mono<?>> call) {
         this.loop = loop;
+        this.mayLead = mayLead;
         this.call = call;
     }
 
-    /** Makes the next call, and schedules the one after it; a call that fails ends the warm-up. */
+    /** Makes the next call if the host may lead, and schedules the one after it; a call that fails ends the warm-up. */
     void run() {
         if (remaining == 0) {
             LOG.info("warm-up complete calls={}", CALLS);
             return;
         }
+        if (!mayLead.getAsBoolean()) {
+            loop.after(CHECK_MS, this::run);
+            return;
+        }
         remaining--;
         call.get()
                 .subscribe(
--- a/entry/src/main/java/org/acaciafold/entry/LeaderSelection.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaderSelection.java
@@ -47,6 +47,11 @@
         largestReported = largest;
     }
 
+    /** Returns whether this host follows a leader and none is known that is much larger, so that it may lead next. */
+    boolean isAmongLargest() {
+        return largestReported > 0 && largestReported < HANDOVER_SIZE_RATIO * processors;
+    }
+
     /** Returns the number of processors of the largest live host. */
     double largest(long nowMs) {
         return Math.max(processors, largestOther(nowMs).map(hosts::processors).orElse(0.0));
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -91,6 +91,10 @@
         return lease != null;
     }
 
+    boolean isAmongLargest() {
+        return selection.isAmongLargest();
+    }
+
     /** Returns the address of another host that leads; empty when none is heard or its last lease has run out. */
     Optional<String> leaderAddress() {
         boolean heard = !leads() && leader != null && sinceHeartbeatMs() < MAX_STATE_AGE_MS;
@@ -226,9 +230,7 @@
         if (received.epoch() < known || leads() && received.epoch() == known) {
             return;
         }
-        if (leads()) {
-            stepDown("received a heartbeat of a newer leader: " + received);
-        }
+        stepDown("received a heartbeat of a newer leader: " + received);
         follow(received);
         selection.recordLargest(beat.largest());
         heartbeatReceivedAtMs = host.loop().nowMs();
@@ -238,11 +240,7 @@
             pending.received(beat.pending(), heartbeatReceivedAtMs);
         }
         hosts.addReported(received.host(), received.address(), heartbeatReceivedAtMs);
-        beat.hosts().forEach((name, to) -> {
-            if (!name.equals(host.name())) {
-                hosts.addReported(name, to, heartbeatReceivedAtMs);
-            }
-        });
+        hosts.addReported(beat.hosts(), host.name(), heartbeatReceivedAtMs);
     }
 
     private void follow(LeaseRecord record) {
@@ -254,7 +252,11 @@
         }
     }
 
+    /** Ends a term that cannot continue; another host or this one acquires the lease once it has expired. */
     private void stepDown(String reason) {
+        if (!leads()) {
+            return;
+        }
         LOG.warn("leadership lost epoch={} reason={}", lease.record().epoch(), reason);
         lease.end();
         term.end();
@@ -265,13 +267,6 @@
         heartbeatReceivedAtMs = host.loop().nowMs();
     }
 
-    /** Ends a term that cannot continue; another host or this one acquires the lease once it has expired. */
-    private void abandonTerm(String reason) {
-        if (leads()) {
-            stepDown(reason);
-        }
-    }
-
     private void poll() {
         long nowMs = host.loop().nowMs();
         if (leads()) {
@@ -396,7 +391,7 @@
         attempt = null;
         leader = acquired.record();
         lease = new LeaseKeeper(host.store()::commit, host.loop(), acquired, this::stepDown);
-        term = new Term(host, lease, limits, hosts, jobStates::update, this::abandonTerm);
+        term = new Term(host, lease, limits, hosts, jobStates::update, this::stepDown);
         largerHostCheckedAtMs = host.loop().nowMs();
         term.begin();
         sendHeartbeat();
--- a/entry/src/test/java/org/acaciafold/entry/HttpWarmUpTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/HttpWarmUpTest.java
@@ -8,6 +8,7 @@
 /** Covers a host that has just started and takes over leadership in a rolling restart or after the loss of all hosts. */
 class HttpWarmUpTest {
     private final ManualTimers timers = new ManualTimers();
+    private boolean mayLead = true;
     private int calls;
 
     private void advance(int pauses) {
@@ -18,7 +19,7 @@
 
     @Test
     void shouldMakeOneCallAtATimeUntilTheCodeIsCompiled() {
-        new HttpWarmUp(timers, this::answered).run();
+        new HttpWarmUp(timers, () -> mayLead, this::answered).run();
         assertEquals(1, calls);
 
         advance(1);
@@ -27,9 +28,23 @@
         assertEquals(HttpWarmUp.CALLS, calls);
     }
 
+    /** Guards against the processor time of the calls on the many small hosts of a large deployment. */
+    @Test
+    void shouldMakeNoCallsUntilTheHostMayLead() {
+        mayLead = false;
+        new HttpWarmUp(timers, () -> mayLead, this::answered).run();
+        timers.advance(HttpWarmUp.CHECK_MS);
+        assertEquals(0, calls);
+
+        mayLead = true;
+        timers.advance(HttpWarmUp.CHECK_MS);
+
+        assertEquals(1, calls);
+    }
+
     @Test
     void shouldEndWhenACallFails() {
-        new HttpWarmUp(timers, this::failed).run();
+        new HttpWarmUp(timers, () -> mayLead, this::failed).run();
 
         advance(2);
 
--- a/entry/src/test/java/org/acaciafold/entry/LeaderSelectionTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaderSelectionTest.java
@@ -89,6 +89,15 @@
         assertFalse(selection.shouldDefer(VERSION, NOW_MS + 200));
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, false", "0.36, true", "0.5, true", "0.75, false"})
+    void shouldBeAmongTheLargestWhenALeaderReportsNoMuchLargerHost(double largest, boolean expected) {
+        LeaderSelection selection = new LeaderSelection("small", SMALL, 0, hosts);
+        selection.recordLargest(largest);
+
+        assertEquals(expected, selection.isAmongLargest());
+    }
+
     @Test
     void shouldNotDeferWhenItIsAmongTheLargest() {
         LeaderSelection selection = new LeaderSelection("large", LARGE, 0, hosts);
