CoreLoopTest waits until a tick is blocked before it queues the requests of one batch

The state machine blocks inside a tick, after the loop has taken its batch. When the loop took the first call late, the batch also held the first of the two requests, and the second one formed a batch of its own with a single parent. Change: the test waits until a tick is blocked; what is queued from then on forms one batch. The checks are the same.

--- a/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
+++ b/daemon/src/test/java/org/acaciafold/daemon/CoreLoopTest.java
@@ -155,6 +155,8 @@
             start(tracing);
             machine.pause();
             loop.call(new ClientCall.QueryStatus()).subscribe();
+            // what is queued while a tick is blocked belongs to the next one
+            await().until(machine::blocked);
             for (int i = 0; i < requests; i++) {
                 Span span = tracing.start("entry", SpanKind.SERVER, "");
                 loop.call(QUERY).contextWrite(tracing.within(span)).subscribe();
@@ -246,6 +248,7 @@
         private final List<Event> events = new CopyOnWriteArrayList<>();
         private volatile java.util.function.Function<Event.ClientCalled, List<Effect>> onCall = call -> List.of();
         private volatile CountDownLatch gate = new CountDownLatch(0);
+        private volatile boolean blocked;
 
         @Override
         public HostSnapshot snapshot(List<HostEntry> hosts) {
@@ -255,7 +258,9 @@
 
         @Override
         public List<Effect> tick(List<Event> batch) {
+            blocked = gate.getCount() > 0;
             await(gate);
+            blocked = false;
             events.addAll(batch);
             List<Effect> effects = new ArrayList<>();
             for (Event event : batch) {
@@ -270,6 +275,10 @@
             return effects;
         }
 
+        private boolean blocked() {
+            return blocked;
+        }
+
         private List<ClientCall> calls() {
             return received(Event.ClientCalled.class).stream()
                     .map(event -> ((Event.ClientCalled) event).body())
