--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -133,7 +133,7 @@
         byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
         Map<String, String> headers = Map.of("content-type", "application/json");
         JsonHttp.Call check = new JsonHttp.Call("POST", settings.readiness(), "/", headers, body, WARM_UP_TIMEOUT_MS);
-        loop.execute(new HttpWarmUp(loop, leadership::isAmongLargest, () -> http.exchange(check))::run);
+        loop.execute(new LeaderWarmUp(loop, leadership::isAmongLargest, () -> http.exchange(check))::run);
     }
 
     private void receive(String from, PeerMessage message) {
--- a/entry/src/main/java/org/acaciafold/entry/HttpWarmUp.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaderWarmUp.java
@@ -15,10 +15,10 @@
  * that will hardly lead do not make them.
  *
  * <pre>{@code
- * new HttpWarmUp(loop, leadership::isAmongLargest, () -> http.exchange(readinessCheck)).run();
+ * new LeaderWarmUp(loop, leadership::isAmongLargest, () -> http.exchange(readinessCheck)).run();
  * }</pre>
  */
-final class HttpWarmUp {
+final class LeaderWarmUp {
     /** The runtime compiles a method after 200 invocations. */
     static final int CALLS = 250;
 
@@ -28,7 +28,7 @@
     /** How often a host checks whether it may lead, short against the time after which it may take over. */
     static final long CHECK_MS = 500;
 
-    private static final Logger LOG = LoggerFactory.getLogger(HttpWarmUp.class);
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderWarmUp.class);
 
     private final Timers loop;
     private final BooleanSupplier mayLead;
@@ -42,7 +42,7 @@
      * @param mayLead returns whether the host is likely to lead
      * @param call makes one call
      */
-    HttpWarmUp(Timers loop, BooleanSupplier mayLead, Supplier<Mono<?>> call) {
+    LeaderWarmUp(Timers loop, BooleanSupplier mayLead, Supplier<Mono<?>> call) {
         this.loop = loop;
         this.mayLead = mayLead;
         this.call = call;
--- a/entry/src/test/java/org/acaciafold/entry/HttpWarmUpTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaderWarmUpTest.java
@@ -6,45 +6,45 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Covers a host that has just started and takes over leadership in a rolling restart or after the loss of all hosts. */
-class HttpWarmUpTest {
+class LeaderWarmUpTest {
     private final ManualTimers timers = new ManualTimers();
     private boolean mayLead = true;
     private int calls;
 
     private void advance(int pauses) {
         for (int i = 0; i < pauses; i++) {
-            timers.advance(HttpWarmUp.PAUSE_MS);
+            timers.advance(LeaderWarmUp.PAUSE_MS);
         }
     }
 
     @Test
     void shouldMakeOneCallAtATimeUntilTheCodeIsCompiled() {
-        new HttpWarmUp(timers, () -> mayLead, this::answered).run();
+        new LeaderWarmUp(timers, () -> mayLead, this::answered).run();
         assertEquals(1, calls);
 
         advance(1);
         assertEquals(2, calls);
-        advance(2 * HttpWarmUp.CALLS);
-        assertEquals(HttpWarmUp.CALLS, calls);
+        advance(2 * LeaderWarmUp.CALLS);
+        assertEquals(LeaderWarmUp.CALLS, calls);
     }
 
     /** Guards against the processor time of the calls on the many small hosts of a large deployment. */
     @Test
     void shouldMakeNoCallsUntilTheHostMayLead() {
         mayLead = false;
-        new HttpWarmUp(timers, () -> mayLead, this::answered).run();
-        timers.advance(HttpWarmUp.CHECK_MS);
+        new LeaderWarmUp(timers, () -> mayLead, this::answered).run();
+        timers.advance(LeaderWarmUp.CHECK_MS);
         assertEquals(0, calls);
 
         mayLead = true;
-        timers.advance(HttpWarmUp.CHECK_MS);
+        timers.advance(LeaderWarmUp.CHECK_MS);
 
         assertEquals(1, calls);
     }
 
     @Test
     void shouldEndWhenACallFails() {
-        new HttpWarmUp(timers, () -> mayLead, this::failed).run();
+        new LeaderWarmUp(timers, () -> mayLead, this::failed).run();
 
         advance(2);
 
