Calls send their bodies in one write with their length

Cause: a body given as a stream goes out in chunks, in three writes. Change: JsonHttp gives the body as one buffer.

--- a/clients/src/main/java/org/acaciafold/clients/JsonHttp.java
+++ b/clients/src/main/java/org/acaciafold/clients/JsonHttp.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Map;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.resolver.DefaultAddressResolverGroup;
@@ -13,7 +15,6 @@
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
-import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -104,7 +105,7 @@
         Mono<Answer> answer = client.headers(headers -> call.headers().forEach(headers::set))
                 .request(HttpMethod.valueOf(call.method()))
                 .uri(uri(call.address(), call.path()))
-                .send(call.body().length == 0 ? Mono.empty() : ByteBufFlux.fromInbound(Mono.just(call.body())))
+                .send(body(call.body()))
                 .responseSingle((response, content) -> content.asByteArray()
                         .defaultIfEmpty(NO_BODY)
                         .map(bytes -> new Answer(response.status().code(), bytes)));
@@ -140,7 +141,7 @@
         Mono<byte[]> answer = client.headers(headers -> headers.set("content-type", "application/json"))
                 .post()
                 .uri(uri(address, path))
-                .send(ByteBufFlux.fromInbound(Mono.just(body)))
+                .send(body(body))
                 .responseSingle((response, content) -> content.asByteArray()
                         .defaultIfEmpty(new byte[0])
                         .flatMap(bytes -> requireSuccess(address, response, bytes)));
@@ -158,7 +159,7 @@
     Mono<Void> put(String address, String path, byte[] body) {
         Mono<byte[]> answer = client.put()
                 .uri(uri(address, path))
-                .send(ByteBufFlux.fromInbound(Mono.just(body)))
+                .send(body(body))
                 .responseSingle((response, content) -> content.asByteArray()
                         .defaultIfEmpty(new byte[0])
                         .flatMap(bytes -> requireSuccess(address, response, bytes)));
@@ -189,6 +190,11 @@
         return Mono.error(new AcaciafoldException(Failure.unknown(step, address, "unexpected-status", message)));
     }
 
+    /** Returns a body as one buffer: it is sent in one write with its length, while a stream takes a write a chunk. */
+    private static Mono<ByteBuf> body(byte[] bytes) {
+        return bytes.length == 0 ? Mono.empty() : Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes));
+    }
+
     private static String uri(String address, String path) {
         return "http://" + address + path;
     }
