A host rehearses scheduling before it leads

Cause: the ticks of a new leader take tens of milliseconds in its first seconds, since their code is interpreted: 15 to 28 ticks in the first second after a takeover where there are 200 later; calls to workers also open their connections for the first time. Change: LeaderWarmUp runs one step of a rehearsal in each round: invented jobs on invented workers in memory, with their records encoded and decoded, and without log lines. Its calls open a new connection each. The leader itself does not. Hosts that take over right after their start gain nothing. Tests: SchedulingWarmUpTest (red when the runs of the rehearsal never end), LeaderWarmUpTest, LoggingTest.

--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -127,13 +127,19 @@
         registerMetrics(config);
     }
 
-    /** Calls the readiness check of this host, with a body as calls to workers have one. */
+    /**
+     * Rehearses scheduling, and calls the readiness check of this host as a leader calls workers: with a body, and each
+     * time on a new connection, since a new leader has no connections to the workers.
+     */
     private void warmUp() {
         JsonHttp http = http("warm-up", 1, Step.SETTINGS);
         byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
-        Map<String, String> headers = Map.of("content-type", "application/json");
+        Map<String, String> headers = Map.of("content-type", "application/json", "connection", "close");
         JsonHttp.Call check = new JsonHttp.Call("POST", settings.readiness(), "/", headers, body, WARM_UP_TIMEOUT_MS);
-        loop.execute(new LeaderWarmUp(loop, leadership::isAmongLargest, () -> http.exchange(check))::run);
+        SchedulingWarmUp scheduling = new SchedulingWarmUp();
+        LeaderWarmUp warmUp =
+                new LeaderWarmUp(loop, leadership::mayLeadNext, scheduling::step, () -> http.exchange(check));
+        loop.execute(warmUp::run);
     }
 
     private void receive(String from, PeerMessage message) {
--- a/entry/src/main/java/org/acaciafold/entry/HostLogging.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostLogging.java
@@ -29,6 +29,8 @@
 
     private static final int MAX_FLUSH_MS = 500;
 
+    private static final ThreadLocal<Boolean> QUIET = ThreadLocal.withInitial(() -> false);
+
     private HostLogging() {}
 
     /** Configures the logging of this process, unless a configuration file is given. */
@@ -39,6 +41,21 @@
         }
     }
 
+    /** Runs a task on this thread without its lines below the level of a warning. */
+    static void quietly(Runnable task) {
+        QUIET.set(true);
+        try {
+            task.run();
+        } finally {
+            QUIET.set(false);
+        }
+    }
+
+    /** Returns whether lines of this thread below the level of a warning are left out. */
+    static boolean quiet() {
+        return QUIET.get();
+    }
+
     static void configure(LoggerContext context) {
         context.reset();
         context.getStatusManager().add(new NopStatusListener());
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -91,8 +91,8 @@
         return lease != null;
     }
 
-    boolean isAmongLargest() {
-        return selection.isAmongLargest();
+    boolean mayLeadNext() {
+        return !leads() && selection.isAmongLargest();
     }
 
     /** Returns the address of another host that leads; empty when none is heard or its last lease has run out. */
--- a/entry/src/main/java/org/acaciafold/entry/QueueAppender.java
+++ b/entry/src/main/java/org/acaciafold/entry/QueueAppender.java
@@ -42,6 +42,9 @@
 
     @Override
     protected void append(ILoggingEvent event) {
+        if (HostLogging.quiet() && isDiscardable(event)) {
+            return;
+        }
         boolean reserved = getRemainingCapacity() <= getDiscardingThreshold();
         boolean overLimit = reserved || !withinRate(event.getTimeStamp());
         if (getRemainingCapacity() == 0 || overLimit && isDiscardable(event)) {
--- a/entry/src/test/java/org/acaciafold/entry/LeaderWarmUpTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaderWarmUpTest.java
@@ -10,6 +10,7 @@
     private final ManualTimers timers = new ManualTimers();
     private boolean mayLead = true;
     private int calls;
+    private int steps;
 
     private void advance(int pauses) {
         for (int i = 0; i < pauses; i++) {
@@ -18,23 +19,25 @@
     }
 
     @Test
-    void shouldMakeOneCallAtATimeUntilTheCodeIsCompiled() {
-        new LeaderWarmUp(timers, () -> mayLead, this::answered).run();
+    void shouldRunOneRoundAtATimeUntilTheCodeIsCompiled() {
+        new LeaderWarmUp(timers, () -> mayLead, () -> steps++, this::answered).run();
         assertEquals(1, calls);
 
         advance(1);
         assertEquals(2, calls);
-        advance(2 * LeaderWarmUp.CALLS);
-        assertEquals(LeaderWarmUp.CALLS, calls);
+        advance(2 * LeaderWarmUp.ROUNDS);
+        assertEquals(LeaderWarmUp.ROUNDS, calls);
+        assertEquals(LeaderWarmUp.ROUNDS, steps);
     }
 
     /** Guards against the processor time of the calls on the many small hosts of a large deployment. */
     @Test
     void shouldMakeNoCallsUntilTheHostMayLead() {
         mayLead = false;
-        new LeaderWarmUp(timers, () -> mayLead, this::answered).run();
+        new LeaderWarmUp(timers, () -> mayLead, () -> steps++, this::answered).run();
         timers.advance(LeaderWarmUp.CHECK_MS);
         assertEquals(0, calls);
+        assertEquals(0, steps);
 
         mayLead = true;
         timers.advance(LeaderWarmUp.CHECK_MS);
@@ -44,7 +47,7 @@
 
     @Test
     void shouldEndWhenACallFails() {
-        new LeaderWarmUp(timers, () -> mayLead, this::failed).run();
+        new LeaderWarmUp(timers, () -> mayLead, () -> steps++, this::failed).run();
 
         advance(2);
 
--- a/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LoggingTest.java
@@ -115,6 +115,25 @@
         context.stop();
     }
 
+    /** Guards against lines that tell of decisions about the jobs of a rehearsal, which do not exist. */
+    @Test
+    void shouldLeaveOutDecisionsButKeepWarningsWhenATaskRunsQuietly() {
+        LoggerContext context = context();
+        ListAppender<ILoggingEvent> written = new ListAppender<>();
+        QueueAppender queue = queue(context, written, 100, Integer.MAX_VALUE);
+        Logger log = context.getLogger("test");
+
+        HostLogging.quietly(() -> {
+            log.info("decision about a rehearsed job");
+            log.warn("warning");
+        });
+        log.info("decision after");
+        queue.stop();
+
+        assertEquals(List.of("warning", "decision after"), messages(written));
+        context.stop();
+    }
+
     /** Creates a separate context; without an MDC adapter every line would fail before it is queued. */
     private static LoggerContext context() {
         LoggerContext context = new LoggerContext();
