Checkpointed tasks of lower priority give way to urgent ones that find no capacity

Change: a step in time that has waited 100 ms without capacity lets running tasks of lower priority stop, as many as it lacks, those first whose jobs can wait longest. Only tasks that checkpoint, are no gangs and no services, and have run for a second; a stopped task saves and continues later. WorkspaceLimits is split from StartSystem.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/FreeCapacity.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/FreeCapacity.java
@@ -49,6 +49,13 @@
         return fits(each) ? maxTasks(cpuMillis, memoryMib, accelerators, each) : 0;
     }
 
+    /** Returns how many tasks of a size would fit if more were free. */
+    int maxTasksWith(Resources released, Resources each) {
+        long cpu = cpuMillis + released.cpuMillis();
+        long memory = memoryMib + released.memoryMib();
+        return maxTasks(cpu, memory, accelerators + released.accelerators(), each);
+    }
+
     /** Returns how many tasks of a size would fit if the worker were empty. */
     int maxTasksWhenEmpty(Resources each) {
         Resources all = entry.capacity();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -9,11 +9,9 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.StartOutcome;
 import org.acaciafold.fleet.WorkerEntry;
-import org.acaciafold.fleet.Workspace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,12 +45,14 @@
 
     private final Tables tables;
     private final AdviceSystem advice;
+    private final PreemptionSystem preemption;
     private int measurements;
     private TickCost cost = new TickCost(0, 0, 0);
 
     StartSystem(Tables tables, AdviceSystem advice) {
         this.tables = tables;
         this.advice = advice;
+        this.preemption = new PreemptionSystem(tables);
     }
 
     void answered(RunRow run, StartOutcome outcome) {
@@ -103,6 +103,7 @@
         measurements = 0;
         FleetUtilization utilization = measureUtilization();
         advice.countFreeSlots();
+        preemption.beginTick();
         int waitingGangs = 0;
         List<QueueOrder.Entry> ready = QueueOrder.readySteps(tables);
         for (QueueOrder.Entry entry : ready) {
@@ -115,6 +116,8 @@
             if (blocked && step.spec.gang() && waitingGangs < MAX_WAITING_GANGS && !step.adviceInFlight) {
                 waitingGangs++;
                 reserveForGang(step, placement);
+            } else if (blocked) {
+                preemption.preemptFor(entry, placement);
             }
         }
         cost = new TickCost(ready.size(), placement.searches(), measurements);
@@ -168,7 +171,7 @@
         if (!step.spec.gang() && (noAllowedWorkers || searchesCandidates && !placement.fitsAnywhere(step))) {
             return false;
         }
-        List<TaskRow> tasks = withinWorkspaceLimit(step, step.waitingTasks());
+        List<TaskRow> tasks = WorkspaceLimits.startable(step, tables);
         if (tasks.isEmpty()) {
             return true;
         }
@@ -372,24 +375,4 @@
                 && !tables.evacuatedDomains.contains(entry.get().domain())
                 && !tables.unreconciled.contains(worker);
     }
-
-    private List<TaskRow> withinWorkspaceLimit(StepRow step, List<TaskRow> waiting) {
-        String name = step.job.job.workspace();
-        Resources limit = tables.config.workspace(name).map(Workspace::limit).orElse(Resources.empty());
-        Resources used = tables.usedByWorkspace.getOrDefault(name, Resources.empty());
-        List<TaskRow> allowed = new ArrayList<>();
-        for (TaskRow task : waiting) {
-            used = used.plus(step.spec.each());
-            if (fitsLimit(used, limit)) {
-                allowed.add(task);
-            }
-        }
-        return allowed;
-    }
-
-    private static boolean fitsLimit(Resources used, Resources limit) {
-        return (limit.cpuMillis() == 0 || used.cpuMillis() <= limit.cpuMillis())
-                && (limit.memoryMib() == 0 || used.memoryMib() <= limit.memoryMib())
-                && (limit.accelerators() == 0 || used.accelerators() <= limit.accelerators());
-    }
 }
