Fuzz tasks that checkpoint and are preempted; rehearsal: plain terms

FleetFuzzTest had no task that checkpoints, so nothing was ever preempted there. SchedulerRehearsal: synthetic jobs and workers, constants for the kinds of jobs.

--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -21,7 +21,7 @@
     private static final long LEADER_HEARTBEAT_MS = 150;
     /** Longer than the leader's period: the leader only uses these heartbeats to choose hosts for work. */
     private static final long FOLLOWER_HEARTBEAT_MS = 300;
-    /** A follower without a heartbeat for this long reads the lease: from its first read on it sees it unchanged. */
+    /** A follower without a heartbeat for this long reads the lease, whose expiry it counts from that read. */
     private static final long HEARTBEAT_TIMEOUT_MS = 250;
     /** States are answered from memory, without the store, if the leader's last heartbeat is at most this old. */
     private static final long MAX_STATE_AGE_MS = 600;
--- a/entry/src/main/java/org/acaciafold/entry/SchedulingWarmUp.java
+++ b/entry/src/main/java/org/acaciafold/entry/SchedulingWarmUp.java
@@ -1,7 +1,5 @@
 package org.acaciafold.entry;
 
-import java.util.List;
-
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.Progress;
@@ -10,7 +8,7 @@
 import org.acaciafold.platform.StoredRow;
 
 /**
- * Schedules invented jobs in memory, and encodes and decodes their records, so that this code is compiled before a host
+ * Schedules synthetic jobs in memory, and encodes and decodes their records, so that this code is compiled before a host
  * leads.
  *
  * <p>Nothing is sent or stored, and the decisions are not logged.
@@ -36,7 +34,7 @@
         });
     }
 
-    /** Returns how many of the invented jobs have not ended. */
+    /** Returns how many of the synthetic jobs have not ended. */
     int openJobs() {
         return rehearsal.openJobs();
     }
@@ -45,8 +43,7 @@
         for (Progress progress : save.progress().values()) {
             StoreRecords.decodeProgress(row(StoreRecords.PROGRESS, StoreRecords.encode(progress)));
         }
-        List<WorkerClaims> claims = save.claims();
-        claims.forEach(claim -> recode(StoreRecords.WORKERS, claim, WorkerClaims.class));
+        save.claims().forEach(claims -> recode(StoreRecords.WORKERS, claims, WorkerClaims.class));
     }
 
     private static <T> void recode(String table, T value, Class<T> type) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/PreemptionSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/PreemptionSystem.java
@@ -17,6 +17,8 @@
  * stopped task saves a checkpoint and continues from it later, so hardly any work is lost.
  */
 final class PreemptionSystem {
+    private static final Logger LOG = LoggerFactory.getLogger(PreemptionSystem.class);
+
     /** How long a step waits for tasks that end by themselves. */
     static final long MIN_WAIT_MS = 100;
 
@@ -26,25 +28,23 @@
     /** Bounds the cost of a tick; other steps follow in the next ticks. */
     private static final int MAX_STEPS_PER_TICK = 2;
 
-    private static final Logger LOG = LoggerFactory.getLogger(PreemptionSystem.class);
-
     private final Tables tables;
-    private int steps;
+    private int stepsInTick;
 
     PreemptionSystem(Tables tables) {
         this.tables = tables;
     }
 
     void beginTick() {
-        steps = 0;
+        stepsInTick = 0;
     }
 
-    /** Requests stops so that the waiting tasks of a step that found too little capacity can start soon. */
+    /** Requests as many stops as the waiting tasks of a step need that found too little capacity in this tick. */
     void preemptFor(QueueOrder.Entry entry, Placement placement) {
-        if (!mayPreempt(entry) || steps >= MAX_STEPS_PER_TICK) {
+        if (!mayPreempt(entry) || stepsInTick >= MAX_STEPS_PER_TICK) {
             return;
         }
-        steps++;
+        stepsInTick++;
         StepRow step = entry.step();
         List<FreeCapacity> usable = new ArrayList<>(placement.candidates(step));
         usable.removeIf(capacity -> step.denied.contains(capacity.worker.id));
@@ -53,7 +53,7 @@
         for (FreeCapacity capacity : usable) {
             Resources stopping = stoppingResources(capacity.worker);
             released.put(capacity.worker, stopping);
-            missing -= capacity.maxTasksWith(stopping, step.spec.each());
+            missing -= Math.min(missing, capacity.maxTasksWith(stopping, step.spec.each()));
         }
         if (missing > 0) {
             stopVictims(step, usable, released, missing);
@@ -124,6 +124,7 @@
                 && tables.nowMs - run.orderedAtMs >= MIN_RUN_MS;
     }
 
+    /** Returns what will be free once the runs have ended whose stops are already requested. */
     private static Resources stoppingResources(WorkerRow worker) {
         Resources stopping = Resources.empty();
         for (RunRow run : worker.runs.values()) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
@@ -27,7 +27,7 @@
 import org.acaciafold.fleet.Workspace;
 
 /**
- * Schedules invented jobs on invented workers in memory, so that the scheduler's code has run before it is needed.
+ * Schedules synthetic jobs on synthetic workers in memory, so that the scheduler's code has run before it is needed.
  *
  * <p>The first ticks of a new leader take many times as long as later ones while their code is interpreted. All effects
  * are answered here at once and reach neither workers nor the store.
@@ -49,14 +49,19 @@
     /** The time that passes between two steps. */
     private static final long STEP_MS = 20;
 
+    /** Every third job has placement advice, and every third one is of gangs. */
     private static final int JOB_KINDS = 3;
+
+    private static final int WITH_ADVICE = 0;
+    private static final int OF_GANGS = 1;
     private static final long INCARNATION = 1;
     private static final String SERVICE = "service";
     private static final String HOST = "host";
+    private static final AdviceSettings ADVICE = new AdviceSettings(10, 1, 2_500);
     private static final SchedulerLimits LIMITS = new SchedulerLimits(9_000, 400);
 
     private final Scheduler scheduler;
-    private final Map<String, InventedWorker> workers = new TreeMap<>();
+    private final Map<String, SyntheticWorker> workers = new TreeMap<>();
     private int jobs;
     private long nowMs;
 
@@ -74,25 +79,25 @@
         FleetConfig config = FleetConfig.of(1, List.of(), List.of(workspace));
         SchedulerRehearsal rehearsal = new SchedulerRehearsal(Scheduler.create(LIMITS, 1, config));
         for (int i = 0; i < WORKERS; i++) {
-            rehearsal.workers.put("worker-" + i, new InventedWorker("worker-" + i, "domain-" + i % DOMAINS));
+            rehearsal.workers.put("worker-" + i, new SyntheticWorker("worker-" + i, "domain-" + i % DOMAINS));
         }
         rehearsal.scheduler.adviceHosts(List.of(HOST));
         rehearsal.scheduler.updateRegistry(
-                rehearsal.workers.values().stream().map(InventedWorker::entry).toList(), true);
+                rehearsal.workers.values().stream().map(SyntheticWorker::entry).toList(), true);
         return rehearsal;
     }
 
     /**
-     * Submits a job of two steps. In turn its queue has placement advice, has none, or its steps are gangs.
+     * Submits a job of two steps, in turn with placement advice, of gangs, or of neither.
      *
      * @return the job
      */
     public Job accept() {
         int kind = jobs++ % JOB_KINDS;
-        Optional<AdviceSettings> advice = kind == 0 ? Optional.of(new AdviceSettings(10, 1, 2_500)) : Optional.empty();
+        Optional<AdviceSettings> advice = kind == WITH_ADVICE ? Optional.of(ADVICE) : Optional.empty();
         Route route = new Route("queue", "host", "/", SERVICE, kind, 4, 2, 1_000, advice, false);
         StepSpec.Builder step =
-                StepSpec.builder().count(TASKS).each(TASK).estimateMs(TASK_MS).gang(kind == 1);
+                StepSpec.builder().count(TASKS).each(TASK).estimateMs(TASK_MS).gang(kind == OF_GANGS);
         List<StepSpec> steps = List.of(step.build(), step.after(List.of(0)).build());
         Job job = new Job("rehearsed-" + jobs, route, "workspace", "", steps, 0, 0, 0, nowMs);
         scheduler.accept(job);
@@ -107,7 +112,7 @@
     public List<Effect> step() {
         nowMs += STEP_MS;
         scheduler.advance(nowMs, nowMs);
-        for (InventedWorker worker : workers.values()) {
+        for (SyntheticWorker worker : workers.values()) {
             worker.endRuns(nowMs);
             scheduler.leaseRenewed(worker.id, worker.report(nowMs), nowMs);
         }
@@ -156,7 +161,7 @@
     }
 
     /** A worker on which each run takes the same time. */
-    private static final class InventedWorker {
+    private static final class SyntheticWorker {
         private final String id;
         private final String domain;
         private final Map<TaskName, Effect.Start> runs = new HashMap<>();
@@ -164,7 +169,7 @@
         private final List<RunEnd> ends = new ArrayList<>();
         private long lastEnd;
 
-        private InventedWorker(String id, String domain) {
+        private SyntheticWorker(String id, String domain) {
             this.id = id;
             this.domain = domain;
         }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
@@ -30,6 +30,11 @@
     private static final double CLOCK_RATE = 0.985;
     private static final Resources CAPACITY = Resources.of(8_000, 32_000, 0);
 
+    /** How much longer tasks take that checkpoint, until they are stopped for the first time. */
+    private static final long UNSAVED_WORK_MS = 1_500;
+
+    private static final String CHECKPOINT = "saved";
+
     final String id;
     final String domain;
     private final Oracle oracle;
@@ -116,9 +121,19 @@
             return StartOutcome.NO_TICKET;
         }
         StepSpec step = oracle.runStarted(order.task(), order.run(), id);
-        long durationMs = 50 + random.nextInt(1_500);
+        boolean resumes = order.checkpoint().equals(CHECKPOINT);
+        long durationMs = 50 + random.nextInt(1_500) + (step.checkpoints() && !resumes ? UNSAVED_WORK_MS : 0);
         boolean fails = oracle.fails(order.task());
-        runs.put(order.task(), new Run(order.task(), order.run(), nowMs + durationMs, fails, step.gang(), step.each()));
+        runs.put(
+                order.task(),
+                new Run(
+                        order.task(),
+                        order.run(),
+                        nowMs + durationMs,
+                        fails,
+                        step.gang(),
+                        step.checkpoints(),
+                        step.each()));
         if (step.gang()) {
             gangs.join(order.task(), order.run(), step.count(), durationMs, fails, nowMs);
         }
@@ -170,7 +185,8 @@
     private void end(Run run, EndKind kind) {
         runs.remove(run.task);
         highestEndedRun.merge(run.task, run.number, Math::max);
-        ends.add(new RunEnd(++lastEndNumber, run.task, run.number, kind, ""));
+        String checkpoint = kind == EndKind.STOPPED && run.checkpoints ? CHECKPOINT : "";
+        ends.add(new RunEnd(++lastEndNumber, run.task, run.number, kind, checkpoint));
         oracle.runEnded(run.task, kind, id);
         if (run.gang) {
             gangs.leave(run.task, run.number);
@@ -181,5 +197,12 @@
         leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, localClockMs(nowMs) + MAX_LEASE_MS));
     }
 
-    private record Run(TaskName task, int number, long endsAtMs, boolean fails, boolean gang, Resources each) {}
+    private record Run(
+            TaskName task,
+            int number,
+            long endsAtMs,
+            boolean fails,
+            boolean gang,
+            boolean checkpoints,
+            Resources each) {}
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -39,6 +39,9 @@
     private static final long ORDER_TIMEOUT_MS = 900;
     private static final long WALL_MS = 1_700_000_000_000L;
     private static final int WORKERS = 5;
+    /** Every so many jobs there is one whose tasks checkpoint. */
+    private static final int CHECKPOINTING_JOBS = 12;
+
     private static final long LIMIT_CPU_MILLIS = 30_000;
     /** Leases, late orders and gangs from the phase with faults are over after this time. */
     private static final long FAULT_EFFECTS_MS = 16_000;
@@ -145,6 +148,8 @@
                     // advice may allow only two workers, which cannot hold a gang with a maximum of tasks per worker
                     .maxPerWorker(advice.isPresent() ? 0 : random.nextInt(3))
                     .gang(random.nextInt(4) == 0)
+                    // long enough to be preempted by urgent jobs
+                    .checkpoints(sequence % CHECKPOINTING_JOBS == 0)
                     .build());
         }
         Route route = new Route("r", "h", "/", "catalogue", random.nextInt(3), 3, 2, 1_000, advice, false);
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/PreemptionTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/PreemptionTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
@@ -138,7 +139,6 @@
     /** A task that has just started or continued makes progress before it is stopped. */
     @Test
     void shouldStopNothingWhenTheRunningTasksHaveJustStarted() {
-        submitUrgent(1, CAPACITY + 1);
         fixture.scheduler.accept(fixture.job(
                 "batch", route(BATCH, 4, Optional.empty()), filling().build()));
         running.addAll(fixture.confirmedStarts());
@@ -155,7 +155,7 @@
     @Test
     void shouldStopNothingWhenTheWorkspaceMayNotRunMore() {
         fill(BATCH, filling().build());
-        fixture.scheduler.configure(SchedulerFixture.config(Resources.of(CAPACITY, 0, 0)), java.util.Set.of());
+        fixture.scheduler.configure(SchedulerFixture.config(Resources.of(CAPACITY, 0, 0)), Set.of());
         submitUrgent(1, 1_500);
 
         pass(PreemptionSystem.MIN_WAIT_MS);
