--- a/review/standin/Cluster.java
+++ b/review/standin/Cluster.java
@@ -165,7 +165,7 @@
         this.directory = directory;
         this.work = work;
         this.store = new Store(record);
-        this.storeServer = Http.serve(store::handle);
+        this.storeServer = Http.serve(0, store::handle);
         Thread.ofVirtual().start(this::checkIn);
     }
 
@@ -192,11 +192,31 @@
     }
 
     void register(Worker worker, String state, long sequence) {
-        store.put("servers", worker.id, worker.entry(SERVICE, ZONE, state, sequence).toString().getBytes(StandardCharsets.UTF_8));
+        store.put("servers", worker.id, worker.entry(SERVICE, state, sequence).toString().getBytes(StandardCharsets.UTF_8));
     }
 
     Worker addWorker(String id, int cpu, int memMb, String... labels) throws IOException {
-        Worker worker = new Worker(this, id, cpu, memMb, List.of(labels));
+        return addWorkerIn(ZONE, id, cpu, memMb, labels);
+    }
+
+    Worker addWorkerIn(String zone, String id, int cpu, int memMb, String... labels) throws IOException {
+        return add(new Worker(this, id, zone, 0, cpu, memMb, List.of(labels)));
+    }
+
+    /** Crashes a worker, without a word to the store. */
+    void crash(Worker worker) {
+        record.line("worker %s crashes with %d runs", worker.id, worker.running().size());
+        workers.remove(worker);
+        worker.close();
+    }
+
+    /** Starts a crashed worker again under its identifier, at its address. */
+    Worker restart(Worker worker) throws IOException {
+        record.line("worker %s starts again", worker.id);
+        return add(new Worker(this, worker.id, worker.zone, worker.port(), worker.cpu, worker.memMb, worker.labels));
+    }
+
+    private Worker add(Worker worker) {
         workers.add(worker);
         register(worker, "ready", 0);
         return worker;
--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -14,7 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
 
-/** Serves JSON over HTTP/1.1 on a free loopback port. */
+/** Serves JSON over HTTP/1.1 on a loopback port, a free one for port 0. */
 final class Http {
     static final ObjectMapper JSON = new ObjectMapper();
 
@@ -42,8 +42,8 @@
         return JSON.createObjectNode();
     }
 
-    static HttpServer serve(Handler handler) throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024);
+    static HttpServer serve(int port, Handler handler) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
         server.createContext("/", exchange -> answer(exchange, handler));
         server.start();
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -36,6 +36,8 @@
         Case selected = switch (arguments[0]) {
             case "many-ends" -> ManyEnds::run;
             case "large-jobs" -> LargeRows::largeJobs;
+            case "crash-loop" -> CrashLoop::run;
+            case "domain-crash" -> DomainCrash::run;
             case "recurring-job" -> LargeRows::recurringJob;
             default -> throw new IllegalArgumentException(arguments[0]);
         };
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -26,6 +26,8 @@
     private long version;
     /** The number of transactions that were refused because a row or the call was too large. */
     volatile int oversized;
+    /** The length of the longest value in any transaction so far. */
+    volatile int longestValue;
 
     Store(Record record) {
         this.record = record;
@@ -82,6 +84,7 @@
                 }
             }
         }
+        longestValue = Math.max(longestValue, largest);
         if (entries > MAX_ENTRIES || request.bytes() > MAX_CALL_BYTES || largest > ROW_BYTES) {
             if (++oversized % 50 == 1) {
                 record.line("store: transaction refused with 400: %d entries, %d bytes, largest row %d bytes (limits %d, %d, %d); %d so far",
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -24,6 +24,7 @@
     private static final long STOP_MS = 50;
 
     final String id;
+    final String zone;
     final String address;
     final long born;
     final int cpu;
@@ -64,28 +65,37 @@
 
     private record End(long number, String task, int run, String how) {}
 
-    Worker(Cluster cluster, String id, int cpu, int memMb, List<String> labels) throws IOException {
+    /** Starts a life of a worker, at a free port if the port is 0. */
+    Worker(Cluster cluster, String id, String zone, int port, int cpu, int memMb, List<String> labels) throws IOException {
         this.cluster = cluster;
+        this.zone = zone;
         this.id = id;
         this.cpu = cpu;
         this.memMb = memMb;
         this.labels = labels;
         this.born = System.currentTimeMillis();
-        this.server = Http.serve(this::handle);
+        this.server = Http.serve(port, this::handle);
         this.address = Http.address(server);
         Thread.ofVirtual().start(this::work);
     }
 
+    int port() {
+        return server.getAddress().getPort();
+    }
+
+    /** Ends this life: what runs here is gone, and the port no longer answers. */
     void close() {
         synchronized (this) {
             closed = true;
+            runs.forEach((task, run) -> cluster.ended(this, task, run.number, "crashed"));
+            runs.clear();
             notifyAll();
         }
         server.stop(0);
     }
 
     /** The registry entry; sequence counts the check-ins. */
-    ObjectNode entry(String service, String zone, String state, long sequence) {
+    ObjectNode entry(String service, String state, long sequence) {
         ObjectNode entry = Http.object();
         entry.put("service", service).put("address", address).put("zone", zone).put("version", "v1").put("slots", 8);
         entry.put("state", state).put("cold_remaining_ms", 0).put("sequence", sequence).put("born", born);
