Review: harness of the cases

A small deployment on loopback: a store with the limits of the users' pages, workers, consumers, and entry hosts as separate processes started with the run line of the deploy file. A crashed worker no longer answers calls that were open.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -5,6 +5,10 @@
 folder=$(cd "$2" && pwd)
 cd "$(dirname "$0")/.." || exit 2
 home=$(bin/find-jdk) || exit 2
+if [ ! -f target/review/review/Main.class ] || [ ! -x target/entry/runtime/bin/java ]; then
+    echo "run deploy/build and review/build.sh first" >&2
+    exit 2
+fi
 directory=$(mktemp -d) || exit 2
 driver=
 finish() {
@@ -27,4 +31,5 @@
 wait "$driver"
 status=$?
 driver=
-case $status in 0 | 1 | 2) exit "$status" ;; *) exit 2 ;; esac
+# 1 is also what a Java program ends with that fails by itself
+case $status in 0) exit 0 ;; 10) exit 1 ;; *) exit 2 ;; esac
--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -28,9 +28,9 @@
     /** A request; bytes is the length of its body. */
     record Request(String method, String path, Map<String, String> query, Map<String, String> headers, JsonNode body, int bytes) {}
 
-    /** A reply; one without a status leaves the request without an answer. */
+    /** A reply; without a status, the connection is closed instead. */
     record Reply(int status, ObjectNode body) {
-        static final Reply NONE = new Reply(0, null);
+        static final Reply BROKEN = new Reply(0, null);
     }
 
     @FunctionalInterface
@@ -71,7 +71,7 @@
             Reply reply = handler.handle(new Request(
                     exchange.getRequestMethod(), exchange.getRequestURI().getPath(), query, headers, body, content.length));
             if (reply.status == 0) {
-                Thread.sleep(Long.MAX_VALUE);
+                return;
             }
             byte[] bytes = JSON.writeValueAsBytes(reply.body);
             exchange.getResponseHeaders().set("Content-Type", "application/json");
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -117,13 +117,17 @@
         if (intended != null && !intended.equals(id)) {
             return new Http.Reply(421, answer());
         }
-        return switch (request.path()) {
-            case "/v1/hold" -> hold(request.body());
-            case "/v1/run-start" -> start(request.body());
-            case "/v1/run-stop" -> stop(request.body());
-            case "/healthz" -> new Http.Reply(200, answer());
-            default -> new Http.Reply(404, answer());
-        };
+        synchronized (this) {
+            Http.Reply reply = closed ? Http.Reply.BROKEN : switch (request.path()) {
+                case "/v1/hold" -> hold(request.body());
+                case "/v1/run-start" -> start(request.body());
+                case "/v1/run-stop" -> stop(request.body());
+                case "/healthz" -> new Http.Reply(200, answer());
+                default -> new Http.Reply(404, answer());
+            };
+            // a worker that has crashed meanwhile says nothing any more
+            return closed ? Http.Reply.BROKEN : reply;
+        }
     }
 
     private ObjectNode answer() {
