--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -38,7 +38,7 @@
             case "many-ends" -> ManyEnds::run;
             case "large-jobs" -> LargeRows::largeJobs;
             case "crash-loop" -> CrashLoop::run;
-            case "two-crashes" -> TwoCrashes::run;
+            case "ended-before" -> EndedBefore::run;
             case "domain-crash" -> DomainCrash::run;
             case "recurring-job" -> LargeRows::recurringJob;
             default -> throw new IllegalArgumentException(arguments[0]);
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -40,6 +40,7 @@
     private long token;
     private long leaseUntilMs;
     private boolean closed;
+    private boolean cut;
 
     /** Reads how long a task runs and how it ends. */
     interface Work {
@@ -79,6 +80,13 @@
         Thread.ofVirtual().start(this::work);
     }
 
+    /** Cuts this life off: its runs go on, and calls get no answer any more. */
+    synchronized void cutOff() {
+        cluster.record.line("worker %s is cut off with %d runs", id, runs.size());
+        cut = true;
+        notifyAll();
+    }
+
     int port() {
         return server.getAddress().getPort();
     }
@@ -118,14 +126,17 @@
             return new Http.Reply(421, answer());
         }
         synchronized (this) {
-            Http.Reply reply = closed ? Http.Reply.BROKEN : switch (request.path()) {
+            Http.Reply reply = closed || cut ? Http.Reply.BROKEN : switch (request.path()) {
                 case "/v1/hold" -> hold(request.body());
                 case "/v1/run-start" -> start(request.body());
                 case "/v1/run-stop" -> stop(request.body());
                 case "/healthz" -> new Http.Reply(200, answer());
                 default -> new Http.Reply(404, answer());
             };
-            // a worker that has crashed meanwhile says nothing any more
+            // what a worker that is cut off says does not arrive, and a crashed one says nothing any more
+            while (cut && !closed) {
+                wait();
+            }
             return closed ? Http.Reply.BROKEN : reply;
         }
     }
