--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if accepted jobs have nothing running though workers are free, 0 if not, 2 if the case could not run.
-# TROUBLE=0 lets the recurring job run fewer times.
-exec "$(dirname "$0")/../run-case.sh" recurring-job "$(dirname "$0")"
+# Exits with 1 if tasks of jobs run on whose cancellation was acknowledged, 0 if not, 2 if the case could not run.
+# TROUBLE=0 cuts nothing off.
+exec "$(dirname "$0")/../run-case.sh" lost-cancel "$(dirname "$0")"
--- a/review/standin/Cluster.java
+++ b/review/standin/Cluster.java
@@ -69,6 +69,10 @@
     /** All runs by task, in the order of their starts. */
     final Map<String, List<RunSeen>> seen = new LinkedHashMap<>();
 
+    /** True to let peers reach each host through a proxy. */
+    boolean peerProxies;
+
+    final Map<String, Proxy> proxies = new LinkedHashMap<>();
     private final HttpServer storeServer;
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(1)).build();
@@ -117,7 +121,14 @@
         void start() throws IOException {
             Path settings = directory.resolve(name + ".ini");
             String address = Http.address(storeServer);
-            Files.writeString(settings, SETTINGS.formatted(name, ZONE, consumers, readiness, metrics, peers, address, address));
+            String text = SETTINGS.formatted(name, ZONE, consumers, readiness, metrics, peers, address, address);
+            if (peerProxies) {
+                if (!proxies.containsKey(name)) {
+                    proxies.put(name, new Proxy(name, peers));
+                }
+                text = text.replace("[platform]", "advertised-peers = " + proxies.get(name).address() + "\n\n[platform]");
+            }
+            Files.writeString(settings, text);
             ProcessBuilder builder = new ProcessBuilder(runCommand());
             Map<String, String> environment = builder.environment();
             environment.keySet().removeIf(key -> !List.of("PATH", "HOME", "JAVA_HOME", "LANG").contains(key));
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -39,6 +39,7 @@
             case "large-jobs" -> LargeRows::largeJobs;
             case "crash-loop" -> CrashLoop::run;
             case "ended-before" -> EndedBefore::run;
+            case "lost-cancel" -> LostCancel::run;
             case "domain-crash" -> DomainCrash::run;
             case "recurring-job" -> LargeRows::recurringJob;
             default -> throw new IllegalArgumentException(arguments[0]);
