--- a/entry/src/main/java/org/acaciafold/entry/JobWatch.java
+++ b/entry/src/main/java/org/acaciafold/entry/JobWatch.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.acaciafold.fleet.Job;
 import org.acaciafold.platform.RowChanges;
@@ -18,7 +19,10 @@
     /** Polling period, well below the three seconds within which a cancelled task must have stopped. */
     private static final long POLL_MS = 800;
 
-    private final HostContext host;
+    private final Timers loop;
+    private final Feed feed;
+    private final RecordReader records;
+    private final Supplier<Mono<TermStore.Loaded>> load;
     private final Consumer<List<Job>> accept;
     private final Consumer<String> cancel;
     private long jobsVersion;
@@ -26,8 +30,27 @@
     private boolean polling;
     private boolean ended;
 
-    JobWatch(HostContext host, Consumer<List<Job>> accept, Consumer<String> cancel) {
-        this.host = host;
+    /**
+     * Creates the watch of a term.
+     *
+     * @param loop the timers of the leader's thread
+     * @param feed reads the changes of a table
+     * @param records decodes the rows
+     * @param load reads all records, when the changes are no longer available
+     * @param accept receives the jobs
+     * @param cancel receives the identifier of each cancelled job
+     */
+    JobWatch(
+            Timers loop,
+            Feed feed,
+            RecordReader records,
+            Supplier<Mono<TermStore.Loaded>> load,
+            Consumer<List<Job>> accept,
+            Consumer<String> cancel) {
+        this.loop = loop;
+        this.feed = feed;
+        this.records = records;
+        this.load = load;
         this.accept = accept;
         this.cancel = cancel;
     }
@@ -47,7 +70,7 @@
         if (ended) {
             return;
         }
-        host.loop().after(POLL_MS, this::poll);
+        loop.after(POLL_MS, this::poll);
         if (!polling) {
             polling = true;
             readChanges(StoreRecords.JOBS, () -> jobsVersion, this::jobsChanged);
@@ -55,7 +78,7 @@
     }
 
     private void readChanges(String table, LongSupplier version, Consumer<RowChanges> changed) {
-        deliver(host.store().changes(table, version.getAsLong(), 0), changes -> {
+        deliver(feed.changes(table, version.getAsLong(), 0), changes -> {
             if (changes.historyLost()) {
                 reload();
             } else {
@@ -69,7 +92,7 @@
         List<Job> jobs = new ArrayList<>();
         changes.rows().stream()
                 .filter(row -> !row.removed() && StoreRecords.decodeEnded(row).isEmpty())
-                .forEach(row -> host.records().job(row).ifPresent(jobs::add));
+                .forEach(row -> records.job(row).ifPresent(jobs::add));
         accept.accept(jobs);
         readChanges(StoreRecords.CANCELLATIONS, () -> cancellationsVersion, this::cancellationsChanged);
     }
@@ -82,7 +105,7 @@
 
     private void reload() {
         LOG.warn("job change history no longer available; reloading all jobs after={}", jobsVersion);
-        deliver(host.termStore().load(host.loop().wallMs()), loaded -> {
+        deliver(load.get(), loaded -> {
             polling = false;
             jobsVersion = loaded.jobsVersion();
             cancellationsVersion = loaded.cancellationsVersion();
@@ -96,8 +119,7 @@
     /** Passes a reply on; the store's client logs a failed call, and the next poll repeats it. */
     private <T> void deliver(Mono<T> call, Consumer<T> then) {
         call.subscribe(
-                answer -> host.loop().execute(() -> handle(answer, then)),
-                error -> host.loop().execute(() -> polling = false));
+                answer -> loop.execute(() -> handle(answer, then)), error -> loop.execute(() -> polling = false));
     }
 
     /** Handles a reply; polling continues after an unexpected error. */
@@ -110,4 +132,11 @@
             polling &= handled;
         }
     }
+
+    /** Reads changes from the store. */
+    @FunctionalInterface
+    interface Feed {
+        /** Returns the changes of a table after a version, at the latest after the given milliseconds. */
+        Mono<RowChanges> changes(String table, long after, long waitMs);
+    }
 }
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -58,7 +58,13 @@
         this.limits = limits;
         this.hosts = hosts;
         this.publish = publish;
-        this.jobWatch = new JobWatch(host, jobs -> accept("", jobs), this::cancel);
+        this.jobWatch = new JobWatch(
+                host.loop(),
+                host.store()::changes,
+                host.records(),
+                () -> host.termStore().load(host.loop().wallMs()),
+                jobs -> accept("", jobs),
+                this::cancel);
         this.workerWatch =
                 new WorkerWatch(host, (entries, complete) -> apply(() -> scheduler.updateRegistry(entries, complete)));
         this.broadcaster = new StateBroadcaster(
@@ -147,7 +153,14 @@
     }
 
     void cancel(String job) {
-        apply(() -> scheduler.cancel(job));
+        apply(() -> {
+            if (!scheduler.cancel(job)) {
+                LOG.warn(
+                        "cancellation of an unknown job job={} epoch={}",
+                        job,
+                        lease.record().epoch());
+            }
+        });
     }
 
     void configure() {
