JobWatch: a job that is accepted and cancelled between two reads stays cancelled

Cause: the leader read the changes of the jobs, then those of the cancellations. A job that was accepted and cancelled between the two reads was in the second answer only; the scheduler does not know it and drops the cancellation, and the position after that row was kept. Messages of the accepting host usually hide this, but not while it is cut off from the leader.

Fix: the cancellations are read first and applied after the read of the jobs that follows. A job is stored before its cancellation, so that read contains every job that they name. The position moves on only then.

JobWatchTest.shouldCancelAJobWhenItIsAcceptedAndCancelledBeforeTheGivenRead failed before for the reads 2 and 4 (expected: <[j1]> but was: <[]>).

--- a/entry/src/main/java/org/acaciafold/entry/JobWatch.java
+++ b/entry/src/main/java/org/acaciafold/entry/JobWatch.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import org.acaciafold.fleet.Job;
@@ -57,8 +56,7 @@
 
     /** Starts to read changes of the tables, from the versions at which they were loaded. */
     void start(TermStore.Loaded loaded) {
-        jobsVersion = loaded.jobsVersion();
-        cancellationsVersion = loaded.cancellationsVersion();
+        continueAfter(loaded);
         poll();
     }
 
@@ -73,42 +71,41 @@
         loop.after(POLL_MS, this::poll);
         if (!polling) {
             polling = true;
-            readChanges(StoreRecords.JOBS, () -> jobsVersion, this::jobsChanged);
+            // a job is stored before its cancellation, so the jobs read last include every job that is cancelled here
+            readChanges(
+                    StoreRecords.CANCELLATIONS,
+                    cancellationsVersion,
+                    cancellations -> readChanges(StoreRecords.JOBS, jobsVersion, jobs -> apply(jobs, cancellations)));
         }
     }
 
-    private void readChanges(String table, LongSupplier version, Consumer<RowChanges> changed) {
-        deliver(feed.changes(table, version.getAsLong(), 0), changes -> {
+    private void readChanges(String table, long after, Consumer<RowChanges> changed) {
+        deliver(feed.changes(table, after, 0), changes -> {
             if (changes.historyLost()) {
-                reload();
+                reload(table, after);
             } else {
                 changed.accept(changes);
             }
         });
     }
 
-    private void jobsChanged(RowChanges changes) {
-        jobsVersion = Math.max(jobsVersion, changes.version());
+    private void apply(RowChanges changedJobs, RowChanges cancellations) {
+        jobsVersion = Math.max(jobsVersion, changedJobs.version());
         List<Job> jobs = new ArrayList<>();
-        changes.rows().stream()
+        changedJobs.rows().stream()
                 .filter(row -> !row.removed() && StoreRecords.decodeEnded(row).isEmpty())
                 .forEach(row -> records.job(row).ifPresent(jobs::add));
         accept.accept(jobs);
-        readChanges(StoreRecords.CANCELLATIONS, () -> cancellationsVersion, this::cancellationsChanged);
-    }
-
-    private void cancellationsChanged(RowChanges changes) {
-        cancellationsVersion = Math.max(cancellationsVersion, changes.version());
-        changes.rows().stream().filter(row -> !row.removed()).forEach(row -> cancel.accept(row.key()));
+        cancellationsVersion = Math.max(cancellationsVersion, cancellations.version());
+        cancellations.rows().stream().filter(row -> !row.removed()).forEach(row -> cancel.accept(row.key()));
         polling = false;
     }
 
-    private void reload() {
-        LOG.warn("job change history no longer available; reloading all jobs after={}", jobsVersion);
+    private void reload(String table, long after) {
+        LOG.warn("change history no longer available; reloading all jobs table={} after={}", table, after);
         deliver(load.get(), loaded -> {
             polling = false;
-            jobsVersion = loaded.jobsVersion();
-            cancellationsVersion = loaded.cancellationsVersion();
+            continueAfter(loaded);
             accept.accept(loaded.jobs().stream().map(stored -> stored.job()).toList());
             loaded.jobs().stream()
                     .filter(stored -> stored.cancelled())
@@ -116,6 +113,11 @@
         });
     }
 
+    private void continueAfter(TermStore.Loaded loaded) {
+        jobsVersion = loaded.jobsVersion();
+        cancellationsVersion = loaded.cancellationsVersion();
+    }
+
     /** Passes a reply on; the store's client logs a failed call, and the next poll repeats it. */
     private <T> void deliver(Mono<T> call, Consumer<T> then) {
         call.subscribe(
