JobWatch: cancellations are read again from where a load has the jobs

Fix: the watch continues in the cancellations from the version up to which the load contains the jobs; what it reads twice changes nothing.

Two tests of JobWatchTest failed before: shouldCancelAJobWhenTheTermHasReadItsCancellationButNotTheJob and shouldCancelAJobWhenAReloadHasReadItsCancellationButNotTheJob.

--- a/entry/src/main/java/org/acaciafold/entry/JobWatch.java
+++ b/entry/src/main/java/org/acaciafold/entry/JobWatch.java
@@ -113,9 +113,13 @@
         });
     }
 
+    /**
+     * Continues after the records of a load. It reads the tables in no order, so it may contain the cancellation of a
+     * job that it lacks: cancellations are read again from the version up to which it contains the jobs.
+     */
     private void continueAfter(TermStore.Loaded loaded) {
         jobsVersion = loaded.jobsVersion();
-        cancellationsVersion = loaded.cancellationsVersion();
+        cancellationsVersion = Math.min(loaded.jobsVersion(), loaded.cancellationsVersion());
     }
 
     /** Passes a reply on; the store's client logs a failed call, and the next poll repeats it. */
--- a/entry/src/test/java/org/acaciafold/entry/JobWatchTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/JobWatchTest.java
@@ -92,6 +92,29 @@
         assertEquals(Set.of("j1"), cancelled);
     }
 
+    @Test
+    void shouldCancelAJobWhenTheTermHasReadItsCancellationButNotTheJob() {
+        long jobsVersion = store.version;
+        submitAndCancel("j1");
+
+        watch.start(loaded(List.of(), jobsVersion, store.version));
+        pollUntilCancellationsAreDue();
+
+        assertEquals(Set.of("j1"), cancelled);
+    }
+
+    @Test
+    void shouldCancelAJobWhenAReloadHasReadItsCancellationButNotTheJob() {
+        reloaded = loaded(List.of(new StoredJob(job("j0"), Optional.empty(), true)), store.version, store.version + 2);
+        store.historyLost = true;
+        store.beforeRead(2, () -> submitAndCancel("j1"));
+
+        watch.start(loaded(List.of(), 0, 0));
+        pollUntilCancellationsAreDue();
+
+        assertEquals(Set.of("j0", "j1"), cancelled);
+    }
+
     /** A store that can change, fail or lose its history before a read. */
     private static final class VersionedStore implements JobWatch.Feed {
         private final List<StoredRow> rows = new ArrayList<>();
