A worker is gone once another one answers at its address

Callers saw (LOST): a task that lasts, or the last task of a job, was on a worker that crashed, and did not run again with most of the workers' room free.

Cause: a crashed machine comes back under another identifier. The old worker answers no more, so only the end of its lease proved that its runs were gone: 8.5 s after the crash. Tasks that crash their workers did so four times, 8.5 s apart, until 42 s after the last disturbance began.

Fix: that answer is a proof, since each call names its worker and only one listens at an address. It does not count for a call from before the worker's last report, nor at an address where the worker was never reached. A new entry at the address of another worker makes the leader ask there at once.

--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -17,6 +17,7 @@
 import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.scheduling.Scheduler;
 import org.acaciafold.fleet.scheduling.SchedulerLimits;
+import org.acaciafold.platform.WorkerAgentClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -292,8 +293,8 @@
                         }),
                         error -> applyLater(() -> {
                             host.metrics().order("hold", "FAILED", host.loop().nowMs() - requestedAtMs);
-                            logFenced(renewal.worker(), error);
                             scheduler.leaseRenewalFailed(renewal.worker());
+                            handleFailure(renewal.worker(), error, requestedAtMs);
                         }));
     }
 
@@ -306,14 +307,18 @@
                 .subscribe(
                         report -> applyLater(() -> scheduler.probed(probe.worker(), report, requestedAtMs)),
                         error -> applyLater(() -> {
-                            logFenced(probe.worker(), error);
                             scheduler.probeFailed(probe.worker());
+                            handleFailure(probe.worker(), error, requestedAtMs);
                         }));
     }
 
-    private void logFenced(String worker, Throwable error) {
-        if (error instanceof AcaciafoldException typed && typed.failure().code().equals("fenced")) {
-            logFenced(worker);
+    private void handleFailure(String worker, Throwable error, long requestedAtMs) {
+        String code =
+                error instanceof AcaciafoldException typed ? typed.failure().code() : "";
+        switch (code) {
+            case WorkerAgentClient.FENCED -> logFenced(worker);
+            case WorkerAgentClient.OTHER_WORKER -> scheduler.incarnationEnded(worker, requestedAtMs);
+            default -> LOG.debug("worker does not report worker={} reason={}", worker, error.getMessage());
         }
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.acaciafold.fleet.StepProgress;
@@ -50,6 +51,13 @@
         }
     }
 
+    /** Records the crash of a worker whose incarnation has provably ended. */
+    void incarnationEnded(WorkerRow worker) {
+        Optional.ofNullable(expired.remove(worker.id))
+                .ifPresent(silent -> silent.runs.forEach(run -> settle(run, true)));
+        record(worker, true);
+    }
+
     /** Records possible crashes under the runs of a worker whose lease has expired. */
     void leaseExpired(WorkerRow worker) {
         if (worker.runs.isEmpty()) {
--- /dev/null
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
@@ -0,0 +1,50 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.acaciafold.fleet.WorkerEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Applies the registry of workers. */
+final class RegistrySystem {
+    private static final Logger LOG = LoggerFactory.getLogger(RegistrySystem.class);
+
+    private final Tables tables;
+
+    RegistrySystem(Tables tables) {
+        this.tables = tables;
+    }
+
+    /** Applies all readable entries; returns the workers that have left, none while entries may be missing. */
+    Set<String> update(List<WorkerEntry> entries, boolean complete) {
+        Set<String> present = new HashSet<>();
+        Map<String, String> arrivedByAddress = new HashMap<>();
+        for (WorkerEntry entry : entries) {
+            present.add(entry.id());
+            WorkerRow row = tables.workers.computeIfAbsent(
+                    entry.id(), id -> new WorkerRow(id, entry.address(), entry.incarnation()));
+            if (!row.registered) {
+                arrivedByAddress.put(entry.address(), entry.id());
+                LOG.info("worker registered worker={} address={}", entry.id(), entry.address());
+            }
+            row.register(entry, tables.nowMs);
+        }
+        Set<String> left = new HashSet<>();
+        for (WorkerRow row : tables.workers.values()) {
+            if (complete && row.registered && !present.contains(row.id)) {
+                row.deregister();
+                left.add(row.id);
+                LOG.info("worker deregistered worker={} runs={}", row.id, row.runs.size());
+            }
+            if (!row.id.equals(arrivedByAddress.getOrDefault(row.address(), row.id))) {
+                row.askAtOnce(tables.nowMs);
+            }
+        }
+        return left;
+    }
+}
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +46,7 @@
     private final EndSystem ends;
     private final WorkerLeaseSystem workerLeases;
     private final ProbeSystem probes;
+    private final RegistrySystem registry;
     private final StopSystem stops;
     private final AdviceSystem advice;
     private final StartSystem starts;
@@ -59,6 +59,7 @@
         this.ends = new EndSystem(tables);
         this.workerLeases = new WorkerLeaseSystem(tables, ends);
         this.probes = new ProbeSystem(tables);
+        this.registry = new RegistrySystem(tables);
         this.stops = new StopSystem(tables);
         this.advice = new AdviceSystem(tables);
         this.starts = new StartSystem(tables, advice);
@@ -158,6 +159,17 @@
         tables.evacuatedDomains.addAll(evacuatedDomains);
     }
 
+    /**
+     * Applies the answer of another worker to a call that was meant for a worker. It proves that the incarnation that
+     * had that address before has ended, with all its runs.
+     *
+     * @param worker the worker that the call was meant for
+     * @param requestedAtMs when the call was sent, on the monotonic clock of this host
+     */
+    public void incarnationEnded(String worker, long requestedAtMs) {
+        worker(worker).ifPresent(row -> workerLeases.incarnationEnded(row, requestedAtMs));
+    }
+
     /**
      * Applies a worker's answer to a lease renewal.
      *
@@ -194,22 +206,7 @@
      * @param complete false when entries of registered workers may be missing
      */
     public void updateRegistry(List<WorkerEntry> entries, boolean complete) {
-        Set<String> present = new HashSet<>();
-        for (WorkerEntry entry : entries) {
-            present.add(entry.id());
-            WorkerRow row = tables.workers.computeIfAbsent(
-                    entry.id(), id -> new WorkerRow(id, entry.address(), entry.incarnation()));
-            row.register(entry, tables.nowMs);
-        }
-        Set<String> left = new HashSet<>();
-        for (WorkerRow row : tables.workers.values()) {
-            if (complete && row.registered && !present.contains(row.id)) {
-                row.deregister();
-                left.add(row.id);
-                LOG.info("worker deregistered worker={} runs={}", row.id, row.runs.size());
-            }
-        }
-        advice.deregistered(left);
+        advice.deregistered(registry.update(entries, complete));
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -75,6 +75,26 @@
         worker.nextRenewalAtMs = unrecorded ? tables.nowMs + UNRECORDED_ENDS_PAUSE_MS : tables.nowMs;
     }
 
+    /** Ends the runs of an incarnation that has ended, as another worker's answer at its address proves. */
+    void incarnationEnded(WorkerRow worker, long requestedAtMs) {
+        if (worker.incarnationEnded || !worker.provesEnd(requestedAtMs)) {
+            return;
+        }
+        LOG.warn(
+                "worker replaced worker={} address={} runs={} contactAgeMs={}",
+                worker.id,
+                worker.address(),
+                worker.runs.size(),
+                tables.nowMs - worker.lastContactAtMs);
+        if (worker.missedRenewals == 0) {
+            worker.missedRenewals = 1;
+            worker.wentDown(tables.nowMs);
+        }
+        worker.incarnationEnded = true;
+        crashes.incarnationEnded(worker);
+        endRuns(worker, "another worker answers at its address");
+    }
+
     void probed(WorkerRow worker, WorkerReport report, long requestedAtMs) {
         worker.probeInFlight = false;
         if (requestedAtMs < worker.addressSinceMs) {
@@ -128,8 +148,7 @@
             }
             if (worker.missedRenewals > 0) {
                 crashes.leaseExpired(worker);
-                List.copyOf(worker.runs.values()).forEach(run -> ends.removeLostRun(run, "lease expired"));
-                tables.unreconciled.remove(worker);
+                endRuns(worker, "lease expired");
             }
             if (!worker.registered && worker.runs.isEmpty()) {
                 tables.workers.remove(worker.id);
@@ -142,6 +161,11 @@
         }
     }
 
+    private void endRuns(WorkerRow worker, String reason) {
+        List.copyOf(worker.runs.values()).forEach(run -> ends.removeLostRun(run, reason));
+        tables.unreconciled.remove(worker);
+    }
+
     /** Ends a renewal that tells nothing of the incarnation at the present address. */
     private void endRenewalOfEarlierAddress(WorkerRow worker) {
         worker.renewalInFlight = false;
@@ -155,11 +179,9 @@
             return worker.acknowledgeAfterBatch >= 0;
         }
         crashes.observe(worker, report.incarnation());
-        worker.missedRenewals = 0;
-        worker.suspect = false;
         observeIncarnation(worker, report.incarnation());
+        worker.answered(tables.nowMs);
         worker.clockMs = report.clockMs();
-        worker.lastContactAtMs = tables.nowMs;
         boolean unrecorded = processEnds(worker, report.ends());
         reconcileRuns(worker, report.running(), requestedAtMs);
         return unrecorded;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -50,6 +50,9 @@
     /** Calls that were sent before this time went to an earlier address. */
     long addressSinceMs = Long.MIN_VALUE;
 
+    /** True once another worker has answered at the address: nothing of this incarnation is left. */
+    boolean incarnationEnded;
+
     int missedRenewals;
     /** True from an unanswered call, once it is overdue, until the worker answers a renewal or a probe. */
     boolean suspect;
@@ -78,11 +81,15 @@
 
     private long pausedAtMs = -1;
     private String address;
+    /** Where the incarnation has answered, to this leader or to the one that recorded its claims. */
+    private String answeredAddress;
+
     private WorkerEntry entry;
 
     WorkerRow(String id, String address, long incarnation) {
         this.id = id;
         this.address = address;
+        this.answeredAddress = address;
         this.incarnation = incarnation;
     }
 
@@ -90,6 +97,24 @@
         return address;
     }
 
+    /** Records that the worker has answered a call to its address. */
+    void answered(long nowMs) {
+        answeredAddress = address;
+        lastContactAtMs = nowMs;
+        missedRenewals = 0;
+        suspect = false;
+        incarnationEnded = false;
+    }
+
+    /** Asks for a report as soon as possible; a worker that is silent is only asked by its renewals. */
+    void askAtOnce(long nowMs) {
+        if (missedRenewals == 0) {
+            probeAtMs = Math.min(probeAtMs, nowMs);
+        } else {
+            nextRenewalAtMs = Math.min(nextRenewalAtMs, nowMs);
+        }
+    }
+
     WorkerClaims claims() {
         List<WorkerClaims.Claim> claims = runs.values().stream()
                 .map(run -> new WorkerClaims.Claim(run.task.name, run.number))
@@ -170,8 +195,19 @@
         return OptionalLong.of(clockMs + (nowMs - lastContactAtMs) + spanMs);
     }
 
+    /**
+     * Returns whether another worker's answer to a call proves that the present incarnation has ended. It does not if
+     * the incarnation has answered since, or was never reached at that address.
+     */
+    boolean provesEnd(long requestedAtMs) {
+        return requestedAtMs >= addressSinceMs && requestedAtMs > lastContactAtMs && address.equals(answeredAddress);
+    }
+
     /** Returns whether all leases ever granted to the worker have provably expired. */
     boolean leaseExpired(long nowMs) {
+        if (incarnationEnded) {
+            return true;
+        }
         if (lastContactAtMs < 0) {
             return predecessorLeaseEndsAtMs >= 0 && nowMs >= predecessorLeaseEndsAtMs;
         }
@@ -223,6 +259,7 @@
     private void moveTo(String newAddress, long nowMs) {
         address = newAddress;
         addressSinceMs = nowMs;
+        incarnationEnded = false;
         if (missedRenewals == 0) {
             wentDown(nowMs);
         }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -125,6 +125,14 @@
         }
     }
 
+    /** Returns whether another worker than the intended one answers at an address. */
+    private boolean misdirected(String address, String id) {
+        return workers.values().stream()
+                .anyMatch(worker -> worker.reachable
+                        && worker.entry.address().equals(address)
+                        && !worker.entry.id().equals(id));
+    }
+
     private Optional<SimulatedWorker> at(String address, String id) {
         return Optional.ofNullable(workers.get(id))
                 .filter(worker -> worker.entry.address().equals(address) && worker.reachable);
@@ -158,6 +166,13 @@
     private void renew(Effect.RenewLease renewal) {
         long requestedAtMs = fixture.nowMs;
         Optional<SimulatedWorker> worker = at(renewal.address(), renewal.worker());
+        if (misdirected(renewal.address(), renewal.worker())) {
+            reply(0, () -> {
+                fixture.scheduler.leaseRenewalFailed(renewal.worker());
+                fixture.scheduler.incarnationEnded(renewal.worker(), requestedAtMs);
+            });
+            return;
+        }
         if (worker.isEmpty()) {
             reply(renewal.waitMs() + ORDER_TIMEOUT_MS, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker()));
             return;
@@ -176,6 +191,13 @@
     private void probe(Effect.Probe probe) {
         long requestedAtMs = fixture.nowMs;
         Optional<SimulatedWorker> worker = at(probe.address(), probe.worker());
+        if (misdirected(probe.address(), probe.worker())) {
+            reply(0, () -> {
+                fixture.scheduler.probeFailed(probe.worker());
+                fixture.scheduler.incarnationEnded(probe.worker(), requestedAtMs);
+            });
+            return;
+        }
         if (worker.isEmpty()) {
             reply(ORDER_TIMEOUT_MS, () -> fixture.scheduler.probeFailed(probe.worker()));
             return;
