A row that the store refuses for good costs only what it belongs to

Fix: TxReply.Refused tells it apart, so every caller has to match it. The leader writes the two halves of a refused transaction by themselves, down to the row at fault, and never sends that row again: the job of a progress row ends as failed, the claims of a worker's row are dropped before they are ordered, all others go on. A refused lease is given up. Rows that hosts create are tried one by one. A log line and acaciafold_rows_refused_total tell it. Transactions are cut by bytes, too: 90 rows could be longer than the megabyte that the store takes.

LeaseKeeperTest: the new cases cannot be compiled before, since the type is new; with Refused handled like Unknown, as before, the other rows are never taken.

--- a/entry/src/main/java/org/acaciafold/entry/HostMetrics.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostMetrics.java
@@ -82,6 +82,11 @@
         count("rows.ignored", "table", table, "", "");
     }
 
+    /** Records a row that the store refuses for good. */
+    void rowRefused(String table) {
+        count("rows.refused", "table", table, "", "");
+    }
+
     /** Records a call for placement advice. */
     void advice(boolean answered, long tookMs) {
         count("advice.calls", "outcome", answered ? "answered" : "failed", "", "");
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -1,9 +1,9 @@
 package org.acaciafold.entry;
 
 import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.function.Consumer;
 
 import org.acaciafold.fleet.leadership.LeaseValidity;
@@ -49,7 +49,7 @@
     private final Committer store;
     private final Timers loop;
     private final LeaseValidity validity = LeaseValidity.create();
-    private final Queue<PendingWrite> queue = new ArrayDeque<>();
+    private final Deque<PendingWrite> queue = new ArrayDeque<>();
     private final Consumer<String> onLost;
     private LeaseRecord record;
     private long version;
@@ -94,10 +94,15 @@
      *
      * @param writes the rows to write
      * @param removals the rows to remove
+     * @param onRefused receives each row that the store will never take; the others are applied without it
      * @param onApplied runs once they are applied
      */
-    void commit(List<Transaction.Write> writes, List<Transaction.Removal> removals, Runnable onApplied) {
-        queue.add(new PendingWrite(writes, removals, onApplied));
+    void commit(
+            List<Transaction.Write> writes,
+            List<Transaction.Removal> removals,
+            Consumer<Transaction.Write> onRefused,
+            Runnable onApplied) {
+        queue.add(new PendingWrite(writes, removals, onRefused, onApplied));
         sendNext();
     }
 
@@ -120,7 +125,7 @@
             queue.add(inFlight);
         }
         releasing = true;
-        commit(List.of(), List.of(), () -> {
+        commitLease(() -> {
             end();
             onApplied.run();
         });
@@ -128,10 +133,14 @@
 
     void renewWhenDue() {
         if (!commitInFlight && queue.isEmpty() && sinceRenewalMs() >= RENEW_AFTER_MS) {
-            commit(List.of(), List.of(), () -> {});
+            commitLease(() -> {});
         }
     }
 
+    private void commitLease(Runnable onApplied) {
+        commit(List.of(), List.of(), row -> {}, onApplied);
+    }
+
     private void sendNext() {
         if (commitInFlight || ended || queue.isEmpty()) {
             return;
@@ -186,11 +195,40 @@
                 sendNext();
             }
             case TxReply.Conflict conflict -> handleConflict(pending, conflict.current());
+            case TxReply.Refused refused -> handleRefusal(pending, refused.reason());
             case TxReply.NotDone ignored -> retryLater(pending);
             case TxReply.Unknown ignored -> retryLater(pending);
         }
     }
 
+    /** Writes the two halves of a refused transaction by themselves, down to the row that is at fault. */
+    private void handleRefusal(PendingWrite pending, String reason) {
+        commitInFlight = false;
+        queue.poll();
+        if (pending.writes.isEmpty()) {
+            LOG.error("lease refused epoch={} removals={} reason={}", record.epoch(), pending.removals, reason);
+            end();
+            onLost.accept("the store refuses the lease: " + reason);
+            return;
+        }
+        if (pending.writes.size() == 1 && pending.removals.isEmpty()) {
+            Transaction.Write row = pending.writes.getFirst();
+            LOG.error(
+                    "row refused table={} key={} bytes={} reason={}",
+                    row.table(),
+                    row.key(),
+                    row.value().length,
+                    reason);
+            pending.onRefused.accept(row);
+            pending.onApplied.run();
+        } else {
+            int half = (pending.writes.size() + 1) / 2;
+            queue.addFirst(pending.rest(half));
+            queue.addFirst(pending.first(half));
+        }
+        sendNext();
+    }
+
     private void handleConflict(PendingWrite pending, List<StoredRow> current) {
         Optional<StoredRow> row = current.stream()
                 .filter(one -> one.table().equals(StoreRecords.LEASES))
@@ -239,5 +277,16 @@
     record LeaseWrite(LeaseRecord record, long version, long sentAtMs, long sentAtWallMs) {}
 
     private record PendingWrite(
-            List<Transaction.Write> writes, List<Transaction.Removal> removals, Runnable onApplied) {}
+            List<Transaction.Write> writes,
+            List<Transaction.Removal> removals,
+            Consumer<Transaction.Write> onRefused,
+            Runnable onApplied) {
+        private PendingWrite first(int count) {
+            return new PendingWrite(writes.subList(0, count), List.of(), onRefused, () -> {});
+        }
+
+        private PendingWrite rest(int count) {
+            return new PendingWrite(writes.subList(count, writes.size()), removals, onRefused, onApplied);
+        }
+    }
 }
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -206,6 +206,10 @@
         switch (reply) {
             case TxReply.Applied ignored -> answered();
             case TxReply.Conflict ignored -> answered();
+            case TxReply.Refused refused -> {
+                answered();
+                LOG.error("transaction refused for good reason={}", refused.reason());
+            }
             case TxReply.NotDone notDone -> failed(call, "transaction", notDone.reason());
             case TxReply.Unknown unknown -> failed(call, "transaction", unknown.reason());
         }
@@ -289,7 +293,10 @@
                 return;
             }
             List<PendingCreation> batch = new ArrayList<>();
-            while (batch.size() < MAX_BATCH_ROWS && !queue.isEmpty()) {
+            List<Transaction.Write> next =
+                    queue.stream().limit(MAX_BATCH_ROWS).map(item -> item.write).toList();
+            int fitting = StoreRecords.fitting(next, MAX_BATCH_ROWS, partition);
+            while (batch.size() < fitting) {
                 batch.add(queue.poll());
             }
             inFlight = true;
@@ -314,6 +321,10 @@
                                 conflict(batch, conflict.current(), onDone);
                                 return;
                             }
+                            case TxReply.Refused ignored -> {
+                                refused(batch, onDone);
+                                return;
+                            }
                             case TxReply.NotDone ignored -> finish(batch, Creation.NOT_DONE);
                             case TxReply.Unknown ignored -> finish(batch, Creation.UNKNOWN);
                         }
@@ -321,6 +332,17 @@
                     }));
         }
 
+        /** Commits the rows of a refused batch one by one, so that the refusal is only that of the row at fault. */
+        private void refused(List<PendingCreation> batch, Runnable onDone) {
+            if (batch.size() == 1) {
+                LOG.error("row refused for good row={}", batch.getFirst().rowName());
+                finish(batch, Creation.NOT_DONE);
+                onDone.run();
+                return;
+            }
+            commit(batch.subList(0, 1), () -> commit(batch.subList(1, batch.size()), onDone));
+        }
+
         private void conflict(List<PendingCreation> batch, List<StoredRow> current, Runnable onDone) {
             List<PendingCreation> absent = new ArrayList<>();
             for (PendingCreation item : batch) {
--- a/entry/src/main/java/org/acaciafold/entry/StoreRecords.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreRecords.java
@@ -49,6 +49,9 @@
     /** Length of a state and a time; a complete job is always longer. */
     private static final int ENDED_BYTES = STATE_BYTES + Long.BYTES;
 
+    /** More than the lease's condition and row, and the removals beside them, add to an encoded transaction. */
+    private static final int LEASE_BYTES = 150_000;
+
     private static final String STORE = "store";
 
     private StoreRecords() {}
@@ -73,6 +76,20 @@
         return table.equals(JOBS) ? JOB_PARTITIONS : CANCELLATION_PARTITIONS;
     }
 
+    /** Returns how many writes, from the first on, one transaction can hold beside the lease. */
+    static int fitting(List<Transaction.Write> writes, int maxRows, String partition) {
+        int bytes = LEASE_BYTES;
+        int count = 0;
+        while (count < Math.min(maxRows, writes.size())) {
+            bytes += writes.get(count).encodedBytes(partition);
+            if (bytes > Transaction.MAX_ENCODED_BYTES && count > 0) {
+                break;
+            }
+            count++;
+        }
+        return count;
+    }
+
     /** Returns a transaction that writes the lease if its row still has the given version. */
     static Transaction.Builder leaseWrite(LeaseRecord lease, long version) {
         return Transaction.in(SLICE)
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -17,6 +17,7 @@
 import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.scheduling.Scheduler;
 import org.acaciafold.fleet.scheduling.SchedulerLimits;
+import org.acaciafold.platform.Transaction;
 import org.acaciafold.platform.WorkerAgentClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -256,7 +257,7 @@
             case Effect.Stop stop -> stop(stop);
             case Effect.RenewLease renewal -> renewLease(renewal);
             case Effect.Probe probe -> probe(probe);
-            case Effect.Save save -> TermStore.write(lease, save, () -> saved(save.batch()));
+            case Effect.Save save -> TermStore.write(lease, save, this::refused, () -> saved(save.batch()));
             case Effect.Retire retire -> retire(retire);
             case Effect.RequestAdvice request -> requestAdvice(request);
             case Effect.Publish publish -> publish(publish.states());
@@ -340,6 +341,18 @@
         host.termStore().remove(retire.expired()).subscribe(ids -> applyLater(() -> scheduler.removed(ids)));
     }
 
+    /** Applies that the store will never take a row, at once, so that a claim in it is dropped before it is ordered. */
+    private void refused(Transaction.Write row) {
+        host.metrics().rowRefused(row.table());
+        apply(() -> {
+            switch (row.table()) {
+                case StoreRecords.PROGRESS -> scheduler.progressRefused(row.key());
+                case StoreRecords.WORKERS -> scheduler.claimsRefused(row.key());
+                default -> LOG.error("refused row of an unexpected table table={} key={}", row.table(), row.key());
+            }
+        });
+    }
+
     private void saved(long batch) {
         applyLater(() -> scheduler.saved(batch));
     }
--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import org.acaciafold.fleet.Effect;
@@ -56,7 +57,15 @@
                 .map(pages -> loaded(pages.getT1(), pages.getT2(), pages.getT3(), pages.getT4(), nowMs));
     }
 
-    static void write(LeaseKeeper lease, Effect.Save save, Runnable then) {
+    /**
+     * Writes the records of a batch.
+     *
+     * @param lease the lease, without which nothing is written
+     * @param save the batch
+     * @param onRefused receives each row that the store will never take
+     * @param then runs once all other rows are written
+     */
+    static void write(LeaseKeeper lease, Effect.Save save, Consumer<Transaction.Write> onRefused, Runnable then) {
         List<Transaction.Write> writes = new ArrayList<>();
         save.progress()
                 .forEach((id, progress) ->
@@ -70,7 +79,7 @@
                         save.obsoleteProgress().stream()
                                 .map(job -> new Transaction.Removal(StoreRecords.PROGRESS, job)))
                 .toList();
-        write(lease, writes, removals, then);
+        write(lease, writes, removals, onRefused, then);
     }
 
     /**
@@ -131,14 +140,18 @@
     }
 
     private static void write(
-            LeaseKeeper lease, List<Transaction.Write> writes, List<Transaction.Removal> removals, Runnable then) {
-        int written = Math.min(ROWS_PER_TRANSACTION, writes.size());
+            LeaseKeeper lease,
+            List<Transaction.Write> writes,
+            List<Transaction.Removal> removals,
+            Consumer<Transaction.Write> onRefused,
+            Runnable then) {
+        int written = StoreRecords.fitting(writes, ROWS_PER_TRANSACTION, StoreRecords.SLICE);
         int removed = Math.min(ROWS_PER_TRANSACTION - written, removals.size());
         List<Transaction.Write> writesLeft = writes.subList(written, writes.size());
         List<Transaction.Removal> removalsLeft = removals.subList(removed, removals.size());
         boolean last = writesLeft.isEmpty() && removalsLeft.isEmpty();
-        Runnable next = last ? then : () -> write(lease, writesLeft, removalsLeft, then);
-        lease.commit(writes.subList(0, written), removals.subList(0, removed), next);
+        Runnable next = last ? then : () -> write(lease, writesLeft, removalsLeft, onRefused, then);
+        lease.commit(writes.subList(0, written), removals.subList(0, removed), onRefused, next);
     }
 
     private Loaded loaded(RowPage jobs, RowPage cancellations, RowPage progress, RowPage workers, long nowMs) {
--- a/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
 
 import org.acaciafold.platform.StoredRow;
 import org.acaciafold.platform.Transaction;
@@ -33,6 +36,7 @@
             timers,
             new LeaseKeeper.LeaseWrite(LEASE, 10, timers.nowMs(), timers.wallMs()),
             lostReasons::add);
+    private final List<String> refused = new ArrayList<>();
     private int applied;
 
     private Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
@@ -41,8 +45,15 @@
         return call.reply.asMono();
     }
 
+    private void write(String... keys) {
+        List<Transaction.Write> writes = Stream.of(keys)
+                .map(key -> new Transaction.Write(StoreRecords.PROGRESS, key, new byte[] {1}))
+                .toList();
+        lease.commit(writes, List.of(), row -> refused.add(row.key()), () -> applied++);
+    }
+
     private void write() {
-        lease.commit(List.of(new Transaction.Write("progress", "job", new byte[] {1})), List.of(), () -> applied++);
+        write("job");
     }
 
     private static TxReply conflict(LeaseRecord holder, long version) {
@@ -51,6 +62,61 @@
                 new StoredRow(StoreRecords.LEASES, StoreRecords.SLICE, StoreRecords.LEASE_KEY, value, version, false)));
     }
 
+    /** Answers all calls like a store that never takes some rows; returns the rows that it has taken. */
+    private Set<String> answerCalls(Set<String> badRows) {
+        Set<String> taken = new TreeSet<>();
+        for (int i = 0; i < calls.size(); i++) {
+            List<String> keys = calls.get(i).transaction.writes().stream()
+                    .map(Transaction.Write::key)
+                    .filter(key -> !key.equals(StoreRecords.LEASE_KEY))
+                    .toList();
+            if (keys.stream().anyMatch(badRows::contains)) {
+                calls.get(i).answer(new TxReply.Refused("status 400"));
+            } else {
+                taken.addAll(keys);
+                calls.get(i).answer(new TxReply.Applied(11 + i));
+            }
+        }
+        return taken;
+    }
+
+    /** Guards against a row that the store refuses for good, and that is repeated without end and stops all others. */
+    @ParameterizedTest
+    @CsvSource({"a", "b", "c", "d", "e"})
+    void shouldWriteTheOtherRowsWhenTheStoreRefusesOne(String bad) {
+        Set<String> others = new TreeSet<>(Set.of("a", "b", "c", "d", "e", "f"));
+        others.remove(bad);
+        write("a", "b", "c", "d", "e");
+        write("f");
+
+        assertEquals(others, answerCalls(Set.of(bad)));
+        assertEquals(List.of(bad), refused);
+        assertEquals(2, applied);
+        assertEquals(List.of(), lostReasons);
+        long sentAlone = calls.stream()
+                .filter(call -> call.transaction.writes().stream()
+                                .filter(write -> !write.table().equals(StoreRecords.LEASES))
+                                .count()
+                        == 1)
+                .filter(call -> call.transaction.writes().stream()
+                        .anyMatch(write -> write.key().equals(bad)))
+                .count();
+        assertEquals(1, sentAlone);
+    }
+
+    @Test
+    void shouldGiveTheLeaseUpWhenTheStoreRefusesTheLeaseItself() {
+        while (calls.isEmpty()) {
+            timers.advance(POLL_MS);
+            lease.renewWhenDue();
+        }
+
+        calls.getFirst().answer(new TxReply.Refused("status 403"));
+
+        assertEquals(1, lostReasons.size());
+        assertFalse(lease.mayCommand());
+    }
+
     @Test
     void shouldRenewWithEveryWriteAndRequireTheVersionOfTheLastOne() {
         write();
--- a/entry/src/test/java/org/acaciafold/entry/TermStoreTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/TermStoreTest.java
@@ -49,7 +49,7 @@
             ended.add("ended-" + i);
         }
 
-        TermStore.write(lease, new Effect.Save(1, progress, List.of(), List.of(), ended), () -> done++);
+        TermStore.write(lease, new Effect.Save(1, progress, List.of(), List.of(), ended), row -> {}, () -> done++);
 
         assertEquals(1, done);
         Set<String> written = new HashSet<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
@@ -16,12 +16,19 @@
     private ClaimRecovery() {}
 
     /**
-     * Adds a run for each task that may be running; it occupies capacity until its worker proves that it is absent.
+     * Adds the recorded workers, and a run for each task that may be running; it occupies capacity until its worker proves that it is absent.
      *
-     * @param tables the tables, with all jobs and workers
+     * @param tables the tables, with all jobs
      * @param workers the recorded claims of the workers
      */
     static void restore(Tables tables, List<WorkerClaims> workers) {
+        for (WorkerClaims known : workers) {
+            WorkerRow row = tables.workers.computeIfAbsent(
+                    known.id(), id -> new WorkerRow(id, known.address(), known.bornMs()));
+            row.recorded = true;
+            row.predecessorLeaseEndsAtMs = tables.nowMs + tables.limits.predecessorLeaseMs();
+            tables.unreconciled.add(row);
+        }
         Map<TaskName, LatestClaim> latest = new HashMap<>();
         for (WorkerClaims record : workers) {
             for (WorkerClaims.Claim claim : record.claims()) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -10,12 +10,19 @@
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.fleet.WorkerClaims;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Collects the changes that must be recorded, and applies their effects once they are durable. */
 final class SaveSystem {
     /** Limits the removals of obsolete records in one batch, so that they do not delay its claims. */
     private static final int MAX_OBSOLETE = 60;
 
+    /** Bounds how often the record of claims is tried again that the store has refused. */
+    private static final long CLAIMS_REFUSED_PAUSE_MS = 5_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(SaveSystem.class);
+
     private final Tables tables;
     private final List<JobRow> jobsInBatch = new ArrayList<>();
     private final List<RunRow> runsInBatch = new ArrayList<>();
@@ -67,6 +74,19 @@
         }
     }
 
+    /** Drops the claims of the present batch on a worker, which gets no tasks for a while. */
+    void claimsRefused(WorkerRow worker) {
+        worker.refusedUntilMs = tables.nowMs + CLAIMS_REFUSED_PAUSE_MS;
+        runsInBatch.removeIf(run -> {
+            if (run.worker != worker) {
+                return false;
+            }
+            LOG.error("claim refused task={} run={} worker={}", run.task.name, run.number, worker.id);
+            tables.end(run);
+            return true;
+        });
+    }
+
     private List<WorkerClaims> claims() {
         Set<WorkerRow> workers = new LinkedHashSet<>();
         tables.claimed.forEach(run -> workers.add(run.worker));
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -1,7 +1,6 @@
 package org.acaciafold.fleet.scheduling;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -190,6 +189,28 @@
         worker(worker).ifPresent(workerLeases::renewalFailed);
     }
 
+    /**
+     * Drops the claims of the batch that is being recorded on a worker, since the store refuses their record for good.
+     *
+     * @param worker the worker
+     */
+    public void claimsRefused(String worker) {
+        worker(worker).ifPresent(saves::claimsRefused);
+    }
+
+    /**
+     * Ends a job as failed, since the store refuses the record of its progress for good.
+     *
+     * @param job the job
+     */
+    public void progressRefused(String job) {
+        JobRow row = tables.jobs.get(job);
+        if (row != null && row.active()) {
+            LOG.error("job ended job={} reason=its progress is too large for a row of the store", job);
+            ends.giveUp(row);
+        }
+    }
+
     /**
      * Returns the cost of the last tick.
      *
@@ -215,13 +236,7 @@
      * @return the numbers by queue name
      */
     public Map<String, Integer> pending() {
-        Map<String, Integer> counts = new HashMap<>();
-        for (JobRow job : tables.active) {
-            if (job.active() && job.state == JobState.QUEUED) {
-                counts.merge(job.job.route().name(), 1, Integer::sum);
-            }
-        }
-        return counts;
+        return tables.pending();
     }
 
     /**
@@ -240,13 +255,6 @@
         tables.endedJobs.putAll(ended);
         awaitingRetirement.forEach(id -> tables.awaitingRetirement.put(id, ended.get(id)));
         jobs.forEach(this::add);
-        for (WorkerClaims known : workers) {
-            WorkerRow row = tables.workers.computeIfAbsent(
-                    known.id(), id -> new WorkerRow(id, known.address(), known.bornMs()));
-            row.recorded = true;
-            row.predecessorLeaseEndsAtMs = tables.nowMs + tables.limits.predecessorLeaseMs();
-            tables.unreconciled.add(row);
-        }
         ClaimRecovery.restore(tables, workers);
         LOG.info("term started jobs={} active={} workers={}", jobs.size(), tables.active.size(), workers.size());
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -122,6 +122,17 @@
         return states;
     }
 
+    /** Returns the number of jobs of each queue that wait for their first start. */
+    Map<String, Integer> pending() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (JobRow job : active) {
+            if (job.active() && job.state == JobState.QUEUED) {
+                counts.merge(job.job.route().name(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
     FleetSummary summary() {
         int registered = 0;
         int unresponsive = 0;
