Records fit in a row of the store at any size of a job, a worker and a life

Crashes under some 1,150 tasks, some 1,030 recorded steps of a job that recurs, or some 1,090 claims on a worker were longer than the 65,536 bytes of a row.

Fix: a record that is too long is compressed; one that fits is written as before, so hosts of earlier releases read every row that they could have written. What cannot matter any more leaves the record: crashes under tasks that are done, old failures of tasks that last, and beyond 800 steps the occurrences that are completed. Crashes are recorded of 2,000 tasks of a step, those with the most crashes first. A worker gets 2,500 runs at the most, which is what its row holds for tasks of as many jobs. A job whose own record does not fit is refused with 400 at once.

An older leader that takes over a compressed record ignores it: it would have stood still before it was written.

--- a/entry/src/main/java/org/acaciafold/entry/ClientApi.java
+++ b/entry/src/main/java/org/acaciafold/entry/ClientApi.java
@@ -12,6 +12,7 @@
 import org.acaciafold.fleet.Route;
 import org.acaciafold.fleet.Workspace;
 import org.acaciafold.platform.JobJson;
+import org.acaciafold.platform.Transaction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -124,11 +125,16 @@
             log(request, id, BAD_REQUEST, invalidReason.get());
             return Mono.just(ClientReply.of(BAD_REQUEST));
         }
+        byte[] record = StoreRecords.encode(job.get(), Job.class);
+        if (record.length > Transaction.MAX_VALUE_BYTES) {
+            log(request, id, BAD_REQUEST, "the job's record has " + record.length + " bytes, too many for a row");
+            return Mono.just(ClientReply.of(BAD_REQUEST));
+        }
         if (storeUnreachable()) {
             log(request, id, UNAVAILABLE, "store unresponsive, nothing was sent to it");
             return Mono.just(retryLater());
         }
-        return writeJob(request, job.get(), StoreRecords.encode(job.get(), Job.class), true);
+        return writeJob(request, job.get(), record, true);
     }
 
     /**
--- a/entry/src/main/java/org/acaciafold/entry/RecordReader.java
+++ b/entry/src/main/java/org/acaciafold/entry/RecordReader.java
@@ -3,9 +3,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 
-import org.acaciafold.core.codec.Codec;
 import org.acaciafold.core.model.AcaciafoldException;
-import org.acaciafold.core.model.Step;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.fleet.WorkerClaims;
@@ -18,8 +16,6 @@
  * read of the others.
  */
 final class RecordReader {
-    private static final String STORE = "store";
-
     /** Workers reject the orders of lower epochs than they have seen, so a host that knows none skips ahead. */
     private static final long EPOCH_ABOVE_ALL_EARLIER = 1_000_000;
 
@@ -69,7 +65,7 @@
 
     private <T> Optional<T> decode(StoredRow row, Class<T> type, Function<T, Optional<String>> problem) {
         try {
-            T value = Codec.messagePack().decode(row.value(), type, Step.TABLE, STORE);
+            T value = StoreRecords.decodeValue(row, type);
             Optional<String> found = problem.apply(value);
             found.ifPresent(reason -> malformed.report(row, reason));
             return found.isEmpty() ? Optional.of(value) : Optional.empty();
--- a/entry/src/main/java/org/acaciafold/entry/StoreRecords.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreRecords.java
@@ -1,5 +1,6 @@
 package org.acaciafold.entry;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -7,6 +8,7 @@
 
 import org.acaciafold.core.codec.Codec;
 import org.acaciafold.core.model.AcaciafoldException;
+import org.acaciafold.core.model.Failure;
 import org.acaciafold.core.model.Step;
 import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.JobState;
@@ -97,8 +99,9 @@
                 .write(LEASES, LEASE_KEY, encode(lease, LeaseRecord.class));
     }
 
+    /** Encodes a record, compressed if it is too long for a row otherwise. */
     static <T> byte[] encode(T value, Class<T> type) {
-        return Codec.messagePack().encode(value, type);
+        return RowCompression.compress(Codec.messagePack().encode(value, type));
     }
 
     /** Encodes progress, as one byte for an ended job, since most jobs that a new leader reads have ended. */
@@ -135,12 +138,22 @@
     /** Decodes a record; empty when the row holds no record of this type. */
     static <T> Optional<T> decode(StoredRow row, Class<T> type) {
         try {
-            return Optional.of(Codec.messagePack().decode(row.value(), type, Step.TABLE, STORE));
+            return Optional.of(decodeValue(row, type));
         } catch (AcaciafoldException e) {
             return Optional.empty();
         }
     }
 
+    /** Decodes a record, or tells why the row holds no record of this type. */
+    static <T> T decodeValue(StoredRow row, Class<T> type) throws AcaciafoldException {
+        try {
+            byte[] value = RowCompression.decompress(row.value());
+            return Codec.messagePack().decode(value, type, Step.TABLE, STORE);
+        } catch (IOException e) {
+            throw new AcaciafoldException(Failure.notRun(Step.TABLE, STORE, "malformed", e.getMessage()), e);
+        }
+    }
+
     private static Optional<JobState> endedState(int ordinal) {
         JobState[] states = JobState.values();
         return ordinal >= 0 && ordinal < states.length && states[ordinal].ended()
--- a/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
@@ -12,6 +12,9 @@
  * @param claims the runs that may be on the worker; may include runs that have ended since
  */
 public record WorkerClaims(String id, String address, long bornMs, List<Claim> claims) {
+    /** The most runs that may be on a worker, so that their record fits in a row of the store. */
+    public static final int MAX_CLAIMS = 2_500;
+
     /** Rejects missing components and copies the list of claims. */
     public WorkerClaims {
         Objects.requireNonNull(id, "id");
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/FreeCapacity.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/FreeCapacity.java
@@ -1,6 +1,7 @@
 package org.acaciafold.fleet.scheduling;
 
 import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.WorkerEntry;
 
 /** Tracks the resources of a worker that are still free in a tick. */
@@ -10,6 +11,8 @@
     private long cpuMillis;
     private long memoryMib;
     private long accelerators;
+    /** How many more runs the record of the worker's claims can hold. */
+    private long runs;
 
     private FreeCapacity(WorkerRow worker, WorkerEntry entry) {
         this.worker = worker;
@@ -18,6 +21,7 @@
         this.cpuMillis = free.cpuMillis();
         this.memoryMib = free.memoryMib();
         this.accelerators = free.accelerators();
+        this.runs = WorkerClaims.MAX_CLAIMS - worker.runs.size();
     }
 
     /** Returns the free capacity of a registered worker. */
@@ -41,12 +45,15 @@
     }
 
     boolean fits(Resources each) {
-        return each.cpuMillis() <= cpuMillis && each.memoryMib() <= memoryMib && each.accelerators() <= accelerators;
+        return runs > 0
+                && each.cpuMillis() <= cpuMillis
+                && each.memoryMib() <= memoryMib
+                && each.accelerators() <= accelerators;
     }
 
     /** Returns how many tasks of a size fit. */
     int maxTasks(Resources each) {
-        return fits(each) ? maxTasks(cpuMillis, memoryMib, accelerators, each) : 0;
+        return fits(each) ? (int) Math.min(runs, maxTasks(cpuMillis, memoryMib, accelerators, each)) : 0;
     }
 
     /** Returns how many tasks of a size would fit if more were free. */
@@ -69,6 +76,7 @@
         cpuMillis -= each.cpuMillis() * tasks;
         memoryMib -= each.memoryMib() * tasks;
         accelerators -= each.accelerators() * tasks;
+        runs -= tasks;
     }
 
     private static int maxTasks(long cpuMillis, long memoryMib, long accelerators, Resources each) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -1,7 +1,6 @@
 package org.acaciafold.fleet.scheduling;
 
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,6 +17,9 @@
 final class JobRow {
     private static final Logger LOG = LoggerFactory.getLogger(JobRow.class);
 
+    /** Up to this many recorded steps, completed occurrences are listed, too; hosts of earlier releases read only these. */
+    private static final int MAX_LISTED_STEPS = 800;
+
     /** Far above the difference of two hosts' clocks. */
     private static final long MAX_CLOCK_DIFFERENCE_MS = 60_000;
 
@@ -116,11 +118,34 @@
     }
 
     Progress progress() {
-        List<StepProgress> recorded = new ArrayList<>();
-        for (StepRow step : steps) {
-            progress(step).ifPresent(recorded::add);
+        if (state.ended()) {
+            return new Progress(state, List.of());
+        }
+        List<StepProgress> recorded = recordedFrom(0);
+        if (recorded.size() <= MAX_LISTED_STEPS) {
+            return new Progress(state, recorded);
+        }
+        int completed = 0;
+        while (completed < occurrencesAdded && completed(completed)) {
+            completed++;
+        }
+        return new Progress(state, recordedFrom(completed), completed);
+    }
+
+    private List<StepProgress> recordedFrom(int occurrence) {
+        return steps.subList(occurrence * job.steps().size(), steps.size()).stream()
+                .flatMap(step -> step.progress().stream())
+                .toList();
+    }
+
+    private boolean completed(int occurrence) {
+        int first = occurrence * job.steps().size();
+        for (StepRow step : steps.subList(first, first + job.steps().size())) {
+            if (step.remaining > 0) {
+                return false;
+            }
         }
-        return new Progress(state, state.ended() ? List.of() : recorded);
+        return true;
     }
 
     /** Returns the tasks under which workers have crashed. */
@@ -139,10 +164,14 @@
         state = progress.state();
         endRecorded = state.ended();
         progressRecorded = true;
+        for (int i = 0; i < progress.completedOccurrences() && mayExist(i, wallMs); i++) {
+            addOccurrencesUpTo(i);
+            steps.subList(i * job.steps().size(), steps.size()).forEach(StepRow::complete);
+        }
         for (StepProgress recorded : progress.steps()) {
             if (mayExist(recorded.occurrence(), wallMs) && hasStep(recorded.step())) {
                 addOccurrencesUpTo(recorded.occurrence());
-                restore(step(recorded.occurrence(), recorded.step()), recorded);
+                step(recorded.occurrence(), recorded.step()).restore(recorded);
             } else {
                 LOG.warn(
                         "progress ignored job={} occurrence={} step={}",
@@ -157,10 +186,7 @@
     void countOccurrences() {
         int done = 0;
         for (int i = 0; i < occurrencesAdded; i++) {
-            int occurrence = i;
-            boolean ended =
-                    steps.stream().filter(step -> step.occurrence == occurrence).allMatch(step -> step.remaining == 0);
-            done += ended ? 1 : 0;
+            done += completed(i) ? 1 : 0;
         }
         occurrencesDone = done;
     }
@@ -210,52 +236,4 @@
         }
         return remainingMs;
     }
-
-    private static Optional<StepProgress> progress(StepRow step) {
-        BitSet done = new BitSet(step.tasks.size());
-        List<StepProgress.TaskFailures> failures = new ArrayList<>();
-        for (TaskRow task : step.tasks) {
-            done.set(task.index, task.done);
-            if (!task.failedRuns.isEmpty()) {
-                failures.add(new StepProgress.TaskFailures(task.index, List.copyOf(task.failedRuns)));
-            }
-        }
-        List<StepProgress.TaskCrashes> crashes = step.tasks.stream()
-                .filter(task -> task.crashes != null)
-                .map(task -> task.crashes.recorded(task.index))
-                .toList();
-        if (done.isEmpty() && failures.isEmpty() && crashes.isEmpty()) {
-            return Optional.empty();
-        }
-        List<Integer> failedGangRuns = List.copyOf(step.failedGangRuns);
-        return Optional.of(
-                new StepProgress(step.occurrence, step.index, done.toByteArray(), failures, failedGangRuns, crashes));
-    }
-
-    private static void restore(StepRow step, StepProgress recorded) {
-        BitSet done = BitSet.valueOf(recorded.done());
-        for (TaskRow task : step.tasks) {
-            task.done = done.get(task.index);
-        }
-        for (StepProgress.TaskFailures failed : recorded.failures()) {
-            recordedTask(step, failed.task()).ifPresent(task -> {
-                task.failedRuns.addAll(failed.runs());
-                failed.runs().forEach(run -> task.lastRun = Math.max(task.lastRun, run));
-            });
-        }
-        for (StepProgress.TaskCrashes crashed : recorded.crashes()) {
-            recordedTask(step, crashed.task()).ifPresent(task -> task.crashes = CrashHistory.of(crashed));
-        }
-        step.failedGangRuns.addAll(recorded.failedGangRuns());
-        step.remaining = (int) step.tasks.stream().filter(task -> !task.done).count();
-    }
-
-    /** Returns the task that a part of the progress is about; empty when the step has none with its index. */
-    private static Optional<TaskRow> recordedTask(StepRow step, int index) {
-        if (index < 0 || index >= step.tasks.size()) {
-            LOG.warn("progress ignored step={} task={}", step.name(), index);
-            return Optional.empty();
-        }
-        return Optional.of(step.tasks.get(index));
-    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -1,17 +1,31 @@
 package org.acaciafold.fleet.scheduling;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
 import org.acaciafold.fleet.StepName;
+import org.acaciafold.fleet.StepProgress;
 import org.acaciafold.fleet.StepSpec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One step of one occurrence of a job. */
 final class StepRow {
+    /** Workers list an end again until it is acknowledged, so only the latest failed runs can come twice. */
+    private static final int MAX_LASTING_FAILURES = 16;
+
+    /** Bounds the record of a step; a crash that is not recorded is forgotten by the next leader. */
+    private static final int MAX_RECORDED_CRASHES = 2_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(StepRow.class);
+
     final JobRow job;
     final int occurrence;
     final int index;
@@ -111,6 +125,74 @@
         return waiting;
     }
 
+    /** Marks all tasks as done. */
+    void complete() {
+        tasks.forEach(task -> task.done = true);
+        remaining = 0;
+    }
+
+    /** Returns the durable record of the progress; empty while there is none. */
+    Optional<StepProgress> progress() {
+        BitSet done = new BitSet(tasks.size());
+        List<StepProgress.TaskFailures> failures = new ArrayList<>();
+        for (TaskRow task : tasks) {
+            done.set(task.index, task.done);
+            if (!task.failedRuns.isEmpty()) {
+                failures.add(new StepProgress.TaskFailures(task.index, recordedFailures(task)));
+            }
+        }
+        List<StepProgress.TaskCrashes> crashes = recordedCrashes();
+        if (done.isEmpty() && failures.isEmpty() && crashes.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new StepProgress(
+                occurrence, index, done.toByteArray(), failures, List.copyOf(failedGangRuns), crashes));
+    }
+
+    /** Applies what an earlier leader has recorded. */
+    void restore(StepProgress recorded) {
+        BitSet done = BitSet.valueOf(recorded.done());
+        for (TaskRow task : tasks) {
+            task.done = done.get(task.index);
+        }
+        for (StepProgress.TaskFailures failed : recorded.failures()) {
+            recordedTask(failed.task()).ifPresent(task -> {
+                task.failedRuns.addAll(failed.runs());
+                failed.runs().forEach(run -> task.lastRun = Math.max(task.lastRun, run));
+            });
+        }
+        for (StepProgress.TaskCrashes crashed : recorded.crashes()) {
+            recordedTask(crashed.task()).ifPresent(task -> task.crashes = CrashHistory.of(crashed));
+        }
+        failedGangRuns.addAll(recorded.failedGangRuns());
+        remaining = (int) tasks.stream().filter(task -> !task.done).count();
+    }
+
+    /** Returns the failed runs to record; tasks that last have no attempts to count, so only the latest ones matter. */
+    private List<Integer> recordedFailures(TaskRow task) {
+        List<Integer> runs = List.copyOf(task.failedRuns);
+        return spec.longRunning() ? runs.subList(Math.max(0, runs.size() - MAX_LASTING_FAILURES), runs.size()) : runs;
+    }
+
+    /** Returns the crashes to record, without those of tasks that are done; those with the most crashes come first. */
+    private List<StepProgress.TaskCrashes> recordedCrashes() {
+        return tasks.stream()
+                .filter(task -> task.crashes != null && !task.done)
+                .sorted(Comparator.comparingInt((TaskRow task) -> -task.crashes.total()))
+                .limit(MAX_RECORDED_CRASHES)
+                .map(task -> task.crashes.recorded(task.index))
+                .toList();
+    }
+
+    /** Returns the task that a part of the progress is about; empty when the step has none with its index. */
+    private Optional<TaskRow> recordedTask(int taskIndex) {
+        if (taskIndex < 0 || taskIndex >= tasks.size()) {
+            LOG.warn("progress ignored step={} task={}", name(), taskIndex);
+            return Optional.empty();
+        }
+        return Optional.of(tasks.get(taskIndex));
+    }
+
     private static boolean isAbout(Long incarnation, WorkerRow worker) {
         return incarnation != null && incarnation == worker.incarnation;
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RefusedRecordTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RefusedRecordTest.java
@@ -3,15 +3,20 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.WorkerClaims;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against one record that the store never takes, and that stops the starts of every job. */
 class RefusedRecordTest {
@@ -25,6 +30,10 @@
                 id, route(1, 4, Optional.empty()), step(tasks, cpuMillis).build()));
     }
 
+    private static long on(List<Effect.Start> starts, String worker) {
+        return starts.stream().filter(start -> start.worker().equals(worker)).count();
+    }
+
     @Test
     void shouldEndOnlyTheJobWhoseProgressIsRefused() {
         submit("large", 1, 500);
@@ -62,4 +71,22 @@
         fixture.advance(CLAIMS_REFUSED_PAUSE_MS);
         assertEquals(0, fixture.starts().size());
     }
+
+    /** The bound on the runs of a worker keeps the record of its claims within a row. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 0, 1})
+    void shouldStartNoMoreRunsOnAWorkerThanItsRecordHolds(int beyond) {
+        SchedulerFixture small = new SchedulerFixture(1).withWorkers(worker("a", 100_000));
+        small.scheduler.accept(small.job(
+                "job",
+                route(1, 4, Optional.empty()),
+                step(WorkerClaims.MAX_CLAIMS + beyond, 1)
+                        .each(Resources.of(1, 1, 0))
+                        .build()));
+
+        List<Effect.Start> starts = small.confirmedStarts();
+
+        assertEquals(Math.min(WorkerClaims.MAX_CLAIMS, WorkerClaims.MAX_CLAIMS + beyond), on(starts, "a"));
+        assertTrue(small.confirmedStarts().isEmpty());
+    }
 }
