A leader whose transactions are not applied gives its lease up

It handed over only when the store answered nothing, and the other hosts took its heartbeats for a lease.

Fix: after 6 s without an applied transaction, while the store answers other calls, the leader gives the lease up.

LeaseKeeperTest.shouldGiveTheLeaseUpWhenTheStoreAnswersButAppliesNothing: its second case cannot pass without the rule; the outage of the whole store (third case) is left to the handover that exists.

--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -8,7 +8,6 @@
 import org.acaciafold.fleet.leadership.LeaseExpiryDetector;
 import org.acaciafold.fleet.scheduling.SchedulerLimits;
 import org.acaciafold.platform.StoredRow;
-import org.acaciafold.platform.Transaction;
 import org.acaciafold.platform.TxReply;
 import org.acaciafold.settings.EntrySettings;
 import org.slf4j.Logger;
@@ -204,16 +203,10 @@
                     selection.largest(heartbeatSentAtMs));
             host.bus().sendAll(hosts.addresses().values(), message);
         } else if (leader != null) {
-            host.bus()
-                    .send(
-                            leader.address(),
-                            new PeerMessage.HostBeat(
-                                    host.name(),
-                                    address,
-                                    processors,
-                                    seenSequence,
-                                    stopping,
-                                    selection.upMs(heartbeatSentAtMs)));
+            long upMs = selection.upMs(heartbeatSentAtMs);
+            PeerMessage message =
+                    new PeerMessage.HostBeat(host.name(), address, processors, seenSequence, stopping, upMs);
+            host.bus().send(leader.address(), message);
         }
     }
 
@@ -270,7 +263,9 @@
     private void poll() {
         long nowMs = host.loop().nowMs();
         if (leads()) {
-            lease.renewWhenDue();
+            lease.renewWhenDue(!storeUnresponsive());
+        }
+        if (leads()) {
             long epoch = lease.record().epoch();
             if (storeUnresponsive()) {
                 reachability.query(selection.handoverCandidates(storeOverdueMs(), nowMs), epoch);
@@ -278,7 +273,7 @@
                 largerHostCheckedAtMs = nowMs;
                 reachability.query(selection.preferredLeader(nowMs).stream().toList(), epoch);
             }
-        } else if (sinceHeartbeatMs() > HEARTBEAT_TIMEOUT_MS && !stopping) {
+        } else if (!stopping && (sinceHeartbeatMs() > HEARTBEAT_TIMEOUT_MS || announcedLeaseExpired())) {
             readLease(Optional.empty());
         }
         if (nowMs - heartbeatSentAtMs >= (leads() ? LEADER_HEARTBEAT_MS : FOLLOWER_HEARTBEAT_MS)) {
@@ -355,28 +350,32 @@
         }
     }
 
+    /** Returns whether the leader's heartbeats tell that it has not renewed its lease, of whatever length, in time. */
+    private boolean announcedLeaseExpired() {
+        return host.loop().nowMs() - announcedRenewalAtMs > LeaseKeeper.SLOW_LEASE_MS;
+    }
+
     private long sinceHeartbeatMs() {
         return host.loop().nowMs() - heartbeatReceivedAtMs;
     }
 
-    /** Returns whether the store is unresponsive; a slow store does not count, since it is slow for every host. */
     private boolean storeUnresponsive() {
         return storeOverdueMs() > 0;
     }
 
+    /** Returns how long the store's answer is overdue; a slow store does not count, since it is slow for every host. */
     private long storeOverdueMs() {
         return Math.min(host.loop().nowMs() - host.store().answeredAtMs(), lease.sinceRenewalMs()) - STORE_TIMEOUT_MS;
     }
 
     private void acquireLease(long epoch, long version, String reason) {
         LeaseRecord record = new LeaseRecord(host.name(), address, incarnation, epoch, LeaseKeeper.LEASE_MS, false);
-        Transaction transaction = StoreRecords.leaseWrite(record, version).build();
         long sentAtMs = host.loop().nowMs();
         long sentAtWallMs = host.loop().wallMs();
         leaseCallInFlight = true;
         attempt = new LeaseKeeper.LeaseWrite(record, version, sentAtMs, sentAtWallMs);
         host.store()
-                .commit(transaction)
+                .commit(StoreRecords.leaseWrite(record, version).build())
                 .subscribe(reply -> host.loop().execute(() -> {
                     leaseCallInFlight = false;
                     if (reply instanceof TxReply.Applied applied && !leads() && !stopping) {
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -43,6 +43,9 @@
     /** The wait as a multiple of the last round trip: resending sooner would only lengthen a slow store's queue. */
     private static final int RESEND_FACTOR = 2;
 
+    /** Longer than the store is usually down; another host may have more success after it. */
+    private static final long MAX_UNRENEWED_MS = 6_000;
+
     /** Above the round trip of a slow store, which takes up to a hundred times the usual ten milliseconds. */
     private static final long COMMIT_TIMEOUT_MS = 1_800;
 
@@ -131,8 +134,21 @@
         });
     }
 
-    void renewWhenDue() {
-        if (!commitInFlight && queue.isEmpty() && sinceRenewalMs() >= RENEW_AFTER_MS) {
+    /**
+     * Renews the lease when that is due, and gives it up when no transaction has been applied for long, although the
+     * store answers.
+     *
+     * @param storeAnswers whether the store answers other calls of this host
+     */
+    void renewWhenDue(boolean storeAnswers) {
+        if (ended) {
+            return;
+        }
+        if (storeAnswers && sinceRenewalMs() >= MAX_UNRENEWED_MS && !releasing) {
+            LOG.error("lease given up epoch={} sinceRenewalMs={}", record.epoch(), sinceRenewalMs());
+            end();
+            onLost.accept("the store answers but applies no transaction");
+        } else if (!commitInFlight && queue.isEmpty() && sinceRenewalMs() >= RENEW_AFTER_MS) {
             commitLease(() -> {});
         }
     }
--- a/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -108,7 +108,7 @@
     void shouldGiveTheLeaseUpWhenTheStoreRefusesTheLeaseItself() {
         while (calls.isEmpty()) {
             timers.advance(POLL_MS);
-            lease.renewWhenDue();
+            lease.renewWhenDue(true);
         }
 
         calls.getFirst().answer(new TxReply.Refused("status 403"));
@@ -117,6 +117,18 @@
         assertFalse(lease.mayCommand());
     }
 
+    /** Guards against a leader that can neither order nor be replaced, since its heartbeats go on. */
+    @ParameterizedTest
+    @CsvSource({"true, 5900, 0", "true, 6100, 1", "false, 60000, 0"})
+    void shouldGiveTheLeaseUpWhenTheStoreAnswersButAppliesNothing(boolean storeAnswers, long ms, int expected) {
+        for (long passedMs = 0; passedMs < ms; passedMs += POLL_MS) {
+            timers.advance(POLL_MS);
+            lease.renewWhenDue(storeAnswers);
+        }
+
+        assertEquals(expected, lostReasons.size());
+    }
+
     @Test
     void shouldRenewWithEveryWriteAndRequireTheVersionOfTheLastOne() {
         write();
@@ -139,7 +151,7 @@
     void shouldKeepTheLeaseWhenTheReplyToOneRenewalIsLost() {
         while (calls.isEmpty()) {
             timers.advance(POLL_MS);
-            lease.renewWhenDue();
+            lease.renewWhenDue(true);
         }
         while (calls.size() == 1) {
             timers.advance(STORE_REPLY_MS);
