Earlier releases leave a job alone whose progress they cannot read

Fix: before a job's progress is compressed for the first time, the job's own row is, so that the earlier release ignores the job while it leads. The writing of batches is a class of its own, since Term and TermStore had two jobs.

--- a/entry/src/main/java/org/acaciafold/entry/RowCompression.java
+++ b/entry/src/main/java/org/acaciafold/entry/RowCompression.java
@@ -26,9 +26,16 @@
 
     /** Returns the value, compressed if it is too long for a row; it may still be too long then. */
     static byte[] compress(byte[] value) {
-        if (value.length <= Transaction.MAX_VALUE_BYTES) {
-            return value;
-        }
+        return value.length <= Transaction.MAX_VALUE_BYTES ? value : compressAlways(value);
+    }
+
+    /** Returns whether hosts of earlier releases cannot read a value. */
+    static boolean compressed(byte[] stored) {
+        return stored.length > 0 && stored[0] == MARK;
+    }
+
+    /** Returns the value compressed, however short it is. */
+    static byte[] compressAlways(byte[] value) {
         try (Deflater deflater = new Deflater(Deflater.BEST_SPEED)) {
             deflater.setInput(value);
             deflater.finish();
@@ -44,7 +51,7 @@
 
     /** Returns the value that was passed to {@link #compress}. */
     static byte[] decompress(byte[] stored) throws IOException {
-        if (stored.length == 0 || stored[0] != MARK) {
+        if (!compressed(stored)) {
             return stored;
         }
         try (Inflater inflater = new Inflater()) {
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -37,6 +37,7 @@
     private final Consumer<Map<String, JobState>> publish;
     private final JobWatch jobWatch;
     private final WorkerWatch workerWatch;
+    private final BatchWriter batches;
     private final JobLatencyRecorder latencies;
     private final TickLoadReporter loadReporter;
     private final TickThrottle throttle = new TickThrottle();
@@ -76,6 +77,7 @@
                 hosts,
                 lease.record().epoch(),
                 () -> scheduler.states());
+        this.batches = new BatchWriter(lease, host.termStore()::hideFromEarlierReleases, this::refused, this::saved);
         this.latencies = new JobLatencyRecorder(host.metrics());
         this.loadReporter = new TickLoadReporter(lease, host.metrics());
     }
@@ -257,7 +259,7 @@
             case Effect.Stop stop -> stop(stop);
             case Effect.RenewLease renewal -> renewLease(renewal);
             case Effect.Probe probe -> probe(probe);
-            case Effect.Save save -> TermStore.write(lease, save, this::refused, () -> saved(save.batch()));
+            case Effect.Save save -> batches.write(save);
             case Effect.Retire retire -> retire(retire);
             case Effect.RequestAdvice request -> requestAdvice(request);
             case Effect.Publish publish -> publish(publish.states());
@@ -345,10 +347,10 @@
     private void refused(Transaction.Write row) {
         host.metrics().rowRefused(row.table());
         apply(() -> {
-            switch (row.table()) {
-                case StoreRecords.PROGRESS -> scheduler.progressRefused(row.key());
-                case StoreRecords.WORKERS -> scheduler.claimsRefused(row.key());
-                default -> LOG.error("refused row of an unexpected table table={} key={}", row.table(), row.key());
+            if (row.table().equals(StoreRecords.PROGRESS)) {
+                scheduler.progressRefused(row.key());
+            } else {
+                scheduler.claimsRefused(row.key());
             }
         });
     }
--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -10,10 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-import java.util.stream.Stream;
 
-import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.Progress;
@@ -26,16 +23,15 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
-/** Reads the records of the slice when a term begins, and writes progress during the term. */
+/** Reads the records of the slice when a term begins, and replaces and removes those of ended jobs. */
 final class TermStore {
-    /** Keeps a transaction, together with the lease row, below the store's limit of 100 entries. */
-    private static final int ROWS_PER_TRANSACTION = 90;
-
-    /** Keeps a transaction below the same limit with up to two rows for each job. */
+    /** Keeps a transaction below the store's limit of 100 entries with up to two rows for each job. */
     private static final int JOBS_PER_TRANSACTION = 45;
 
     private final StoreAccess store;
     private final RecordReader records;
+    /** Jobs whose records hosts of earlier releases cannot read. */
+    private final Set<String> hidden = new HashSet<>();
 
     TermStore(StoreAccess store, RecordReader records) {
         this.store = store;
@@ -58,28 +54,14 @@
     }
 
     /**
-     * Writes the records of a batch.
+     * Compresses the records of jobs whose progress hosts of earlier releases cannot read. Such a host leaves the job
+     * alone while it leads; otherwise it would run the job from its start.
      *
-     * @param lease the lease, without which nothing is written
-     * @param save the batch
-     * @param onRefused receives each row that the store will never take
-     * @param then runs once all other rows are written
+     * @param jobs the jobs
+     * @return the jobs whose records have been compressed now
      */
-    static void write(LeaseKeeper lease, Effect.Save save, Consumer<Transaction.Write> onRefused, Runnable then) {
-        List<Transaction.Write> writes = new ArrayList<>();
-        save.progress()
-                .forEach((id, progress) ->
-                        writes.add(new Transaction.Write(StoreRecords.PROGRESS, id, StoreRecords.encode(progress))));
-        save.claims()
-                .forEach(worker -> writes.add(new Transaction.Write(
-                        StoreRecords.WORKERS, worker.id(), StoreRecords.encode(worker, WorkerClaims.class))));
-        List<Transaction.Removal> removals = Stream.concat(
-                        save.removedWorkers().stream()
-                                .map(worker -> new Transaction.Removal(StoreRecords.WORKERS, worker)),
-                        save.obsoleteProgress().stream()
-                                .map(job -> new Transaction.Removal(StoreRecords.PROGRESS, job)))
-                .toList();
-        write(lease, writes, removals, onRefused, then);
+    Flux<String> hideFromEarlierReleases(List<String> jobs) {
+        return Flux.fromIterable(jobs).filter(job -> !hidden.contains(job)).concatMap(this::hide);
     }
 
     /**
@@ -118,6 +100,27 @@
         return Flux.concat(cancellations.thenMany(Flux.empty()), records);
     }
 
+    private Mono<String> hide(String job) {
+        String partition = StoreRecords.partitionOf(StoreRecords.JOBS, job);
+        return store.readOne(StoreRecords.JOBS, partition, job)
+                .flatMap(row ->
+                        row.isEmpty() || RowCompression.compressed(row.get().value())
+                                ? Mono.just(true)
+                                : compressJob(partition, row.get()))
+                .filter(done -> done)
+                .map(done -> job)
+                .doOnNext(hidden::add);
+    }
+
+    /** Compresses a job's record; the result is true once no host of an earlier release reads it. */
+    private Mono<Boolean> compressJob(String partition, StoredRow row) {
+        return store.commit(Transaction.in(partition)
+                        .require(StoreRecords.JOBS, row.key(), row.version())
+                        .write(StoreRecords.JOBS, row.key(), RowCompression.compressAlways(row.value()))
+                        .build())
+                .map(TxReply.Applied.class::isInstance);
+    }
+
     private Flux<Set<String>> commitByPartition(
             String table, Collection<String> ids, BiConsumer<Transaction.Builder, String> add) {
         Map<String, List<String>> byPartition = new TreeMap<>();
@@ -139,21 +142,6 @@
         return Flux.concat(calls);
     }
 
-    private static void write(
-            LeaseKeeper lease,
-            List<Transaction.Write> writes,
-            List<Transaction.Removal> removals,
-            Consumer<Transaction.Write> onRefused,
-            Runnable then) {
-        int written = StoreRecords.fitting(writes, ROWS_PER_TRANSACTION, StoreRecords.SLICE);
-        int removed = Math.min(ROWS_PER_TRANSACTION - written, removals.size());
-        List<Transaction.Write> writesLeft = writes.subList(written, writes.size());
-        List<Transaction.Removal> removalsLeft = removals.subList(removed, removals.size());
-        boolean last = writesLeft.isEmpty() && removalsLeft.isEmpty();
-        Runnable next = last ? then : () -> write(lease, writesLeft, removalsLeft, onRefused, then);
-        lease.commit(writes.subList(0, written), removals.subList(0, removed), onRefused, next);
-    }
-
     private Loaded loaded(RowPage jobs, RowPage cancellations, RowPage progress, RowPage workers, long nowMs) {
         Set<String> cancelled = new HashSet<>();
         cancellations.rows().forEach(row -> cancelled.add(row.key()));
