--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -26,7 +26,6 @@
 final class Term {
     private static final Logger LOG = LoggerFactory.getLogger(Term.class);
     private static final long LOAD_RETRY_MS = 150;
-
     /** Added to the latency expected of a queue's advice, for the network and for calls that wait before it. */
     private static final long ADVICE_GRACE_MS = 800;
 
