A run is lost only by a report that lists all ends of its worker

Cause: a worker lists 500 ends at a time. A run that it neither lists as running nor among these was taken for lost, although its end follows once the first ones are acknowledged.

Fix: a report with 500 ends is incomplete. Until a complete one, runs that it does not name stay unknown, and the worker counts as unreconciled.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -65,7 +65,7 @@
         }
         worker.renewalInFlight = false;
         boolean unrecorded = applyReport(worker, report, requestedAtMs);
-        if (tables.unreconciled.remove(worker)) {
+        if (report.complete() && tables.unreconciled.remove(worker)) {
             LOG.info(
                     "worker reconciled worker={} runs={} unsettled={}",
                     worker.id,
@@ -183,7 +183,7 @@
         worker.answered(tables.nowMs);
         worker.clockMs = report.clockMs();
         boolean unrecorded = processEnds(worker, report.ends());
-        reconcileRuns(worker, report.running(), requestedAtMs);
+        reconcileRuns(worker, report, requestedAtMs);
         return unrecorded;
     }
 
@@ -217,7 +217,8 @@
                 run.stopRequested());
     }
 
-    private void reconcileRuns(WorkerRow worker, List<ReportedRun> running, long requestedAtMs) {
+    private void reconcileRuns(WorkerRow worker, WorkerReport report, long requestedAtMs) {
+        List<ReportedRun> running = report.running();
         Map<TaskName, ReportedRun> reported = new HashMap<>();
         running.forEach(reportedRun -> reported.put(reportedRun.task(), reportedRun));
         for (RunRow run : List.copyOf(worker.runs.values())) {
@@ -227,6 +228,9 @@
                 run.checkpoint = reportedRun.checkpoint().isEmpty() ? run.checkpoint : reportedRun.checkpoint();
             } else if (run.phase == RunPhase.CLAIMED) {
                 LOG.debug("run not ordered yet task={} run={}", run.task.name, run.number);
+            } else if (!report.complete()) {
+                // its end may be among those that are not listed yet
+                LOG.debug("run unknown task={} run={} worker={}", run.task.name, run.number, worker.id);
             } else if (run.provenAbsentIn(requestedAtMs)) {
                 ends.removeLostRun(run, "not in the worker report");
             } else if (startUnanswered(run, requestedAtMs)) {
