A claim is kept whatever the number of its run

Cause: numbers beyond those of one more term were taken for a damaged record.

Fix: every positive number is a claim. The next run has a higher number, as before; the numbers of a term only set where a task without a claim begins.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
@@ -32,7 +32,7 @@
         Map<TaskName, LatestClaim> latest = new HashMap<>();
         for (WorkerClaims record : workers) {
             for (WorkerClaims.Claim claim : record.claims()) {
-                if (claim.run() < 1 || claim.run() >= tables.firstRun + Tables.RUNS_PER_TERM) {
+                if (claim.run() < 1) {
                     LOG.warn("claim ignored task={} run={} worker={}", claim.task(), claim.run(), record.id());
                     continue;
                 }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
@@ -18,6 +18,8 @@
 import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.WorkerEntry;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.LIMITS;
@@ -63,6 +65,27 @@
         assertEquals("b", starts.getFirst().worker());
     }
 
+    /** Guards against a task that runs twice because it was restarted so often in one term that its claim was ignored. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 999, 1_000, 1_001, 1_999, 2_000, 2_001, 2_050, 1_000_000, Integer.MAX_VALUE - 1})
+    void shouldKeepAClaimWhateverTheNumberOfItsRun(int number) {
+        SchedulerFixture fixture = new SchedulerFixture(2);
+        Job job = fixture.job("job", step(1, 500).longRunning(true).build());
+        WorkerClaims claims = new WorkerClaims("a", "a:1", INCARNATION, List.of(new WorkerClaims.Claim(FIRST, number)));
+        fixture.scheduler.restore(
+                List.of(new StoredJob(job, Optional.empty(), false)), Map.of(), Set.of(), List.of(claims));
+        fixture.scheduler.updateRegistry(List.of(worker("a", 1_000), worker("b", 1_000)), true);
+        fixture.tick();
+        fixture.leaseRenewed("b", List.of(), List.of());
+        assertEquals(List.of(), fixture.starts());
+
+        fixture.leaseRenewed("a", List.of(), List.of(end(1, FIRST, number, EndKind.FAILED)));
+
+        assertEquals(
+                List.of(Math.max(number + 1, Tables.RUNS_PER_TERM + 1)),
+                fixture.starts().stream().map(Effect.Start::run).toList());
+    }
+
     @Test
     void shouldStartAClaimedTaskAgainOnlyWhenItsLeaseHasExpired() {
         SchedulerFixture fixture = secondTerm();
