A crash that was found late is no proof against the tasks on the worker

The job is shown as failed, though no worker crashed under it.

Cause: a crash counted as certain under each run that the last report listed, however long ago that was. A worker that owes an answer has not been heard since, so its runs may have ended before it went down.

A crash that breaks a connection is found at once and counts as before.

SimulatedFleet let a renewal fail at the moment when a run ended behind a cut, which told the leader of the end; it now runs into its timeout.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
@@ -109,7 +109,7 @@
             int together = wentDownTogether(worker, job);
             boolean seen = run.phase == RunPhase.RUNNING || run.orderedAtMs == 0;
             long ageMs = ageMs(run);
-            boolean certain = restarted && seen && !mayHaveEnded(run, ageMs);
+            boolean certain = restarted && seen && !worker.silentBeforeDown && !mayHaveEnded(run, ageMs);
             boolean nothingElse = certain
                     && together == 0
                     && run.orderedAtMs > 0
@@ -152,7 +152,7 @@
             LOG.info("no crash under task={} run={} worker={}", run.task.name, run.number, run.worker.id);
             return;
         }
-        boolean certain = run.phase == RunPhase.RUNNING;
+        boolean certain = run.phase == RunPhase.RUNNING && !run.worker.silentBeforeDown;
         if (crashes.add(new StepProgress.Crash(run.number, possible.ageMs(), certain, possible.together()))) {
             tables.unsaved(run.task.step.job);
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -21,6 +21,9 @@
     /** How long a failing worker gets no new work; the contract allows no task to wait longer than 3 s for it. */
     private static final long PAUSE_MS = 2_000;
 
+    /** Workers answer within milliseconds of the time until when a renewal lets them wait. */
+    private static final long MAX_ANSWER_MS = 100;
+
     final String id;
     final Map<TaskName, RunRow> runs = new HashMap<>();
     final Set<String> failedJobs = new HashSet<>();
@@ -67,6 +70,9 @@
     /** When the worker was last found silent or restarted; negative when it never was. */
     long downAtMs = -1;
 
+    /** True if the worker owed an answer when it was found down, so that its runs may have ended unheard before. */
+    boolean silentBeforeDown;
+
     /** The jobs that had runs on the worker at that time. */
     final Set<JobRow> jobsWhenDown = new HashSet<>();
 
@@ -158,6 +164,7 @@
     /** Records that the worker was found silent or restarted. */
     void wentDown(long nowMs) {
         downAtMs = nowMs;
+        silentBeforeDown = renewalSentAtMs > 0 && nowMs - renewalDueAtMs > MAX_ANSWER_MS;
         jobsWhenDown.clear();
         runs.values().forEach(run -> jobsWhenDown.add(run.task.step.job));
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -179,13 +179,16 @@
         }
         SimulatedWorker answering = worker.get();
         answering.renew(renewal);
-        replies.add(new Reply(fixture.nowMs + renewal.waitMs(), answering::hasEnds, () -> {
-            if (answering.reachable && workers.get(renewal.worker()) == answering) {
-                fixture.scheduler.leaseRenewed(renewal.worker(), answering.report(fixture.nowMs), requestedAtMs);
-            } else {
-                fixture.scheduler.leaseRenewalFailed(renewal.worker());
-            }
-        }));
+        replies.add(new Reply(
+                fixture.nowMs + renewal.waitMs(), () -> answering.reachable && answering.hasEnds(), () -> {
+                    if (answering.reachable && workers.get(renewal.worker()) == answering) {
+                        fixture.scheduler.leaseRenewed(
+                                renewal.worker(), answering.report(fixture.nowMs), requestedAtMs);
+                    } else {
+                        long timeoutMs = workers.containsValue(answering) ? ORDER_TIMEOUT_MS : 0;
+                        reply(timeoutMs, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker()));
+                    }
+                }));
     }
 
     private void probe(Effect.Probe probe) {
