--- a/entry/src/main/java/org/acaciafold/entry/SchedulingWarmUp.java
+++ b/entry/src/main/java/org/acaciafold/entry/SchedulingWarmUp.java
@@ -17,9 +17,13 @@
     /** Keeps the fleet of the rehearsal half full. */
     private static final int STEPS_PER_JOB = 2;
 
-    private final SchedulerRehearsal rehearsal = SchedulerRehearsal.create();
+    private SchedulerRehearsal rehearsal;
     private int steps;
 
+    SchedulingWarmUp() {
+        HostLogging.quietly(() -> rehearsal = SchedulerRehearsal.create());
+    }
+
     /** Runs one tick of the rehearsal. */
     void step() {
         HostLogging.quietly(() -> {
