--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/AdviceVerdictTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/AdviceVerdictTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
@@ -29,16 +30,7 @@
 
     private static WorkerEntry nextIncarnation(String id, long cpuMillis) {
         WorkerEntry entry = worker(id, cpuMillis);
-        return new WorkerEntry(
-                id,
-                entry.address(),
-                entry.domain(),
-                entry.service(),
-                entry.capacity(),
-                entry.labels(),
-                entry.rack(),
-                false,
-                INCARNATION + 5_000);
+        return changed(entry, entry.address(), false, INCARNATION + 5_000);
     }
 
     /** Guards against a worker that was down when advice was asked about it and is never asked about again. */
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/DrainSystemTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/DrainSystemTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
@@ -17,16 +18,7 @@
 
     private void drain(String id) {
         WorkerEntry entry = fleet.workers.get(id).entry;
-        fleet.workers.get(id).entry = new WorkerEntry(
-                id,
-                entry.address(),
-                entry.domain(),
-                entry.service(),
-                entry.capacity(),
-                entry.labels(),
-                entry.rack(),
-                true,
-                INCARNATION);
+        fleet.workers.get(id).entry = changed(entry, entry.address(), true, INCARNATION);
     }
 
     /** Guards against tasks that are stopped on a worker that could run them for seconds, and then wait. */
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndedBeforeCrashTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndedBeforeCrashTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
@@ -25,16 +26,7 @@
     private final SchedulerFixture fixture = fleet.fixture;
 
     private static WorkerEntry next(WorkerEntry entry) {
-        return new WorkerEntry(
-                entry.id(),
-                entry.address(),
-                entry.domain(),
-                entry.service(),
-                entry.capacity(),
-                entry.labels(),
-                entry.rack(),
-                false,
-                entry.incarnation() + 1);
+        return changed(entry, entry.address(), false, entry.incarnation() + 1);
     }
 
     private String awaitStart(int number) {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/LastingTaskTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/LastingTaskTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
@@ -83,16 +84,7 @@
         submitLasting("lasting", 500);
         fleet.run(1_000).with(worker("b", 4_000)).run(1_000);
         WorkerEntry entry = worker("a", 1_000);
-        fleet.workers.get("a").entry = new WorkerEntry(
-                "a",
-                entry.address(),
-                entry.domain(),
-                entry.service(),
-                entry.capacity(),
-                entry.labels(),
-                entry.rack(),
-                true,
-                INCARNATION);
+        fleet.workers.get("a").entry = changed(entry, entry.address(), true, INCARNATION);
         fleet.run(4_000 + offsetMs);
         fleet.leave("a");
         long leftAtMs = fixture.nowMs;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReplacedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReplacedWorkerTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.route;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
@@ -49,16 +50,7 @@
     }
 
     private static WorkerEntry at(String address, WorkerEntry entry) {
-        return new WorkerEntry(
-                entry.id(),
-                address,
-                entry.domain(),
-                entry.service(),
-                entry.capacity(),
-                entry.labels(),
-                entry.rack(),
-                false,
-                entry.incarnation());
+        return changed(entry, address, false, entry.incarnation());
     }
 
     private void startLastingOnA() {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
@@ -82,6 +82,20 @@
                 INCARNATION);
     }
 
+    /** Returns an entry of the same worker with another address, state or incarnation. */
+    static WorkerEntry changed(WorkerEntry entry, String address, boolean draining, long incarnation) {
+        return new WorkerEntry(
+                entry.id(),
+                address,
+                entry.domain(),
+                entry.service(),
+                entry.capacity(),
+                entry.labels(),
+                entry.rack(),
+                draining,
+                incarnation);
+    }
+
     /** Registers workers, answers one renewal of each with an empty report, and records them. */
     SchedulerFixture withWorkers(WorkerEntry... workers) {
         scheduler.updateRegistry(List.of(workers), true);
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnansweredEntriesTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnansweredEntriesTest.java
@@ -7,6 +7,7 @@
 import org.acaciafold.fleet.WorkerEntry;
 import org.junit.jupiter.api.Test;
 
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Guards against registry entries of another writer that no worker answers for. */
@@ -14,16 +15,7 @@
     private final SchedulerFixture fixture = new SchedulerFixture(1);
 
     private static WorkerEntry at(WorkerEntry entry, String address) {
-        return new WorkerEntry(
-                entry.id(),
-                address,
-                entry.domain(),
-                entry.service(),
-                entry.capacity(),
-                entry.labels(),
-                entry.rack(),
-                entry.draining(),
-                entry.incarnation());
+        return changed(entry, address, entry.draining(), entry.incarnation());
     }
 
     private List<String> renewedAt() {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerAddressTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerAddressTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -18,16 +19,7 @@
     private static final long RETRY_MS = 1_000;
 
     private static WorkerEntry moved(WorkerEntry entry) {
-        return new WorkerEntry(
-                entry.id(),
-                "new:1",
-                entry.domain(),
-                entry.service(),
-                entry.capacity(),
-                entry.labels(),
-                entry.rack(),
-                false,
-                INCARNATION + 1);
+        return changed(entry, "new:1", false, INCARNATION + 1);
     }
 
     private static List<String> addresses(List<Effect> effects) {
