A host that steps down leaves the lease to others again

Since hosts read the lease when heartbeats announce one that is too old, a leader that handed over read it at its next poll, found its own lease and could take it back, since it had heard no other leader for as long as it had led. Whether the leader can renew is now told by its heartbeats alone, and forgotten with a term.

--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -52,6 +52,9 @@
     private LeaseRecord leader;
     private long heartbeatReceivedAtMs = Long.MIN_VALUE / 2;
     private long announcedRenewalAtMs = Long.MIN_VALUE / 2;
+    /** True while the leader's heartbeats tell that it has not renewed its lease, of whatever length, in time. */
+    private boolean leaderCannotRenew;
+
     private long seenSequence = PeerMessage.States.NONE_SEEN;
     private boolean leaseCallInFlight;
     private boolean stopping;
@@ -228,6 +231,7 @@
         selection.recordLargest(beat.largest());
         heartbeatReceivedAtMs = host.loop().nowMs();
         announcedRenewalAtMs = heartbeatReceivedAtMs - beat.leaseAgeMs();
+        leaderCannotRenew = beat.leaseAgeMs() > LeaseKeeper.SLOW_LEASE_MS;
         leaseExpiry.leaseAnnounced(beat.leaseVersion(), received.leaseMs(), announcedRenewalAtMs);
         if (beat.running()) {
             pending.received(beat.pending(), heartbeatReceivedAtMs);
@@ -258,6 +262,7 @@
         seenSequence = PeerMessage.States.NONE_SEEN;
         // other hosts acquire the lease first, unless none does so within the heartbeat timeout
         heartbeatReceivedAtMs = host.loop().nowMs();
+        leaderCannotRenew = false;
     }
 
     private void poll() {
@@ -273,7 +278,7 @@
                 largerHostCheckedAtMs = nowMs;
                 reachability.query(selection.preferredLeader(nowMs).stream().toList(), epoch);
             }
-        } else if (!stopping && (sinceHeartbeatMs() > HEARTBEAT_TIMEOUT_MS || announcedLeaseExpired())) {
+        } else if (!stopping && (sinceHeartbeatMs() > HEARTBEAT_TIMEOUT_MS || leaderCannotRenew)) {
             readLease(Optional.empty());
         }
         if (nowMs - heartbeatSentAtMs >= (leads() ? LEADER_HEARTBEAT_MS : FOLLOWER_HEARTBEAT_MS)) {
@@ -350,11 +355,6 @@
         }
     }
 
-    /** Returns whether the leader's heartbeats tell that it has not renewed its lease, of whatever length, in time. */
-    private boolean announcedLeaseExpired() {
-        return host.loop().nowMs() - announcedRenewalAtMs > LeaseKeeper.SLOW_LEASE_MS;
-    }
-
     private long sinceHeartbeatMs() {
         return host.loop().nowMs() - heartbeatReceivedAtMs;
     }
