--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
@@ -16,7 +16,8 @@
     private ClaimRecovery() {}
 
     /**
-     * Adds the recorded workers, and a run for each task that may be running; it occupies capacity until its worker proves that it is absent.
+     * Adds the recorded workers, and a run for each task that may be running; it occupies capacity until its worker
+     * proves that it is absent.
      *
      * @param tables the tables, with all jobs
      * @param workers the recorded claims of the workers
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -159,8 +159,7 @@
     }
 
     /**
-     * Applies the answer of another worker to a call that was meant for a worker. It proves that the incarnation that
-     * had that address before has ended, with all its runs.
+     * Applies another worker's answer at a worker's address, which proves that this incarnation and its runs ended.
      *
      * @param worker the worker that the call was meant for
      * @param requestedAtMs when the call was sent, on the monotonic clock of this host
@@ -190,7 +189,7 @@
     }
 
     /**
-     * Drops the claims of the batch that is being recorded on a worker, since the store refuses their record for good.
+     * Drops the claims on a worker that are being recorded, since the store refuses their record for good.
      *
      * @param worker the worker
      */
