Logs tell why steps wait, and how much of a workspace's use is at work

Each step keeps the reason of the last tick. A line a second counts the waiting steps by reason, and for each workspace at its limit tells the account beside what is known of its runs: at work, not confirmed, on silent workers, and what no run explains.

No decision changes.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -1,7 +1,6 @@
 package org.acaciafold.fleet.scheduling;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -115,13 +114,14 @@
             StepRow step = entry.step();
             double usedShare = utilization.usedShare(service(step));
             if (entry.rank() == QueueOrder.Rank.EXPIRED && usedShare >= MAX_UTILIZATION_FOR_EXPIRED) {
+                step.waitReason = WaitReason.SERVICE_USED;
                 continue;
             }
             boolean blocked = !placeStep(step, placement, utilization);
             if (blocked && step.spec.gang() && waitingGangs < MAX_WAITING_GANGS && !step.adviceInFlight) {
                 waitingGangs++;
                 if (usedShare >= MIN_UTILIZATION_FOR_RESERVATIONS) {
-                    reserveForGang(step, placement);
+                    GangReservation.reserve(step, placement);
                 }
             } else if (blocked) {
                 preemption.preemptFor(entry, placement);
@@ -157,61 +157,61 @@
         return FleetUtilization.of(tables.workers.values());
     }
 
-    /**
-     * Reserves what a waiting gang needs on workers that will fit it once other tasks end, so that none start there
-     * meanwhile. A gang that fits nowhere reserves nothing.
-     */
-    private static void reserveForGang(StepRow step, Placement placement) {
-        List<FreeCapacity> ordered = new ArrayList<>(placement.usable(step));
-        ordered.removeIf(capacity -> Placement.vacanciesWhenReleased(step, capacity) == 0);
-        long fits = ordered.stream()
-                .mapToLong(capacity -> Placement.vacanciesWhenReleased(step, capacity))
-                .sum();
-        if (fits < step.spec.count()) {
-            return;
-        }
-        ordered.sort(Comparator.comparingLong(FreeCapacity::cpuMillis).reversed());
-        int missing = step.spec.count();
-        for (FreeCapacity capacity : ordered) {
-            int members = Math.min(missing, Placement.vacanciesWhenReleased(step, capacity));
-            capacity.reserve(step.spec.each(), members);
-            missing -= members;
-        }
-    }
-
     /** Starts the tasks that fit or requests advice for them; returns false when tasks have to wait for capacity. */
     private boolean placeStep(StepRow step, Placement placement, FleetUtilization utilization) {
         boolean canRequest = needsAdvice(step) && advice.canRequest(step);
         boolean searchesCandidates = !needsAdvice(step) || canRequest;
         boolean noAllowedWorkers = !searchesCandidates && !step.adviceInFlight && step.allowed.isEmpty();
         if (!step.spec.gang() && (noAllowedWorkers || searchesCandidates && !placement.fitsAnywhere(step))) {
+            step.waitReason = noAllowedWorkers ? reasonWithoutRequest(step) : WaitReason.NO_CAPACITY;
             return false;
         }
         List<TaskRow> tasks = WorkspaceLimits.startable(step, tables);
+        step.waitReason = WaitReason.WORKSPACE_LIMIT;
         if (tasks.isEmpty()) {
             return true;
         }
         if (step.spec.gang() && tasks.size() < step.spec.count()) {
+            step.waitReason = step.hasNoRuns() ? WaitReason.WORKSPACE_LIMIT : WaitReason.GANG_INCOMPLETE;
             stopIncompleteGang(step);
             return true;
         }
         step.incompleteSinceMs = -1;
         if (step.adviceInFlight) {
+            step.waitReason = WaitReason.ADVICE_CALL;
             reapplyReservations(step, placement);
             return true;
         }
         List<TaskRow> unplaced = startTasks(step, tasks, placement, utilization);
         if (unplaced.isEmpty() || !needsAdvice(step)) {
+            step.waitReason = reasonAfterStarts(step, unplaced);
             return unplaced.isEmpty();
         }
         if (canRequest) {
-            return planAdvice(step, unplaced, placement);
+            boolean requested = planAdvice(step, unplaced, placement);
+            step.waitReason = requested ? WaitReason.ADVICE_CALL : WaitReason.NO_CAPACITY;
+            return requested;
         }
+        step.waitReason = reasonWithoutRequest(step);
         // keeps less urgent steps from using the workers that the next request will include
         reserve(step, placement.choose(unplaced, placement.usable(step)));
         return !waitsForCapacity(step);
     }
 
+    private WaitReason reasonWithoutRequest(StepRow step) {
+        if (waitsForCapacity(step)) {
+            return WaitReason.NO_CAPACITY;
+        }
+        return tables.nowMs < step.adviceAfterMs ? WaitReason.ADVICE_PAUSE : WaitReason.NO_ADVICE_HOST;
+    }
+
+    private static WaitReason reasonAfterStarts(StepRow step, List<TaskRow> unplaced) {
+        if (!unplaced.isEmpty()) {
+            return WaitReason.NO_CAPACITY;
+        }
+        return step.hasWaitingTasks() ? WaitReason.WORKSPACE_LIMIT : WaitReason.NONE;
+    }
+
     /** Claims runs where capacity is free, and returns the tasks that did not fit. */
     private List<TaskRow> startTasks(
             StepRow step, List<TaskRow> tasks, Placement placement, FleetUtilization utilization) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -43,6 +43,8 @@
     long adviceAfterMs;
     /** True when the last attempt to request advice found no candidate workers. */
     boolean waitsForCapacity;
+    /** Why waiting tasks did not start in the last tick in which the step was ready. */
+    WaitReason waitReason = WaitReason.NONE;
 
     int remaining;
     long readyAtMs = -1;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
@@ -1,7 +1,12 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
+import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.Workspace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,6 +38,7 @@
             return;
         }
         nextAtMs = tables.nowMs + PERIOD_MS;
+        reportReasons(ready);
         int reported = 0;
         for (QueueOrder.Entry entry : ready) {
             boolean due = entry.step().hasWaitingTasks() && tables.nowMs - entry.step().readyAtMs >= MIN_WAIT_MS;
@@ -42,6 +48,39 @@
         }
     }
 
+    /** Reports how many steps wait for what, and the use of each workspace whose limit holds steps back. */
+    private void reportReasons(List<QueueOrder.Entry> ready) {
+        Map<WaitReason, Integer> counts = new EnumMap<>(WaitReason.class);
+        Map<String, Integer> limited = new TreeMap<>();
+        for (QueueOrder.Entry entry : ready) {
+            StepRow step = entry.step();
+            counts.merge(step.waitReason, 1, Integer::sum);
+            if (step.waitReason == WaitReason.WORKSPACE_LIMIT) {
+                limited.merge(step.job.job.workspace(), 1, Integer::sum);
+            }
+        }
+        if (!counts.isEmpty()) {
+            LOG.info("waiting steps={} reasons={}", ready.size(), counts);
+        }
+        limited.forEach(this::reportLimit);
+    }
+
+    private void reportLimit(String workspace, int steps) {
+        WorkspaceUse use = WorkspaceUse.of(workspace, tables);
+        LOG.info(
+                "workspace limit workspace={} steps={} limit={} used={} running={} unconfirmed={} silent={} surplus={}"
+                        + " config={}",
+                workspace,
+                steps,
+                tables.config.workspace(workspace).map(Workspace::limit).orElse(Resources.empty()),
+                tables.usedByWorkspace.getOrDefault(workspace, Resources.empty()),
+                use.running(),
+                use.unconfirmed(),
+                use.silent(),
+                use.surplus(),
+                tables.config.version());
+    }
+
     private boolean report(QueueOrder.Entry entry, Placement placement) {
         StepRow step = entry.step();
         long vacant = 0;
@@ -58,8 +97,8 @@
             return false;
         }
         LOG.info(
-                "step waits job={} step={}.{} tasks={} gang={} rank={} waitedMs={} vacant={} unreserved={} allowed={}"
-                        + " denied={} ticketed={} adviceInFlight={}",
+                "step waits job={} step={}.{} tasks={} gang={} rank={} waitedMs={} reason={} workspace={} vacant={}"
+                        + " unreserved={} allowed={} denied={} ticketed={} adviceInFlight={}",
                 step.job.job.id(),
                 step.occurrence,
                 step.index,
@@ -67,6 +106,8 @@
                 step.spec.gang(),
                 entry.rank(),
                 tables.nowMs - step.readyAtMs,
+                step.waitReason,
+                step.job.job.workspace(),
                 vacant,
                 unreserved,
                 step.allowed.size(),
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerTrace.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerTrace.java
@@ -32,9 +32,20 @@
         return text.toString();
     }
 
+    /** Returns why the first step of a job waits. */
+    static WaitReason waitReason(Scheduler scheduler, String job) {
+        return tables(scheduler).jobs.get(job).steps.getFirst().waitReason;
+    }
+
+    /** Returns what a workspace uses, by what is known of its runs. */
+    static WorkspaceUse use(Scheduler scheduler, String workspace) {
+        return WorkspaceUse.of(workspace, tables(scheduler));
+    }
+
     private static void describe(Tables tables, StepRow step, StringBuilder text) {
         text.append("\n  step ").append(step.index).append(" remaining=").append(step.remaining);
         text.append(" ready=").append(step.ready()).append(" since=").append(step.readyAtMs);
+        text.append(" reason=").append(step.waitReason);
         text.append(" advice: inFlight=").append(step.adviceInFlight).append(" after=");
         text.append(step.adviceAfterMs - tables.nowMs).append(" waits=").append(step.waitsForCapacity);
         text.append(" allowed=").append(step.allowed).append(" denied=").append(step.denied);
