Logs tell what the use of a service consists of that holds expired steps back

Whether the service is truly used is not in the logs: the use may be of workers that are lost or of runs that nobody has confirmed.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/FleetUtilization.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/FleetUtilization.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import org.acaciafold.core.model.Resources;
+import org.acaciafold.fleet.WorkerEntry;
 
 /** Measures how much of the CPU of each service's registered workers is used in a tick. */
 final class FleetUtilization {
@@ -15,18 +16,21 @@
     static FleetUtilization of(Collection<WorkerRow> workers) {
         FleetUtilization utilization = new FleetUtilization();
         for (WorkerRow worker : workers) {
-            // an entry that was never answered for may be one of another writer
-            if (worker.registered && (worker.lastContactAtMs >= 0 || worker.recorded)) {
-                worker.entry().ifPresent(entry -> {
-                    CpuUse use = utilization.byService.computeIfAbsent(entry.service(), service -> new CpuUse());
-                    use.totalMillis += entry.capacity().cpuMillis();
-                    use.usedMillis += worker.used.cpuMillis();
-                });
+            if (counts(worker)) {
+                WorkerEntry entry = worker.entry().orElseThrow();
+                CpuUse use = utilization.byService.computeIfAbsent(entry.service(), service -> new CpuUse());
+                use.totalMillis += entry.capacity().cpuMillis();
+                use.usedMillis += worker.used.cpuMillis();
             }
         }
         return utilization;
     }
 
+    /** Returns whether a worker counts; an entry that was never answered for may be one of another writer. */
+    static boolean counts(WorkerRow worker) {
+        return worker.registered && worker.entry().isPresent() && (worker.lastContactAtMs >= 0 || worker.recorded);
+    }
+
     /** Adds the CPU of tasks that were chosen to start on a service. */
     void add(String service, Resources each, int tasks) {
         CpuUse use = byService.get(service);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
@@ -3,7 +3,9 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Workspace;
@@ -52,17 +54,34 @@
     private void reportReasons(List<QueueOrder.Entry> ready) {
         Map<WaitReason, Integer> counts = new EnumMap<>(WaitReason.class);
         Map<String, Integer> limited = new TreeMap<>();
+        Set<String> usedServices = new TreeSet<>();
         for (QueueOrder.Entry entry : ready) {
             StepRow step = entry.step();
             counts.merge(step.waitReason, 1, Integer::sum);
             if (step.waitReason == WaitReason.WORKSPACE_LIMIT) {
                 limited.merge(step.job.job.workspace(), 1, Integer::sum);
+            } else if (step.waitReason == WaitReason.SERVICE_USED) {
+                usedServices.add(step.job.service());
             }
         }
         if (!counts.isEmpty()) {
             LOG.info("waiting steps={} reasons={}", ready.size(), counts);
         }
         limited.forEach(this::reportLimit);
+        usedServices.forEach(this::reportService);
+    }
+
+    private void reportService(String service) {
+        ServiceUse use = ServiceUse.of(service, tables);
+        LOG.info(
+                "service used service={} capacity={} used={} lasting={} unconfirmed={} silent={} silentCapacity={}",
+                service,
+                use.capacity(),
+                use.used(),
+                use.lasting(),
+                use.unconfirmed(),
+                use.silent(),
+                use.silentCapacity());
     }
 
     private void reportLimit(String workspace, int steps) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -103,6 +103,11 @@
         return address;
     }
 
+    /** Returns whether the worker has answered its last renewal. */
+    boolean answers() {
+        return lastContactAtMs >= 0 && missedRenewals == 0;
+    }
+
     /** Records that the worker has answered a call to its address. */
     void answered(long nowMs) {
         answeredAddress = address;
@@ -146,8 +151,8 @@
         }
         registered = true;
         // an incarnation that answers keeps its address, whatever another writer has put into its entry
-        boolean answers = lastContactAtMs >= 0 && missedRenewals == 0 && newEntry.incarnation() <= incarnation;
-        if (!answers && !newEntry.address().equals(address)) {
+        boolean answersThere = answers() && newEntry.incarnation() <= incarnation;
+        if (!answersThere && !newEntry.address().equals(address)) {
             moveTo(newEntry.address(), nowMs);
         }
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkspaceUse.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkspaceUse.java
@@ -17,12 +17,11 @@
         Resources unconfirmed = Resources.empty();
         Resources silent = Resources.empty();
         for (WorkerRow worker : tables.workers.values()) {
-            boolean answers = worker.lastContactAtMs >= 0 && worker.missedRenewals == 0;
             for (RunRow run : worker.runs.values()) {
                 if (!run.task.step.job.job.workspace().equals(workspace)) {
                     continue;
                 }
-                if (!answers) {
+                if (!worker.answers()) {
                     silent = silent.plus(run.resources);
                 } else if (run.phase == RunPhase.RUNNING) {
                     running = running.plus(run.resources);
