A new leader waits only for what is left of a silent worker's lease

Seen by callers: tasks that last, and second steps all of whose runs were on lost workers, stand still with most of the workers' capacity free (LOST).

Cause: the records tell which runs may be on a worker, and nothing of its lease. So each new leader assumes that its predecessor renewed it just before it ended, also for a worker that had been silent for 5 s, to which no lease is granted. Each takeover starts the 8.8 s anew, and the runs keep their room and their share of the workspace's limit meanwhile. Class of fault: a belief that is handed over without its age.

Why it works: while a worker is silent its record says by when its leases have expired, on the store's steady clock. The leader writes the latest time that this clock may show (a suspended machine is covered by the wall clock, as for its own lease), the successor counts from the earliest. A worker that answers again gets no lease and no order before a record without that time is confirmed. The record names its term, and only the next term trusts it, since a leader of an earlier release in between would not clear it; each leader writes it anew. Rows of earlier releases are read as before, and earlier releases read the new ones (RecordReaderTest).

--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -57,6 +57,10 @@
     private LeaseRecord record;
     private long version;
     private long renewalSentAtMs;
+    private long renewalSentAtWallMs;
+    /** What the store's clock showed when the last renewal was applied, in milliseconds; 0 when unknown. */
+    private long storeMs;
+
     private int attempts;
     private long lastRoundTripMs;
     private boolean commitInFlight;
@@ -69,6 +73,7 @@
         this.record = acquired.record();
         this.version = acquired.version();
         this.renewalSentAtMs = acquired.sentAtMs();
+        this.renewalSentAtWallMs = acquired.sentAtWallMs();
         this.onLost = onLost;
         validity.confirmed(
                 acquired.sentAtMs(), acquired.sentAtWallMs(), acquired.record().leaseMs());
@@ -87,6 +92,13 @@
         return version;
     }
 
+    /** Returns the latest time that the store's clock may show now, in milliseconds; 0 when unknown. */
+    long latestStoreMs() {
+        // a suspended machine's monotonic clock stands still
+        long elapsedMs = Math.max(loop.nowMs() - renewalSentAtMs, loop.wallMs() - renewalSentAtWallMs);
+        return storeMs == 0 ? 0 : storeMs + elapsedMs;
+    }
+
     /** Returns how long ago the last confirmed renewal was sent, in milliseconds. */
     long sinceRenewalMs() {
         return loop.nowMs() - renewalSentAtMs;
@@ -205,6 +217,8 @@
                     validity.confirmed(sent.sentAtMs, sent.sentAtWallMs, record.leaseMs());
                 }
                 renewalSentAtMs = sent.sentAtMs;
+                renewalSentAtWallMs = sent.sentAtWallMs;
+                storeMs = applied.storeMs();
                 commitInFlight = false;
                 queue.poll();
                 pending.onApplied.run();
--- a/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
+++ b/entry/src/main/java/org/acaciafold/entry/StoreAccess.java
@@ -165,11 +165,13 @@
                 .map(pages -> {
                     List<StoredRow> all = new ArrayList<>();
                     long version = Long.MAX_VALUE;
+                    long storeMs = 0;
                     for (RowPage page : pages) {
                         all.addAll(page.rows());
                         version = Math.min(version, page.version());
+                        storeMs = Math.max(storeMs, page.storeMs());
                     }
-                    return new RowPage(all, false, version);
+                    return new RowPage(all, false, version, storeMs);
                 });
     }
 
@@ -248,7 +250,7 @@
                 String next = page.rows().getLast().key() + "\u0001";
                 return readFrom(table, partition, next, collected, Optional.of(first));
             }
-            return Mono.just(new RowPage(collected, false, first));
+            return Mono.just(new RowPage(collected, false, first, page.storeMs()));
         });
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -39,6 +39,7 @@
     private final BatchWriter batches;
     private final JobLatencyRecorder latencies;
     private final TickLoadReporter loadReporter;
+    private long earliestStoreMs;
     private final TickThrottle throttle = new TickThrottle();
     private final StateBroadcaster broadcaster;
     private final FailFastRunner failFast;
@@ -70,12 +71,7 @@
         this.workerWatch =
                 new WorkerWatch(host, (entries, complete) -> apply(() -> scheduler.updateRegistry(entries, complete)));
         this.broadcaster = new StateBroadcaster(
-                host.name(),
-                host.loop(),
-                host.bus()::sendAll,
-                hosts,
-                lease.record().epoch(),
-                () -> scheduler.states());
+                host.name(), host.loop(), host.bus()::sendAll, hosts, epoch(), () -> scheduler.states());
         this.batches = new BatchWriter(lease, host.termStore()::hideFromEarlierReleases, this::refused, this::saved);
         this.latencies = new JobLatencyRecorder(host.metrics());
         this.loadReporter = new TickLoadReporter(lease, host.metrics());
@@ -96,10 +92,7 @@
                 .subscribe(
                         loaded -> host.loop().execute(() -> failFast.run(() -> restore(loaded, requestedAtMs))),
                         error -> {
-                            LOG.warn(
-                                    "records cannot be read epoch={} reason={}",
-                                    lease.record().epoch(),
-                                    error.getMessage());
+                            LOG.warn("records cannot be read epoch={} reason={}", epoch(), error.getMessage());
                             host.loop().after(LOAD_RETRY_MS, this::begin);
                         });
     }
@@ -158,10 +151,7 @@
     void cancel(String job) {
         apply(() -> {
             if (!scheduler.cancel(job)) {
-                LOG.warn(
-                        "cancellation of an unknown job job={} epoch={}",
-                        job,
-                        lease.record().epoch());
+                LOG.warn("cancellation of an unknown job job={} epoch={}", job, epoch());
             }
         });
     }
@@ -173,7 +163,7 @@
     }
 
     void adviceAnswered(String from, PeerMessage.AdviceGiven given) {
-        if (given.epoch() == lease.record().epoch()) {
+        if (given.epoch() == epoch()) {
             Optional<List<Grant>> grants = given.answered() ? Optional.of(given.grants()) : Optional.empty();
             apply(() -> scheduler.adviceAnswered(from, given.step(), grants));
         }
@@ -185,12 +175,12 @@
         }
         LOG.info(
                 "records read epoch={} jobs={} ended={} afterMs={}",
-                lease.record().epoch(),
+                epoch(),
                 loaded.jobs().size(),
                 loaded.ended().size(),
                 host.loop().nowMs() - requestedAtMs);
-        scheduler = Scheduler.create(
-                limits, lease.record().epoch(), host.config().config().orElseThrow());
+        scheduler = Scheduler.create(limits, epoch(), host.config().config().orElseThrow());
+        earliestStoreMs = loaded.storeMs();
         advance();
         configure();
         scheduler.restore(loaded.jobs(), loaded.ended(), loaded.awaitingRetirement(), loaded.workers());
@@ -203,8 +193,13 @@
         jobWatch.start(loaded);
     }
 
+    private long epoch() {
+        return lease.record().epoch();
+    }
+
     private void advance() {
         scheduler.advance(host.loop().nowMs(), host.loop().wallMs());
+        scheduler.storeClock(earliestStoreMs, lease.latestStoreMs());
     }
 
     private void scheduleTick() {
@@ -267,7 +262,7 @@
 
     private void requestAdvice(Effect.RequestAdvice request) {
         long timeoutMs = request.expectedMs() + ADVICE_GRACE_MS;
-        long epoch = lease.record().epoch();
+        long epoch = epoch();
         if (request.host().equals(host.name())) {
             host.requestAdvice(
                     request.step(),
@@ -287,7 +282,7 @@
     private void renewLease(Effect.RenewLease renewal) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .renewLease(renewal, lease.record().epoch())
+                .renewLease(renewal, epoch())
                 .subscribe(
                         report -> applyLater(() -> {
                             host.metrics().order("hold", "ANSWERED", host.loop().nowMs() - requestedAtMs);
@@ -303,9 +298,7 @@
     private void probe(Effect.Probe probe) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .renewLease(
-                        new Effect.RenewLease(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0),
-                        lease.record().epoch())
+                .renewLease(new Effect.RenewLease(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0), epoch())
                 .subscribe(
                         report -> applyLater(() -> scheduler.probed(probe.worker(), report, requestedAtMs)),
                         error -> applyLater(() -> {
@@ -325,10 +318,7 @@
     }
 
     private void logFenced(String worker) {
-        LOG.error(
-                "worker rejected the fencing token worker={} epoch={}",
-                worker,
-                lease.record().epoch());
+        LOG.error("worker rejected the fencing token worker={} epoch={}", worker, epoch());
     }
 
     private void publish(Map<String, JobState> states) {
@@ -364,7 +354,7 @@
             return;
         }
         long requestedAtMs = host.loop().nowMs();
-        host.workers().start(start, lease.record().epoch()).subscribe(outcome -> {
+        host.workers().start(start, epoch()).subscribe(outcome -> {
             host.metrics().order("start", outcome.name(), host.loop().nowMs() - requestedAtMs);
             applyLater(() -> scheduler.started(start.worker(), start.task(), start.run(), outcome));
         });
@@ -373,7 +363,7 @@
     private void stop(Effect.Stop stop) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .stop(stop, lease.record().epoch())
+                .stop(stop, epoch())
                 .subscribe(outcome -> applyLater(() -> {
                     host.metrics().order("stop", outcome.name(), host.loop().nowMs() - requestedAtMs);
                     if (outcome == StopOutcome.FENCED) {
--- a/entry/src/main/java/org/acaciafold/entry/TermStore.java
+++ b/entry/src/main/java/org/acaciafold/entry/TermStore.java
@@ -172,7 +172,8 @@
         }
         List<WorkerClaims> claims = new ArrayList<>();
         workers.rows().forEach(row -> records.claims(row).ifPresent(claims::add));
-        return new Loaded(stored, ended, awaitingRetirement, claims, jobs.version(), cancellations.version());
+        return new Loaded(
+                stored, ended, awaitingRetirement, claims, jobs.version(), cancellations.version(), workers.storeMs());
     }
 
     /**
@@ -184,6 +185,7 @@
      * @param workers the claims of the workers on which runs may exist
      * @param jobsVersion the version after which to read changes of the jobs table
      * @param cancellationsVersion the version after which to read changes of the cancellations table
+     * @param storeMs what the store's clock showed when the claims were read, in milliseconds; 0 when unknown
      */
     record Loaded(
             List<StoredJob> jobs,
@@ -191,5 +193,6 @@
             Set<String> awaitingRetirement,
             List<WorkerClaims> workers,
             long jobsVersion,
-            long cancellationsVersion) {}
+            long cancellationsVersion,
+            long storeMs) {}
 }
--- a/entry/src/test/java/org/acaciafold/entry/BatchWriterTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/BatchWriterTest.java
@@ -33,7 +33,7 @@
 
     private Mono<TxReply> commit(Transaction transaction, long timeoutMs) {
         transactions.add(transaction);
-        return Mono.just(new TxReply.Applied(10L + transactions.size()));
+        return Mono.just(new TxReply.Applied(10L + transactions.size(), 0));
     }
 
     private Flux<String> hide(List<String> jobs) {
--- a/entry/src/test/java/org/acaciafold/entry/ConfigWatchTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/ConfigWatchTest.java
@@ -166,7 +166,7 @@
         @Override
         public Mono<RowPage> readAll(String table, String partition) {
             timers.advance(initialReadMs);
-            return Mono.just(new RowPage(List.of(row(1)), false, 1));
+            return Mono.just(new RowPage(List.of(row(1)), false, 1, 0));
         }
 
         @Override
--- a/entry/src/test/java/org/acaciafold/entry/JobWatchTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/JobWatchTest.java
@@ -67,7 +67,7 @@
     }
 
     private static TermStore.Loaded loaded(List<StoredJob> jobs, long jobsVersion, long cancellationsVersion) {
-        return new TermStore.Loaded(jobs, Map.of(), Set.of(), List.of(), jobsVersion, cancellationsVersion);
+        return new TermStore.Loaded(jobs, Map.of(), Set.of(), List.of(), jobsVersion, cancellationsVersion, 0);
     }
 
     @ParameterizedTest
--- a/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -74,7 +74,7 @@
                 calls.get(i).answer(new TxReply.Refused("status 400"));
             } else {
                 taken.addAll(keys);
-                calls.get(i).answer(new TxReply.Applied(11 + i));
+                calls.get(i).answer(new TxReply.Applied(11 + i, 0));
             }
         }
         return taken;
@@ -129,10 +129,29 @@
         assertEquals(expected, lostReasons.size());
     }
 
+    /** Guards against a time that the store's clock has passed already, so that the next leader ends a lease too early. */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 0, 5000, 5070",
+        "300, 0, 5000, 5370",
+        "300, 900, 5000, 6270",
+        "300, -900, 5000, 5370",
+        "300, 0, 0, 0"
+    })
+    void shouldTellTheLatestTimeOfTheStoresClock(long passedMs, long suspendedMs, long storeMs, long latestMs) {
+        write();
+        timers.advance(70);
+        calls.getFirst().answer(new TxReply.Applied(11, storeMs));
+        timers.advance(passedMs);
+        timers.suspend(suspendedMs);
+
+        assertEquals(latestMs, lease.latestStoreMs());
+    }
+
     @Test
     void shouldRenewWithEveryWriteAndRequireTheVersionOfTheLastOne() {
         write();
-        calls.getFirst().answer(new TxReply.Applied(11));
+        calls.getFirst().answer(new TxReply.Applied(11, 0));
         write();
 
         assertEquals(1, applied);
@@ -159,7 +178,7 @@
         timers.advance(STORE_REPLY_MS);
         assertTrue(lease.mayCommand());
 
-        calls.get(1).answer(new TxReply.Applied(11));
+        calls.get(1).answer(new TxReply.Applied(11, 0));
 
         assertTrue(lease.mayCommand());
         assertTrue(lease.sinceRenewalMs() < LeaseKeeper.LEASE_MS);
@@ -172,7 +191,7 @@
         timers.advance(420);
         assertEquals(3, calls.size());
 
-        calls.getFirst().answer(new TxReply.Applied(11));
+        calls.getFirst().answer(new TxReply.Applied(11, 0));
         calls.get(1).answer(conflict(LEASE, 11));
 
         assertEquals(1, applied);
@@ -184,7 +203,7 @@
     void shouldResendLaterWhenTheStoreHasBecomeSlow() {
         write();
         timers.advance(720);
-        calls.getFirst().answer(new TxReply.Applied(11));
+        calls.getFirst().answer(new TxReply.Applied(11, 0));
         int before = calls.size();
 
         write();
@@ -199,10 +218,10 @@
     void shouldRenewForLongerWhenTheStoreIsSlow(long answerMs, long leaseMs) {
         write();
         timers.advance(answerMs);
-        calls.getFirst().answer(new TxReply.Applied(11));
+        calls.getFirst().answer(new TxReply.Applied(11, 0));
         write();
         long sentAtMs = timers.nowMs();
-        calls.getLast().answer(new TxReply.Applied(12));
+        calls.getLast().answer(new TxReply.Applied(12, 0));
 
         assertEquals(leaseMs, lease.record().leaseMs());
         timers.advance(sentAtMs + leaseMs - 1 - timers.nowMs());
@@ -216,7 +235,7 @@
     void shouldKeepTheResendDelayWithinItsBounds(long answerMs, long repeatMs) {
         write();
         timers.advance(answerMs);
-        calls.getFirst().answer(new TxReply.Applied(11));
+        calls.getFirst().answer(new TxReply.Applied(11, 0));
         int before = calls.size();
 
         write();
@@ -235,7 +254,7 @@
 
         assertEquals(0, applied);
         assertEquals(12, calls.get(2).transaction.conditions().getFirst().version());
-        calls.get(2).answer(new TxReply.Applied(13));
+        calls.get(2).answer(new TxReply.Applied(13, 0));
         assertEquals(1, applied);
     }
 
@@ -256,9 +275,9 @@
         lease.release(() -> released.add("released"));
         assertFalse(lease.mayCommand());
 
-        calls.getFirst().answer(new TxReply.Applied(11));
+        calls.getFirst().answer(new TxReply.Applied(11, 0));
         assertEquals(2, calls.size());
-        calls.get(1).answer(new TxReply.Applied(12));
+        calls.get(1).answer(new TxReply.Applied(12, 0));
 
         assertEquals(List.of("released"), released);
         byte[] row = calls.get(1).transaction.writes().getFirst().value();
--- a/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
@@ -119,6 +119,21 @@
         assertEquals(Optional.empty(), reader.claims(row("w2", value)));
     }
 
+    /** Guards against claims that a leader of another release cannot read, so that a task would run twice. */
+    @Test
+    void shouldReadClaimsOfAnEarlierReleaseAndWriteClaimsThatItReads() {
+        EarlierClaims earlier =
+                new EarlierClaims("w1", "10.0.0.1:80", 7, claims("w1").claims());
+        WorkerClaims silent = new WorkerClaims(
+                "w1", "10.0.0.1:80", 7, earlier.claims, Optional.of(new WorkerClaims.Silence(3, 90_000)));
+        byte[] earlierRow = StoreRecords.encode(earlier, EarlierClaims.class);
+        byte[] silentRow = StoreRecords.encode(silent, WorkerClaims.class);
+
+        assertEquals(Optional.of(claims("w1")), reader.claims(row("w1", earlierRow)));
+        assertEquals(Optional.of(silent), reader.claims(row("w1", silentRow)));
+        assertEquals(Optional.of(earlier), StoreRecords.decode(row("w1", silentRow), EarlierClaims.class));
+    }
+
     @Test
     void shouldCountARowOnceHoweverOftenItIsRead() {
         for (int i = 0; i < 5; i++) {
@@ -128,4 +143,7 @@
 
         assertTrue(metrics.scrape().contains(COUNTED + "2.0"), metrics.scrape());
     }
+
+    /** The record of a worker before it said whether the worker is silent. */
+    private record EarlierClaims(String id, String address, long bornMs, List<WorkerClaims.Claim> claims) {}
 }
--- a/entry/src/test/java/org/acaciafold/entry/StoreRelayTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/StoreRelayTest.java
@@ -121,7 +121,7 @@
         @Override
         public Mono<RowPage> readAll(String table, String partition) {
             byte[] body = "{\"version\":1,\"routes\":[],\"tenants\":[]}".getBytes(UTF_8);
-            return Mono.just(new RowPage(List.of(new StoredRow("op", "", "config", body, 1, false)), false, 1));
+            return Mono.just(new RowPage(List.of(new StoredRow("op", "", "config", body, 1, false)), false, 1, 0));
         }
 
         @Override
--- a/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * The durable record of the runs that may be on a worker; it is written before an order to start is sent.
@@ -10,8 +11,9 @@
  * @param address the address of the worker's agent
  * @param bornMs the incarnation of the worker: its start time in milliseconds since 1970; 0 when unknown
  * @param claims the runs that may be on the worker; may include runs that have ended since
+ * @param silence when its leases have expired, while the leader grants none; empty while it may grant some
  */
-public record WorkerClaims(String id, String address, long bornMs, List<Claim> claims) {
+public record WorkerClaims(String id, String address, long bornMs, List<Claim> claims, Optional<Silence> silence) {
     /** The most runs that may be on a worker, so that their record fits in a row of the store. */
     public static final int MAX_CLAIMS = 2_500;
 
@@ -20,6 +22,20 @@
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(address, "address");
         claims = List.copyOf(claims);
+        // rows of earlier releases lack it
+        silence = silence == null ? Optional.empty() : silence;
+    }
+
+    /**
+     * Creates the record of a worker to which the leader may grant leases.
+     *
+     * @param id the worker's identifier
+     * @param address the address of the worker's agent
+     * @param bornMs the incarnation of the worker; 0 when unknown
+     * @param claims the runs that may be on the worker
+     */
+    public WorkerClaims(String id, String address, long bornMs, List<Claim> claims) {
+        this(id, address, bornMs, claims, Optional.empty());
     }
 
     /**
@@ -34,4 +50,12 @@
             Objects.requireNonNull(task, "task");
         }
     }
+
+    /**
+     * The silence of a worker, to which its leader grants no lease before the record says so.
+     *
+     * @param epoch the term of that leader; a leader of an earlier release, which may have led since, knows no silences
+     * @param leaseEndsMs when all leases of the worker have expired, on the store's clock
+     */
+    public record Silence(long epoch, long leaseEndsMs) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
@@ -27,7 +27,9 @@
             WorkerRow row = tables.workers.computeIfAbsent(
                     known.id(), id -> new WorkerRow(id, known.address(), known.bornMs()));
             row.recorded = true;
-            row.predecessorLeaseEndsAtMs = tables.nowMs + tables.limits.predecessorLeaseMs();
+            long leaseMs = SilenceSystem.predecessorLeaseMs(known, tables);
+            row.predecessorLeaseEndsAtMs = tables.nowMs + leaseMs;
+            row.silentBefore = leaseMs < tables.limits.predecessorLeaseMs();
             tables.unreconciled.add(row);
         }
         Map<TaskName, LatestClaim> latest = new HashMap<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Eligibility.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Eligibility.java
@@ -16,6 +16,7 @@
         return worker.registered
                 && worker.missedRenewals == 0
                 && !worker.suspect
+                && !worker.silenceRecorded
                 && worker.lastContactAtMs >= 0
                 && tables.nowMs - worker.lastContactAtMs <= MAX_CONTACT_AGE_MS
                 && tables.nowMs >= worker.pausedUntilMs
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/EndSystem.java
@@ -53,6 +53,12 @@
         tables.end(run);
     }
 
+    /** Ends a job whose progress the store refuses for good. */
+    void progressRefused(JobRow job) {
+        LOG.error("job ended job={} reason=its progress is too large for a row of the store", job.job.id());
+        giveUp(job);
+    }
+
     /** Ends a job of which a task must not be started any more. */
     void giveUp(JobRow job) {
         tables.unsaved(job);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -26,6 +26,9 @@
     private final Tables tables;
     private final List<JobRow> jobsInBatch = new ArrayList<>();
     private final List<RunRow> runsInBatch = new ArrayList<>();
+    /** Workers whose records say in the present batch that they may get leases again. */
+    private final List<WorkerRow> answeringInBatch = new ArrayList<>();
+
     private final List<String> removedWorkers = new ArrayList<>();
 
     SaveSystem(Tables tables) {
@@ -38,6 +41,7 @@
 
     void run(List<Effect> effects) {
         boolean nothingToSave = tables.claimed.isEmpty()
+                && tables.silenceChanged.isEmpty()
                 && tables.unsaved.isEmpty()
                 && removedWorkers.isEmpty()
                 && tables.obsoleteProgress.isEmpty();
@@ -65,6 +69,11 @@
         jobsInBatch.clear();
         tables.startable.addAll(runsInBatch);
         runsInBatch.clear();
+        for (WorkerRow worker : answeringInBatch) {
+            worker.silenceRecorded = false;
+            worker.nextRenewalAtMs = tables.nowMs;
+        }
+        answeringInBatch.clear();
         for (WorkerRow worker : tables.workers.values()) {
             if (worker.acknowledgeAfterBatch >= 0 && worker.acknowledgeAfterBatch <= batch) {
                 worker.acknowledgeAfterBatch = -1;
@@ -77,6 +86,7 @@
     /** Drops the claims of the present batch on a worker, which gets no tasks for a while. */
     void claimsRefused(WorkerRow worker) {
         worker.refusedUntilMs = tables.nowMs + CLAIMS_REFUSED_PAUSE_MS;
+        answeringInBatch.remove(worker);
         runsInBatch.removeIf(run -> {
             if (run.worker != worker) {
                 return false;
@@ -92,8 +102,20 @@
         tables.claimed.forEach(run -> workers.add(run.worker));
         runsInBatch.addAll(tables.claimed);
         tables.claimed.clear();
-        workers.forEach(worker -> worker.recorded = true);
-        return workers.stream().map(WorkerRow::claims).toList();
+        workers.addAll(tables.silenceChanged);
+        tables.silenceChanged.clear();
+        return workers.stream().map(this::record).toList();
+    }
+
+    private WorkerClaims record(WorkerRow worker) {
+        WorkerClaims record = SilenceSystem.record(worker, tables);
+        worker.recorded = true;
+        if (record.silence().isPresent()) {
+            worker.silenceRecorded = true;
+        } else if (worker.silenceRecorded) {
+            answeringInBatch.add(worker);
+        }
+        return record;
     }
 
     private List<String> obsoleteProgress() {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -49,6 +49,7 @@
     private final StopSystem stops;
     private final AdviceSystem advice;
     private final StartSystem starts;
+    private final SilenceSystem silences;
     private final SaveSystem saves;
     private final RetireSystem retirements;
     private final RecurrenceSystem recurrence;
@@ -62,6 +63,7 @@
         this.stops = new StopSystem(tables);
         this.advice = new AdviceSystem(tables);
         this.starts = new StartSystem(tables, advice);
+        this.silences = new SilenceSystem(tables);
         this.saves = new SaveSystem(tables);
         this.retirements = new RetireSystem(tables);
         this.recurrence = new RecurrenceSystem(tables);
@@ -133,16 +135,7 @@
      * @return false when the job is not known
      */
     public boolean cancel(String id) {
-        JobRow job = tables.jobs.get(id);
-        if (job == null) {
-            return tables.endedJobs.containsKey(id);
-        }
-        if (!job.cancelled && !job.state.ended()) {
-            job.cancelled = true;
-            tables.changedStates.put(id, JobState.CANCELLED);
-            LOG.info("job cancelled job={} runs={}", id, !job.hasNoRuns());
-        }
-        return true;
+        return tables.cancel(id);
     }
 
     /**
@@ -203,11 +196,7 @@
      * @param job the job
      */
     public void progressRefused(String job) {
-        JobRow row = tables.jobs.get(job);
-        if (row != null && row.active()) {
-            LOG.error("job ended job={} reason=its progress is too large for a row of the store", job);
-            ends.giveUp(row);
-        }
+        Optional.ofNullable(tables.jobs.get(job)).filter(JobRow::active).ifPresent(ends::progressRefused);
     }
 
     /**
@@ -315,10 +304,8 @@
      */
     public void started(String worker, TaskName task, int run, StartOutcome outcome) {
         run(worker, task, run).ifPresent(row -> starts.answered(row, outcome));
-        JobRow job = tables.jobs.get(task.job());
-        if (outcome == StartOutcome.STARTED && job != null && job.state == JobState.QUEUED && job.active()) {
-            job.state = JobState.RUNNING;
-            tables.changedStates.put(task.job(), JobState.RUNNING);
+        if (outcome == StartOutcome.STARTED) {
+            tables.started(task.job());
         }
     }
 
@@ -331,6 +318,17 @@
         return tables.states();
     }
 
+    /**
+     * Sets what the store's clock may show now.
+     *
+     * @param earliestMs the earliest time, in milliseconds
+     * @param latestMs the latest time; 0 when unknown
+     */
+    public void storeClock(long earliestMs, long latestMs) {
+        tables.earliestStoreMs = earliestMs;
+        tables.latestStoreMs = latestMs;
+    }
+
     /**
      * Applies the answer to an order to stop a run.
      *
@@ -368,6 +366,7 @@
         starts.run();
         advice.run(effects);
         workerLeases.run(effects);
+        silences.run();
         saves.run(effects);
         retirements.run(effects);
         if (!tables.changedStates.isEmpty()) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -19,9 +19,13 @@
 import org.acaciafold.fleet.FleetSummary;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.TaskName;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The tables that the systems of the scheduler share. */
 final class Tables {
+    private static final Logger LOG = LoggerFactory.getLogger(Tables.class);
+
     final SchedulerLimits limits;
     /** A task has fewer runs than this in one term, so that run numbers of the next term start above them. */
     static final int RUNS_PER_TERM = 1_000;
@@ -53,6 +57,8 @@
     final List<RunRow> claimed = new ArrayList<>();
     /** Runs whose claims are recorded and whose start orders can be sent. */
     final List<RunRow> startable = new ArrayList<>();
+    /** Workers whose records do not say yet whether they are silent. */
+    final Set<WorkerRow> silenceChanged = new LinkedHashSet<>();
 
     final Set<String> evacuatedDomains = new HashSet<>();
     /** Orders to stop orphans. */
@@ -64,6 +70,10 @@
     boolean saving;
     long nowMs;
     long wallMs;
+    /** The earliest and the latest time that the store's clock may show now; 0 when unknown. */
+    long earliestStoreMs;
+
+    long latestStoreMs;
 
     Tables(SchedulerLimits limits, int firstRun, FleetConfig config) {
         this.limits = limits;
@@ -110,6 +120,34 @@
         return false;
     }
 
+    /** Returns the number of the term. */
+    long epoch() {
+        return (firstRun - 1) / RUNS_PER_TERM + 1;
+    }
+
+    /** Records that a task of a job has started. */
+    void started(String id) {
+        JobRow job = jobs.get(id);
+        if (job != null && job.state == JobState.QUEUED && job.active()) {
+            job.state = JobState.RUNNING;
+            changedStates.put(id, JobState.RUNNING);
+        }
+    }
+
+    /** Cancels a job; returns false when it is not known. */
+    boolean cancel(String id) {
+        JobRow job = jobs.get(id);
+        if (job == null) {
+            return endedJobs.containsKey(id);
+        }
+        if (!job.cancelled && !job.state.ended()) {
+            job.cancelled = true;
+            changedStates.put(id, JobState.CANCELLED);
+            LOG.info("job cancelled job={} runs={}", id, !job.hasNoRuns());
+        }
+        return true;
+    }
+
     /** Returns the states of all known jobs as reported to clients. */
     Map<String, JobState> states() {
         Map<String, JobState> states = new LinkedHashMap<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -268,8 +268,8 @@
         worker.renewalSuspected = false;
         worker.renewalSentAtMs = tables.nowMs;
         // a worker that missed renewals is polled without a new lease, so that its lease can expire
-        OptionalLong leaseUntil =
-                worker.missedRenewals == 0 ? worker.lease(tables.nowMs, tables.limits.leaseMs()) : OptionalLong.empty();
+        boolean mayHold = worker.missedRenewals == 0 && !worker.silenceRecorded;
+        OptionalLong leaseUntil = mayHold ? worker.lease(tables.nowMs, tables.limits.leaseMs()) : OptionalLong.empty();
         leaseUntil.ifPresent(lease -> worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, lease));
         boolean withoutLease = leaseUntil.isEmpty();
         boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -65,6 +65,12 @@
     long probeAtMs = Long.MAX_VALUE;
 
     long predecessorLeaseEndsAtMs = -1;
+    /** True if the worker was silent when the last term ended. */
+    boolean silentBefore;
+
+    /** True while the record of the worker may say that it is silent; it gets no lease meanwhile. */
+    boolean silenceRecorded;
+
     long pausedUntilMs = -1;
     long refusedUntilMs = -1;
     /** When the worker was last found silent or restarted; negative when it never was. */
@@ -103,6 +109,11 @@
         return address;
     }
 
+    /** Returns whether the worker gets no leases since it does not answer. */
+    boolean silent() {
+        return missedRenewals > 0 || silentBefore && lastContactAtMs < 0;
+    }
+
     /** Returns whether the worker has answered its last renewal. */
     boolean answers() {
         return lastContactAtMs >= 0 && missedRenewals == 0;
@@ -217,15 +228,20 @@
 
     /** Returns whether all leases ever granted to the worker have provably expired. */
     boolean leaseExpired(long nowMs) {
+        boolean everGranted = lastContactAtMs >= 0 || predecessorLeaseEndsAtMs >= 0;
+        return incarnationEnded || everGranted && nowMs >= leasesExpiredAtMs(nowMs);
+    }
+
+    /** Returns when all leases ever granted to the worker have provably expired, on the clock of this host. */
+    long leasesExpiredAtMs(long nowMs) {
         if (incarnationEnded) {
-            return true;
+            return nowMs;
         }
         if (lastContactAtMs < 0) {
-            return predecessorLeaseEndsAtMs >= 0 && nowMs >= predecessorLeaseEndsAtMs;
+            return predecessorLeaseEndsAtMs;
         }
-        double slowestClockMs = clockMs + (nowMs - lastContactAtMs) * SchedulerLimits.SLOWEST_CLOCK;
-        boolean ownLeaseExpired = slowestClockMs >= leaseEndsAtMs + SchedulerLimits.CLOCK_MARGIN_MS;
-        return ownLeaseExpired && nowMs >= predecessorLeaseEndsAtMs;
+        double longestMs = (leaseEndsAtMs + SchedulerLimits.CLOCK_MARGIN_MS - clockMs) / SchedulerLimits.SLOWEST_CLOCK;
+        return Math.max((long) Math.ceil(lastContactAtMs + longestMs), predecessorLeaseEndsAtMs);
     }
 
     void remove(RunRow run) {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
@@ -82,7 +82,8 @@
                 : record.claims().stream().map(WorkerClaims.Claim::task).toList();
     }
 
-    void restore(Scheduler leader, long wallMs) {
+    void restore(Scheduler leader, long nowMs, long wallMs) {
+        leader.storeClock(nowMs, nowMs);
         Map<String, EndedJob> ended = new HashMap<>(retired);
         Set<String> awaitingRetirement = new HashSet<>();
         List<StoredJob> stored = new ArrayList<>();
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -176,6 +176,7 @@
         oracle.crashes.advance(fleet.workers.values(), faults, nowMs);
         if (leader != null) {
             leader.advance(nowMs, WALL_MS + nowMs);
+            leader.storeClock(nowMs, nowMs);
             if (nowMs % Fleet.READ_PERIOD_MS == 0 && !store.away(nowMs)) {
                 leader.updateRegistry(fleet.registered(), store.complete(nowMs));
             }
@@ -253,7 +254,7 @@
         paused = false;
         leader.advance(nowMs, WALL_MS + nowMs);
         configure();
-        store.restore(leader, WALL_MS + nowMs);
+        store.restore(leader, nowMs, WALL_MS + nowMs);
         faultInjection.leaderReplaced();
         publish(leader.states());
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -18,6 +18,7 @@
 import org.acaciafold.fleet.StepName;
 import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.WorkerEntry;
 import org.acaciafold.fleet.WorkerReport;
 
@@ -32,6 +33,9 @@
     final SchedulerFixture fixture;
     final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
     final List<Started> started = new ArrayList<>();
+    /** The records of the workers in the store. */
+    final Map<String, WorkerClaims> claims = new LinkedHashMap<>();
+
     final List<Effect.RequestAdvice> adviceCalls = new ArrayList<>();
     /** Whether advice allows a step on a worker; tickets are valid for one incarnation of the worker. */
     BiPredicate<StepName, String> allows = (step, worker) -> true;
@@ -85,6 +89,7 @@
                 fixture.scheduler.updateRegistry(entries, true);
             }
             deliverReplies();
+            fixture.scheduler.storeClock(fixture.nowMs, fixture.nowMs);
             fixture.tick().forEach(this::execute);
         }
         return this;
@@ -119,7 +124,7 @@
             case Effect.RenewLease renewal -> renew(renewal);
             case Effect.Probe probe -> probe(probe);
             case Effect.RequestAdvice request -> advise(request);
-            case Effect.Save ignored -> {}
+            case Effect.Save save -> save(save);
             case Effect.Retire ignored -> {}
             case Effect.Publish ignored -> {}
         }
@@ -138,6 +143,11 @@
                 .filter(worker -> worker.entry.address().equals(address) && worker.reachable);
     }
 
+    private void save(Effect.Save save) {
+        save.claims().forEach(record -> claims.put(record.id(), record));
+        save.removedWorkers().forEach(claims::remove);
+    }
+
     private void start(Effect.Start start) {
         Optional<SimulatedWorker> worker = at(start.address(), start.worker());
         if (worker.isEmpty()) {
