A job with nothing at work starts although silent runs hold its workspace's limit

Seen by callers: after most workers are lost, jobs of a workspace stand still for a whole lease, 8.5 s, with tickets and with free workers (LOST).

Cause: a run counts against its workspace until its end is proved, as QUOTA demands, since a silent worker may be cut off and work on. The rule that lets one task exceed a limit of which less than half is used looks at that account, too, and the overage that the contract allows beyond the limit was not used at all.

Why it works: while less than half of the limit is used on workers that answer, a job with nothing at work there starts its first task, or a gang, as long as all that may run, silent runs included, stays within the limit and the overage (limit-overage, from the deployment's bounds; 0 unless told, which changes nothing). Nothing starts beyond what QUOTA allows at any order of the starts.

What remains: the overage holds a few tasks, so more jobs than that still wait for the lease.

--- a/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
@@ -43,7 +43,7 @@
     private static final long TICK_MS = 40;
     private static final long REGISTRY_UPDATE_MS = 500;
     private static final long WALL_CLOCK_START_MS = 1_700_000_000_000L;
-    private static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400);
+    private static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400, 0);
 
     /** The time from the failure of a leader to the start of the next term; 1.7 s on the users' test bench. */
     private static final long TAKEOVER_MS = 1_700;
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -106,7 +106,9 @@
                 AdviceClient.of(http("advice", ADVICE_CONNECTIONS, Step.PLACEMENT), settings.advice()),
                 metrics);
         SchedulerLimits limits = SchedulerLimits.of(
-                settings.bounds().leaseMaxMs(), settings.bounds().stopMs());
+                settings.bounds().leaseMaxMs(),
+                settings.bounds().stopMs(),
+                settings.bounds().limitOverage());
         leadership = new Leadership(context, settings, loop.wallMs(), limits, jobStates);
         relay = new StoreRelay(
                 settings.advertisedPeers(), loop, store::create, config, bus::send, leadership::leaderAddress);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -156,6 +156,13 @@
                 .toList();
     }
 
+    /** Returns whether a run of the job is on a worker that answers. */
+    boolean atWork() {
+        return steps.stream()
+                .flatMap(step -> step.tasks.stream())
+                .anyMatch(task -> task.run().filter(run -> run.worker.answers()).isPresent());
+    }
+
     boolean hasNoRuns() {
         return steps.stream().allMatch(StepRow::hasNoRuns);
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
@@ -1,12 +1,13 @@
 package org.acaciafold.fleet.scheduling;
 
 /**
- * The duration limits of the scheduler.
+ * The bounds that a deployment sets to the scheduler.
  *
  * @param leaseMs the length of a worker's lease, on the worker's own clock, in milliseconds
  * @param stopMs how long a worker may take to stop a run, in milliseconds
+ * @param limitOverage the share of its limit that a workspace may use beyond it
  */
-public record SchedulerLimits(long leaseMs, long stopMs) {
+public record SchedulerLimits(long leaseMs, long stopMs, double limitOverage) {
     /** The contract with workers allows their clocks to run up to 2% slow. */
     static final double SLOWEST_CLOCK = 0.98;
 
@@ -33,10 +34,11 @@
      *
      * @param leaseMaxMs the longest lease that workers accept, in milliseconds
      * @param stopMs how long a worker may take to stop a run, in milliseconds
+     * @param limitOverage the share of its limit that a workspace may use beyond it, from 0 to 1
      * @return the limits
      */
-    public static SchedulerLimits of(long leaseMaxMs, long stopMs) {
-        return new SchedulerLimits(Math.min(MAX_LEASE_MS, leaseMaxMs - LEASE_MARGIN_MS), stopMs);
+    public static SchedulerLimits of(long leaseMaxMs, long stopMs, double limitOverage) {
+        return new SchedulerLimits(Math.min(MAX_LEASE_MS, leaseMaxMs - LEASE_MARGIN_MS), stopMs, limitOverage);
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
@@ -58,7 +58,7 @@
     private static final String SERVICE = "service";
     private static final String HOST = "host";
     private static final AdviceSettings ADVICE = new AdviceSettings(10, 1, 2_500);
-    private static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400);
+    private static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400, 0);
 
     private final Scheduler scheduler;
     private final Map<String, SyntheticWorker> workers = new TreeMap<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -48,6 +48,8 @@
     final Map<String, WorkerRow> workers = new TreeMap<>();
     final Map<String, Resources> usedByWorkspace = new HashMap<>();
     private final Map<String, Set<RunRow>> unconfirmedByWorkspace = new HashMap<>();
+    private final Map<String, Resources> silentByWorkspace = new HashMap<>();
+    private long silentAsOfMs = Long.MIN_VALUE;
     final Map<String, JobState> changedStates = new LinkedHashMap<>();
     final Set<JobRow> unsaved = new LinkedHashSet<>();
     /** Tasks under which workers have crashed. */
@@ -108,6 +110,23 @@
         usedByWorkspace.merge(workspace, Resources.empty().minus(run.resources), Resources::plus);
     }
 
+    /** Returns what a workspace uses by runs on workers that do not answer, as of this tick. */
+    Resources silentUse(String workspace) {
+        if (silentAsOfMs != nowMs) {
+            silentAsOfMs = nowMs;
+            silentByWorkspace.clear();
+            for (WorkerRow worker : workers.values()) {
+                if (!worker.answers()) {
+                    worker.runs
+                            .values()
+                            .forEach(run -> silentByWorkspace.merge(
+                                    run.task.step.job.job.workspace(), run.resources, Resources::plus));
+                }
+            }
+        }
+        return silentByWorkspace.getOrDefault(workspace, Resources.empty());
+    }
+
     /** Returns whether a workspace has runs that may still start. */
     boolean hasUnconfirmedRuns(String workspace) {
         Set<RunRow> runs = unconfirmedByWorkspace.getOrDefault(workspace, Set.of());
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkspaceLimits.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkspaceLimits.java
@@ -36,7 +36,46 @@
             startable.add(task);
             used = usedWith;
         }
-        return startable;
+        boolean stands = startable.isEmpty() && standsForSilentRuns(step, used, limit, tables);
+        return stands ? firstBeyond(step, used, limit, tables) : startable;
+    }
+
+    /**
+     * Returns whether a job has nothing at work although its workspace uses less than half of its limit on workers that
+     * answer: the rest is held for runs on others, which most likely are lost.
+     */
+    private static boolean standsForSilentRuns(StepRow step, Resources used, Resources limit, Tables tables) {
+        Resources silent = tables.silentUse(step.job.job.workspace());
+        return !silent.equals(Resources.empty()) && underHalf(used.minus(silent), limit) && !step.job.atWork();
+    }
+
+    /**
+     * Returns the first task of a step, or its whole gang, if all that may be at work stays within the limit and the
+     * overage that the contract allows, silent runs included, since their workers may be cut off and go on.
+     */
+    private static List<TaskRow> firstBeyond(StepRow step, Resources used, Resources limit, Tables tables) {
+        List<TaskRow> waiting = step.waitingTasks();
+        int together = step.spec.gang() ? step.spec.count() : 1;
+        if (waiting.size() < together) {
+            return List.of();
+        }
+        List<TaskRow> first = waiting.subList(0, together);
+        Resources usedWith = used;
+        for (int i = 0; i < first.size(); i++) {
+            usedWith = usedWith.plus(step.spec.each());
+        }
+        return fits(usedWith, extended(limit, tables.limits.limitOverage())) ? first : List.of();
+    }
+
+    private static Resources extended(Resources limit, double overage) {
+        return Resources.of(
+                extended(limit.cpuMillis(), overage),
+                extended(limit.memoryMib(), overage),
+                extended(limit.accelerators(), overage));
+    }
+
+    private static long extended(long limit, double overage) {
+        return limit + (long) Math.floor(limit * overage);
     }
 
     private static boolean underHalf(Resources used, Resources limit) {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -40,7 +40,7 @@
     private static final long FAILING_MS = 10_000;
 
     private static final List<String> HOSTS = List.of("h0", "h1", "h2");
-    static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400);
+    static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400, 0);
 
     final Features features;
     final Timeline timeline;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
@@ -28,7 +28,7 @@
 
 /** A scheduler whose clock, store and workers are controlled by the test, for tests of single decisions. */
 final class SchedulerFixture {
-    static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400);
+    static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400, 0);
     static final long INCARNATION = 1_000_000;
 
     final Scheduler scheduler;
@@ -40,7 +40,11 @@
     long wallMs = 1_700_000_000_000L;
 
     SchedulerFixture(long epoch) {
-        scheduler = Scheduler.create(LIMITS, epoch, config(Resources.empty()));
+        this(epoch, LIMITS);
+    }
+
+    SchedulerFixture(long epoch, SchedulerLimits limits) {
+        scheduler = Scheduler.create(limits, epoch, config(Resources.empty()));
         scheduler.advance(nowMs, wallMs);
     }
 
--- a/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
@@ -81,7 +81,8 @@
                 millis(section, "config-apply-ms", "2000"),
                 millis(section, "lease-max-ms", "10000"),
                 millis(section, "stop-ms", "400"),
-                Math.round(MS_PER_S * section.number("grace-s", 0, MAX_BOUND_MS / MS_PER_S, "6")));
+                Math.round(MS_PER_S * section.number("grace-s", 0, MAX_BOUND_MS / MS_PER_S, "6")),
+                section.number("limit-overage", 0, 1, "0"));
     }
 
     private static long millis(SectionReader section, String name, String fallback) {
--- a/settings/src/test/java/org/acaciafold/settings/EntrySettingsReaderTest.java
+++ b/settings/src/test/java/org/acaciafold/settings/EntrySettingsReaderTest.java
@@ -27,6 +27,7 @@
             [bounds]
             config-apply-ms = 3000
             stop-ms = 200.5
+            limit-overage = 0.1
             """;
 
     @Test
@@ -35,7 +36,7 @@
 
         assertEquals("edge-1", settings.host());
         assertEquals("", settings.advice());
-        assertEquals(new EntryBounds(3_000, 10_000, 201, 6_000), settings.bounds());
+        assertEquals(new EntryBounds(3_000, 10_000, 201, 6_000, 0.1), settings.bounds());
     }
 
     @ParameterizedTest
@@ -45,6 +46,7 @@
         "advice =, advice = somewhere, advice",
         "secret = deployment-at-10.0.0.9, secret = short, secret",
         "stop-ms = 200.5, stop-ms = soon, stop-ms",
+        "limit-overage = 0.1, limit-overage = 1.5, limit-overage",
         "stop-ms = 200.5, stopms = 200, stopms"
     })
     void shouldNameTheProblemWhenASettingIsInvalid(String valid, String invalid, String named) {
