Advice for lasting tasks of a lost worker is asked for before its lease has run out

Seen by callers: a task that lasts and whose worker is lost is away for more than 9 s (6 s after its last run, and 3 s), although other workers have room for it (LOST).

Cause: the task cannot start before the lease of its worker has run out, 8.5 s after its last renewal. Only then its step asked for tickets, which takes half a second and more on the queue of the tasks that last, and longer when the hosts are busy with long calls.

Why it works: 0.7 s and the duration of a call before all leases there have run out, the step asks about workers that it may use then, before other steps of the tick get the hosts. It starts nothing sooner: the run keeps its room and its share of the workspace until the lease has run out, so TWICE and QUOTA rest on the same proof as before.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -48,6 +48,7 @@
     private final PreemptionSystem preemption;
     private final WaitReporter waits;
     private final DrainSystem drains;
+    private final LostWorkerAdvice lostWorkers;
     private int measurements;
     private TickCost cost = new TickCost(0, 0, 0);
 
@@ -57,6 +58,7 @@
         this.preemption = new PreemptionSystem(tables);
         this.waits = new WaitReporter(tables);
         this.drains = new DrainSystem(tables);
+        this.lostWorkers = new LostWorkerAdvice(tables, advice);
     }
 
     void answered(RunRow run, StartOutcome outcome) {
@@ -108,6 +110,7 @@
         FleetUtilization utilization = measureUtilization();
         advice.countFreeSlots();
         preemption.beginTick();
+        lostWorkers.run(placement);
         int waitingGangs = 0;
         List<QueueOrder.Entry> ready = QueueOrder.readySteps(tables);
         for (QueueOrder.Entry entry : ready) {
