A gang asks about free workers while the ones that it may use are busy

Seen by callers: a small gang does not start although workers that it may use are free many times over, for as long as the tasks last that run on the others (LOST). Nothing ends that by itself.

Cause: a gang without room asks about no more workers once those that advice allows would hold five times its size if they were empty. Whether they are busy for long did not matter, nor whether others are free: it asked about these only if twice its size would most likely be allowed, by the share that its queue's advice has allowed so far.

Why it works: while less than half of the service is in use, the gang asks about the workers that are free now if it might fit them and the free allowed ones. Each worker is asked about once, so calls end; while more is in use nothing changes. What starts is bounded by tickets, room and limits as before.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceQueryPlanner.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceQueryPlanner.java
@@ -82,10 +82,15 @@
      * @param unknown workers that advice has neither allowed nor denied
      * @param allowed workers that advice has already allowed
      * @param allowedShare the share of workers that advice usually allows, above 0
+     * @param mostIsUsed whether the service has so little free capacity that the gang may wait for allowed workers
      * @return the workers to request advice about; empty when enough workers are allowed to wait for capacity
      */
     static List<FreeCapacity> forGang(
-            StepRow step, List<FreeCapacity> unknown, List<FreeCapacity> allowed, double allowedShare) {
+            StepRow step,
+            List<FreeCapacity> unknown,
+            List<FreeCapacity> allowed,
+            double allowedShare,
+            boolean mostIsUsed) {
         int tasks = step.spec.count();
         ToIntFunction<FreeCapacity> vacanciesNow = capacity -> Math.min(tasks, Placement.vacancies(step, capacity));
         double needed = tasks * GANG_CAPACITY_FACTOR - totalVacancies(allowed, vacanciesNow);
@@ -101,10 +106,16 @@
         ToIntFunction<FreeCapacity> vacanciesWhenReleased =
                 capacity -> Math.min(tasks, Placement.vacanciesWhenReleased(step, capacity));
         double missing = tasks * WAITING_GANG_CAPACITY_FACTOR - totalVacancies(allowed, vacanciesWhenReleased);
-        if (missing <= 0) {
+        int vacant = totalVacancies(allowed, vacanciesNow) + totalVacancies(unknown, vacanciesNow);
+        if (missing <= 0 && (mostIsUsed || vacant < tasks)) {
             return List.of();
         }
         List<FreeCapacity> grouped = orderByGroup(step, unknown, vacanciesNow);
+        if (missing <= 0) {
+            // the gang must not wait for busy workers while it might fit free ones that it has not asked about
+            grouped.removeIf(capacity -> vacanciesNow.applyAsInt(capacity) <= 0);
+            return grouped.subList(0, requiredWorkers(grouped, vacanciesNow, needed, allowedShare));
+        }
         return grouped.subList(0, requiredWorkers(grouped, vacanciesWhenReleased, missing, allowedShare));
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -123,7 +123,7 @@
             boolean blocked = !placeStep(step, placement, utilization);
             if (blocked && step.spec.gang() && waitingGangs < MAX_WAITING_GANGS && !step.adviceInFlight) {
                 waitingGangs++;
-                if (usedShare >= MIN_UTILIZATION_FOR_RESERVATIONS) {
+                if (mostIsUsed(step, utilization)) {
                     GangReservation.reserve(step, placement);
                 }
             } else if (blocked) {
@@ -191,7 +191,7 @@
             return unplaced.isEmpty();
         }
         if (canRequest) {
-            boolean requested = planAdvice(step, unplaced, placement);
+            boolean requested = planAdvice(step, unplaced, placement, mostIsUsed(step, utilization));
             step.waitReason = requested ? WaitReason.ADVICE_CALL : WaitReason.NO_CAPACITY;
             return requested;
         }
@@ -246,7 +246,7 @@
     }
 
     /** Selects the workers to request advice about; returns false when there are none. */
-    private boolean planAdvice(StepRow step, List<TaskRow> unplaced, Placement placement) {
+    private boolean planAdvice(StepRow step, List<TaskRow> unplaced, Placement placement, boolean mostIsUsed) {
         List<FreeCapacity> unknown = new ArrayList<>();
         List<FreeCapacity> allowed = new ArrayList<>();
         for (FreeCapacity capacity : placement.candidates(step)) {
@@ -266,7 +266,7 @@
         requestedWorkers.removeIf(capacity -> hasTicketUntil(answeredAtMs, step, capacity.worker));
         double allowedShare = advice.allowedShare(step);
         if (step.spec.gang() && planned.isEmpty()) {
-            requestedWorkers.addAll(AdviceQueryPlanner.forGang(step, unknown, allowed, allowedShare));
+            requestedWorkers.addAll(AdviceQueryPlanner.forGang(step, unknown, allowed, allowedShare, mostIsUsed));
         } else if (planned.size() < unplaced.size()) {
             int tasks = unplaced.size() - planned.size();
             requestedWorkers.addAll(
@@ -292,6 +292,11 @@
         return step.waitsForCapacity && tables.nowMs < step.adviceAfterMs;
     }
 
+    /** Returns whether a step may wait for capacity that others use. */
+    private static boolean mostIsUsed(StepRow step, FleetUtilization utilization) {
+        return utilization.usedShare(service(step)) >= MIN_UTILIZATION_FOR_RESERVATIONS;
+    }
+
     private static String service(StepRow step) {
         return step.job.service();
     }
