Below half use a step that waits for a call keeps no capacity from others

Seen by callers: tasks that could run stand still behind steps that wait for advice: while no host is free to make their call, and while their calls get no answer, however little of the service is in use (LOST).

Cause: in each tick a step that could make no call reserved all that its next call would plan with, and a step with a call in flight what that call planned with, also when one call after the other got no answer. Nothing bounded either; docs/PLATFORM.md says that below half use a step that fits never waits for another one, which held only for the reservations of gangs.

Evidence: WaitingCallTest, one worker of 4 processors, of which nothing is in use, a step with known workers and expired tickets, and a task of 1.5 processors behind it. Before: both tests 'expected: <1> but was: <0>' after 3 s. Each half of the change is needed: with reservations of steps that wait for a host as before, the second test fails alone.

Why it works: both reservations hold only while half of the service is in use, as those of waiting gangs; a call in flight keeps its plan whatever is in use, unless the step's last call got no answer. More starts only where room, tickets and limits allow it, which are checked as before; a step whose plan was taken plans anew.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
@@ -136,12 +136,14 @@
         callsInFlight.remove(name);
         release(call);
         if (granted.isEmpty()) {
+            call.step.callUnanswered = true;
             hosts.failed(host, tables.nowMs);
             LOG.warn("advice call failed step={} host={}", name, host);
             return;
         }
         hosts.answered(host);
         StepRow step = call.step;
+        step.callUnanswered = false;
         if (!ambiguous) {
             recordStatistics(call, granted.get());
             step.allowed.keySet().removeAll(call.incarnations.keySet());
@@ -232,6 +234,7 @@
                 callsInFlight.remove(call.step.name());
                 release(call);
                 abandonedCalls.add(call.step.name(), call.host, tables.nowMs);
+                call.step.callUnanswered = true;
                 hosts.failed(call.host, tables.nowMs);
                 LOG.warn("advice call abandoned step={} host={}", call.step.name(), call.host);
             }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -182,7 +182,9 @@
         step.incompleteSinceMs = -1;
         if (step.adviceInFlight) {
             step.waitReason = WaitReason.ADVICE_CALL;
-            reapplyReservations(step, placement);
+            if (!step.callUnanswered || mostIsUsed(step, utilization)) {
+                reapplyReservations(step, placement);
+            }
             return true;
         }
         List<TaskRow> unplaced = startTasks(step, tasks, placement, utilization);
@@ -196,8 +198,10 @@
             return requested;
         }
         step.waitReason = reasonWithoutRequest(step);
-        // keeps less urgent steps from using the workers that the next request will include
-        reserve(step, placement.choose(unplaced, placement.usable(step)));
+        if (mostIsUsed(step, utilization)) {
+            // keeps less urgent steps from using the workers that the next request will include
+            reserve(step, placement.choose(unplaced, placement.usable(step)));
+        }
         return !waitsForCapacity(step);
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -40,6 +40,9 @@
     final Map<String, Integer> reserved = new HashMap<>();
     final Set<Integer> failedGangRuns = new TreeSet<>();
     boolean adviceInFlight;
+    /** True from a call for advice that failed or was abandoned until the next answer. */
+    boolean callUnanswered;
+
     long adviceAfterMs;
     /** True when the last attempt to request advice found no candidate workers. */
     boolean waitsForCapacity;
