Restored jobs count against their workspace's rate in the order of their acceptance

Seen by callers: after each change of leaders most waiting jobs of a workspace come behind all others, although the workspace never sent more than its rate; a task that lasts and is not known to have run loses its right to come first, and stands still while others fill the service (LOST).

Cause: a new term restores jobs partition by partition, so in no order. The rate's budget grows with the time of acceptance and never backwards: once the youngest job of a workspace had been seen, its older ones found no budget beyond the burst.

Evidence: RestoredOrderTest, 40 jobs at half of the rate, read youngest first, room for one. Before: 'expected: <[job-0]> but was: <[job-30]>'.

Why it works: the jobs are sorted by acceptance before they are counted, as they were counted when they came. Only ranks change.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -242,7 +242,7 @@
             List<WorkerClaims> workers) {
         tables.endedJobs.putAll(ended);
         awaitingRetirement.forEach(id -> tables.awaitingRetirement.put(id, ended.get(id)));
-        jobs.forEach(this::add);
+        jobs.stream().sorted(StoredJob.BY_ACCEPTANCE).forEach(this::add);
         ClaimRecovery.restore(tables, workers);
         LOG.info("term started jobs={} active={} workers={}", jobs.size(), tables.active.size(), workers.size());
     }
