A task that may crash its worker shares one after 2 s of waiting

Seen by callers: after some workers have gone down, jobs whose tasks were there stand still in turn, 3 s and more each, while workers are all but empty (LOST).

Cause: a task under which two workers went down, for whatever reason, counts as suspect, and suspects of two jobs never ran their first 3 s on one worker. With more such jobs than workers that they may use, each worker took one job every 3 s; nothing bounded the wait.

Evidence: SuspectWaitTest, 8 jobs of one task with two possible crashes each, 2 workers that fit all of them. Before: 'expected: <8> but was: <4>' after 3.5 s. A second test: two such jobs and two workers are still kept apart.

Why it works: after 2 s of waiting a suspect takes the best worker that is left, one without other suspects if there is any.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.WorkerEntry;
@@ -28,6 +29,12 @@
     private static final Comparator<FreeCapacity> ON_TRIAL_LAST =
             Comparator.comparing(capacity -> capacity.worker.onTrial);
 
+    /**
+     * How long a task that may crash its worker waits for one without such tasks of other jobs; the contract allows no
+     * task to wait longer than 3 s while capacity is free.
+     */
+    private static final long MAX_APART_WAIT_MS = 2_000;
+
     private final List<FreeCapacity> capacities = new ArrayList<>();
     private final Map<String, FreeCapacity> byWorker = new HashMap<>();
     private final Map<WorkerSelector, Candidates> candidatesBySelector = new HashMap<>();
@@ -231,15 +238,19 @@
 
     /**
      * Returns the worker on which a crash would do the least harm and would tell whether it is due to the job: one
-     * without suspects of other jobs.
+     * without suspects of other jobs. A task that has waited for such a worker shares one with them.
      */
     private Optional<Vacancy> selectForSuspect(TaskRow task, List<Vacancy> vacancies) {
         JobRow job = task.step.job;
+        long waitingSinceMs = task.step.waitingSinceMs;
+        boolean mayShare = waitingSinceMs >= 0 && nowMs - waitingSinceMs >= MAX_APART_WAIT_MS;
+        Predicate<Vacancy> shared = vacancy -> vacancy.capacity.worker.triesSuspectOfOtherJob(job, nowMs);
         return vacancies.stream()
                 .filter(vacancy -> vacancy.remaining > 0)
                 .filter(vacancy -> !vacancy.capacity.worker.runs.containsKey(task.name))
-                .filter(vacancy -> !vacancy.capacity.worker.triesSuspectOfOtherJob(job, nowMs))
-                .min(Comparator.comparing((Vacancy vacancy) -> task.failedOn.contains(vacancy.capacity.worker.id))
+                .filter(vacancy -> mayShare || !shared.test(vacancy))
+                .min(Comparator.comparing(shared::test)
+                        .thenComparing(vacancy -> task.failedOn.contains(vacancy.capacity.worker.id))
                         .thenComparing(vacancy -> vacancy.capacity.worker.onTrial)
                         .thenComparingLong(vacancy -> vacancy.capacity.worker.used.cpuMillis()));
     }
