Calls that are long by the workers they name take no slot from short ones

Cause: whether a step can call was decided by the duration of a call about one worker. A step whose call is long only by the number of workers got a slot of the tick and reserved what it planned with, and was turned away when the calls were given to hosts, since too many hosts had long calls; the next tick did the same. As many such steps as hosts were free kept all hosts from the steps behind them.

Evidence: AdviceCallsTest, four hosts, six steps with calls of 150 ms and 2 ms a worker about thirty workers and more, one short step behind them. Before: 'expected: <[wide-0, wide-1, wide-2, short]> but was: <[wide-0, wide-1, wide-2]>'.

Why it works: the slot is looked for with the duration of the call itself. A step without one waits for a host like any other, and keeps capacity from others only while half of its service is in use.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
@@ -85,11 +85,18 @@
                 && slots.hasFree(isLong(settings(step).callMs(1)));
     }
 
-    void request(StepRow step, List<String> workers) {
-        if (canRequest(step) && !workers.isEmpty()) {
+    /** Requests advice in this tick; returns false when no host is free for a call about so many workers. */
+    boolean request(StepRow step, List<String> workers) {
+        if (workers.isEmpty() || !canRequest(step)) {
+            return false;
+        }
+        boolean longCall = isLong(callMs(step, workers.size()));
+        boolean free = slots.hasFree(longCall);
+        if (free) {
             pendingRequests.put(step, workers);
-            slots = slots.withCall(isLong(settings(step).callMs(workers.size())));
+            slots = slots.withCall(longCall);
         }
+        return free;
     }
 
     void run(List<Effect> effects) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -140,19 +140,21 @@
         return cost;
     }
 
-    private void requestAdvice(StepRow step, Set<FreeCapacity> requestedWorkers, Map<TaskRow, FreeCapacity> planned) {
+    private void requestAdvice(
+            StepRow step, Set<FreeCapacity> workers, Map<TaskRow, FreeCapacity> planned, boolean mostIsUsed) {
         // drops the reservations of an earlier request that was not sent because no host was free
         step.reserved.clear();
-        planned.values().forEach(capacity -> {
-            step.reserved.merge(capacity.worker.id, 1, Integer::sum);
-            capacity.reserve(step.spec.each(), 1);
-        });
-        advice.request(
+        boolean requested = advice.request(
                 step,
-                requestedWorkers.stream()
+                workers.stream()
                         .limit(AdviceQueryPlanner.MAX_WORKERS)
                         .map(capacity -> capacity.worker.id)
                         .toList());
+        step.waitReason = requested ? WaitReason.ADVICE_CALL : WaitReason.NO_ADVICE_HOST;
+        if (requested || mostIsUsed) {
+            planned.values().forEach(capacity -> step.reserved.merge(capacity.worker.id, 1, Integer::sum));
+            reserve(step, planned);
+        }
     }
 
     private FleetUtilization measureUtilization() {
@@ -193,9 +195,8 @@
             return unplaced.isEmpty();
         }
         if (canRequest) {
-            boolean requested = planAdvice(step, unplaced, placement, mostIsUsed(step, utilization));
-            step.waitReason = requested ? WaitReason.ADVICE_CALL : WaitReason.NO_CAPACITY;
-            return requested;
+            step.waitReason = WaitReason.NO_CAPACITY;
+            return planAdvice(step, unplaced, placement, mostIsUsed(step, utilization));
         }
         step.waitReason = reasonWithoutRequest(step);
         if (mostIsUsed(step, utilization)) {
@@ -281,7 +282,7 @@
             step.adviceAfterMs = tables.nowMs + NO_CANDIDATES_RETRY_MS;
             return false;
         }
-        requestAdvice(step, requestedWorkers, planned);
+        requestAdvice(step, requestedWorkers, planned, mostIsUsed);
         return true;
     }
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/AdviceCallsTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/AdviceCallsTest.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.acaciafold.fleet.AdviceSettings;
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.WorkerEntry;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -61,4 +63,33 @@
 
         assertEquals(List.of("h3", "h4"), submit("long-", 4, LONG));
     }
+
+    /** Guards against a free host that no step gets for as long as calls wait which are long by the workers they name. */
+    @Test
+    void shouldGiveTheFreeHostToAShortCallWhenOthersAreLongByTheWorkersTheyName() {
+        SchedulerFixture large = new SchedulerFixture(1)
+                .withWorkers(IntStream.range(0, 100)
+                        .mapToObj(i -> worker("w" + i, 1_000))
+                        .toArray(WorkerEntry[]::new));
+        large.scheduler.adviceHosts(HOSTS);
+        AdviceSettings byWorker = new AdviceSettings(150, 2, 2_500);
+        for (int i = 0; i < 6; i++) {
+            large.scheduler.accept(large.job(
+                    "wide-" + i,
+                    route(0, 4, Optional.of(byWorker)),
+                    step(30, 1_000).build()));
+        }
+        large.scheduler.accept(
+                large.job("short", route(1, 4, Optional.of(SHORT)), step(1, 100).build()));
+        List<String> jobs = new ArrayList<>();
+
+        for (int i = 0; i < 6; i++) {
+            large.forEach(
+                    Effect.RequestAdvice.class,
+                    large.tick(),
+                    request -> jobs.add(request.step().job()));
+        }
+
+        assertEquals(List.of("wide-0", "wide-1", "wide-2", "short"), jobs);
+    }
 }
