After three crashes a task gets at most two starts more, however they end

Callers could see a task that crashes its workers started once more than the contract allows (BUDGET: two starts after three crashes), and one worker more lost with what ran there.

Cause: only crashes were counted. A task under which three workers had crashed while others went down, so that no crash decides alone, could fail, or be broken with its gang, in between; such starts counted nowhere, and the fourth crash came at the sixth start.

Fix: the runs seen at work after the third crash are counted; when two have ended and two of the three crashes are proved, the task is given up before its next start. A run that outlives its first 3 s does not count, since a culprit would have shown itself. The count is not recorded: a new leader begins it anew, and may so start the task up to two times more.

Tried and dropped: to give up at the third proved crash, which the contract allows, too, but which takes a start from harmless tasks and changes what shouldGiveUpATaskAfterFourCrashesWhateverElseWentDown states; it was not run.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashHistory.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashHistory.java
@@ -1,7 +1,9 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.acaciafold.fleet.StepProgress;
@@ -27,7 +29,15 @@
     /** The contract allows that a task is given up when two workers have crashed under it. */
     private static final int MIN_CERTAIN_CRASHES = 2;
 
+    /** After so many crashes the contract counts the starts, however they end. */
+    private static final int CRASHES_BEFORE_LAST_STARTS = 3;
+
+    private static final int MAX_LAST_STARTS = 2;
+
     private final TreeMap<Integer, StepProgress.Crash> byRun = new TreeMap<>();
+    /** The runs after these crashes that did not last long enough to tell whether they crash their workers. */
+    private final Set<Integer> lastStarts = new HashSet<>();
+
     private int clearedRun;
 
     static CrashHistory of(StepProgress.TaskCrashes recorded) {
@@ -56,6 +66,16 @@
     void clear(int run) {
         clearedRun = Math.max(clearedRun, run);
         byRun.clear();
+        lastStarts.clear();
+    }
+
+    /** Records that a run is on its worker. */
+    void running(int run, long ageMs) {
+        if (ageMs > EARLY_MS) {
+            lastStarts.remove(run);
+        } else if (byRun.size() >= CRASHES_BEFORE_LAST_STARTS) {
+            lastStarts.add(run);
+        }
     }
 
     Optional<StepProgress.Crash> crash(int run) {
@@ -95,6 +115,20 @@
         return proved || byRun.size() >= MAX_CRASHES;
     }
 
+    /** Returns whether the starts are used up that the contract allows after three crashes. */
+    boolean startsUsed() {
+        long proved =
+                byRun.values().stream().filter(StepProgress.Crash::certain).count();
+        if (byRun.size() < CRASHES_BEFORE_LAST_STARTS || proved < MIN_CERTAIN_CRASHES) {
+            return false;
+        }
+        int lastBefore = List.copyOf(byRun.keySet()).get(CRASHES_BEFORE_LAST_STARTS - 1);
+        return lastStarts.stream()
+                        .filter(run -> run > lastBefore && !byRun.containsKey(run))
+                        .count()
+                >= MAX_LAST_STARTS;
+    }
+
     StepProgress.TaskCrashes recorded(int task) {
         return new StepProgress.TaskCrashes(task, clearedRun, List.copyOf(byRun.values()));
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
@@ -70,10 +70,20 @@
         }
     }
 
-    /** Clears the tasks whose runs have lasted long enough to prove them harmless. */
+    /** Clears the tasks whose runs prove them harmless, and gives up those that have used their last starts. */
     void run() {
         tables.crashed.removeIf(
                 task -> task.done || task.crashes.isEmpty() || !task.step.job.active() || harmless(task));
+        tables.crashed.forEach(this::countStarts);
+    }
+
+    private void countStarts(TaskRow task) {
+        RunRow run = task.run().orElse(null);
+        if (run == null && task.crashes.startsUsed()) {
+            giveUp(task);
+        } else if (run != null && run.phase == RunPhase.RUNNING) {
+            task.crashes.running(run.number, tables.nowMs - run.sinceMs());
+        }
     }
 
     private boolean harmless(TaskRow task) {
@@ -136,7 +146,7 @@
                 crash.certain(),
                 crash.together(),
                 task.crashes.total());
-        giveUp(task, nothingElse);
+        giveUpIfExhausted(task, nothingElse);
     }
 
     /** Settles whether a worker whose lease expired under a run has crashed. */
@@ -158,13 +168,19 @@
         }
         // a run elsewhere shall end by itself or prove the task harmless
         if (run.task.run().isEmpty()) {
-            giveUp(run.task, false);
+            giveUpIfExhausted(run.task, false);
+        }
+    }
+
+    private void giveUpIfExhausted(TaskRow task, boolean nothingElse) {
+        if (task.step.job.active() && task.crashes.exhausted(nothingElse)) {
+            giveUp(task);
         }
     }
 
-    private void giveUp(TaskRow task, boolean nothingElse) {
+    private void giveUp(TaskRow task) {
         JobRow job = task.step.job;
-        if (!job.active() || !task.crashes.exhausted(nothingElse)) {
+        if (!job.active()) {
             return;
         }
         LOG.warn(
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/CrashSimulation.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/CrashSimulation.java
@@ -147,6 +147,10 @@
                 .orElseThrow();
     }
 
+    void end(TaskName task, EndKind kind) {
+        workerOf(task).end(task, kind);
+    }
+
     void crash(SimulatedWorker worker) {
         worker.runs.keySet().forEach(task -> crashes.merge(task, 1, Integer::sum));
         worker.runs.clear();
