A crash under a claim that may never have been ordered is no proof against the task

Cause: a leader claimed the tasks (run 7001), recorded the claim, and dropped it without an order. The record stays as it is until the worker gets its next claim. The next leader took the claim for a run; the worker had restarted, so a crash was counted as proved, 30 ms old since the age began with the takeover. With the one real crash, under run 8001, the job was given up.

Why a claim is no better evidence: it is written before the order and tells neither that it was sent nor that the run was seen. A mark of runs that were seen would have to be written at each start, since a culprit crashes its worker within a second of it, when nothing else writes the record; and after a crash the new incarnation lists no ends of the one before. A job that is given up without cause is lost to its callers, while one more crash costs a worker some seconds.

Fix: a crash under a run that is known only from a claim is a possible one, as under an order without an answer; four of all kinds still end a task, and StartsAfterThreeCrashesTest bounds the starts. The leader that notices it still tries the task apart, so that the next crash tells.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashHistory.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashHistory.java
@@ -38,6 +38,9 @@
     /** The runs after these crashes that did not last long enough to tell whether they crash their workers. */
     private final Set<Integer> lastStarts = new HashSet<>();
 
+    /** The runs under which a crash is no proof, but reason enough to try the task apart from others in this term. */
+    private final Set<Integer> suspected = new HashSet<>();
+
     private int clearedRun;
 
     static CrashHistory of(StepProgress.TaskCrashes recorded) {
@@ -57,8 +60,14 @@
         return true;
     }
 
+    /** Records that the crash under a run, which may never have been ordered, makes the task suspect all the same. */
+    void suspect(int run) {
+        suspected.add(run);
+    }
+
     /** Removes a crash that turned out to be none; returns whether it was known. */
     boolean withdraw(int run) {
+        suspected.remove(run);
         return byRun.remove(run) != null;
     }
 
@@ -67,6 +76,7 @@
         clearedRun = Math.max(clearedRun, run);
         byRun.clear();
         lastStarts.clear();
+        suspected.clear();
     }
 
     /** Records that a run is on its worker. */
@@ -101,7 +111,8 @@
             return true;
         }
         return byRun.values().stream()
-                .anyMatch(crash -> crash.certain() && crash.ageMs() <= EARLY_MS && crash.together() < MASS_FAILURE);
+                .filter(crash -> crash.certain() || suspected.contains(crash.run()))
+                .anyMatch(crash -> crash.ageMs() <= EARLY_MS && crash.together() < MASS_FAILURE);
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
@@ -117,14 +117,18 @@
         for (RunRow run : under) {
             JobRow job = run.task.step.job;
             int together = wentDownTogether(worker, job);
-            boolean seen = run.phase == RunPhase.RUNNING || run.orderedAtMs == 0;
             long ageMs = ageMs(run);
-            boolean certain = restarted && seen && !worker.silentBeforeDown && !mayHaveEnded(run, ageMs);
+            boolean sudden = restarted && !worker.silentBeforeDown && !mayHaveEnded(run, ageMs);
+            boolean certain = sudden && run.phase == RunPhase.RUNNING;
             boolean nothingElse = certain
                     && together == 0
                     && run.orderedAtMs > 0
                     && Set.of(job).equals(early);
             add(run, new StepProgress.Crash(run.number, ageMs, certain, together), nothingElse);
+            // a claim of an earlier leader does not tell whether the run was ever ordered
+            if (sudden && run.orderedAtMs == 0) {
+                run.task.crashes.suspect(run.number);
+            }
         }
         return under;
     }
