Workers with tasks that last get shorter leases that are renewed more often

Cause: a lease has to outlast a loss of contact, and of its 8.03 s up to 1.5 s are gone before the contact is lost, the age of its last renewal, and up to 1.9 s after it is back, until the silent worker is asked again. Both lengthen the lease without use.

Where tasks last, leases are now renewed each 0.5 s and are a second shorter, 7.03 s, so runs outlast the same loss. Silent workers are asked again after 0.4 s at most. No run counts as ended sooner than proved: the latest end of all leases granted decides as before, and a successor assumes the longest.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
@@ -3,7 +3,7 @@
 /**
  * The bounds that a deployment sets to the scheduler.
  *
- * @param leaseMs the length of a worker's lease, on the worker's own clock, in milliseconds
+ * @param leaseMs the length of the longest leases of workers, on the worker's own clock, in milliseconds
  * @param stopMs how long a worker may take to stop a run, in milliseconds
  * @param limitOverage the share of its limit that a workspace may use beyond it
  */
@@ -14,6 +14,12 @@
     /** Covers the rounding of clocks and the drift since the last report of a worker's clock. */
     static final long CLOCK_MARGIN_MS = 300;
 
+    /** The longest renewal wait of a worker with runs, so that its lease is renewed many times before it expires. */
+    static final long BUSY_WORKER_WAIT_MS = 1_500;
+
+    /** The same for a worker with tasks that last: they are away until its lease has expired, so that is kept short. */
+    static final long LASTING_WORKER_WAIT_MS = 500;
+
     /** Leases are this much shorter than the longest that workers accept, so that none is cut unnoticed. */
     private static final long LEASE_MARGIN_MS = 1_000;
 
@@ -41,6 +47,17 @@
         return new SchedulerLimits(Math.min(MAX_LEASE_MS, leaseMaxMs - LEASE_MARGIN_MS), stopMs, limitOverage);
     }
 
+    /**
+     * Returns the length of the lease of a worker. Where tasks last, leases are renewed more often and are as much
+     * shorter, so that runs outlast the same loss of contact and a worker that is lost for good is known to be so sooner.
+     *
+     * @param lasting whether the worker has runs of tasks that last
+     * @return the duration in milliseconds, on the worker's own clock
+     */
+    long leaseMs(boolean lasting) {
+        return lasting ? leaseMs - (BUSY_WORKER_WAIT_MS - LASTING_WORKER_WAIT_MS) : leaseMs;
+    }
+
     /**
      * Returns how long after the end of its authority all leases granted by the predecessor have expired.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -313,7 +313,7 @@
     private Effect startOrder(RunRow run) {
         WorkerRow worker = run.worker;
         StepRow step = run.task.step;
-        long leaseUntilMs = worker.lease(tables.nowMs, tables.limits.leaseMs()).orElseThrow();
+        long leaseUntilMs = worker.lease(tables.nowMs, tables.limits).orElseThrow();
         worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, leaseUntilMs);
         run.phase = RunPhase.STARTING;
         run.orderedAtMs = tables.nowMs;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -18,9 +18,6 @@
 final class WorkerLeaseSystem {
     private static final Logger LOG = LoggerFactory.getLogger(WorkerLeaseSystem.class);
 
-    /** The longest renewal wait of a worker with runs, so that its lease is renewed many times before it expires. */
-    private static final long BUSY_WORKER_WAIT_MS = 1_500;
-
     /** The shortest renewal wait of a worker with runs, which bounds the calls for runs that exceed their estimates. */
     private static final long MIN_BUSY_WORKER_WAIT_MS = 300;
 
@@ -43,7 +40,9 @@
     private static final int MAX_RENEWALS_PER_TICK = 32;
 
     private static final long RETRY_BACKOFF_MS = 200;
-    private static final long MAX_RETRY_BACKOFF_MS = 1_000;
+
+    /** Runs on a silent worker lose what is left of their lease until it is asked again. */
+    private static final long MAX_RETRY_BACKOFF_MS = 400;
 
     private final Tables tables;
     private final EndSystem ends;
@@ -269,7 +268,7 @@
         worker.renewalSentAtMs = tables.nowMs;
         // a worker that missed renewals is polled without a new lease, so that its lease can expire
         boolean mayHold = worker.missedRenewals == 0 && !worker.silenceRecorded;
-        OptionalLong leaseUntil = mayHold ? worker.lease(tables.nowMs, tables.limits.leaseMs()) : OptionalLong.empty();
+        OptionalLong leaseUntil = mayHold ? worker.lease(tables.nowMs, tables.limits) : OptionalLong.empty();
         leaseUntil.ifPresent(lease -> worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, lease));
         boolean withoutLease = leaseUntil.isEmpty();
         boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
@@ -289,7 +288,8 @@
         if (worker.runs.isEmpty()) {
             return IDLE_WORKER_WAIT_MS;
         }
-        long firstEndMs = BUSY_WORKER_WAIT_MS;
+        long firstEndMs =
+                worker.hasLastingRuns() ? SchedulerLimits.LASTING_WORKER_WAIT_MS : SchedulerLimits.BUSY_WORKER_WAIT_MS;
         for (RunRow run : worker.runs.values()) {
             firstEndMs = Math.min(firstEndMs, run.expectedRemainingMs(tables.nowMs) + END_SLACK_MS);
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -92,6 +92,9 @@
     boolean onTrial;
 
     private long pausedAtMs = -1;
+    /** The number of runs here of tasks that last. */
+    private int lastingRuns;
+
     private String address;
     /** Where the incarnation has answered, to this leader or to the one that recorded its claims. */
     private String answeredAddress;
@@ -146,9 +149,14 @@
 
     void add(RunRow run) {
         runs.put(run.task.name, run);
+        lastingRuns += run.task.step.spec.longRunning() ? 1 : 0;
         used = used.plus(run.resources);
     }
 
+    boolean hasLastingRuns() {
+        return lastingRuns > 0;
+    }
+
     Optional<WorkerEntry> entry() {
         return Optional.ofNullable(entry);
     }
@@ -211,11 +219,11 @@
     }
 
     /** Returns the end of a lease that starts now, on the worker's clock; empty when that clock is unknown. */
-    OptionalLong lease(long nowMs, long spanMs) {
+    OptionalLong lease(long nowMs, SchedulerLimits limits) {
         if (lastContactAtMs < 0) {
             return OptionalLong.empty();
         }
-        return OptionalLong.of(clockMs + (nowMs - lastContactAtMs) + spanMs);
+        return OptionalLong.of(clockMs + (nowMs - lastContactAtMs) + limits.leaseMs(hasLastingRuns()));
     }
 
     /**
@@ -247,6 +255,7 @@
     void remove(RunRow run) {
         if (runs.remove(run.task.name, run)) {
             used = used.minus(run.resources);
+            lastingRuns -= run.task.step.spec.longRunning() ? 1 : 0;
         }
         run.task.end(run);
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -51,6 +51,16 @@
     long adviceMs;
     /** The time that an advice call takes beyond the usual one. */
     long adviceExtraMs;
+    /** How long the store takes to confirm a batch; 0 for at once. */
+    long saveMs;
+    /** The number of orders to start that are lost on their way. */
+    int lostStarts;
+    /** The number of orders to start that workers refuse as unhealthy. */
+    int refusedStarts;
+    /** True while nobody may command: the store is away, or there is no leader. */
+    boolean withoutAuthority;
+    /** Starts of tasks of which another run was at work. */
+    int startedTwice;
 
     private final List<Reply> replies = new ArrayList<>();
     private long registryReadAtMs;
@@ -60,7 +70,11 @@
     }
 
     SimulatedFleet(long epoch) {
-        fixture = new SchedulerFixture(epoch);
+        this(new SchedulerFixture(epoch));
+    }
+
+    SimulatedFleet(SchedulerFixture fixture) {
+        this.fixture = fixture;
         fixture.scheduler.adviceHosts(List.of("h1", "h2", "h3", "h4"));
     }
 
@@ -90,7 +104,10 @@
             }
             deliverReplies();
             fixture.scheduler.storeClock(fixture.nowMs, fixture.nowMs);
-            fixture.tick().forEach(this::execute);
+            fixture.confirmSaves = saveMs == 0;
+            if (!withoutAuthority) {
+                fixture.tick().forEach(this::execute);
+            }
         }
         return this;
     }
@@ -146,11 +163,21 @@
     private void save(Effect.Save save) {
         save.claims().forEach(record -> claims.put(record.id(), record));
         save.removedWorkers().forEach(claims::remove);
+        if (saveMs > 0) {
+            reply(saveMs, () -> fixture.scheduler.saved(save.batch()));
+        }
     }
 
     private void start(Effect.Start start) {
         Optional<SimulatedWorker> worker = at(start.address(), start.worker());
-        if (worker.isEmpty()) {
+        if (refusedStarts > 0) {
+            refusedStarts--;
+            reply(0, () -> fixture.answerStart(start, StartOutcome.REFUSED));
+            return;
+        }
+        boolean lost = lostStarts > 0;
+        lostStarts -= lost ? 1 : 0;
+        if (worker.isEmpty() || lost) {
             reply(ORDER_TIMEOUT_MS, () -> fixture.answerStart(start, StartOutcome.UNKNOWN));
             return;
         }
@@ -159,11 +186,17 @@
         StartOutcome outcome =
                 ticketMissing ? StartOutcome.NO_TICKET : worker.get().start(start, durationMs, endKind);
         if (outcome == StartOutcome.STARTED) {
+            startedTwice += atWorkElsewhere(start) ? 1 : 0;
             started.add(new Started(start.task(), start.worker(), fixture.nowMs));
         }
         reply(0, () -> fixture.answerStart(start, outcome));
     }
 
+    private boolean atWorkElsewhere(Effect.Start start) {
+        return workers.values().stream()
+                .anyMatch(worker -> !worker.entry.id().equals(start.worker()) && worker.runs.containsKey(start.task()));
+    }
+
     private void stop(Effect.Stop stop) {
         Optional<SimulatedWorker> worker = at(stop.address(), stop.worker());
         worker.ifPresent(one -> one.stop(stop));
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedWorker.java
@@ -23,6 +23,10 @@
     boolean reachable = true;
     /** True while the worker refuses all starts as unhealthy, and answers everything else. */
     boolean refusesStarts;
+    /** When the lease last ran out under a run; negative when it never did. */
+    long lapsedAtMs = -1;
+    /** The rate of the worker's clock; the contract allows 0.98 to 1. */
+    double clockRate = 1;
 
     private final long startedAtMs;
     private final Map<TaskName, Integer> highestEndedRun = new HashMap<>();
@@ -52,6 +56,7 @@
             Run run = runs.get(task);
             if (clockMs() >= leaseUntilMs) {
                 end(task, EndKind.LAPSED);
+                lapsedAtMs = nowMs;
             } else if (nowMs >= run.endsAtMs) {
                 end(task, run.kind);
             }
@@ -97,7 +102,7 @@
     }
 
     private long clockMs() {
-        return nowMs - startedAtMs + 1_000;
+        return Math.round((nowMs - startedAtMs) * clockRate) + 1_000;
     }
 
     /**
