A new worker at the address of a silent one is followed up beside the call in flight

Cause: the entry of the new worker asks for a call there at once, but a silent worker was asked by its renewals only, and one of these may have to time out first, 0.9 s.

A probe goes out beside it; its answer, 421, is the proof that the incarnation before has ended. A probe extends no lease.

ReplacedWorkerTest: shouldAskAtOnceWhenAnotherWorkerComesToTheAddressOfASilentOne fails while askAtOnce leaves silent workers to their renewals.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/ProbeSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/ProbeSystem.java
@@ -29,13 +29,11 @@
     void run(List<Effect> effects) {
         int sent = 0;
         for (WorkerRow worker : tables.workers.values()) {
-            if (worker.missedRenewals > 0) {
-                continue;
-            }
-            if (newlyOverdue(worker)) {
+            boolean silent = worker.missedRenewals > 0;
+            if (!silent && newlyOverdue(worker)) {
                 worker.suspect = true;
             }
-            boolean wanted = worker.suspect || tables.nowMs >= worker.probeAtMs;
+            boolean wanted = !silent && worker.suspect || tables.nowMs >= worker.probeAtMs;
             if (wanted && !worker.probeInFlight && sent < MAX_PROBES_PER_TICK) {
                 sent++;
                 worker.probeInFlight = true;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -131,9 +131,9 @@
         incarnationEnded = false;
     }
 
-    /** Asks for a report as soon as possible; a worker that is silent is only asked by its renewals. */
+    /** Asks for a report as soon as possible, beside a renewal that may wait for its answer. */
     void askAtOnce(long nowMs) {
-        if (missedRenewals == 0) {
+        if (missedRenewals == 0 || renewalInFlight) {
             probeAtMs = Math.min(probeAtMs, nowMs);
         } else {
             nextRenewalAtMs = Math.min(nextRenewalAtMs, nowMs);
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReplacedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReplacedWorkerTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.StoredJob;
@@ -103,6 +104,28 @@
         assertEquals(1, next.startsOf("lasting").size());
     }
 
+    /** Guards against a proof that waits until a call to the former worker, which nobody answers, has timed out. */
+    @Test
+    void shouldAskAtOnceWhenAnotherWorkerComesToTheAddressOfASilentOne() {
+        SchedulerFixture silent = new SchedulerFixture(1).withWorkers(worker("a", 1_000));
+        silent.scheduler.accept(lasting(silent));
+        silent.confirmedStarts();
+        silent.scheduler.leaseRenewalFailed("a");
+        silent.advance(BACK_MS);
+        silent.tick();
+
+        silent.scheduler.updateRegistry(List.of(successorOfA(1_000)), true);
+
+        List<String> asked = silent.tick().stream()
+                .filter(Effect.Probe.class::isInstance)
+                .map(effect -> ((Effect.Probe) effect).worker())
+                .toList();
+        assertEquals(List.of("a"), asked);
+        assertEquals(
+                List.of(),
+                silent.tick().stream().filter(Effect.Probe.class::isInstance).toList());
+    }
+
     /** A worker that is only cut off runs on; nobody else has its address, so nothing may start in its place. */
     @Test
     void shouldWaitForTheLeaseWhenNobodyAnswersAtTheAddress() {
