A task that lasts comes first as soon as the lease of its lost worker has run out

Tasks that last come before all others once they have waited for a second. That second was counted from the end of the lease of a lost worker, so on a full fleet a task that had been away for 7.5 s or more waited another second behind urgent jobs, of the 9 s that the contract allows. Found by reading.

The second counts from the last contact with the worker now, which is no later than the end of the run.

LastingTaskTest: without waitsSince shouldStartATaskFirstThatHasBeenAwayForTheLeaseOfItsWorker starts the urgent job.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -51,7 +51,7 @@
 
     int remaining;
     long readyAtMs = -1;
-    /** Since when at least one task of the step has waited without a break; -1 when none waits. */
+    /** Since when at least one task of the step has waited without a break, or was lost; -1 when none waits. */
     long waitingSinceMs = -1;
 
     long incompleteSinceMs = -1;
@@ -69,6 +69,11 @@
         }
     }
 
+    /** Records that a task of the step has not been at work since a time before it began to wait. */
+    void waitsSince(long atMs) {
+        waitingSinceMs = waitingSinceMs < 0 ? atMs : Math.min(waitingSinceMs, atMs);
+    }
+
     StepName name() {
         return new StepName(job.job.id(), occurrence, index);
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -161,7 +161,11 @@
     }
 
     private void endRuns(WorkerRow worker, String reason) {
-        List.copyOf(worker.runs.values()).forEach(run -> ends.removeLostRun(run, reason));
+        long awaySinceMs = worker.lastContactAtMs >= 0 ? worker.lastContactAtMs : tables.nowMs;
+        for (RunRow run : List.copyOf(worker.runs.values())) {
+            ends.removeLostRun(run, reason);
+            run.task.step.waitsSince(awaySinceMs);
+        }
         tables.unreconciled.remove(worker);
     }
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/LastingTaskTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/LastingTaskTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.acaciafold.fleet.AdviceSettings;
+import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.StoredJob;
@@ -115,6 +116,34 @@
         assertTrue(awayMs <= MAX_AWAY_MS + MAX_HELD_MS, "away for " + awayMs + " ms");
     }
 
+    /** Guards against a task that waits in the usual order although it has been away for as long as its worker's lease. */
+    @Test
+    void shouldStartATaskFirstThatHasBeenAwayForTheLeaseOfItsWorker() {
+        SchedulerFixture full = new SchedulerFixture(1).withWorkers(worker("a", 500), worker("b", 500));
+        full.scheduler.accept(full.job(
+                "lasting",
+                route(2, 4, Optional.empty()),
+                step(1, 500).longRunning(true).build()));
+        String lost = full.confirmedStarts().getFirst().worker();
+        full.scheduler.accept(full.job("other", step(1, 500).build()));
+        Effect.Start other = full.confirmedStarts().getFirst();
+        full.scheduler.leaseRenewalFailed(lost);
+        for (long second = 0; second < MAX_AWAY_MS + MAX_HELD_MS; second += 1_000) {
+            full.advance(1_000);
+            full.leaseRenewed(other.worker(), List.of(SchedulerFixture.running(other)), List.of());
+            full.tick();
+        }
+        full.scheduler.accept(
+                full.job("urgent", route(0, 4, Optional.empty()), step(1, 500).build()));
+
+        full.leaseRenewed(
+                other.worker(), List.of(), List.of(SchedulerFixture.end(1, other.task(), other.run(), EndKind.DONE)));
+
+        assertEquals(
+                List.of("lasting"),
+                full.starts().stream().map(start -> start.task().job()).toList());
+    }
+
     /** Guards against capacity that a step keeps free for as long as its advice calls get no answer. */
     @Test
     void shouldStartATaskThatLastsWhileAnotherStepGetsNoAnswerToItsAdviceCalls() {
