--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
@@ -66,6 +66,8 @@
     boolean draining;
     /** True while the worker refuses starts as unhealthy. */
     boolean unhealthy;
+    /** True when nothing answers at the worker's address. */
+    boolean silent;
     /** True once the worker has left for good. */
     boolean gone;
 
@@ -182,7 +184,7 @@
         StepSpec step = oracle.runStarted(order.task(), order.run(), this, nowMs);
         boolean resumes = order.checkpoint().equals(CHECKPOINT);
         long workMs = 50
-                + random.nextInt(step.longRunning() ? MAX_LASTING_MS : 1_500)
+                + random.nextInt(step.longRunning() ? MAX_LASTING_MS : (int) Math.max(1_500, 2 * step.estimateMs()))
                 + (step.checkpoints() && !resumes ? UNSAVED_WORK_MS : 0);
         long durationMs = oracle.crashes.workMs(order.task(), workMs);
         boolean fails = step.longRunning() ? random.nextInt(LASTING_DONE) > 0 : oracle.fails(order.task());
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Faults.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Faults.java
@@ -4,9 +4,6 @@
 
 /** Injects faults into a world: all the while, or several at once with calm between. */
 final class Faults {
-    /** How long the absence of runs is unproven at most after their worker was lost: a lease on the slowest clock. */
-    private static final long LEASE_PROOF_MS = 10_000;
-
     private static final int MEAN_TICKS_BETWEEN_FAULTS = 60;
     private static final int LEAST_CALM_MS = 9_000;
     private static final int MOST_CALM_MS = 14_000;
@@ -19,6 +16,7 @@
     private final Features features;
     private long nextBurstMs;
     private boolean over;
+    private boolean scheduled;
 
     Faults(World world, Timeline timeline, Fleet fleet, Features features) {
         this.world = world;
@@ -31,6 +29,13 @@
 
     /** Injects the faults of one tick. */
     void inject() {
+        if (features.troubles()) {
+            if (!scheduled) {
+                scheduled = true;
+                new Troubles(world, timeline, fleet).schedule();
+            }
+            return;
+        }
         if (!features.bursts()) {
             timeline.disturb(timeline.nowMs());
             if (timeline.oneIn(MEAN_TICKS_BETWEEN_FAULTS)) {
@@ -100,7 +105,7 @@
         if (!worker.up()) {
             return;
         }
-        stopRunning(worker);
+        fleet.lost(worker);
         worker.crash(timeline.nowMs());
         timeline.disturb(timeline.nowMs() + downMs);
         later(downMs, () -> restart(worker));
@@ -108,17 +113,10 @@
 
     private void restart(FakeWorker worker) {
         if (worker.crashed && !worker.gone) {
-            world.store.claimedOn(worker.id).forEach(task -> world.oracle.runLost(task, timeline.nowMs()));
             worker.restart(timeline.nowMs());
         }
     }
 
-    private void stopRunning(FakeWorker worker) {
-        fleet.lost(worker);
-        long provenMs = timeline.nowMs() + LEASE_PROOF_MS;
-        world.store.claimedOn(worker.id).forEach(task -> world.oracle.runLost(task, provenMs));
-    }
-
     private void cut(FakeWorker worker, long forMs) {
         worker.reachable = false;
         timeline.disturb(timeline.nowMs() + forMs);
@@ -162,7 +160,7 @@
         fleet.drain(worker, afterMs > 0);
         timeline.disturb(timeline.nowMs() + afterMs);
         later(afterMs, () -> {
-            stopRunning(worker);
+            fleet.lost(worker);
             worker.crash(timeline.nowMs());
             worker.gone = true;
         });
@@ -206,13 +204,4 @@
         }
         timeline.disturb(timeline.nowMs() + atMs);
     }
-
-    /** Records which runs a new leader cannot know to be absent before the leases of its predecessor have expired. */
-    void leaderReplaced() {
-        long provenMs = timeline.nowMs() + LEASE_PROOF_MS;
-        fleet.workers.values().stream()
-                .filter(worker -> !worker.up() || !worker.reachable)
-                .forEach(worker ->
-                        world.store.claimedOn(worker.id).forEach(task -> world.oracle.runLost(task, provenMs)));
-    }
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Features.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Features.java
@@ -12,6 +12,7 @@
  * @param moves true when workers come back at other addresses
  * @param failing true when many jobs fail towards the end of the traffic
  * @param busyService true when tasks that last fill the larger one of the services
+ * @param troubles true when troubles overlap in the first half of the traffic, with many workers and jobs of many steps
  */
 record Features(
         boolean plain,
@@ -20,10 +21,11 @@
         boolean bursts,
         boolean moves,
         boolean failing,
-        boolean busyService) {
+        boolean busyService,
+        boolean troubles) {
     static Features draw(Random random) {
         if (random.nextInt(5) == 0) {
-            return new Features(true, false, false, false, false, false, false);
+            return new Features(true, false, false, false, false, false, false, false);
         }
         return new Features(
                 false,
@@ -32,7 +34,14 @@
                 random.nextInt(3) > 0,
                 random.nextInt(6) == 0,
                 random.nextInt(4) == 0,
-                random.nextInt(8) == 0);
+                random.nextInt(8) == 0,
+                false);
+    }
+
+    static Features overlappingTroubles(Random random) {
+        boolean flood = random.nextInt(3) == 0;
+        boolean busyService = random.nextInt(6) == 0;
+        return new Features(false, false, flood, true, false, false, busyService, true);
     }
 
     String largerService() {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Fleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Fleet.java
@@ -28,6 +28,7 @@
     /** Leaders read the registry this often. */
     static final long READ_PERIOD_MS = 500;
 
+    private static final int MOST_PERMANENT = 16;
     private static final int[] SIZES = {8_000, 16_000, 32_000, 64_000};
     private static final long MEMORY_PER_CPU_MILLI = 4;
     private static final long ACCELERATORS = 4;
@@ -37,7 +38,6 @@
     private final Map<String, Long> drainingSinceMs = new HashMap<>();
     private final Map<String, Long> lostAtMs = new HashMap<>();
     private final Map<String, Long> hiddenUntilMs = new HashMap<>();
-    private final Map<String, Long> unusableAtMs = new HashMap<>();
     private final List<FakeWorker> permanent = new ArrayList<>();
     private final Timeline timeline;
     private final Advisor advisor;
@@ -53,7 +53,7 @@
     void addInitial(int count, Features features, Oracle oracle, Gangs gangs) {
         for (int i = 0; i < count; i++) {
             FakeWorker worker = add(i % 4 == 3 ? features.smallerService() : features.largerService(), oracle, gangs);
-            if (i < PERMANENT) {
+            if (i < (features.troubles() ? MOST_PERMANENT : PERMANENT)) {
                 permanent.add(worker);
             }
         }
@@ -92,6 +92,13 @@
         return all.get(timeline.random.nextInt(all.size()));
     }
 
+    /** Returns whether another worker answers where one was. */
+    boolean anotherAnswers(String id, String address) {
+        return workers.values().stream()
+                .anyMatch(worker ->
+                        !worker.id.equals(id) && worker.address.equals(address) && worker.up() && worker.reachable);
+    }
+
     boolean permanent(FakeWorker worker) {
         return permanent.contains(worker);
     }
@@ -128,9 +135,6 @@
         long nowMs = timeline.nowMs();
         for (FakeWorker worker : workers.values()) {
             worker.advance(nowMs);
-            if (!usable(worker)) {
-                unusableAtMs.put(worker.id, nowMs);
-            }
         }
     }
 
@@ -158,9 +162,14 @@
                 .toList();
     }
 
-    /** Returns whether a worker could be given tasks all the while of a span. */
-    boolean usableFor(FakeWorker worker, long spanMs) {
-        return usable(worker) && timeline.nowMs() - unusableAtMs.getOrDefault(worker.id, 0L) >= spanMs;
+    /** Returns whether a worker could be given tasks now. */
+    boolean usable(FakeWorker worker) {
+        return worker.up()
+                && worker.reachable
+                && !worker.draining
+                && !worker.unhealthy
+                && registered(worker)
+                && !evacuatedDomains.contains(worker.shape.domain());
     }
 
     /** Returns whether a worker may run a step: its service, its label and the queue's policy allow it. */
@@ -212,13 +221,4 @@
         boolean expired = !worker.up() && nowMs - lostAtMs.getOrDefault(worker.id, nowMs) >= ENTRY_EXPIRY_MS;
         return !expired && nowMs >= hiddenUntilMs.getOrDefault(worker.id, 0L);
     }
-
-    private boolean usable(FakeWorker worker) {
-        return worker.up()
-                && worker.reachable
-                && !worker.draining
-                && !worker.unhealthy
-                && registered(worker)
-                && !evacuatedDomains.contains(worker.shape.domain());
-    }
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/FleetFuzzTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FleetFuzzTest.java
@@ -12,11 +12,16 @@
 
 class FleetFuzzTest {
     private static final long FAULTS_MS = 30_000;
-    private static final long FAULT_FREE_MS = 40_000;
+    static final long FAULT_FREE_MS = 40_000;
+    /** The traffic goes on for so long after overlapping troubles, or for twice that, or ends with them. */
+    private static final int TRAFFIC_AFTER_TROUBLES_MS = 7_000;
 
     /** Every build runs the seeds from 1 to this one, and those of the range that {@code bin/fuzz --fleet} passes. */
     private static final long SEEDS = 40;
 
+    /** The worlds with overlapping troubles are larger. */
+    private static final long SEEDS_WITH_TROUBLES = 6;
+
     private static final long FIRST = Long.getLong("acaciafold.fuzz.first", 0);
     private static final long LAST = Long.getLong("acaciafold.fuzz.last", -1);
     private static final int MAX_SHOWN = 3;
@@ -28,6 +33,15 @@
         return LongStream.concat(LongStream.rangeClosed(1, SEEDS), LongStream.rangeClosed(FIRST, LAST));
     }
 
+    static LongStream seedsWithTroubles() {
+        return LongStream.concat(LongStream.rangeClosed(1, SEEDS_WITH_TROUBLES), LongStream.rangeClosed(FIRST, LAST));
+    }
+
+    /** Returns how long the traffic of a world with overlapping troubles goes on. */
+    static long troublesMs(long seed) {
+        return Troubles.LENGTH_MS + seed % 3 * TRAFFIC_AFTER_TROUBLES_MS;
+    }
+
     private static Outcome outcome(long seed) {
         return OUTCOMES.computeIfAbsent(seed, unknown -> {
             World world = new World(seed, false);
@@ -73,6 +87,19 @@
                 List.of(), world.oracle.violations.stream().limit(MAX_SHOWN).toList(), "seed " + seed);
     }
 
+    @ParameterizedTest
+    @MethodSource("seedsWithTroubles")
+    void shouldLeaveNoTaskWaitingAfterOverlappingTroubles(long seed) {
+        World world = World.withOverlappingTroubles(seed);
+
+        world.run(troublesMs(seed), FAULT_FREE_MS);
+
+        assertEquals(
+                List.of(),
+                world.oracle.violations.stream().limit(MAX_SHOWN).toList(),
+                "seed " + seed + " " + world.features);
+    }
+
     /**
      * What came of a seed.
      *
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Network.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Network.java
@@ -14,17 +14,27 @@
     private final Timeline timeline;
     private final Fleet fleet;
     boolean lossy;
+    private int lateEvery;
 
     Network(Timeline timeline, Fleet fleet) {
         this.timeline = timeline;
         this.fleet = fleet;
     }
 
+    /** Lets one in so many orders arrive late until further notice. */
+    void lateOrders(int oneIn) {
+        lateEvery = oneIn;
+    }
+
+    void usualOrders() {
+        lateEvery = 0;
+    }
+
     <T> void deliver(
             String id, String address, Function<FakeWorker, Optional<T>> execute, Consumer<Optional<T>> answered) {
         FakeWorker worker = fleet.workers.get(id);
         long nowMs = timeline.nowMs();
-        boolean late = lossy && timeline.oneIn(LOSS);
+        boolean late = lossy && timeline.oneIn(LOSS) || lateEvery > 0 && timeline.oneIn(lateEvery);
         boolean lost = lossy && timeline.oneIn(LOSS);
         long arrivesMs = late ? nowMs + timeline.between(2_000, 12_000) : nowMs + timeline.between(1, 8);
         List<Optional<T>> answer = new ArrayList<>();
@@ -36,8 +46,10 @@
                 answer.add(execute.apply(worker));
             }
         });
-        boolean reset = worker.reachable && (!worker.up() || !listens);
-        long answerMs = !reset && (late || lost || !worker.reachable) ? nowMs + ORDER_TIMEOUT_MS : arrivesMs + 5;
+        boolean reset = worker.reachable && !worker.silent && (!worker.up() || !listens);
+        long answerMs = !reset && (late || lost || !worker.reachable || worker.silent)
+                ? nowMs + ORDER_TIMEOUT_MS
+                : arrivesMs + 5;
         timeline.schedule(
                 answerMs,
                 () -> answered.accept(late || lost || answer.isEmpty() ? Optional.empty() : answer.getFirst()));
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Oracle.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Oracle.java
@@ -150,16 +150,11 @@
         return done.contains(task);
     }
 
-    /** Returns when the last run of a task ended, or when its absence can be proven if its worker was lost. */
+    /** Returns when the last run of a task ended, whether or not a leader knows it. */
     long lastEndMs(TaskName task) {
         return lastEndMs.getOrDefault(task, 0L);
     }
 
-    /** Records that a worker was lost on which a task may have run, whose absence can be proven at a time. */
-    void runLost(TaskName task, long provenAtMs) {
-        lastEndMs.put(task, provenAtMs);
-    }
-
     StepSpec step(TaskName task) {
         return jobs.get(task.job()).steps().get(task.step());
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Standstill.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Standstill.java
@@ -23,7 +23,7 @@
     static final String RULE = "LOST: ";
     static final long PERIOD_MS = 200;
 
-    private static final long SPAN_MS = 3_000;
+    static final long SPAN_MS = 3_000;
     private static final long CALM_MS = SPAN_MS + 4_000;
     private static final long AFTER_LAST_RUN_MS = 6_000;
     private static final int TWICE = 2;
@@ -84,7 +84,7 @@
                 && oracle.turnHasCome(job, index)
                 && fleet.usedShare(job.route().service()) < 0.5
                 && workspaceHalfFree(job)
-                && fitsLimit(job, together * step.each().cpuMillis())
+                && (!step.gang() || fitsLimit(job, together * step.each().cpuMillis()))
                 && vacancies(job, index) >= TWICE * together;
         observe(step.gang() ? "gang" : "single", job, name, standing);
     }
@@ -105,16 +105,14 @@
     }
 
     private boolean workspaceHalfFree(Job job) {
-        long lowest = limits.lowestMillis(job.workspace(), timeline.nowMs(), CALM_MS);
-        return 2 * oracle.usedMillis(job.workspace()) < lowest;
+        return 2 * oracle.usedMillis(job.workspace()) < limits.currentMillis(job.workspace(), timeline.nowMs());
     }
 
     private boolean fitsLimit(Job job, long millis) {
-        long lowest = limits.lowestMillis(job.workspace(), timeline.nowMs(), CALM_MS);
-        return oracle.usedMillis(job.workspace()) + millis <= lowest;
+        return oracle.usedMillis(job.workspace()) + millis <= limits.currentMillis(job.workspace(), timeline.nowMs());
     }
 
-    /** Returns how many tasks fit on the allowed workers that have been in service all the while. */
+    /** Returns how many tasks fit on the allowed workers that are in service. */
     private int vacancies(Job job, int index) {
         StepSpec step = job.steps().get(index);
         StepName name = new StepName(job.id(), 0, index);
@@ -122,7 +120,7 @@
         boolean advised = job.route().advice().isPresent();
         int sum = 0;
         for (FakeWorker worker : fleet.workers.values()) {
-            if (fleet.usableFor(worker, CALM_MS) && fleet.allowed(worker, name, step, service, advised)) {
+            if (fleet.usable(worker) && fleet.allowed(worker, name, step, service, advised)) {
                 sum += Math.max(0, Fleet.vacancies(worker, name, step));
             }
         }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
@@ -14,7 +14,6 @@
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.Progress;
 import org.acaciafold.fleet.StoredJob;
-import org.acaciafold.fleet.TaskName;
 import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.scheduling.Scheduler;
 
@@ -74,14 +73,6 @@
         retired.put(id, job);
     }
 
-    /** Returns the tasks that may be running on a worker. */
-    List<TaskName> claimedOn(String worker) {
-        WorkerClaims record = claims.get(worker);
-        return record == null
-                ? List.of()
-                : record.claims().stream().map(WorkerClaims.Claim::task).toList();
-    }
-
     void restore(Scheduler leader, long nowMs, long wallMs) {
         leader.storeClock(nowMs, nowMs);
         Map<String, EndedJob> ended = new HashMap<>(retired);
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Submissions.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Submissions.java
@@ -22,6 +22,7 @@
 
     private static final int MAX_DRAWS = 20;
     private static final int MAX_LASTING = 3;
+    private static final int MANY_LASTING = 12;
     private static final int FILLED_PERCENT = 90;
     private static final long FILLING_TASK_MILLIS = 4_000;
 
@@ -31,6 +32,9 @@
     /** Every so many jobs there is one whose tasks checkpoint. */
     private static final int CHECKPOINTING_JOBS = 12;
 
+    private static final AdviceSettings LONG_CALLS = new AdviceSettings(370, 5.3, 2_500);
+    private static final AdviceSettings SHORT_CALLS = new AdviceSettings(100, 5, 2_500);
+
     private final Timeline timeline;
     private final Random random;
     private final Fleet fleet;
@@ -49,9 +53,12 @@
         this.advisor = advisor;
         this.limits = limits;
         this.features = features;
-        this.advice = List.of(
-                new AdviceSettings(100, 10, 2_500),
-                new AdviceSettings(timeline.between(20, 200), timeline.between(1, 15), timeline.between(1_500, 4_000)));
+        this.advice = features.troubles()
+                ? List.of(LONG_CALLS, SHORT_CALLS)
+                : List.of(
+                        new AdviceSettings(100, 10, 2_500),
+                        new AdviceSettings(
+                                timeline.between(20, 200), timeline.between(1, 15), timeline.between(1_500, 4_000)));
     }
 
     /** Returns whether a job has a step that its allowed workers can never hold. */
@@ -63,6 +70,9 @@
     Job next(long wallMs) {
         String workspace =
                 limits.workspaces().get(random.nextInt(limits.workspaces().size()));
+        if (features.troubles()) {
+            return ofManySteps(workspace, wallMs);
+        }
         int kind = random.nextInt(40);
         Optional<Job> job = Optional.empty();
         if (kind == 0 && features.hopelessGangs()) {
@@ -78,6 +88,36 @@
                 .orElseGet(() -> single(workspace, wallMs));
     }
 
+    /** Draws a job that lasts, or one of several steps of tasks that take some seconds. */
+    private Job ofManySteps(String workspace, long wallMs) {
+        Optional<Job> job = Optional.empty();
+        if (lasting < MANY_LASTING && random.nextInt(6) == 0) {
+            job = firstMatching(() -> lasting(workspace, wallMs), this::holdable);
+            lasting += job.isPresent() ? 1 : 0;
+        }
+        return job.or(() -> firstMatching(() -> chain(workspace, wallMs), this::holdable))
+                .orElseGet(() -> single(workspace, wallMs));
+    }
+
+    private Job chain(String workspace, long wallMs) {
+        String service = service();
+        List<StepSpec> steps = new ArrayList<>();
+        int stepCount = timeline.between(1, 3);
+        for (int i = 0; i < stepCount; i++) {
+            steps.add(StepSpec.builder()
+                    .count(timeline.between(1, 12))
+                    .each(Resources.of(timeline.between(500, 4_000), 1_000, 0))
+                    .estimateMs(timeline.between(500, 3_000))
+                    .after(i == 0 ? List.of() : List.of(i - 1))
+                    .gang(timeline.oneIn(6))
+                    .checkpoints(timeline.oneIn(4))
+                    .build());
+        }
+        Optional<AdviceSettings> settings =
+                timeline.oneIn(4) ? Optional.empty() : Optional.of(timeline.oneIn(4) ? SHORT_CALLS : LONG_CALLS);
+        return job(workspace, service, settings, steps, wallMs);
+    }
+
     /** Draws a job of the workspace that sends more than its part. */
     Job flood(long wallMs) {
         return firstMatching(() -> small(FLOODING_WORKSPACE, features.largerService(), wallMs), this::holdable)
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -1,21 +1,12 @@
 package org.acaciafold.fleet.fuzz;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
-import java.util.TreeMap;
 
-import org.acaciafold.fleet.Effect;
-import org.acaciafold.fleet.Grant;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
-import org.acaciafold.fleet.StartOutcome;
 import org.acaciafold.fleet.StepSpec;
-import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.TaskName;
 import org.acaciafold.fleet.scheduling.Scheduler;
 import org.acaciafold.fleet.scheduling.SchedulerLimits;
@@ -23,7 +14,7 @@
 
 /** Simulates a fleet on one fake clock: workers, a store, successive leaders, and faults drawn from a seed. */
 final class World {
-    private static final long WALL_MS = 1_700_000_000_000L;
+    static final long WALL_MS = 1_700_000_000_000L;
     /** Leases, late orders and gangs from the phase with faults are over after this time. */
     private static final long FAULT_EFFECTS_MS = 16_000;
 
@@ -33,13 +24,26 @@
     /** When clients cancel the jobs that last, after the end of the traffic. */
     private static final long CANCEL_LASTING_MS = 20_000;
 
-    private static final long DRAIN_MS = 2_000;
     private static final int MEAN_TICKS_BETWEEN_JOBS = 30;
+    private static final long OVERLOAD_PERIOD_MS = 100;
     private static final int FLOOD_MS = 2_000;
     /** In some worlds many jobs fail in this time before the end of the traffic. */
     private static final long FAILING_MS = 10_000;
 
     private static final List<String> HOSTS = List.of("h0", "h1", "h2");
+    private static final List<String> MANY_HOSTS = List.of("h0", "h1", "h2", "h3", "h4", "h5", "h6");
+    private static final int MANY_WORKERS = 24;
+
+    /** The part of the workers that advice allows in worlds with overlapping troubles. */
+    private static final int FEW_ALLOWED_PERCENT = 35;
+
+    /** In some of these worlds the limits of workspaces are near what their jobs need. */
+    private static final int NARROW_LIMITS_DIVISOR = 4;
+
+    /** How long jobs may take in addition that wait for the limits of their workspaces. */
+    private static final long MAX_BACKLOG_MS = 200_000;
+
+    private static final long TROUBLES_SEED = 7_919;
     static final SchedulerLimits LIMITS = SchedulerLimits.of(10_000, 400, 0);
 
     final Features features;
@@ -50,40 +54,54 @@
     final Network network;
     private final Fleet fleet;
     private final Gangs gangs = new Gangs();
-    private final Advisor advisor;
+    final Effects effects;
     private final Submissions submissions;
     private final Standstill standstill;
     private final Faults faultInjection;
     private final Map<String, JobState> publishedStates = new HashMap<>();
     private final long floodAtMs;
+    private List<String> hosts;
     private Scheduler leader;
     private boolean paused;
     private long epoch;
-    private long savesDelayedUntilMs;
+    private long startedAtMs;
     private long trafficEndsMs;
     private boolean faults = true;
     private boolean finished;
 
+    /** Creates a world with usual faults. */
     World(long seed, boolean crashes) {
-        timeline = new Timeline(seed);
-        features = Features.draw(timeline.random);
-        advisor = new Advisor(timeline.between(30, 90));
+        this(seed, crashes, false);
+    }
+
+    private World(long seed, boolean crashes, boolean troubles) {
+        timeline = new Timeline(troubles ? seed * TROUBLES_SEED : seed);
+        features = troubles ? Features.overlappingTroubles(timeline.random) : Features.draw(timeline.random);
+        Advisor advisor = new Advisor(troubles ? FEW_ALLOWED_PERCENT : timeline.between(30, 90));
+        hosts = troubles ? MANY_HOSTS : HOSTS;
         fleet = new Fleet(timeline, advisor);
         double floodingWeight = features.flood() ? 2 : 1_000;
         limits = new Limits(Map.of("north", 1_000.0, Submissions.FLOODING_WORKSPACE, floodingWeight));
         oracle = new Oracle(seed, crashes, timeline.random, limits);
-        fleet.addInitial(timeline.between(6, 12), features, oracle, gangs);
-        limits.share(fleet.capacityMillis());
+        fleet.addInitial(troubles ? MANY_WORKERS : timeline.between(6, 12), features, oracle, gangs);
+        limits.share(fleet.capacityMillis() / (troubles ? timeline.between(1, NARROW_LIMITS_DIVISOR) : 1));
         network = new Network(timeline, fleet);
+        effects = new Effects(this, fleet, advisor);
         submissions = new Submissions(timeline, fleet, advisor, limits, features);
         standstill = new Standstill(timeline, fleet, limits, oracle, id -> SchedulerTrace.of(leader, id));
         faultInjection = new Faults(this, timeline, fleet, features);
         floodAtMs = features.flood() ? timeline.nowMs() + timeline.between(5_000, 25_000) : Long.MAX_VALUE;
     }
 
+    /** Creates a world with many workers and jobs, in which troubles overlap and end before the traffic. */
+    static World withOverlappingTroubles(long seed) {
+        return new World(seed, false, true);
+    }
+
     /** Runs the fleet for a time with faults, then without faults for long enough that all work ends. */
     void run(long faultMs, long faultFreeMs) {
         electLeader();
+        startedAtMs = timeline.nowMs();
         trafficEndsMs = timeline.nowMs() + faultMs;
         if (features.busyService()) {
             submit(submissions.filling(features.largerService(), WALL_MS + timeline.nowMs()));
@@ -103,16 +121,20 @@
         configure();
         long nowMs = timeline.nowMs();
         timeline.schedule(nowMs + FAULT_EFFECTS_MS, oracle::faultsOver);
-        timeline.schedule(nowMs + FINISH_MS, () -> finished = true);
+        timeline.schedule(nowMs + FINISH_MS - Standstill.SPAN_MS, () -> finished = true);
         timeline.schedule(nowMs + CANCEL_LASTING_MS, this::cancelLasting);
         for (long end = nowMs + faultFreeMs; timeline.nowMs() < end; end = oracle.crashes.extended(end, faultFreeMs)) {
             step();
         }
+        long latestMs = timeline.nowMs() + (features.troubles() ? MAX_BACKLOG_MS : 0);
+        while (timeline.nowMs() < latestMs && store.jobs().values().stream().anyMatch(this::open)) {
+            step();
+        }
         store.jobs().values().forEach(this::checkEnded);
     }
 
-    void addWorker(String service) {
-        fleet.add(service, oracle, gangs);
+    FakeWorker addWorker(String service) {
+        return fleet.add(service, oracle, gangs);
     }
 
     void cancelOne() {
@@ -132,8 +154,8 @@
 
     /** Delays the answers to saves until a time. */
     void delaySaves(long forMs) {
-        savesDelayedUntilMs = timeline.nowMs() + forMs;
-        timeline.disturb(savesDelayedUntilMs);
+        effects.delaySavesUntil(timeline.nowMs() + forMs);
+        timeline.disturb(timeline.nowMs() + forMs);
     }
 
     void evacuate(String domain, boolean active) {
@@ -155,6 +177,23 @@
         }
     }
 
+    /** Returns the entry hosts that the leader knows. */
+    List<String> hosts() {
+        return hosts;
+    }
+
+    void hosts(List<String> known) {
+        hosts = known;
+    }
+
+    boolean faults() {
+        return faults;
+    }
+
+    boolean leads(Scheduler term) {
+        return term == leader;
+    }
+
     /** Makes the store unavailable; the leader loses its authority, and may or may not get it back. */
     void storeAway(long untilMs) {
         store.awayUntil(untilMs);
@@ -181,10 +220,14 @@
                 leader.updateRegistry(fleet.registered(), store.complete(nowMs));
             }
             if (!paused) {
-                leader.adviceHosts(HOSTS);
-                leader.tick().forEach(this::handleEffect);
+                leader.adviceHosts(hosts);
+                Scheduler term = leader;
+                term.tick().forEach(effect -> effects.handle(term, epoch, effect));
             }
         }
+        if (nowMs % Standstill.PERIOD_MS == 0 && leader != null) {
+            SchedulerTrace.accountErrors(leader).forEach(error -> oracle.check(false, "ACCOUNT: " + nowMs + error));
+        }
         if (nowMs % Standstill.PERIOD_MS == 0 && !oracle.crashes.enabled()) {
             standstill.check(store.jobs().values().stream().filter(this::open).toList(), finished);
         }
@@ -213,12 +256,23 @@
         if (timeline.oneIn(MEAN_TICKS_BETWEEN_JOBS)) {
             submit(submissions.next(WALL_MS + nowMs));
         }
+        if (features.troubles() && overloads(nowMs)) {
+            submit(submissions.next(WALL_MS + nowMs));
+        }
         boolean flooding = nowMs >= floodAtMs && nowMs < floodAtMs + FLOOD_MS;
         if (flooding && timeline.oneIn(3)) {
             submit(submissions.flood(WALL_MS + nowMs));
         }
     }
 
+    /** Returns whether one of the jobs comes now that overload the fleet towards the end of the troubles. */
+    private boolean overloads(long nowMs) {
+        long sinceMs = nowMs - startedAtMs - Troubles.OVERLOAD_MS;
+        return sinceMs >= 0
+                && sinceMs < Troubles.OVERLOAD_JOBS * OVERLOAD_PERIOD_MS
+                && sinceMs % OVERLOAD_PERIOD_MS == 0;
+    }
+
     private void submit(Job job) {
         store.submit(job);
         oracle.submitted(job, timeline.nowMs());
@@ -255,140 +309,11 @@
         leader.advance(nowMs, WALL_MS + nowMs);
         configure();
         store.restore(leader, nowMs, WALL_MS + nowMs);
-        faultInjection.leaderReplaced();
         publish(leader.states());
     }
 
-    private void publish(Map<String, JobState> states) {
+    void publish(Map<String, JobState> states) {
         oracle.published(states);
         publishedStates.putAll(states);
     }
-
-    private void handleEffect(Effect effect) {
-        Scheduler term = leader;
-        long token = epoch;
-        switch (effect) {
-            case Effect.Start start -> start(term, start, token);
-            case Effect.Stop stop ->
-                network.deliver(
-                        stop.worker(),
-                        stop.address(),
-                        worker -> Optional.of(worker.stop(stop, token, timeline.nowMs())),
-                        outcome -> answer(
-                                term,
-                                () -> term.stopped(
-                                        stop.worker(), stop.task(), stop.run(), outcome.orElse(StopOutcome.UNKNOWN))));
-            case Effect.RenewLease renewal -> renewLease(term, renewal, token);
-            case Effect.Probe probe -> probe(term, probe, token);
-            case Effect.Save save -> later(timeline.between(10, 40), () -> save(term, save));
-            case Effect.Retire retire -> later(timeline.between(10, 510), () -> retire(term, retire));
-            case Effect.RequestAdvice request -> requestAdvice(term, request);
-            case Effect.Publish publish -> publish(publish.states());
-        }
-    }
-
-    private void later(long delayMs, Runnable action) {
-        timeline.schedule(timeline.nowMs() + delayMs, action);
-    }
-
-    private void answer(Scheduler term, Runnable apply) {
-        if (term == leader) {
-            term.advance(timeline.nowMs(), WALL_MS + timeline.nowMs());
-            apply.run();
-        }
-    }
-
-    private void start(Scheduler term, Effect.Start start, long token) {
-        FakeWorker worker = fleet.workers.get(start.worker());
-        oracle.check(!fleet.evacuatedDomains.contains(worker.shape.domain()), "EVAC: " + start);
-        oracle.check(fleet.drainingForMs(worker.id) <= DRAIN_MS, "DRAIN: " + start);
-        network.deliver(
-                start.worker(),
-                start.address(),
-                target -> Optional.of(target.start(start, token, timeline.nowMs())),
-                outcome -> answer(
-                        term,
-                        () -> term.started(
-                                start.worker(), start.task(), start.run(), outcome.orElse(StartOutcome.UNKNOWN))));
-    }
-
-    private void save(Scheduler term, Effect.Save save) {
-        // the store rejects writes of a leader that has a successor
-        if (term != leader) {
-            return;
-        }
-        if (store.away(timeline.nowMs())) {
-            timeline.schedule(store.backAtMs() + timeline.between(10, 300), () -> save(term, save));
-            return;
-        }
-        store.save(save);
-        long answerMs = Math.max(timeline.nowMs(), savesDelayedUntilMs);
-        timeline.schedule(answerMs, () -> answer(term, () -> term.saved(save.batch())));
-    }
-
-    /** Answers an advice request; under faults, some answers are lost and some are failures. */
-    private void requestAdvice(Scheduler term, Effect.RequestAdvice request) {
-        boolean lost = network.lossy && timeline.oneIn(20);
-        boolean failed = network.lossy && timeline.oneIn(20);
-        long answerMs = advisor.answersAtMs(request.host(), request.expectedMs(), timeline.nowMs());
-        long validMs = store.jobs()
-                .get(request.step().job())
-                .route()
-                .advice()
-                .orElseThrow()
-                .validMs();
-        timeline.schedule(answerMs, () -> {
-            if (!lost) {
-                List<FakeWorker> asked =
-                        request.workers().stream().map(fleet.workers::get).toList();
-                List<Grant> grants = advisor.grant(request.step(), asked, timeline.nowMs() + validMs);
-                Optional<List<Grant>> granted = failed ? Optional.empty() : Optional.of(grants);
-                answer(term, () -> term.adviceAnswered(request.host(), request.step(), granted));
-            }
-        });
-    }
-
-    /** Replaces records, under faults sometimes only a part of them, also for a leader that has a successor. */
-    private void retire(Scheduler term, Effect.Retire retire) {
-        Set<String> done = new HashSet<>();
-        new TreeMap<>(retire.jobs()).forEach((id, job) -> {
-            boolean refused = store.away(timeline.nowMs()) || faults && timeline.oneIn(10);
-            if (!refused) {
-                store.retire(id, job);
-                done.add(id);
-            }
-        });
-        answer(term, () -> term.retired(done));
-    }
-
-    private void renewLease(Scheduler term, Effect.RenewLease renewal, long token) {
-        long requestedAtMs = timeline.nowMs();
-        network.deliver(
-                renewal.worker(),
-                renewal.address(),
-                worker -> worker.renewLease(renewal, token, timeline.nowMs()),
-                report -> answer(term, () -> {
-                    if (report.isPresent()) {
-                        term.leaseRenewed(renewal.worker(), report.get(), requestedAtMs);
-                    } else {
-                        term.leaseRenewalFailed(renewal.worker());
-                    }
-                }));
-    }
-
-    private void probe(Scheduler term, Effect.Probe probe, long token) {
-        long requestedAtMs = timeline.nowMs();
-        Effect.RenewLease request = new Effect.RenewLease(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0);
-        network.deliver(
-                probe.worker(),
-                probe.address(),
-                worker -> worker.renewLease(request, token, timeline.nowMs()),
-                report -> answer(term, () -> {
-                    if (report.isPresent()) {
-                        term.probed(probe.worker(), report.get(), requestedAtMs);
-                    } else {
-                        term.probeFailed(probe.worker());
-                    }
-                }));
-    }
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerTrace.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerTrace.java
@@ -1,6 +1,10 @@
 package org.acaciafold.fleet.scheduling;
 
 import java.lang.reflect.Field;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciafold.core.model.Resources;
 
 /** Describes what a scheduler believes of a job and of the workers, for the messages of failed checks. */
 public final class SchedulerTrace {
@@ -42,6 +46,28 @@
         return WorkspaceUse.of(workspace, tables(scheduler));
     }
 
+    /** Returns how the accounts of workspaces and workers differ from the sums of the runs; empty when they are right. */
+    public static List<String> accountErrors(Scheduler scheduler) {
+        Tables tables = tables(scheduler);
+        List<String> errors = new ArrayList<>();
+        for (String workspace : tables.usedByWorkspace.keySet()) {
+            WorkspaceUse use = WorkspaceUse.of(workspace, tables);
+            if (!use.surplus().equals(Resources.empty())) {
+                errors.add(" workspace " + workspace + " " + use);
+            }
+        }
+        for (WorkerRow worker : tables.workers.values()) {
+            Resources sum = Resources.empty();
+            for (RunRow run : worker.runs.values()) {
+                sum = sum.plus(run.resources);
+            }
+            if (!sum.equals(worker.used)) {
+                errors.add(" worker " + worker.id + " uses " + worker.used + ", its runs " + sum);
+            }
+        }
+        return errors;
+    }
+
     private static void describe(Tables tables, StepRow step, StringBuilder text) {
         text.append("\n  step ").append(step.index).append(" remaining=").append(step.remaining);
         text.append(" ready=").append(step.ready()).append(" since=").append(step.readyAtMs);
