Fuzz: worlds in which calls for advice are short; two red seeds

150 jobs come at once within wide limits, in the worlds of overlapping troubles: seeds 430 and 440 leave steps standing beside free workers for more than 3 s, 24 to 32 s after a takeover, reason NO_ADVICE_HOST (2 of 39 seeds, 402 to 440, a third failed by the fault listed before). Calls for advice go in queue order; 253 calls in 12 s of seed 440 were made for 69 steps, single steps made 8 to 15 of them, about one worker a call, while jobs with nothing running got none.

--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Features.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Features.java
@@ -13,6 +13,7 @@
  * @param failing true when many jobs fail towards the end of the traffic
  * @param busyService true when tasks that last fill the larger one of the services
  * @param troubles true when troubles overlap in the first half of the traffic, with many workers and jobs of many steps
+ * @param overload true when besides so many jobs come at once, within wide limits, that their calls for advice are short
  */
 record Features(
         boolean plain,
@@ -22,10 +23,11 @@
         boolean moves,
         boolean failing,
         boolean busyService,
-        boolean troubles) {
+        boolean troubles,
+        boolean overload) {
     static Features draw(Random random) {
         if (random.nextInt(5) == 0) {
-            return new Features(true, false, false, false, false, false, false, false);
+            return new Features(true, false, false, false, false, false, false, false, false);
         }
         return new Features(
                 false,
@@ -35,13 +37,14 @@
                 random.nextInt(6) == 0,
                 random.nextInt(4) == 0,
                 random.nextInt(8) == 0,
+                false,
                 false);
     }
 
-    static Features overlappingTroubles(Random random) {
+    static Features overlappingTroubles(Random random, boolean overload) {
         boolean flood = random.nextInt(3) == 0;
         boolean busyService = random.nextInt(6) == 0;
-        return new Features(false, false, flood, true, false, false, busyService, true);
+        return new Features(false, false, flood, true, false, false, busyService, true, overload);
     }
 
     String largerService() {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Troubles.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Troubles.java
@@ -15,7 +15,8 @@
     /** When many jobs come at once, from the first trouble on. */
     static final long OVERLOAD_MS = 30_000;
 
-    static final int OVERLOAD_JOBS = 60;
+    static final int MORE_JOBS = 60;
+    static final int OVERLOAD_JOBS = 150;
 
     private static final long ENTRY_EXPIRY_MS = 3_000;
     private static final int JITTER_MS = 2_500;
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -71,12 +71,12 @@
 
     /** Creates a world with usual faults. */
     World(long seed, boolean crashes) {
-        this(seed, crashes, false);
+        this(seed, crashes, false, false);
     }
 
-    private World(long seed, boolean crashes, boolean troubles) {
+    private World(long seed, boolean crashes, boolean troubles, boolean overload) {
         timeline = new Timeline(troubles ? seed * TROUBLES_SEED : seed);
-        features = troubles ? Features.overlappingTroubles(timeline.random) : Features.draw(timeline.random);
+        features = troubles ? Features.overlappingTroubles(timeline.random, overload) : Features.draw(timeline.random);
         Advisor advisor = new Advisor(troubles ? FEW_ALLOWED_PERCENT : timeline.between(30, 90));
         hosts = troubles ? MANY_HOSTS : HOSTS;
         fleet = new Fleet(timeline, advisor);
@@ -84,7 +84,8 @@
         limits = new Limits(Map.of("north", 1_000.0, Submissions.FLOODING_WORKSPACE, floodingWeight));
         oracle = new Oracle(seed, crashes, timeline.random, limits);
         fleet.addInitial(troubles ? MANY_WORKERS : timeline.between(6, 12), features, oracle, gangs);
-        limits.share(fleet.capacityMillis() / (troubles ? timeline.between(1, NARROW_LIMITS_DIVISOR) : 1));
+        int divisor = troubles ? timeline.between(1, NARROW_LIMITS_DIVISOR) : 1;
+        limits.share(fleet.capacityMillis() / (overload ? 1 : divisor));
         network = new Network(timeline, fleet);
         effects = new Effects(this, fleet, advisor);
         submissions = new Submissions(timeline, fleet, advisor, limits, features);
@@ -95,7 +96,12 @@
 
     /** Creates a world with many workers and jobs, in which troubles overlap and end before the traffic. */
     static World withOverlappingTroubles(long seed) {
-        return new World(seed, false, true);
+        return new World(seed, false, true, false);
+    }
+
+    /** Creates a world of that kind in which so many jobs come at once that the hosts cannot ask for advice for all. */
+    static World withOverload(long seed) {
+        return new World(seed, false, true, true);
     }
 
     /** Runs the fleet for a time with faults, then without faults for long enough that all work ends. */
@@ -267,10 +273,9 @@
 
     /** Returns whether one of the jobs comes now that overload the fleet towards the end of the troubles. */
     private boolean overloads(long nowMs) {
+        int jobs = features.overload() ? Troubles.OVERLOAD_JOBS : Troubles.MORE_JOBS;
         long sinceMs = nowMs - startedAtMs - Troubles.OVERLOAD_MS;
-        return sinceMs >= 0
-                && sinceMs < Troubles.OVERLOAD_JOBS * OVERLOAD_PERIOD_MS
-                && sinceMs % OVERLOAD_PERIOD_MS == 0;
+        return sinceMs >= 0 && sinceMs < jobs * OVERLOAD_PERIOD_MS && sinceMs % OVERLOAD_PERIOD_MS == 0;
     }
 
     private void submit(Job job) {
