Hosts start without limit-overage, and with an overage of 0

Cause: the setting was read like bounds of time, which have to be above 0, also its default. It is a share now, from 0 to 1.

EntrySettingsReaderTest.shouldReadThatNoWorkspaceMayExceedItsLimit fails without it.

--- a/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/EntrySettingsReader.java
@@ -82,7 +82,7 @@
                 millis(section, "lease-max-ms", "10000"),
                 millis(section, "stop-ms", "400"),
                 Math.round(MS_PER_S * section.number("grace-s", 0, MAX_BOUND_MS / MS_PER_S, "6")),
-                section.number("limit-overage", 0, 1, "0"));
+                section.share("limit-overage"));
     }
 
     private static long millis(SectionReader section, String name, String fallback) {
--- a/settings/src/main/java/org/acaciafold/settings/SectionReader.java
+++ b/settings/src/main/java/org/acaciafold/settings/SectionReader.java
@@ -99,6 +99,17 @@
         return number.get();
     }
 
+    /** Reads a share of a whole, from 0 to 1; 0 when it is missing. */
+    double share(String name) {
+        String text = text(name, "0");
+        Optional<Double> number = parseNumber(text);
+        if (number.isEmpty() || !(number.get() >= 0 && number.get() <= 1)) {
+            reportProblem(name, text + " is not a number from 0 to 1");
+            return 0;
+        }
+        return number.get();
+    }
+
     /** Reads a value with a custom parser, which returns empty for an invalid value. */
     <T> T parsed(String name, Function<String, Optional<T>> parser, String forms, String fallback) {
         String text = text(name, fallback);
--- a/settings/src/test/java/org/acaciafold/settings/EntrySettingsReaderTest.java
+++ b/settings/src/test/java/org/acaciafold/settings/EntrySettingsReaderTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -39,6 +40,15 @@
         assertEquals(new EntryBounds(3_000, 10_000, 201, 6_000, 0.1), settings.bounds());
     }
 
+    /** Guards against a host that does not start because its deployment allows no overage, or tells none. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "limit-overage = 0"})
+    void shouldReadThatNoWorkspaceMayExceedItsLimit(String line) throws SettingsException {
+        EntrySettings settings = EntrySettingsReader.read("file", VALID.replace("limit-overage = 0.1", line));
+
+        assertEquals(0, settings.bounds().limitOverage());
+    }
+
     @ParameterizedTest
     @CsvSource({
         "id = edge-1, id = edge 1, id",
@@ -47,6 +57,8 @@
         "secret = deployment-at-10.0.0.9, secret = short, secret",
         "stop-ms = 200.5, stop-ms = soon, stop-ms",
         "limit-overage = 0.1, limit-overage = 1.5, limit-overage",
+        "limit-overage = 0.1, limit-overage = -0.1, limit-overage",
+        "limit-overage = 0.1, limit-overage = much, limit-overage",
         "stop-ms = 200.5, stopms = 200, stopms"
     })
     void shouldNameTheProblemWhenASettingIsInvalid(String valid, String invalid, String named) {
