The record of a silent worker holds the address that answered, and costs no leases and no polls

The record holds the address at which the worker has answered. - A worker that answers again with an orphan got no lease for 2.4 s, since the pause for new tasks also kept its record from being written, so sound runs could lapse. Only a refusal of the record itself pauses it now. - While the record was written the worker was polled without a pause, 100 times in 100 ticks. The pause is that for ends that wait to be recorded; the confirmation ends it.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -86,6 +86,7 @@
     /** Drops the claims of the present batch on a worker, which gets no tasks for a while. */
     void claimsRefused(WorkerRow worker) {
         worker.refusedUntilMs = tables.nowMs + CLAIMS_REFUSED_PAUSE_MS;
+        worker.recordRefusedUntilMs = worker.refusedUntilMs;
         answeringInBatch.remove(worker);
         runsInBatch.removeIf(run -> {
             if (run.worker != worker) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
@@ -29,7 +29,7 @@
         for (WorkerRow worker : tables.workers.values()) {
             boolean differs = worker.silent() != worker.silenceRecorded;
             boolean canRecord = tables.storeClock.latestMs() > 0 || !worker.silent();
-            if (worker.recorded && differs && canRecord && tables.nowMs >= worker.refusedUntilMs) {
+            if (worker.recorded && differs && canRecord && tables.nowMs >= worker.recordRefusedUntilMs) {
                 tables.silenceChanged.add(worker);
             }
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -27,8 +27,8 @@
     /** The longest renewal wait of a worker without runs, the maximum that the contract with workers allows. */
     private static final long IDLE_WORKER_WAIT_MS = 2_000;
 
-    /** Pause between renewals while ends wait to be recorded, since the worker would report them again at once. */
-    private static final long UNRECORDED_ENDS_PAUSE_MS = 500;
+    /** Pause between renewals while ends wait to be recorded, or that a silent worker answers, which renewals cannot hasten. */
+    private static final long UNRECORDED_PAUSE_MS = 500;
 
     /** How long a worker with an orphan gets no tasks: the orphan, whose size is unknown, must be stopped first. */
     private static final long ORPHAN_PAUSE_MS = 2_000;
@@ -71,7 +71,9 @@
                     worker.runs.size(),
                     tables.unreconciled.size());
         }
-        worker.nextRenewalAtMs = unrecorded ? tables.nowMs + UNRECORDED_ENDS_PAUSE_MS : tables.nowMs;
+        // the confirmation of the record ends the pause
+        boolean waitsForRecord = unrecorded || worker.silenceRecorded;
+        worker.nextRenewalAtMs = waitsForRecord ? tables.nowMs + UNRECORDED_PAUSE_MS : tables.nowMs;
     }
 
     /** Ends the runs of an incarnation that has ended, as another worker's answer at its address proves. */
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -73,6 +73,9 @@
 
     long pausedUntilMs = -1;
     long refusedUntilMs = -1;
+    /** Until when the record is not written again after the store has refused it. */
+    long recordRefusedUntilMs = -1;
+
     /** When the worker was last found silent or restarted; negative when it never was. */
     long downAtMs = -1;
 
@@ -144,7 +147,7 @@
         List<WorkerClaims.Claim> claims = runs.values().stream()
                 .map(run -> new WorkerClaims.Claim(run.task.name, run.number))
                 .toList();
-        return new WorkerClaims(id, address, incarnation, claims);
+        return new WorkerClaims(id, answeredAddress, incarnation, claims);
     }
 
     void add(RunRow run) {
