Workers that a new leader has not asked yet do not count as lost

Found by review: right after a takeover no worker has answered, so all runs counted as silent and a job could start beyond the limit of its workspace, within the overage, although the others were at work. Silent is who has missed a renewal, or was silent when the last term ended.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/JobRow.java
@@ -156,11 +156,11 @@
                 .toList();
     }
 
-    /** Returns whether a run of the job is on a worker that answers. */
+    /** Returns whether a run of the job is on a worker that is not silent. */
     boolean atWork() {
         return steps.stream()
                 .flatMap(step -> step.tasks.stream())
-                .anyMatch(task -> task.run().filter(run -> run.worker.answers()).isPresent());
+                .anyMatch(task -> task.run().filter(run -> !run.worker.silent()).isPresent());
     }
 
     boolean hasNoRuns() {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -108,13 +108,13 @@
         usedByWorkspace.merge(workspace, Resources.empty().minus(run.resources), Resources::plus);
     }
 
-    /** Returns what a workspace uses by runs on workers that do not answer, as of this tick. */
+    /** Returns what a workspace uses by runs on silent workers, as of this tick. */
     Resources silentUse(String workspace) {
         if (silentAsOfMs != nowMs) {
             silentAsOfMs = nowMs;
             silentByWorkspace.clear();
             for (WorkerRow worker : workers.values()) {
-                if (!worker.answers()) {
+                if (worker.silent()) {
                     worker.runs
                             .values()
                             .forEach(run -> silentByWorkspace.merge(
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/LostWorkerLimitTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/LostWorkerLimitTest.java
@@ -1,15 +1,22 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.StoredJob;
+import org.acaciafold.fleet.TaskName;
+import org.acaciafold.fleet.WorkerClaims;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -84,4 +91,26 @@
 
         assertEquals(0, other.starts().size());
     }
+
+    /** Guards against use beyond the limit since workers that a new leader has not asked yet count as lost. */
+    @Test
+    void shouldNotTakeWorkersForLostThatWereNotAskedYet() {
+        SchedulerFixture next = new SchedulerFixture(2, LIMITS);
+        next.scheduler.configure(SchedulerFixture.config(Resources.of(LIMIT_CPU_MILLIS, 0, 0)), Set.of());
+        List<WorkerClaims.Claim> claims = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            claims.add(new WorkerClaims.Claim(new TaskName("at-work", 0, 0, i), 1));
+        }
+        next.scheduler.restore(
+                List.of(new StoredJob(next.job("at-work", step(8, 475).build()), Optional.empty(), false)),
+                Map.of(),
+                Set.of(),
+                List.of(new WorkerClaims("a", "a:1", INCARNATION, claims)));
+        next.scheduler.updateRegistry(List.of(worker("a", 4_000), worker("b", 8_000)), true);
+        next.tick();
+        next.leaseRenewed("b", List.of(), List.of());
+        next.scheduler.accept(next.job("waiting", step(1, 500).build()));
+
+        assertEquals(0, next.starts().size());
+    }
 }
