A worker that comes back keeps its record

Callers could see a task run twice after a change of leaders: a worker leaves the registry and its record is to be removed, while an earlier batch is being written it comes back and gets a claim, and the next batch writes and removes the same record; the run was ordered without one.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -111,6 +111,8 @@
     private WorkerClaims record(WorkerRow worker) {
         WorkerClaims record = SilenceSystem.record(worker, tables);
         worker.recorded = true;
+        // it has left and come back while the removal waited
+        removedWorkers.remove(worker.id);
         if (record.silence().isPresent()) {
             worker.silenceRecorded = true;
         } else if (worker.silenceRecorded) {
