The lease tells the end of the longest authority that its holder may have

The successor would have counted workers' leases from an end up to 1.3 s too early. LeaseKeeperTest.shouldTellTheEndOfTheLongestLeaseThatItMayHold.

--- a/entry/src/main/java/org/acaciafold/entry/LeaseRecord.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseRecord.java
@@ -11,10 +11,10 @@
  * @param epoch the number of its term, which is the fencing token of its orders
  * @param leaseMs how long the leader may send orders after this renewal, in milliseconds
  * @param released true once the leader has released the lease
- * @param sentAtStoreMs the latest time that the store's clock can have shown when this renewal was sent; 0 when unknown
+ * @param endsAtStoreMs when the leader's authority ends at the latest, on the store's clock; 0 when unknown
  */
 record LeaseRecord(
-        String host, String address, long life, long epoch, long leaseMs, boolean released, long sentAtStoreMs) {
+        String host, String address, long life, long epoch, long leaseMs, boolean released, long endsAtStoreMs) {
     /** Numbers of runs grow by a thousand a term, and are 31 bits long. */
     private static final long MAX_EPOCH = 2_000_000;
 
@@ -28,12 +28,10 @@
         }
     }
 
-    LeaseRecord renewed(long nextLeaseMs, boolean nextReleased, long nextSentAtStoreMs) {
-        return new LeaseRecord(host, address, life, epoch, nextLeaseMs, nextReleased, nextSentAtStoreMs);
-    }
-
-    /** Returns when the leader's authority ends by this renewal at the latest, on the store's clock; 0 when unknown. */
-    long endsAtStoreMs() {
-        return sentAtStoreMs <= 0 ? 0 : sentAtStoreMs + leaseMs;
+    /** Returns a renewal that is sent when the store's clock shows the given time at the latest; 0 when unknown. */
+    LeaseRecord renewed(long nextLeaseMs, boolean nextReleased, long storeMs) {
+        // a shorter renewal whose reply is lost leaves the leader the authority of a longer one before it
+        long nextEndsAtStoreMs = storeMs <= 0 ? 0 : Math.max(endsAtStoreMs, storeMs + nextLeaseMs);
+        return new LeaseRecord(host, address, life, epoch, nextLeaseMs, nextReleased, nextEndsAtStoreMs);
     }
 }
--- a/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -143,6 +143,20 @@
         assertEquals(5_120 + LeaseKeeper.LEASE_MS, lastLease().endsAtStoreMs());
     }
 
+    /** Guards against a lease that ends in the store before its holder stops, since the reply to a shorter one is lost. */
+    @Test
+    void shouldTellTheEndOfTheLongestLeaseThatItMayHold() {
+        LeaseRecord slow = LEASE.renewed(LeaseKeeper.SLOW_LEASE_MS, false, 5_000);
+
+        assertEquals(
+                5_000 + LeaseKeeper.SLOW_LEASE_MS,
+                slow.renewed(LeaseKeeper.LEASE_MS, false, 5_300).endsAtStoreMs());
+        assertEquals(
+                9_000 + LeaseKeeper.LEASE_MS,
+                slow.renewed(LeaseKeeper.LEASE_MS, false, 9_000).endsAtStoreMs());
+        assertEquals(0, slow.renewed(LeaseKeeper.LEASE_MS, false, 0).endsAtStoreMs());
+    }
+
     private LeaseRecord lastLease() {
         byte[] value = calls.getLast().transaction.writes().stream()
                 .filter(write -> write.table().equals(StoreRecords.LEASES))
--- a/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
@@ -138,7 +138,7 @@
     @Test
     void shouldReadALeaseOfAnEarlierReleaseAndWriteLeasesThatItReads() {
         EarlierLease earlier = new EarlierLease("a", "a:1", 7, 3, 800, false);
-        LeaseRecord lease = new LeaseRecord("a", "a:1", 7, 3, 800, false, 5_000);
+        LeaseRecord lease = new LeaseRecord("a", "a:1", 7, 3, 800, false, 5_800);
         byte[] earlierRow = StoreRecords.encode(earlier, EarlierLease.class);
         byte[] row = StoreRecords.encode(lease, LeaseRecord.class);
 
