A renewal never ends before the lease that the leader still commands by

Callers could see two leaders at once: while the store is slow a lease lasts 2.4 s; the next renewal, of 0.8 s, is applied and its reply is lost. Other hosts read 0.8 s and take over, while the holder goes on by the 2.4 s that were confirmed.

A renewal is as long as what is left of the authority, at the least, so the row never ends before its holder does. LeaseKeeperTest.shouldNeverWriteALeaseThatEndsBeforeTheOneThatItCommandsBy.

--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -178,8 +178,7 @@
     }
 
     private void send(PendingWrite pending) {
-        LeaseRecord renewed =
-                record.renewed(lastRoundTripMs > SLOW_STORE_MS ? SLOW_LEASE_MS : LEASE_MS, releasing, latestStoreMs());
+        LeaseRecord renewed = record.renewed(nextLeaseMs(), releasing, latestStoreMs());
         Transaction.Builder transaction = StoreRecords.leaseWrite(renewed, version);
         pending.writes.forEach(write -> transaction.write(write.table(), write.key(), write.value()));
         pending.removals.forEach(removal -> transaction.remove(removal.table(), removal.key()));
@@ -196,6 +195,12 @@
         });
     }
 
+    /** Returns the length of the next lease, which never ends before one that this host may still command by. */
+    private long nextLeaseMs() {
+        long usualMs = lastRoundTripMs > SLOW_STORE_MS ? SLOW_LEASE_MS : LEASE_MS;
+        return Math.max(usualMs, validity.remainingMs(loop.nowMs(), loop.wallMs()));
+    }
+
     private long resendDelayMs() {
         return Math.clamp(RESEND_FACTOR * lastRoundTripMs, MIN_RESEND_MS, MAX_RESEND_MS);
     }
--- a/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -157,6 +157,22 @@
         assertEquals(0, slow.renewed(LeaseKeeper.LEASE_MS, false, 0).endsAtStoreMs());
     }
 
+    /** Guards against two leaders, since a shorter renewal whose reply is lost is in the store. */
+    @Test
+    void shouldNeverWriteALeaseThatEndsBeforeTheOneThatItCommandsBy() {
+        write();
+        timers.advance(600);
+        calls.getLast().answer(new TxReply.Applied(11, 0));
+        write();
+        assertEquals(LeaseKeeper.SLOW_LEASE_MS, lastLease().leaseMs());
+        calls.getLast().answer(new TxReply.Applied(12, 0));
+        timers.advance(100);
+
+        write();
+
+        assertEquals(LeaseKeeper.SLOW_LEASE_MS - 100, lastLease().leaseMs());
+    }
+
     private LeaseRecord lastLease() {
         byte[] value = calls.getLast().transaction.writes().stream()
                 .filter(write -> write.table().equals(StoreRecords.LEASES))
--- a/fleet/src/main/java/org/acaciafold/fleet/leadership/LeaseValidity.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/leadership/LeaseValidity.java
@@ -43,6 +43,18 @@
         sentAtWallMs = sentWallMs;
     }
 
+    /**
+     * Returns for how long the lease may stay valid.
+     *
+     * @param nowMs the monotonic clock, in milliseconds
+     * @param wallMs the wall clock, in milliseconds since 1970
+     * @return the time in milliseconds, by the clock that has advanced less; 0 when it is not held
+     */
+    public long remainingMs(long nowMs, long wallMs) {
+        long elapsedMs = Math.min(nowMs - sentAtMs, wallMs - sentAtWallMs);
+        return held ? Math.clamp(leaseMs - elapsedMs, 0, leaseMs) : 0;
+    }
+
     /** Records that the lease was released or lost. */
     public void lost() {
         held = false;
