--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
@@ -26,6 +26,7 @@
 
     private static final long PERIOD_MS = 1_000;
     private static final int MAX_STEPS = 3;
+    private static final int MAX_WORKSPACES = 5;
 
     private final Tables tables;
     private long nextAtMs = Long.MIN_VALUE;
@@ -34,7 +35,10 @@
         this.tables = tables;
     }
 
-    /** Reports the first steps in the queue that would have room without reservations, at most once a second. */
+    /**
+     * Reports why steps wait, and the first ones in the queue that would have room without reservations, at most once a
+     * second.
+     */
     void report(List<QueueOrder.Entry> ready, Placement placement) {
         if (tables.nowMs < nextAtMs) {
             return;
@@ -67,7 +71,9 @@
         if (!counts.isEmpty()) {
             LOG.info("waiting steps={} reasons={}", ready.size(), counts);
         }
-        limited.forEach(this::reportLimit);
+        limited.entrySet().stream()
+                .limit(MAX_WORKSPACES)
+                .forEach(entry -> reportLimit(entry.getKey(), entry.getValue()));
         usedServices.forEach(this::reportService);
     }
 
