Fuzz: calls reach the next incarnation of a worker

The fuzz's network dropped each call that was under way when its worker restarted. Workers keep their identifiers, and a call names no incarnation, so the next one executes it. Renewals do so at any time, orders to start if they are not late; with acaciafold.fuzz.lateStarts also late ones.

--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
@@ -90,7 +90,7 @@
         FakeWorker worker = fleet.workers.get(start.worker());
         oracle.check(!fleet.evacuatedDomains.contains(worker.shape.domain()), "EVAC: " + start);
         oracle.check(fleet.drainingForMs(worker.id) <= DRAIN_MS, "DRAIN: " + start);
-        network.deliver(
+        network.deliverStart(
                 start.worker(),
                 start.address(),
                 target -> Optional.of(target.start(start, token, timeline.nowMs())),
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
@@ -92,7 +92,11 @@
                 Set.of(shape.label, shape.rack),
                 shape.rack,
                 draining,
-                startedAtMs);
+                incarnation());
+    }
+
+    private long incarnation() {
+        return World.WALL_MS + startedAtMs;
     }
 
     boolean up() {
@@ -238,7 +242,7 @@
         List<ReportedRun> running = runs.values().stream()
                 .map(run -> new ReportedRun(run.task, run.number, "", 0))
                 .toList();
-        return Optional.of(new WorkerReport(localClockMs(nowMs), startedAtMs, running, ends));
+        return Optional.of(new WorkerReport(localClockMs(nowMs), incarnation(), running, ends));
     }
 
     private long localClockMs(long nowMs) {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Network.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Network.java
@@ -11,6 +11,9 @@
     private static final long ORDER_TIMEOUT_MS = 900;
     private static final int LOSS = 40;
 
+    /** True if also orders to start are executed seconds late by an incarnation that they were not meant for. */
+    private static final boolean LATE_STARTS = Boolean.getBoolean("acaciafold.fuzz.lateStarts");
+
     private final Timeline timeline;
     private final Fleet fleet;
     boolean lossy;
@@ -30,6 +33,23 @@
         lateEvery = 0;
     }
 
+    /** Delivers an order to start, which an incarnation that receives it late takes with it when it ends. */
+    <T> void deliverStart(
+            String id, String address, Function<FakeWorker, Optional<T>> execute, Consumer<Optional<T>> answered) {
+        long startedAtMs = fleet.workers.get(id).startedAtMs;
+        long sentAtMs = timeline.nowMs();
+        deliver(
+                id,
+                address,
+                worker -> {
+                    boolean late = timeline.nowMs() - sentAtMs > ORDER_TIMEOUT_MS;
+                    boolean lost = late && worker.startedAtMs != startedAtMs && !LATE_STARTS;
+                    return lost ? Optional.empty() : execute.apply(worker);
+                },
+                answered);
+    }
+
+    /** Delivers an order to whichever incarnation of a worker is there when it arrives. */
     <T> void deliver(
             String id, String address, Function<FakeWorker, Optional<T>> execute, Consumer<Optional<T>> answered) {
         FakeWorker worker = fleet.workers.get(id);
@@ -38,11 +58,9 @@
         boolean lost = lossy && timeline.oneIn(LOSS);
         long arrivesMs = late ? nowMs + timeline.between(2_000, 12_000) : nowMs + timeline.between(1, 8);
         List<Optional<T>> answer = new ArrayList<>();
-        long startedAtMs = worker.startedAtMs;
         boolean listens = worker.address.equals(address);
         timeline.schedule(arrivesMs, () -> {
-            // an order carries the incarnation of the worker that it is meant for
-            if (listens && worker.reachable && worker.up() && worker.startedAtMs == startedAtMs) {
+            if (listens && worker.reachable && worker.up()) {
                 answer.add(execute.apply(worker));
             }
         });
