Leases count that calls meant for a former incarnation have granted

Cause: the end of a lease is a time on the clock of the incarnation that the leader knows. A renewal or an order to start that is under way when the worker restarts is executed by the next one, whose clock starts anew, so the worker shortens the lease to its own maximum, 10,000 ms, where the leader grants 8,030. The leader forgot the leases of the former incarnation, counted its own, and started the task again up to two seconds early, or later for a late call. A new leader counted from the end of its predecessor's authority, alike.

The bound starts from the last call that granted a lease: executed 12 s later at the latest, for the longest lease that workers accept. The clock in an answer to an order tells a restart before the next report does. The record of a worker passes the bound on; where the registry shows another incarnation than the record, the next leader counts it from the start of that incarnation.

--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -362,9 +362,12 @@
             return;
         }
         long requestedAtMs = host.loop().nowMs();
-        host.workers().start(start, epoch()).subscribe(outcome -> {
-            host.metrics().order("start", outcome.name(), host.loop().nowMs() - requestedAtMs);
-            applyLater(() -> scheduler.started(start.worker(), start.task(), start.run(), outcome));
+        host.workers().start(start, epoch()).subscribe(answer -> {
+            host.metrics().order("start", answer.outcome().name(), host.loop().nowMs() - requestedAtMs);
+            applyLater(() -> {
+                answer.clockMs().ifPresent(clock -> scheduler.clockReported(start.worker(), clock, requestedAtMs));
+                scheduler.started(start.worker(), start.task(), start.run(), answer.outcome());
+            });
         });
     }
 
--- a/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
@@ -125,7 +125,7 @@
         EarlierClaims earlier =
                 new EarlierClaims("w1", "10.0.0.1:80", 7, claims("w1").claims());
         WorkerClaims silent = new WorkerClaims(
-                "w1", "10.0.0.1:80", 7, earlier.claims, Optional.of(new WorkerClaims.Silence(3, 90_000)));
+                "w1", "10.0.0.1:80", 7, earlier.claims, Optional.of(new WorkerClaims.Silence(3, 90_000)), 91_000);
         byte[] earlierRow = StoreRecords.encode(earlier, EarlierClaims.class);
         byte[] silentRow = StoreRecords.encode(silent, WorkerClaims.class);
 
--- a/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
@@ -12,8 +12,11 @@
  * @param bornMs the incarnation of the worker: its start time in milliseconds since 1970; 0 when unknown
  * @param claims the runs that may be on the worker; may include runs that have ended since
  * @param silence when its leases have expired, while the leader grants none; empty while it may grant some
+ * @param strayLeaseEndsMs when the leases have expired, on the store's clock, that calls meant for an earlier incarnation
+ *     may have granted; 0 when there are none
  */
-public record WorkerClaims(String id, String address, long bornMs, List<Claim> claims, Optional<Silence> silence) {
+public record WorkerClaims(
+        String id, String address, long bornMs, List<Claim> claims, Optional<Silence> silence, long strayLeaseEndsMs) {
     /** The most runs that may be on a worker, so that their record fits in a row of the store. */
     public static final int MAX_CLAIMS = 2_500;
 
@@ -35,7 +38,7 @@
      * @param claims the runs that may be on the worker
      */
     public WorkerClaims(String id, String address, long bornMs, List<Claim> claims) {
-        this(id, address, bornMs, claims, Optional.empty());
+        this(id, address, bornMs, claims, Optional.empty(), 0);
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
@@ -33,6 +33,10 @@
                 LOG.info("worker registered worker={} address={}", entry.id(), entry.address());
             }
             row.register(entry, tables.nowMs);
+            if (row.recordedBefore(entry)) {
+                long leaseMs = SilenceSystem.predecessorStrayLeaseMs(entry.incarnation(), tables);
+                row.restartedBeforeTerm(tables.nowMs + leaseMs);
+            }
         }
         Set<String> left = new HashSet<>();
         for (WorkerRow row : tables.workers.values()) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -144,6 +144,17 @@
         return tables.cancel(id);
     }
 
+    /**
+     * Applies what a worker's clock showed in its answer to an order, which tells an incarnation from the next one.
+     *
+     * @param worker the worker
+     * @param clockMs the worker's monotonic clock, in milliseconds
+     * @param requestedAtMs when the order was sent, on the monotonic clock of this host
+     */
+    public void clockReported(String worker, long clockMs, long requestedAtMs) {
+        worker(worker).ifPresent(row -> workerLeases.clockReported(row, clockMs, requestedAtMs));
+    }
+
     /**
      * Sets the configuration.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
@@ -4,10 +4,11 @@
  * The bounds that a deployment sets to the scheduler.
  *
  * @param leaseMs the length of the longest leases of workers, on the worker's own clock, in milliseconds
+ * @param longestLeaseMs the longest lease that workers accept, to which they shorten longer ones, in milliseconds
  * @param stopMs how long a worker may take to stop a run, in milliseconds
  * @param limitOverage the share of its limit that a workspace may use beyond it
  */
-public record SchedulerLimits(long leaseMs, long stopMs, double limitOverage) {
+public record SchedulerLimits(long leaseMs, long longestLeaseMs, long stopMs, double limitOverage) {
     /** The contract with workers allows their clocks to run up to 2% slow. */
     static final double SLOWEST_CLOCK = 0.98;
 
@@ -20,6 +21,12 @@
     /** The same for a worker with tasks that last: they are away until its lease has expired, so that is kept short. */
     static final long LASTING_WORKER_WAIT_MS = 500;
 
+    /**
+     * How much later a worker may execute a call that it does not answer. Calls name a worker by its identifier, so an
+     * incarnation that started meanwhile executes them, too.
+     */
+    static final long LATEST_EXECUTION_MS = 12_000;
+
     /** Leases are this much shorter than the longest that workers accept, so that none is cut unnoticed. */
     private static final long LEASE_MARGIN_MS = 1_000;
 
@@ -44,7 +51,8 @@
      * @return the limits
      */
     public static SchedulerLimits of(long leaseMaxMs, long stopMs, double limitOverage) {
-        return new SchedulerLimits(Math.min(MAX_LEASE_MS, leaseMaxMs - LEASE_MARGIN_MS), stopMs, limitOverage);
+        long leaseMs = Math.min(MAX_LEASE_MS, leaseMaxMs - LEASE_MARGIN_MS);
+        return new SchedulerLimits(leaseMs, leaseMaxMs, stopMs, limitOverage);
     }
 
     /**
@@ -58,6 +66,25 @@
         return lasting ? leaseMs - (BUSY_WORKER_WAIT_MS - LASTING_WORKER_WAIT_MS) : leaseMs;
     }
 
+    /**
+     * Returns how long after a call was sent the lease may last that it has granted to a later incarnation. The end of the
+     * lease is a time on the clock of the earlier one, so only the worker's own maximum bounds it.
+     *
+     * @return the duration in milliseconds, on the clock of this host
+     */
+    long strayLeaseMs() {
+        return LATEST_EXECUTION_MS + acceptedLeaseMs();
+    }
+
+    /**
+     * Returns how long the longest lease may last that a worker accepts.
+     *
+     * @return the duration in milliseconds, on the clock of this host
+     */
+    long acceptedLeaseMs() {
+        return (long) Math.ceil((longestLeaseMs + CLOCK_MARGIN_MS) / SLOWEST_CLOCK);
+    }
+
     /**
      * Returns how long after the end of its authority all leases granted by the predecessor have expired.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
@@ -15,6 +15,9 @@
 final class SilenceSystem {
     private static final Logger LOG = LoggerFactory.getLogger(SilenceSystem.class);
 
+    /** A leader calls each worker at least every two seconds, and notices within this time that it has restarted. */
+    private static final long RESTART_NOTICED_MS = 3_000;
+
     private final Tables tables;
 
     SilenceSystem(Tables tables) {
@@ -37,7 +40,9 @@
 
     /** Returns the record of a worker as of now. */
     static WorkerClaims record(WorkerRow worker, Tables tables) {
-        WorkerClaims claims = worker.claims();
+        long strayMs = worker.strayLeasesEndAtMs() - tables.nowMs;
+        boolean stray = strayMs > 0 && tables.storeClock.latestMs() > 0;
+        WorkerClaims claims = worker.claims(stray ? tables.storeClock.latestMs() + strayMs : 0);
         if (!worker.silent() || tables.storeClock.latestMs() <= 0) {
             return claims;
         }
@@ -50,7 +55,33 @@
                 worker.runs.size(),
                 worker.lastContactAtMs < 0 ? -1 : tables.nowMs - worker.lastContactAtMs,
                 remainingMs);
-        return new WorkerClaims(claims.id(), claims.address(), claims.bornMs(), claims.claims(), Optional.of(silence));
+        return new WorkerClaims(
+                claims.id(),
+                claims.address(),
+                claims.bornMs(),
+                claims.claims(),
+                Optional.of(silence),
+                claims.strayLeaseEndsMs());
+    }
+
+    private static long recordedStrayLeaseMs(WorkerClaims known, Tables tables) {
+        long storeMs = tables.storeClock.earliestMs();
+        boolean told = known.strayLeaseEndsMs() > 0 && storeMs > 0;
+        return told ? Math.clamp(known.strayLeaseEndsMs() - storeMs, 0, tables.limits.strayLeaseMs()) : 0;
+    }
+
+    /**
+     * Returns how long the leases may still last that calls of the predecessor have granted to an incarnation while they
+     * were meant for an earlier one.
+     *
+     * @param incarnation when the incarnation started, in milliseconds since 1970
+     * @param tables the tables
+     * @return the time in milliseconds, 0 if it started long before the end of the predecessor's authority
+     */
+    static long predecessorStrayLeaseMs(long incarnation, Tables tables) {
+        long strayMs = tables.limits.strayLeaseMs();
+        long sinceStartMs = RESTART_NOTICED_MS + strayMs - Math.max(0, tables.wallMs - incarnation);
+        return Math.max(0, Math.min(sinceStartMs, strayMs - tables.storeClock.sincePredecessorMs()));
     }
 
     /**
@@ -66,9 +97,10 @@
         Optional<WorkerClaims.Silence> silence =
                 known.silence().filter(one -> one.epoch() == tables.epoch() - 1 && tables.storeClock.earliestMs() > 0);
         if (silence.isEmpty()) {
-            return longestMs;
+            return Math.max(longestMs, recordedStrayLeaseMs(known, tables));
         }
-        long remainingMs = Math.clamp(silence.get().leaseEndsMs() - tables.storeClock.earliestMs(), 0, longestMs);
+        long strayMs = Math.max(0, tables.limits.strayLeaseMs() - tables.storeClock.sincePredecessorMs());
+        long remainingMs = Math.clamp(silence.get().leaseEndsMs() - tables.storeClock.earliestMs(), 0, strayMs);
         LOG.info(
                 "silence continued worker={} claims={} leaseEndsInMs={}",
                 known.id(),
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -314,7 +314,7 @@
         WorkerRow worker = run.worker;
         StepRow step = run.task.step;
         long leaseUntilMs = worker.lease(tables.nowMs, tables.limits).orElseThrow();
-        worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, leaseUntilMs);
+        worker.leaseSent(leaseUntilMs, tables.nowMs);
         run.phase = RunPhase.STARTING;
         run.orderedAtMs = tables.nowMs;
         Ticket ticket = step.tickets.get(worker.id);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -96,6 +96,23 @@
         endRuns(worker, "another worker answers at its address");
     }
 
+    /** Notices by its clock that a worker has restarted, and asks it for a report before it gets anything else. */
+    void clockReported(WorkerRow worker, long clockMs, long requestedAtMs) {
+        if (worker.clockReset || !worker.resetBy(clockMs, requestedAtMs)) {
+            return;
+        }
+        LOG.warn(
+                "worker clock started anew worker={} runs={} clockMs={} before={}",
+                worker.id,
+                worker.runs.size(),
+                clockMs,
+                worker.clockMs);
+        worker.clockReset = true;
+        worker.suspect = true;
+        worker.boundStrayLeases(tables.limits);
+        worker.askAtOnce(tables.nowMs);
+    }
+
     void probed(WorkerRow worker, WorkerReport report, long requestedAtMs) {
         worker.probeInFlight = false;
         if (requestedAtMs < worker.addressSinceMs) {
@@ -275,7 +292,7 @@
         // a worker that missed renewals is polled without a new lease, so that its lease can expire
         boolean mayHold = worker.missedRenewals == 0 && !worker.silenceRecorded;
         OptionalLong leaseUntil = mayHold ? worker.lease(tables.nowMs, tables.limits) : OptionalLong.empty();
-        leaseUntil.ifPresent(lease -> worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, lease));
+        leaseUntil.ifPresent(lease -> worker.leaseSent(lease, tables.nowMs));
         boolean withoutLease = leaseUntil.isEmpty();
         boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
         long wait = withoutLease || unrecorded ? 0 : renewalWaitMs(worker);
@@ -303,6 +320,11 @@
     }
 
     private void observeIncarnation(WorkerRow worker, long incarnation) {
+        if (worker.lastContactAtMs < 0) {
+            // from now on the worker rejects the predecessor's calls, so only those that have arrived count
+            long strayMs = SilenceSystem.predecessorStrayLeaseMs(incarnation, tables);
+            worker.strayLeases(tables.nowMs + Math.min(strayMs, tables.limits.acceptedLeaseMs()));
+        }
         if (incarnation == 0 || incarnation == worker.incarnation) {
             return;
         }
@@ -315,7 +337,7 @@
                 }
             }
         }
-        worker.restarted(incarnation);
+        worker.restarted(incarnation, tables.limits);
     }
 
     private boolean processEnds(WorkerRow worker, List<RunEnd> reported) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -47,9 +47,17 @@
     long acknowledgeAfterBatch = -1;
     long lastContactAtMs = -1;
     long clockMs;
+    /** True from an answer with a clock that has started anew until the next report. */
+    boolean clockReset;
+
     /** The latest end of the leases that this leader granted, on the clock of the worker. */
     long leaseEndsAtMs;
 
+    /** When this leader last sent a call that grants a lease; negative when it never did. */
+    private long leaseSentAtMs = -1;
+    /** When the leases have expired that calls meant for earlier incarnations may have granted to this one. */
+    private long strayLeasesEndAtMs = -1;
+
     /** Calls that were sent before this time went to an earlier address. */
     long addressSinceMs = Long.MIN_VALUE;
 
@@ -131,6 +139,7 @@
         lastContactAtMs = nowMs;
         missedRenewals = 0;
         suspect = false;
+        clockReset = false;
         incarnationEnded = false;
     }
 
@@ -143,11 +152,15 @@
         }
     }
 
-    WorkerClaims claims() {
+    long strayLeasesEndAtMs() {
+        return strayLeasesEndAtMs;
+    }
+
+    WorkerClaims claims(long strayLeaseEndsMs) {
         List<WorkerClaims.Claim> claims = runs.values().stream()
                 .map(run -> new WorkerClaims.Claim(run.task.name, run.number))
                 .toList();
-        return new WorkerClaims(id, answeredAddress, incarnation, claims);
+        return new WorkerClaims(id, answeredAddress, incarnation, claims, Optional.empty(), strayLeaseEndsMs);
     }
 
     void add(RunRow run) {
@@ -179,6 +192,14 @@
         }
     }
 
+    /** Returns whether the predecessor may have commanded a later incarnation than the one that it has recorded. */
+    boolean recordedBefore(WorkerEntry present) {
+        return predecessorLeaseEndsAtMs >= 0
+                && lastContactAtMs < 0
+                && !silentBefore
+                && present.incarnation() > incarnation;
+    }
+
     void deregister() {
         registered = false;
     }
@@ -221,9 +242,40 @@
         return entry != null && (entry.incarnation() == 0 || incarnation == 0 || entry.incarnation() == incarnation);
     }
 
+    /** Records that a call is sent now that grants a lease until a time on the worker's clock. */
+    void leaseSent(long untilMs, long nowMs) {
+        leaseEndsAtMs = Math.max(leaseEndsAtMs, untilMs);
+        leaseSentAtMs = nowMs;
+    }
+
+    /** Bounds the leases that calls of this leader, meant for an earlier incarnation, may grant to the present one. */
+    void boundStrayLeases(SchedulerLimits limits) {
+        if (leaseSentAtMs >= 0) {
+            strayLeases(leaseSentAtMs + limits.strayLeaseMs());
+        }
+    }
+
+    /** Returns whether the clock in an answer is behind what this incarnation's must have shown when the call was sent. */
+    boolean resetBy(long shownMs, long requestedAtMs) {
+        double elapsedMs = (requestedAtMs - lastContactAtMs) * SchedulerLimits.SLOWEST_CLOCK;
+        return lastContactAtMs >= 0
+                && requestedAtMs >= lastContactAtMs
+                && shownMs < clockMs + elapsedMs - SchedulerLimits.CLOCK_MARGIN_MS;
+    }
+
+    /** Records that calls meant for earlier incarnations may have granted leases that end at a time. */
+    void strayLeases(long endAtMs) {
+        strayLeasesEndAtMs = Math.max(strayLeasesEndAtMs, endAtMs);
+    }
+
+    /** Records that another incarnation than the one in its record may have leases of the predecessor until a time. */
+    void restartedBeforeTerm(long leasesEndAtMs) {
+        predecessorLeaseEndsAtMs = Math.max(predecessorLeaseEndsAtMs, leasesEndAtMs);
+    }
+
     /** Returns the end of a lease that starts now, on the worker's clock; empty when that clock is unknown. */
     OptionalLong lease(long nowMs, SchedulerLimits limits) {
-        if (lastContactAtMs < 0) {
+        if (lastContactAtMs < 0 || clockReset) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(clockMs + (nowMs - lastContactAtMs) + limits.leaseMs(hasLastingRuns()));
@@ -252,7 +304,8 @@
             return predecessorLeaseEndsAtMs;
         }
         double longestMs = (leaseEndsAtMs + SchedulerLimits.CLOCK_MARGIN_MS - clockMs) / SchedulerLimits.SLOWEST_CLOCK;
-        return Math.max((long) Math.ceil(lastContactAtMs + longestMs), predecessorLeaseEndsAtMs);
+        long grantedMs = Math.max((long) Math.ceil(lastContactAtMs + longestMs), predecessorLeaseEndsAtMs);
+        return Math.max(grantedMs, strayLeasesEndAtMs);
     }
 
     void remove(RunRow run) {
@@ -263,9 +316,13 @@
         run.task.end(run);
     }
 
-    /** Resets the state that belongs to an earlier incarnation. */
-    void restarted(long newIncarnation) {
+    /**
+     * Resets the state that belongs to an earlier incarnation. The leases granted to it are over, but the calls that
+     * granted the last of them may have reached the new one, or may still do so.
+     */
+    void restarted(long newIncarnation, SchedulerLimits limits) {
         incarnation = newIncarnation;
+        boundStrayLeases(limits);
         lastAcknowledgedEnd = 0;
         lastProcessedEnd = 0;
         acknowledgeAfterBatch = -1;
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
@@ -9,6 +9,7 @@
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.Grant;
+import org.acaciafold.fleet.StartAnswer;
 import org.acaciafold.fleet.StartOutcome;
 import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.scheduling.Scheduler;
@@ -90,14 +91,16 @@
         FakeWorker worker = fleet.workers.get(start.worker());
         oracle.check(!fleet.evacuatedDomains.contains(worker.shape.domain()), "EVAC: " + start);
         oracle.check(fleet.drainingForMs(worker.id) <= DRAIN_MS, "DRAIN: " + start);
+        long requestedAtMs = timeline.nowMs();
         network.deliverStart(
                 start.worker(),
                 start.address(),
                 target -> Optional.of(target.start(start, token, timeline.nowMs())),
-                outcome -> answer(
-                        term,
-                        () -> term.started(
-                                start.worker(), start.task(), start.run(), outcome.orElse(StartOutcome.UNKNOWN))));
+                given -> answer(term, () -> {
+                    StartAnswer answer = given.orElse(StartAnswer.missing(StartOutcome.UNKNOWN));
+                    answer.clockMs().ifPresent(clock -> term.clockReported(start.worker(), clock, requestedAtMs));
+                    term.started(start.worker(), start.task(), start.run(), answer.outcome());
+                }));
     }
 
     private void save(Scheduler term, Effect.Save save) {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FakeWorker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
@@ -13,6 +14,7 @@
 import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.ReportedRun;
 import org.acaciafold.fleet.RunEnd;
+import org.acaciafold.fleet.StartAnswer;
 import org.acaciafold.fleet.StartOutcome;
 import org.acaciafold.fleet.StepName;
 import org.acaciafold.fleet.StepSpec;
@@ -162,8 +164,12 @@
         }
     }
 
-    StartOutcome start(Effect.Start order, long token, long nowMs) {
+    StartAnswer start(Effect.Start order, long token, long nowMs) {
         advance(nowMs);
+        return new StartAnswer(execute(order, token, nowMs), OptionalLong.of(localClockMs(nowMs)));
+    }
+
+    private StartOutcome execute(Effect.Start order, long token, long nowMs) {
         if (token < highestToken) {
             return StartOutcome.FENCED;
         }
--- /dev/null
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -0,0 +1,76 @@
+package org.acaciafold.fleet.scheduling;
+
+import java.util.List;
+
+import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.WorkerEntry;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Covers workers that restart under their identifier while calls are under way, which the new incarnation executes. */
+class RestartedWorkerTest {
+    private static final long STEP_MS = 20;
+
+    /** An incarnation of this age has a clock that is far ahead of that of the next one. */
+    private static final long AGE_MS = 30_000;
+
+    /** The leases of a lost worker have expired after this time, also one that a late call has granted. */
+    private static final long ALL_LEASES_EXPIRED_MS = 26_000;
+
+    private final WorkerEntry entry = worker("a", 1_000);
+    private final SimulatedFleet fleet = new SimulatedFleet().with(entry);
+
+    /** Lets the next renewal be executed late, and restarts the worker as soon as it is sent. */
+    private void restartBeforeARenewalArrives(long lateMs) {
+        fleet.lateRenewals = 1;
+        fleet.lateMs = lateMs;
+        while (fleet.lateRenewals > 0) {
+            fleet.run(STEP_MS);
+        }
+        fleet.with(changed(entry, entry.address(), false, INCARNATION + fleet.fixture.nowMs));
+        fleet.workers.get("a").clockRate = SchedulerLimits.SLOWEST_CLOCK;
+    }
+
+    /** Guards against two runs at once: a call for the former incarnation grants the new one the longest lease. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 2_000, 2_600, 2_900, 4_000, 8_000})
+    void shouldStartNoSecondRunWhenALateRenewalHasExtendedTheLeaseOfTheNewIncarnation(long lateMs) {
+        fleet.run(AGE_MS);
+        restartBeforeARenewalArrives(lateMs);
+        fleet.fixture.scheduler.accept(fleet.fixture.job("job", step(1, 1_000).build()));
+        while (fleet.running("job") == 0) {
+            fleet.run(STEP_MS);
+        }
+        fleet.run(Math.max(400, lateMs - 2_600));
+        fleet.workers.get("a").reachable = false;
+        fleet.with(worker("b", 1_000));
+
+        fleet.run(ALL_LEASES_EXPIRED_MS);
+
+        assertEquals(0, fleet.startedTwice);
+        assertEquals(2, fleet.startsOf("job").size());
+    }
+
+    /** Guards against orders by the clock of the former incarnation. */
+    @Test
+    void shouldAskForAReportWhenTheClockInAnAnswerHasStartedAnew() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        long requestedAtMs = fixture.nowMs + 100;
+        fixture.advance(200);
+
+        fixture.scheduler.clockReported("a", 400, requestedAtMs);
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+        List<Effect> effects = fixture.tick();
+
+        assertTrue(effects.contains(new Effect.Probe("a", "a:1")));
+        assertEquals(List.of(), fixture.starts());
+    }
+}
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerTakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerTakeoverTest.java
@@ -157,7 +157,7 @@
 
     private static void restore(SimulatedFleet next, Optional<WorkerClaims.Silence> silence) {
         WorkerClaims claims =
-                new WorkerClaims("a", "a:1", INCARNATION, List.of(new WorkerClaims.Claim(TASK, 1)), silence);
+                new WorkerClaims("a", "a:1", INCARNATION, List.of(new WorkerClaims.Claim(TASK, 1)), silence, 0);
         next.fixture.scheduler.restore(
                 List.of(new StoredJob(job(next.fixture, true), Optional.empty(), false)),
                 Map.of(),
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -56,6 +56,10 @@
     long saveMs;
     /** The number of orders to start that are lost on their way. */
     int lostStarts;
+    /** The number of renewals that get no answer and are executed later, by whichever incarnation is there then. */
+    int lateRenewals;
+    /** How much later these are executed. */
+    long lateMs;
     /** The number of orders to start that workers refuse as unhealthy. */
     int refusedStarts;
     /** True while nobody may command: the store is away, or there is no leader. */
@@ -190,7 +194,12 @@
             startedTwice += atWorkElsewhere(start) ? 1 : 0;
             started.add(new Started(start.task(), start.worker(), fixture.nowMs));
         }
-        reply(0, () -> fixture.answerStart(start, outcome));
+        long requestedAtMs = fixture.nowMs;
+        long clockMs = worker.get().clockMs();
+        reply(0, () -> {
+            fixture.scheduler.clockReported(start.worker(), clockMs, requestedAtMs);
+            fixture.answerStart(start, outcome);
+        });
     }
 
     private boolean atWorkElsewhere(Effect.Start start) {
@@ -221,6 +230,12 @@
             reply(renewal.waitMs() + ORDER_TIMEOUT_MS, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker()));
             return;
         }
+        if (lateRenewals > 0) {
+            lateRenewals--;
+            reply(lateMs, () -> at(renewal.address(), renewal.worker()).ifPresent(late -> late.renew(renewal)));
+            reply(renewal.waitMs() + ORDER_TIMEOUT_MS, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker()));
+            return;
+        }
         SimulatedWorker answering = worker.get();
         answering.renew(renewal);
         replies.add(new Reply(
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedWorker.java
@@ -17,6 +17,9 @@
 
 /** One incarnation of a worker that follows the contract. */
 final class SimulatedWorker {
+    /** Workers shorten longer leases to this length. */
+    private static final long MAX_LEASE_MS = 10_000;
+
     final Map<TaskName, Run> runs = new HashMap<>();
     WorkerEntry entry;
     /** False while no call reaches the worker. */
@@ -67,7 +70,7 @@
         if (refusesStarts) {
             return StartOutcome.REFUSED;
         }
-        leaseUntilMs = Math.max(leaseUntilMs, order.untilMs());
+        extendLease(order.untilMs());
         if (order.run() <= highestEndedRun.getOrDefault(order.task(), 0) || runs.containsKey(order.task())) {
             return StartOutcome.OLD_RUN;
         }
@@ -84,7 +87,7 @@
     }
 
     void renew(Effect.RenewLease order) {
-        order.untilMs().ifPresent(until -> leaseUntilMs = Math.max(leaseUntilMs, until));
+        order.untilMs().ifPresent(this::extendLease);
         ends.removeIf(end -> end.number() <= order.acknowledged());
     }
 
@@ -101,7 +104,11 @@
         ends.add(new RunEnd(++lastEnd, task, run.number, kind, ""));
     }
 
-    private long clockMs() {
+    private void extendLease(long untilMs) {
+        leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, clockMs() + MAX_LEASE_MS));
+    }
+
+    long clockMs() {
         return Math.round((nowMs - startedAtMs) * clockRate) + 1_000;
     }
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossMeasurement.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossMeasurement.java
@@ -27,7 +27,8 @@
             print(SchedulerFixture.LIMITS);
         }
         for (String arg : args) {
-            print(new SchedulerLimits(Long.parseLong(arg), SchedulerFixture.LIMITS.stopMs(), 0));
+            SchedulerLimits limits = SchedulerFixture.LIMITS;
+            print(new SchedulerLimits(Long.parseLong(arg), limits.longestLeaseMs(), limits.stopMs(), 0));
         }
     }
 
