Ends of the next incarnation are not discarded unseen

Cause: renewals repeated the number of the last acknowledged end. A worker that had restarted numbers its ends from the start, so the first renewal that reached its next incarnation had it discard ends that the leader had not seen. The run was in no list, counted as lost, and its task started again.

Evidence: RestartedWorkerTest.

An end is acknowledged once; only a renewal without an answer can still discard others. While it may, tasks that end by themselves start on the restarted worker only where no other one can run them. Tasks that last start again however their runs end.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -64,6 +64,7 @@
         }
         worker.renewalInFlight = false;
         boolean unrecorded = applyReport(worker, report, requestedAtMs);
+        worker.acknowledgementAnswered();
         if (report.complete() && tables.unreconciled.remove(worker)) {
             LOG.info(
                     "worker reconciled worker={} runs={} unsettled={}",
@@ -127,6 +128,7 @@
             return;
         }
         worker.renewalInFlight = false;
+        worker.acknowledgementUnanswered();
         if (worker.missedRenewals == 0 && worker.lastContactAtMs > worker.renewalSentAtMs) {
             LOG.info(
                     "renewal without a response worker={} contactAgeMs={}",
@@ -191,6 +193,7 @@
     /** Ends a renewal that tells nothing of the incarnation at the present address. */
     private void endRenewalOfEarlierAddress(WorkerRow worker) {
         worker.renewalInFlight = false;
+        worker.acknowledgementUnanswered();
         worker.nextRenewalAtMs = tables.nowMs;
     }
 
@@ -297,10 +300,7 @@
         boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
         long wait = withoutLease || unrecorded ? 0 : renewalWaitMs(worker);
         worker.renewalDueAtMs = tables.nowMs + wait;
-        // a worker that missed renewals may be a new incarnation, which numbers its ends from the start: acknowledging
-        // by the old numbers would discard ends that were not processed
-        long acknowledged = worker.missedRenewals == 0 ? worker.lastAcknowledgedEnd : 0;
-        return new Effect.RenewLease(worker.id, worker.address(), leaseUntil, acknowledged, wait);
+        return new Effect.RenewLease(worker.id, worker.address(), leaseUntil, worker.acknowledge(), wait);
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -42,7 +42,19 @@
     /** True once the renewal in flight has made the worker suspect because it was overdue. */
     boolean renewalSuspected;
 
+    /** Ends up to this number are recorded, so that the worker may discard them. */
     long lastAcknowledgedEnd;
+    /** The worker has answered a renewal that acknowledged the ends up to this number. */
+    long lastDiscardedEnd;
+    /** What the renewal in flight acknowledges. */
+    private long acknowledgementInFlight;
+
+    /** When the last renewal was sent that acknowledged ends and got no answer; negative when there was none. */
+    private long unansweredAcknowledgementAtMs = -1;
+
+    /** Until when an earlier incarnation's acknowledgement may discard the ends of new runs, so that none are started. */
+    private long endsUnsafeUntilMs = -1;
+
     long lastProcessedEnd;
     long acknowledgeAfterBatch = -1;
     long lastContactAtMs = -1;
@@ -263,6 +275,37 @@
                 && shownMs < clockMs + elapsedMs - SchedulerLimits.CLOCK_MARGIN_MS;
     }
 
+    /**
+     * Returns the number of the last end that the next renewal acknowledges; 0 for none.
+     *
+     * <p>A new incarnation numbers its ends from the start and would discard ends that were not processed, so nothing is
+     * acknowledged to a worker that may have restarted, and nothing twice.
+     */
+    long acknowledge() {
+        boolean acknowledges = missedRenewals == 0 && !clockReset && lastAcknowledgedEnd > lastDiscardedEnd;
+        acknowledgementInFlight = acknowledges ? lastAcknowledgedEnd : 0;
+        return acknowledgementInFlight;
+    }
+
+    /** Records that the worker has answered the renewal in flight. */
+    void acknowledgementAnswered() {
+        lastDiscardedEnd = Math.max(lastDiscardedEnd, acknowledgementInFlight);
+        acknowledgementInFlight = 0;
+    }
+
+    /** Records that the renewal in flight may be executed at any time, or already was. */
+    void acknowledgementUnanswered() {
+        if (acknowledgementInFlight > 0) {
+            unansweredAcknowledgementAtMs = renewalSentAtMs;
+        }
+        acknowledgementInFlight = 0;
+    }
+
+    /** Returns whether the ends of runs that start now will be seen before they are discarded. */
+    boolean endsSafe(long nowMs) {
+        return nowMs >= endsUnsafeUntilMs;
+    }
+
     /** Records that calls meant for earlier incarnations may have granted leases that end at a time. */
     void strayLeases(long endAtMs) {
         strayLeasesEndAtMs = Math.max(strayLeasesEndAtMs, endAtMs);
@@ -323,7 +366,12 @@
     void restarted(long newIncarnation, SchedulerLimits limits) {
         incarnation = newIncarnation;
         boundStrayLeases(limits);
+        acknowledgementUnanswered();
+        if (unansweredAcknowledgementAtMs >= 0) {
+            endsUnsafeUntilMs = unansweredAcknowledgementAtMs + SchedulerLimits.LATEST_EXECUTION_MS;
+        }
         lastAcknowledgedEnd = 0;
+        lastDiscardedEnd = 0;
         lastProcessedEnd = 0;
         acknowledgeAfterBatch = -1;
         leaseEndsAtMs = 0;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -1,8 +1,10 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.WorkerEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -10,6 +12,8 @@
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.end;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.running;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -25,6 +29,8 @@
     /** The leases of a lost worker have expired after this time, also one that a late call has granted. */
     private static final long ALL_LEASES_EXPIRED_MS = 26_000;
 
+    private static final long SHORT_TASK_MS = 200;
+
     private final WorkerEntry entry = worker("a", 1_000);
     private final SimulatedFleet fleet = new SimulatedFleet().with(entry);
 
@@ -59,6 +65,59 @@
         assertEquals(2, fleet.startsOf("job").size());
     }
 
+    /** Guards against a task that runs again since the end of its run was acknowledged by the number of another one. */
+    @Test
+    void shouldNotRepeatATaskWhenALateRenewalReachesTheIncarnationInWhichItHasEnded() {
+        fleet.durationMs = task -> SHORT_TASK_MS;
+        fleet.fixture.scheduler.accept(
+                fleet.fixture.job("before", step(1, 1_000).build()));
+        fleet.run(AGE_MS);
+        restartBeforeARenewalArrives(5 * SHORT_TASK_MS);
+        fleet.fixture.scheduler.accept(fleet.fixture.job("job", step(1, 1_000).build()));
+
+        fleet.run(AGE_MS);
+
+        assertEquals(1, fleet.startsOf("job").size());
+    }
+
+    /** Guards against ends that a later incarnation discards unseen: its ends have the numbers of acknowledged ones. */
+    @Test
+    void shouldAcknowledgeAnEndOnlyOnce() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        Effect.Start start = startedAndEnded(fixture);
+        assertEquals("a", start.worker());
+        assertEquals(1, renewal(fixture).acknowledged());
+
+        fixture.advance(100);
+        fixture.leaseRenewed("a", List.of(), List.of());
+
+        assertEquals(0, renewal(fixture).acknowledged());
+    }
+
+    /** Guards against a task that runs again since a late acknowledgement has discarded its end unseen. */
+    @Test
+    void shouldStartOnlyTasksThatLastWhileALateAcknowledgementMayDiscardTheirEnds() {
+        SchedulerFixture fixture = restartWithUnansweredAcknowledgement(worker("b", 1_000));
+        fixture.scheduler.accept(fixture.job("job", step(2, 900).build()));
+        fixture.scheduler.accept(
+                fixture.job("lasting", step(1, 100).longRunning(true).build()));
+
+        List<Effect.Start> early = fixture.confirmedStarts();
+        fixture.advance(SchedulerLimits.LATEST_EXECUTION_MS);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(running(early.getFirst())), List.of());
+
+        assertEquals(List.of("lasting on a", "job on b"), places(early));
+        assertEquals(List.of("job on a"), places(fixture.starts()));
+    }
+
+    @Test
+    void shouldStartTasksOnTheRestartedWorkerWhenNoOtherOneCanRunThem() {
+        SchedulerFixture fixture = restartWithUnansweredAcknowledgement();
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+
+        assertEquals(List.of("job on a"), places(fixture.starts()));
+    }
+
     /** Guards against orders by the clock of the former incarnation. */
     @Test
     void shouldAskForAReportWhenTheClockInAnAnswerHasStartedAnew() {
@@ -73,4 +132,43 @@
         assertTrue(effects.contains(new Effect.Probe("a", "a:1")));
         assertEquals(List.of(), fixture.starts());
     }
+
+    private static List<String> places(List<Effect.Start> starts) {
+        return starts.stream()
+                .map(start -> start.task().job() + " on " + start.worker())
+                .toList();
+    }
+
+    private SchedulerFixture restartWithUnansweredAcknowledgement(WorkerEntry... others) {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        startedAndEnded(fixture);
+        assertEquals(1, renewal(fixture).acknowledged());
+        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.advance(100);
+        List<WorkerEntry> entries = new ArrayList<>(List.of(others));
+        entries.add(changed(entry, entry.address(), false, INCARNATION + 1));
+        fixture.withWorkers(entries.toArray(WorkerEntry[]::new));
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+        return fixture;
+    }
+
+    private static Effect.Start startedAndEnded(SchedulerFixture fixture) {
+        fixture.scheduler.accept(fixture.job("before", step(1, 1_000).build()));
+        Effect.Start start = fixture.confirmedStarts().getFirst();
+        fixture.advance(100);
+        fixture.leaseRenewed("a", List.of(), List.of(end(1, start.task(), start.run(), EndKind.DONE)));
+        fixture.tick();
+        fixture.effects.clear();
+        return start;
+    }
+
+    private static Effect.RenewLease renewal(SchedulerFixture fixture) {
+        fixture.advance(600);
+        fixture.tick();
+        return fixture.effects.reversed().stream()
+                .filter(Effect.RenewLease.class::isInstance)
+                .map(Effect.RenewLease.class::cast)
+                .findFirst()
+                .orElseThrow();
+    }
 }
