A run that was stopped before it started is stopped on the next incarnation, too

An order to start got no answer, its run was barred by a stop, and its task started elsewhere. The worker restarts, knows of no stop, and executes the order.

Evidence: RestartedWorkerTest, red without the stops after a restart.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -69,6 +69,7 @@
                 if (run.phase == RunPhase.STARTING) {
                     run.phase = RunPhase.UNCONFIRMED;
                 }
+                run.worker.startUnanswered(run, tables.nowMs);
                 run.worker.nextRenewalAtMs = Math.min(run.worker.nextRenewalAtMs, tables.nowMs);
             }
             default -> handleRefusal(run, outcome);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -336,10 +336,18 @@
                     run.stop("worker restarted");
                 }
             }
+            stopLateStarts(worker);
         }
         worker.restarted(incarnation, tables.limits);
     }
 
+    /** Bars the runs whose orders got no answer once more, since the new incarnation knows of no stop of the former one. */
+    private void stopLateStarts(WorkerRow worker) {
+        for (WorkerRow.UnansweredStart start : worker.unansweredStarts(tables.nowMs)) {
+            tables.orphanStops.add(new Effect.Stop(worker.id, worker.address(), start.task(), start.run()));
+        }
+    }
+
     private boolean processEnds(WorkerRow worker, List<RunEnd> reported) {
         boolean needsRecord = false;
         for (RunEnd end : reported) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -1,11 +1,13 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
@@ -123,6 +125,8 @@
     private String answeredAddress;
 
     private WorkerEntry entry;
+    /** Orders to start without an answer, which may still be executed, oldest first. */
+    private final Queue<UnansweredStart> unansweredStarts = new ArrayDeque<>();
 
     WorkerRow(String id, String address, long incarnation) {
         this.id = id;
@@ -212,6 +216,18 @@
                 && present.incarnation() > incarnation;
     }
 
+    /** Records that an order to start has got no answer. */
+    void startUnanswered(RunRow run, long nowMs) {
+        dropExecutedStarts(nowMs);
+        unansweredStarts.add(new UnansweredStart(run.task.name, run.number, run.orderedAtMs));
+    }
+
+    /** Returns the unanswered orders that may still be executed, by whichever incarnation is there then. */
+    List<UnansweredStart> unansweredStarts(long nowMs) {
+        dropExecutedStarts(nowMs);
+        return List.copyOf(unansweredStarts);
+    }
+
     void deregister() {
         registered = false;
     }
@@ -400,6 +416,13 @@
         }
     }
 
+    private void dropExecutedStarts(long nowMs) {
+        while (!unansweredStarts.isEmpty()
+                && nowMs - unansweredStarts.peek().orderedAtMs > SchedulerLimits.LATEST_EXECUTION_MS) {
+            unansweredStarts.poll();
+        }
+    }
+
     /** Asks the worker for a report at its new address, without extending its lease, before it gets further orders. */
     private void moveTo(String newAddress, long nowMs) {
         address = newAddress;
@@ -411,4 +434,13 @@
         missedRenewals = Math.max(1, missedRenewals);
         nextRenewalAtMs = nowMs;
     }
+
+    /**
+     * An order to start that got no answer.
+     *
+     * @param task the task
+     * @param run the number of the run
+     * @param orderedAtMs when it was sent
+     */
+    record UnansweredStart(TaskName task, int run, long orderedAtMs) {}
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -5,6 +5,8 @@
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
+import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.WorkerEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -118,6 +120,28 @@
         assertEquals(List.of("job on a"), places(fixture.starts()));
     }
 
+    /** Guards against a run whose order is executed by the new incarnation, which knows of no stop of the former one. */
+    @Test
+    void shouldStopARunOnceMoreWhenItsOrderMayStillReachTheNewIncarnation() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+        Effect.Start start = fixture.starts().getFirst();
+        fixture.advance(900);
+        fixture.answerStart(start, StartOutcome.UNKNOWN);
+        fixture.advance(10);
+        fixture.leaseRenewed("a", List.of(), List.of());
+        fixture.tick();
+        fixture.scheduler.stopped("a", start.task(), start.run(), StopOutcome.STOPPED);
+        fixture.advance(1_000);
+        fixture.leaseRenewed("a", List.of(), List.of());
+        fixture.effects.clear();
+
+        fixture.advance(100);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+
+        assertTrue(fixture.tick().contains(new Effect.Stop("a", "a:1", start.task(), start.run())));
+    }
+
     /** Guards against orders by the clock of the former incarnation. */
     @Test
     void shouldAskForAReportWhenTheClockInAnAnswerHasStartedAnew() {
