A report of the former incarnation does not undo one of the next

Cause: a report was left out as overtaken only if it came from the present incarnation. One of the former incarnation that arrived after the first of the next made the leader go back to it.

Evidence: RestartedWorkerTest#shouldIgnoreAReportOfTheFormerIncarnationWhenTheNew- OneHasAnswered is red without the change. A report that was requested before the last contact and names an earlier incarnation is left out.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -200,7 +200,12 @@
     /** Applies a worker report; returns true when ends have to be recorded before they are acknowledged. */
     private boolean applyReport(WorkerRow worker, WorkerReport report, long requestedAtMs) {
         if (overtaken(worker, report, requestedAtMs)) {
-            LOG.info("report overtaken worker={} byMs={}", worker.id, worker.clockMs - report.clockMs());
+            LOG.info(
+                    "report overtaken worker={} incarnation={} present={} byMs={}",
+                    worker.id,
+                    report.incarnation(),
+                    worker.incarnation,
+                    worker.clockMs - report.clockMs());
             return worker.acknowledgeAfterBatch >= 0;
         }
         crashes.observe(worker, report.incarnation());
@@ -212,11 +217,15 @@
         return unrecorded;
     }
 
-    /** Returns whether the worker made the report before another one that is applied already, and that lists later ends. */
+    /**
+     * Returns whether the worker, or an earlier incarnation of it, made the report before another one that is applied
+     * already.
+     */
     private static boolean overtaken(WorkerRow worker, WorkerReport report, long requestedAtMs) {
-        return requestedAtMs <= worker.lastContactAtMs
-                && report.incarnation() == worker.incarnation
-                && report.clockMs() < worker.clockMs;
+        boolean earlier = report.incarnation() == worker.incarnation
+                ? report.clockMs() < worker.clockMs
+                : report.incarnation() != 0 && report.incarnation() < worker.incarnation;
+        return requestedAtMs <= worker.lastContactAtMs && earlier;
     }
 
     /** Adds a run that a worker reports and that is not in the tables; an obsolete or duplicate one is stopped. */
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -6,8 +6,10 @@
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.StartOutcome;
+import org.acaciafold.fleet.StepProgress;
 import org.acaciafold.fleet.StopOutcome;
 import org.acaciafold.fleet.WorkerEntry;
+import org.acaciafold.fleet.WorkerReport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -82,6 +84,26 @@
         assertEquals(1, fleet.startsOf("job").size());
     }
 
+    /** Guards against a crash that is counted under tasks of the present incarnation, when an earlier report comes late. */
+    @Test
+    void shouldIgnoreAReportOfTheFormerIncarnationWhenTheNewOneHasAnswered() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+        long requestedAtMs = fixture.nowMs;
+        WorkerReport former = fixture.report(List.of(), List.of());
+        fixture.advance(100);
+        fixture.scheduler.updateRegistry(List.of(changed(entry, entry.address(), false, INCARNATION + 1)), true);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+        Effect.Start start = fixture.confirmedStarts().getFirst();
+        fixture.advance(100);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(running(start)), List.of());
+
+        fixture.scheduler.probed("a", former, requestedAtMs);
+        fixture.tick();
+
+        assertTrue(recordedCrashes(fixture).isEmpty());
+    }
+
     /** Guards against ends that a later incarnation discards unseen: its ends have the numbers of acknowledged ones. */
     @Test
     void shouldAcknowledgeAnEndOnlyOnce() {
@@ -195,4 +217,11 @@
                 .findFirst()
                 .orElseThrow();
     }
+
+    private static List<StepProgress.TaskCrashes> recordedCrashes(SchedulerFixture fixture) {
+        return fixture.saved.values().stream()
+                .flatMap(progress -> progress.steps().stream())
+                .flatMap(progress -> progress.crashes().stream())
+                .toList();
+    }
 }
