A run that the next incarnation lists did not end with the former one

Cause: an order that is sent before the leader notices a restart is executed by the next incarnation. The first report of that one tells the restart, and a crash was counted under each run that the leader believed there, also under those that the report lists as at work or as ended.

Evidence: RestartedWorkerTest#shouldCountNoCrashUnderARunWhenTheNewIncarnation- ReportsIt, both cases red without the change.

--- a/fleet/src/main/java/org/acaciafold/fleet/WorkerReport.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/WorkerReport.java
@@ -30,4 +30,16 @@
     public WorkerReport(long clockMs, long incarnation, List<ReportedRun> running, List<RunEnd> ends) {
         this(clockMs, incarnation, running, ends, true);
     }
+
+    /**
+     * Returns whether the report lists a run, at work or ended.
+     *
+     * @param task the task
+     * @param run the number of the run
+     * @return true when it is listed
+     */
+    public boolean lists(TaskName task, int run) {
+        return running.stream().anyMatch(one -> one.task().equals(task) && one.run() == run)
+                || ends.stream().anyMatch(end -> end.task().equals(task) && end.run() == run);
+    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/CrashSystem.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.acaciafold.fleet.StepProgress;
+import org.acaciafold.fleet.WorkerReport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,7 +37,8 @@
     }
 
     /** Records the crashes that a report proves, or withdraws those that it refutes. */
-    void observe(WorkerRow worker, long incarnation) {
+    void observe(WorkerRow worker, WorkerReport report) {
+        long incarnation = report.incarnation();
         if (incarnation == 0) {
             return;
         }
@@ -47,7 +50,8 @@
             if (worker.missedRenewals == 0) {
                 worker.wentDown(tables.nowMs);
             }
-            record(worker, true);
+            // a run that the new incarnation lists was ordered after the crash
+            record(worker, true, run -> !report.lists(run.task.name, run.number));
         }
     }
 
@@ -55,7 +59,7 @@
     void incarnationEnded(WorkerRow worker) {
         Optional.ofNullable(expired.remove(worker.id))
                 .ifPresent(silent -> silent.runs.forEach(run -> settle(run, true)));
-        record(worker, true);
+        record(worker, true, run -> true);
     }
 
     /** Records possible crashes under the runs of a worker whose lease has expired. */
@@ -64,7 +68,7 @@
             return;
         }
         expired.values().removeIf(silent -> silent.runs.stream().noneMatch(run -> run.task.step.job.active()));
-        List<RunRow> suspects = record(worker, false);
+        List<RunRow> suspects = record(worker, false, run -> true);
         if (!suspects.isEmpty()) {
             expired.put(worker.id, new Expired(worker.incarnation, suspects));
         }
@@ -98,8 +102,8 @@
         return true;
     }
 
-    /** Records a crash under each run that was on a worker; returns these runs. */
-    private List<RunRow> record(WorkerRow worker, boolean restarted) {
+    /** Records a crash under each run that was on a worker and may have ended with it; returns these runs. */
+    private List<RunRow> record(WorkerRow worker, boolean restarted, Predicate<RunRow> mayHaveEnded) {
         if (worker.leftAsAnnounced()) {
             LOG.info("worker left as announced worker={} runs={}", worker.id, worker.runs.size());
             return List.of();
@@ -107,7 +111,7 @@
         List<RunRow> under = new ArrayList<>();
         Set<JobRow> early = new HashSet<>();
         for (RunRow run : worker.runs.values()) {
-            if (wasUnder(run, worker.downAtMs)) {
+            if (wasUnder(run, worker.downAtMs) && mayHaveEnded.test(run)) {
                 under.add(run);
                 if (ageMs(run) <= CrashHistory.EARLY_MS) {
                     early.add(run.task.step.job);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -208,7 +208,7 @@
                     worker.clockMs - report.clockMs());
             return worker.acknowledgeAfterBatch >= 0;
         }
-        crashes.observe(worker, report.incarnation());
+        crashes.observe(worker, report);
         observeIncarnation(worker, report.incarnation());
         worker.answered(tables.nowMs);
         worker.clockMs = report.clockMs();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -5,6 +5,8 @@
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.EndKind;
+import org.acaciafold.fleet.ReportedRun;
+import org.acaciafold.fleet.RunEnd;
 import org.acaciafold.fleet.StartOutcome;
 import org.acaciafold.fleet.StepProgress;
 import org.acaciafold.fleet.StopOutcome;
@@ -104,6 +106,23 @@
         assertTrue(recordedCrashes(fixture).isEmpty());
     }
 
+    /** Guards against a task that counts as the cause of a crash since it had started on the next incarnation already. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void shouldCountNoCrashUnderARunWhenTheNewIncarnationReportsIt(boolean ended) {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+        Effect.Start start = fixture.confirmedStarts().getFirst();
+        List<ReportedRun> running = ended ? List.of() : List.of(running(start));
+        List<RunEnd> ends = ended ? List.of(end(1, start.task(), start.run(), EndKind.FAILED)) : List.of();
+        fixture.advance(100);
+
+        fixture.leaseRenewed("a", INCARNATION + 1, running, ends);
+        fixture.tick();
+
+        assertTrue(recordedCrashes(fixture).isEmpty());
+    }
+
     /** Guards against ends that a later incarnation discards unseen: its ends have the numbers of acknowledged ones. */
     @Test
     void shouldAcknowledgeAnEndOnlyOnce() {
