Only calls that may still be executed bound the leases of a restarted worker

LateCalls keeps which calls may still arrive: those in flight, and those without an answer whose connection had not ended. JsonHttp tells the two apart. A call that the former incarnation may have left to the next one counts as executed when the restart is noticed.

--- a/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
@@ -305,7 +305,7 @@
     private void poll(
             Scheduler term, Effect.RenewLease renewal, SimulatedWorker worker, long requestedAtMs, long waitsUntilMs) {
         if (!worker.reachable) {
-            scheduleForTerm(term, ORDER_TIMEOUT_MS, () -> term.leaseRenewalFailed(worker.id));
+            scheduleForTerm(term, ORDER_TIMEOUT_MS, () -> term.leaseRenewalFailed(worker.id, true));
             return;
         }
         worker.renewLease(renewal.acknowledged(), nowMs < waitsUntilMs, nowMs)
--- a/clients/src/main/java/org/acaciafold/clients/JsonHttp.java
+++ b/clients/src/main/java/org/acaciafold/clients/JsonHttp.java
@@ -1,5 +1,6 @@
 package org.acaciafold.clients;
 
+import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Map;
@@ -22,6 +23,9 @@
 
 /** An HTTP client with a bounded connection pool, which never retries a call. */
 public final class JsonHttp {
+    /** The code of the failure when the connection ended before the answer. */
+    public static final String DISCONNECTED = "disconnected";
+
     private static final int MAX_CONNECTIONS_PER_PEER = 32;
     private static final int MAX_PENDING_PER_PEER = 1_024;
     private static final Duration MAX_IDLE = Duration.ofSeconds(20);
@@ -179,13 +183,17 @@
         return call.timeout(limit, timeoutScheduler)
                 .onErrorMap(error -> !(error instanceof AcaciafoldException), error -> {
                     String message = String.valueOf(error.getMessage());
-                    Failure failure = error instanceof ConnectException
-                            ? Failure.notRun(step, address, "unreachable", message)
-                            : Failure.unknown(step, address, "no-answer", message);
-                    return new AcaciafoldException(failure, error);
+                    return new AcaciafoldException(failure(error, address, message), error);
                 });
     }
 
+    private Failure failure(Throwable error, String address, String message) {
+        if (error instanceof ConnectException) {
+            return Failure.notRun(step, address, "unreachable", message);
+        }
+        return Failure.unknown(step, address, error instanceof IOException ? DISCONNECTED : "no-answer", message);
+    }
+
     private Mono<byte[]> requireSuccess(String address, HttpClientResponse response, byte[] bytes) {
         int status = response.status().code();
         if (status >= STATUS_OK && status < STATUS_REDIRECT) {
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.acaciafold.core.model.AcaciafoldException;
@@ -76,7 +77,11 @@
                 new WorkerWatch(host, (entries, complete) -> apply(() -> scheduler.updateRegistry(entries, complete)));
         this.broadcaster = new StateBroadcaster(
                 host.name(), host.loop(), host.bus()::sendAll, hosts, epoch(), () -> scheduler.states());
-        this.batches = new BatchWriter(lease, host.termStore()::hideFromEarlierReleases, this::refused, this::saved);
+        this.batches = new BatchWriter(
+                lease,
+                host.termStore()::hideFromEarlierReleases,
+                this::refused,
+                batch -> applyLater(() -> scheduler.saved(batch)));
         this.latencies = new JobLatencyRecorder(host.metrics());
         this.loadReporter = new TickLoadReporter(lease, host.metrics());
     }
@@ -153,11 +158,7 @@
     }
 
     void cancel(String job) {
-        apply(() -> {
-            if (!scheduler.cancel(job)) {
-                LOG.info("cancellation kept for a job that may still be created job={} epoch={}", job, epoch());
-            }
-        });
+        apply(() -> scheduler.cancel(job));
     }
 
     void configure() {
@@ -295,7 +296,7 @@
                         }),
                         error -> applyLater(() -> {
                             host.metrics().order("hold", "FAILED", host.loop().nowMs() - requestedAtMs);
-                            scheduler.leaseRenewalFailed(renewal.worker());
+                            scheduler.leaseRenewalFailed(renewal.worker(), WorkerAgentClient.mayArrive(error));
                             handleFailure(renewal.worker(), error, requestedAtMs);
                         }));
     }
@@ -333,11 +334,11 @@
     }
 
     private void retire(Effect.Retire retire) {
-        host.termStore().retire(retire.jobs()).subscribe(ids -> applyLater(() -> scheduler.retired(ids)));
-        host.termStore().remove(retire.expired()).subscribe(ids -> applyLater(() -> scheduler.removed(ids)));
-        host.termStore()
-                .removeCancellations(retire.cancellations())
-                .subscribe(ids -> applyLater(() -> scheduler.cancellationsRemoved(ids)));
+        TermStore records = host.termStore();
+        records.retire(retire.jobs()).subscribe(ids -> applyLater(() -> scheduler.retired(ids)));
+        records.remove(retire.expired()).subscribe(ids -> applyLater(() -> scheduler.removed(ids, Set.of())));
+        records.removeCancellations(retire.cancellations())
+                .subscribe(ids -> applyLater(() -> scheduler.removed(Set.of(), ids)));
     }
 
     /** Applies that the store will never take a row, at once, so that a claim in it is dropped before it is ordered. */
@@ -352,10 +353,6 @@
         });
     }
 
-    private void saved(long batch) {
-        applyLater(() -> scheduler.saved(batch));
-    }
-
     private void start(Effect.Start start) {
         if (!lease.mayCommand()) {
             scheduler.started(start.worker(), start.task(), start.run(), StartOutcome.REFUSED);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
@@ -45,6 +45,7 @@
             }
         }
         latest.forEach((name, claim) -> tables.task(name).ifPresent(task -> restore(tables, task, claim)));
+        LOG.info("term started jobs={} active={} workers={}", tables.jobs.size(), tables.active.size(), workers.size());
     }
 
     private static void restore(Tables tables, TaskRow task, LatestClaim claim) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RetireSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RetireSystem.java
@@ -72,16 +72,11 @@
         }
     }
 
-    /** Applies the confirmation that the records of some jobs have been removed. */
-    void removed(Set<String> ids) {
+    /** Applies the confirmation that the records of some jobs and cancellations have been removed. */
+    void removed(Set<String> ids, Set<String> cancellations) {
         nextAtMs = Math.min(nextAtMs, tables.nowMs + PERIOD_MS);
         ids.forEach(tables.endedJobs::remove);
-    }
-
-    /** Applies the confirmation that cancellations without a job have been removed. */
-    void cancellationsRemoved(Set<String> ids) {
-        nextAtMs = Math.min(nextAtMs, tables.nowMs + PERIOD_MS);
-        ids.forEach(tables.unmatchedCancellations::remove);
+        cancellations.forEach(tables.unmatchedCancellations::remove);
     }
 
     private void collect() {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -23,8 +23,6 @@
 import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.WorkerEntry;
 import org.acaciafold.fleet.WorkerReport;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Schedules the tasks of a fleet on its workers during one term of one leader.
@@ -40,8 +38,6 @@
  * }</pre>
  */
 public final class Scheduler {
-    private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
-
     private final Tables tables;
     private final EndSystem ends;
     private final WorkerLeaseSystem workerLeases;
@@ -91,16 +87,7 @@
      * @return true when the job is new
      */
     public boolean accept(Job job) {
-        if (tables.jobs.containsKey(job.id()) || tables.endedJobs.containsKey(job.id())) {
-            return false;
-        }
-        boolean cancelled = tables.unmatchedCancellations.remove(job.id()) != null;
-        add(new StoredJob(job, Optional.empty(), cancelled));
-        tables.changedStates.put(job.id(), cancelled ? JobState.CANCELLED : JobState.QUEUED);
-        if (cancelled) {
-            LOG.info("job cancelled before it was created job={}", job.id());
-        }
-        return true;
+        return tables.accept(job);
     }
 
     /**
@@ -178,15 +165,6 @@
         worker(worker).ifPresent(row -> workerLeases.incarnationEnded(row, requestedAtMs));
     }
 
-    /**
-     * Applies the confirmation that the records of cancellations without a job have been removed.
-     *
-     * @param ids the jobs that the cancellations name
-     */
-    public void cancellationsRemoved(Set<String> ids) {
-        retirements.cancellationsRemoved(ids);
-    }
-
     /**
      * Applies a worker's answer to a lease renewal.
      *
@@ -202,9 +180,10 @@
      * Records that a worker did not answer a lease renewal.
      *
      * @param worker the worker
+     * @param mayArrive whether it may still be executed, as its connection has not ended
      */
-    public void leaseRenewalFailed(String worker) {
-        worker(worker).ifPresent(workerLeases::renewalFailed);
+    public void leaseRenewalFailed(String worker, boolean mayArrive) {
+        worker(worker).ifPresent(row -> workerLeases.renewalFailed(row, mayArrive));
     }
 
     /**
@@ -266,11 +245,8 @@
             Map<String, EndedJob> ended,
             Set<String> awaitingRetirement,
             List<WorkerClaims> workers) {
-        tables.endedJobs.putAll(ended);
-        awaitingRetirement.forEach(id -> tables.awaitingRetirement.put(id, ended.get(id)));
-        jobs.stream().sorted(StoredJob.BY_ACCEPTANCE).forEach(this::add);
+        tables.restore(jobs, ended, awaitingRetirement);
         ClaimRecovery.restore(tables, workers);
-        LOG.info("term started jobs={} active={} workers={}", jobs.size(), tables.active.size(), workers.size());
     }
 
     /**
@@ -303,12 +279,13 @@
     }
 
     /**
-     * Applies the confirmation that the records of ended jobs have been removed.
+     * Applies the confirmation that records have been removed.
      *
-     * @param ids the jobs
+     * @param jobs the ended jobs whose summaries are removed
+     * @param cancellations the jobs whose cancellations, which had nothing to cancel, are removed
      */
-    public void removed(Set<String> ids) {
-        retirements.removed(ids);
+    public void removed(Set<String> jobs, Set<String> cancellations) {
+        retirements.removed(jobs, cancellations);
     }
 
     /**
@@ -409,19 +386,6 @@
         return effects;
     }
 
-    private void add(StoredJob stored) {
-        JobRow row = new JobRow(stored.job());
-        row.configure(tables.config);
-        stored.progress().ifPresent(progress -> row.restore(progress, tables.wallMs));
-        row.cancelled = stored.cancelled() && !row.state.ended();
-        row.overRate = tables.rateLimiter.exceedsRate(stored.job(), tables.config);
-        tables.jobs.put(stored.job().id(), row);
-        if (row.active()) {
-            tables.active.add(row);
-            tables.crashed.addAll(row.crashedTasks());
-        }
-    }
-
     private Optional<RunRow> run(String worker, TaskName task, int number) {
         return worker(worker).map(row -> row.runs.get(task)).filter(row -> row.number == number);
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
@@ -146,7 +146,7 @@
             case Effect.Save save -> scheduler.saved(save.batch());
             case Effect.Retire retire -> {
                 scheduler.retired(retire.jobs().keySet());
-                scheduler.removed(retire.expired().keySet());
+                scheduler.removed(retire.expired().keySet(), retire.cancellations());
             }
             case Effect.RequestAdvice request -> {
                 List<Grant> grants = request.workers().stream()
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -69,7 +69,7 @@
                 if (run.phase == RunPhase.STARTING) {
                     run.phase = RunPhase.UNCONFIRMED;
                 }
-                run.worker.startUnanswered(run, tables.nowMs);
+                run.worker.lateCalls.startUnanswered(run, tables.nowMs);
                 run.worker.nextRenewalAtMs = Math.min(run.worker.nextRenewalAtMs, tables.nowMs);
             }
             default -> handleRefusal(run, outcome);
@@ -315,7 +315,8 @@
         WorkerRow worker = run.worker;
         StepRow step = run.task.step;
         long leaseUntilMs = worker.lease(tables.nowMs, tables.limits).orElseThrow();
-        worker.leaseSent(leaseUntilMs, tables.nowMs);
+        worker.leaseSent(leaseUntilMs);
+        worker.lateCalls.startSent(tables.nowMs);
         run.phase = RunPhase.STARTING;
         run.orderedAtMs = tables.nowMs;
         Ticket ticket = step.tickets.get(worker.id);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -17,8 +17,10 @@
 import org.acaciafold.fleet.EndedJob;
 import org.acaciafold.fleet.FleetConfig;
 import org.acaciafold.fleet.FleetSummary;
+import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
 import org.acaciafold.fleet.StoreClock;
+import org.acaciafold.fleet.StoredJob;
 import org.acaciafold.fleet.TaskName;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -145,6 +147,13 @@
         return (firstRun - 1) / RUNS_PER_TERM + 1;
     }
 
+    /** Adds the jobs that earlier terms have recorded. */
+    void restore(List<StoredJob> recorded, Map<String, EndedJob> ended, Set<String> stillRecorded) {
+        endedJobs.putAll(ended);
+        stillRecorded.forEach(id -> awaitingRetirement.put(id, ended.get(id)));
+        recorded.stream().sorted(StoredJob.BY_ACCEPTANCE).forEach(this::add);
+    }
+
     /** Records that a task of a job has started. */
     void started(String id) {
         JobRow job = jobs.get(id);
@@ -154,12 +163,30 @@
         }
     }
 
+    /** Adds a job of this term; returns false when it is already known. */
+    boolean accept(Job job) {
+        if (jobs.containsKey(job.id()) || endedJobs.containsKey(job.id())) {
+            return false;
+        }
+        boolean cancelled = unmatchedCancellations.remove(job.id()) != null;
+        add(new StoredJob(job, Optional.empty(), cancelled));
+        changedStates.put(job.id(), cancelled ? JobState.CANCELLED : JobState.QUEUED);
+        if (cancelled) {
+            LOG.info("job cancelled before it was created job={}", job.id());
+        }
+        return true;
+    }
+
     /** Cancels a job; returns false when it is not known, and it is then cancelled as soon as it appears. */
     boolean cancel(String id) {
         JobRow job = jobs.get(id);
         if (job == null || job.state.ended()) {
+            boolean known = job != null || endedJobs.containsKey(id);
+            if (!known) {
+                LOG.info("cancellation kept for a job that may still be created job={} epoch={}", id, epoch());
+            }
             keepUnmatched(id, wallMs);
-            return job != null || endedJobs.containsKey(id);
+            return known;
         }
         if (!job.cancelled) {
             job.cancelled = true;
@@ -227,4 +254,17 @@
         job.unsaved = true;
         unsaved.add(job);
     }
+
+    private void add(StoredJob stored) {
+        JobRow row = new JobRow(stored.job());
+        row.configure(config);
+        stored.progress().ifPresent(progress -> row.restore(progress, wallMs));
+        row.cancelled = stored.cancelled() && !row.state.ended();
+        row.overRate = rateLimiter.exceedsRate(stored.job(), config);
+        jobs.put(stored.job().id(), row);
+        if (row.active()) {
+            active.add(row);
+            crashed.addAll(row.crashedTasks());
+        }
+    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -63,8 +63,12 @@
             LOG.info("worker responds again worker={} missed={}", worker.id, worker.missedRenewals);
         }
         worker.renewalInFlight = false;
+        long acknowledged = worker.lateCalls.renewalAnswered();
+        long incarnation = worker.incarnation;
         boolean unrecorded = applyReport(worker, report, requestedAtMs);
-        worker.acknowledgementAnswered();
+        if (worker.incarnation == incarnation) {
+            worker.lastDiscardedEnd = Math.max(worker.lastDiscardedEnd, acknowledged);
+        }
         if (report.complete() && tables.unreconciled.remove(worker)) {
             LOG.info(
                     "worker reconciled worker={} runs={} unsettled={}",
@@ -110,7 +114,7 @@
                 worker.clockMs);
         worker.clockReset = true;
         worker.suspect = true;
-        worker.boundStrayLeases(tables.limits);
+        worker.boundStrayLeases(tables.nowMs, tables.limits);
         worker.askAtOnce(tables.nowMs);
     }
 
@@ -122,13 +126,13 @@
         applyReport(worker, report, requestedAtMs);
     }
 
-    void renewalFailed(WorkerRow worker) {
+    void renewalFailed(WorkerRow worker, boolean mayArrive) {
+        worker.lateCalls.renewalFailed(mayArrive);
         if (worker.renewalSentAtMs < worker.addressSinceMs) {
             endRenewalOfEarlierAddress(worker);
             return;
         }
         worker.renewalInFlight = false;
-        worker.acknowledgementUnanswered();
         if (worker.missedRenewals == 0 && worker.lastContactAtMs > worker.renewalSentAtMs) {
             LOG.info(
                     "renewal without a response worker={} contactAgeMs={}",
@@ -193,7 +197,6 @@
     /** Ends a renewal that tells nothing of the incarnation at the present address. */
     private void endRenewalOfEarlierAddress(WorkerRow worker) {
         worker.renewalInFlight = false;
-        worker.acknowledgementUnanswered();
         worker.nextRenewalAtMs = tables.nowMs;
     }
 
@@ -304,12 +307,14 @@
         // a worker that missed renewals is polled without a new lease, so that its lease can expire
         boolean mayHold = worker.missedRenewals == 0 && !worker.silenceRecorded;
         OptionalLong leaseUntil = mayHold ? worker.lease(tables.nowMs, tables.limits) : OptionalLong.empty();
-        leaseUntil.ifPresent(lease -> worker.leaseSent(lease, tables.nowMs));
+        leaseUntil.ifPresent(worker::leaseSent);
         boolean withoutLease = leaseUntil.isEmpty();
         boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
         long wait = withoutLease || unrecorded ? 0 : renewalWaitMs(worker);
         worker.renewalDueAtMs = tables.nowMs + wait;
-        return new Effect.RenewLease(worker.id, worker.address(), leaseUntil, worker.acknowledge(), wait);
+        long acknowledges = worker.acknowledge();
+        worker.lateCalls.renewalSent(leaseUntil.isPresent(), acknowledges, tables.nowMs);
+        return new Effect.RenewLease(worker.id, worker.address(), leaseUntil, acknowledges, wait);
     }
 
     /**
@@ -347,12 +352,12 @@
             }
             stopLateStarts(worker);
         }
-        worker.restarted(incarnation, tables.limits);
+        worker.restarted(incarnation, tables.nowMs, tables.limits);
     }
 
     /** Bars the runs whose orders got no answer once more, since the new incarnation knows of no stop of the former one. */
     private void stopLateStarts(WorkerRow worker) {
-        for (WorkerRow.UnansweredStart start : worker.unansweredStarts(tables.nowMs)) {
+        for (LateCalls.Start start : worker.lateCalls.starts(tables.nowMs)) {
             tables.orphanStops.add(new Effect.Stop(worker.id, worker.address(), start.task(), start.run()));
         }
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -1,13 +1,11 @@
 package org.acaciafold.fleet.scheduling;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Queue;
 import java.util.Set;
 
 import org.acaciafold.core.model.Resources;
@@ -48,12 +46,6 @@
     long lastAcknowledgedEnd;
     /** The worker has answered a renewal that acknowledged the ends up to this number. */
     long lastDiscardedEnd;
-    /** What the renewal in flight acknowledges. */
-    private long acknowledgementInFlight;
-
-    /** When the last renewal was sent that acknowledged ends and got no answer; negative when there was none. */
-    private long unansweredAcknowledgementAtMs = -1;
-
     /** Until when an earlier incarnation's acknowledgement may discard the ends of new runs, so that none are started. */
     private long endsUnsafeUntilMs = -1;
 
@@ -67,8 +59,6 @@
     /** The latest end of the leases that this leader granted, on the clock of the worker. */
     long leaseEndsAtMs;
 
-    /** When this leader last sent a call that grants a lease; negative when it never did. */
-    private long leaseSentAtMs = -1;
     /** When the leases have expired that calls meant for earlier incarnations may have granted to this one. */
     private long strayLeasesEndAtMs = -1;
 
@@ -125,8 +115,8 @@
     private String answeredAddress;
 
     private WorkerEntry entry;
-    /** Orders to start without an answer, which may still be executed, oldest first. */
-    private final Queue<UnansweredStart> unansweredStarts = new ArrayDeque<>();
+
+    final LateCalls lateCalls = new LateCalls();
 
     WorkerRow(String id, String address, long incarnation) {
         this.id = id;
@@ -216,18 +206,6 @@
                 && present.incarnation() > incarnation;
     }
 
-    /** Records that an order to start has got no answer. */
-    void startUnanswered(RunRow run, long nowMs) {
-        dropExecutedStarts(nowMs);
-        unansweredStarts.add(new UnansweredStart(run.task.name, run.number, run.orderedAtMs));
-    }
-
-    /** Returns the unanswered orders that may still be executed, by whichever incarnation is there then. */
-    List<UnansweredStart> unansweredStarts(long nowMs) {
-        dropExecutedStarts(nowMs);
-        return List.copyOf(unansweredStarts);
-    }
-
     void deregister() {
         registered = false;
     }
@@ -270,17 +248,14 @@
         return entry != null && (entry.incarnation() == 0 || incarnation == 0 || entry.incarnation() == incarnation);
     }
 
-    /** Records that a call is sent now that grants a lease until a time on the worker's clock. */
-    void leaseSent(long untilMs, long nowMs) {
+    /** Records that a call is sent that grants a lease until a time on the worker's clock. */
+    void leaseSent(long untilMs) {
         leaseEndsAtMs = Math.max(leaseEndsAtMs, untilMs);
-        leaseSentAtMs = nowMs;
     }
 
-    /** Bounds the leases that calls of this leader, meant for an earlier incarnation, may grant to the present one. */
-    void boundStrayLeases(SchedulerLimits limits) {
-        if (leaseSentAtMs >= 0) {
-            strayLeases(leaseSentAtMs + limits.strayLeaseMs());
-        }
+    /** Bounds the leases that calls of this leader, meant for a former incarnation, may have granted to the present one. */
+    void boundStrayLeases(long nowMs, SchedulerLimits limits) {
+        strayLeases(lateCalls.leasesEndAtMs(lastContactAtMs, nowMs, limits));
     }
 
     /** Returns whether the clock in an answer is behind what this incarnation's must have shown when the call was sent. */
@@ -299,22 +274,7 @@
      */
     long acknowledge() {
         boolean acknowledges = missedRenewals == 0 && !clockReset && lastAcknowledgedEnd > lastDiscardedEnd;
-        acknowledgementInFlight = acknowledges ? lastAcknowledgedEnd : 0;
-        return acknowledgementInFlight;
-    }
-
-    /** Records that the worker has answered the renewal in flight. */
-    void acknowledgementAnswered() {
-        lastDiscardedEnd = Math.max(lastDiscardedEnd, acknowledgementInFlight);
-        acknowledgementInFlight = 0;
-    }
-
-    /** Records that the renewal in flight may be executed at any time, or already was. */
-    void acknowledgementUnanswered() {
-        if (acknowledgementInFlight > 0) {
-            unansweredAcknowledgementAtMs = renewalSentAtMs;
-        }
-        acknowledgementInFlight = 0;
+        return acknowledges ? lastAcknowledgedEnd : 0;
     }
 
     /** Returns whether the ends of runs that start now will be seen before they are discarded. */
@@ -379,13 +339,10 @@
      * Resets the state that belongs to an earlier incarnation. The leases granted to it are over, but the calls that
      * granted the last of them may have reached the new one, or may still do so.
      */
-    void restarted(long newIncarnation, SchedulerLimits limits) {
+    void restarted(long newIncarnation, long nowMs, SchedulerLimits limits) {
         incarnation = newIncarnation;
-        boundStrayLeases(limits);
-        acknowledgementUnanswered();
-        if (unansweredAcknowledgementAtMs >= 0) {
-            endsUnsafeUntilMs = unansweredAcknowledgementAtMs + SchedulerLimits.LATEST_EXECUTION_MS;
-        }
+        boundStrayLeases(nowMs, limits);
+        endsUnsafeUntilMs = lateCalls.endsUnsafeUntilMs();
         lastAcknowledgedEnd = 0;
         lastDiscardedEnd = 0;
         lastProcessedEnd = 0;
@@ -416,13 +373,6 @@
         }
     }
 
-    private void dropExecutedStarts(long nowMs) {
-        while (!unansweredStarts.isEmpty()
-                && nowMs - unansweredStarts.peek().orderedAtMs > SchedulerLimits.LATEST_EXECUTION_MS) {
-            unansweredStarts.poll();
-        }
-    }
-
     /** Asks the worker for a report at its new address, without extending its lease, before it gets further orders. */
     private void moveTo(String newAddress, long nowMs) {
         address = newAddress;
@@ -434,13 +384,4 @@
         missedRenewals = Math.max(1, missedRenewals);
         nextRenewalAtMs = nowMs;
     }
-
-    /**
-     * An order to start that got no answer.
-     *
-     * @param task the task
-     * @param run the number of the run
-     * @param orderedAtMs when it was sent
-     */
-    record UnansweredStart(TaskName task, int run, long orderedAtMs) {}
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
@@ -162,9 +162,13 @@
                     if (report.isPresent()) {
                         term.leaseRenewed(renewal.worker(), report.get(), requestedAtMs);
                     } else {
-                        term.leaseRenewalFailed(renewal.worker());
+                        term.leaseRenewalFailed(renewal.worker(), true);
                         reportReplacement(term, renewal.worker(), renewal.address(), requestedAtMs);
                     }
+                }),
+                () -> answer(term, () -> {
+                    term.leaseRenewalFailed(renewal.worker(), false);
+                    reportReplacement(term, renewal.worker(), renewal.address(), requestedAtMs);
                 }));
     }
 
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Network.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Network.java
@@ -52,6 +52,16 @@
     /** Delivers an order to whichever incarnation of a worker is there when it arrives. */
     <T> void deliver(
             String id, String address, Function<FakeWorker, Optional<T>> execute, Consumer<Optional<T>> answered) {
+        deliver(id, address, execute, answered, () -> answered.accept(Optional.empty()));
+    }
+
+    /** The same with a reaction to a connection that is reset. */
+    <T> void deliver(
+            String id,
+            String address,
+            Function<FakeWorker, Optional<T>> execute,
+            Consumer<Optional<T>> answered,
+            Runnable disconnected) {
         FakeWorker worker = fleet.workers.get(id);
         long nowMs = timeline.nowMs();
         boolean late = lossy && timeline.oneIn(LOSS) || lateEvery > 0 && timeline.oneIn(lateEvery);
@@ -68,8 +78,12 @@
         long answerMs = !reset && (late || lost || !worker.reachable || worker.silent)
                 ? nowMs + ORDER_TIMEOUT_MS
                 : arrivesMs + 5;
-        timeline.schedule(
-                answerMs,
-                () -> answered.accept(late || lost || answer.isEmpty() ? Optional.empty() : answer.getFirst()));
+        timeline.schedule(answerMs, () -> {
+            if (reset && answer.isEmpty()) {
+                disconnected.run();
+            } else {
+                answered.accept(late || lost || answer.isEmpty() ? Optional.empty() : answer.getFirst());
+            }
+        });
     }
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/CrashSimulation.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/CrashSimulation.java
@@ -242,7 +242,7 @@
             WorkerReport report = worker.report(renewal.untilMs(), renewal.acknowledged(), nowMs);
             answers.add(() -> leader.leaseRenewed(renewal.worker(), report, requestedAtMs));
         } else {
-            answers.add(() -> leader.leaseRenewalFailed(renewal.worker()));
+            answers.add(() -> leader.leaseRenewalFailed(renewal.worker(), true));
         }
     }
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/EndSystemTest.java
@@ -103,7 +103,7 @@
         Effect.Start start = fixture.confirmedStarts().getFirst();
         fixture.leaseRenewed("a", List.of(), List.of(end(1, start.task(), start.run(), EndKind.DONE)));
         fixture.tick();
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.advance(1_100);
 
         List<Effect> after = fixture.tick();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/GangReservationTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/GangReservationTest.java
@@ -38,7 +38,7 @@
     @Test
     void shouldStartOtherTasksOnWorkersTooSmallForAnyMemberWhenTheLargeOnesAreLost() {
         SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("a", 8_000), worker("b", 1_000));
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.scheduler.accept(fixture.job("gang", step(1, 8_000).gang(true).build()));
         fixture.tick();
         fixture.scheduler.accept(fixture.job("small", step(1, 500).build()));
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/LastingTaskTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/LastingTaskTest.java
@@ -127,7 +127,7 @@
         String lost = full.confirmedStarts().getFirst().worker();
         full.scheduler.accept(full.job("other", step(1, 500).build()));
         Effect.Start other = full.confirmedStarts().getFirst();
-        full.scheduler.leaseRenewalFailed(lost);
+        full.scheduler.leaseRenewalFailed(lost, true);
         for (long second = 0; second < MAX_AWAY_MS + MAX_HELD_MS; second += 1_000) {
             full.advance(1_000);
             full.leaseRenewed(other.worker(), List.of(SchedulerFixture.running(other)), List.of());
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/LostAnswersTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/LostAnswersTest.java
@@ -106,7 +106,7 @@
                 "a", fixture.report(List.of(SchedulerFixture.running(first)), List.of()), fixture.nowMs);
         fixture.advance(600);
 
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         submit("second");
 
         assertEquals("a", fixture.starts().getFirst().worker());
@@ -118,7 +118,7 @@
         renewWithTheRun();
         fixture.advance(renewalOf("a").waitMs() + 900);
 
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         submit("second");
 
         assertEquals("b", fixture.starts().getFirst().worker());
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/LostWorkerLimitTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/LostWorkerLimitTest.java
@@ -49,7 +49,7 @@
     @CsvSource({"1, 500, false, 1", "3, 500, false, 1", "1, 700, false, 0", "2, 250, true, 2", "2, 400, true, 0"})
     void shouldStartOneTaskOfAJobWithNothingAtWorkWhenTheLimitIsHeldByALostWorker(
             int tasks, long cpuMillis, boolean gang, int starts) {
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         submit("waiting", tasks, cpuMillis, gang);
 
         assertEquals(starts, fixture.confirmedStarts().size());
@@ -59,7 +59,7 @@
     /** Guards against use beyond the limit and the overage, since the worker may be cut off and its runs go on. */
     @Test
     void shouldStayWithinTheOverageWhenSeveralJobsWait() {
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         for (String id : List.of("first", "second", "third", "fourth")) {
             submit(id, 1, 300, false);
         }
@@ -85,7 +85,7 @@
         other.scheduler.accept(other.job("lost", step(3, 475).build()));
         assertEquals(3, other.confirmedStarts().size());
         other.leaseRenewed("b", onB.stream().map(SchedulerFixture::running).toList(), List.of());
-        other.scheduler.leaseRenewalFailed("a");
+        other.scheduler.leaseRenewalFailed("a", true);
 
         other.scheduler.accept(other.job("waiting", step(1, 500).build()));
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReplacedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReplacedWorkerTest.java
@@ -110,7 +110,7 @@
         SchedulerFixture silent = new SchedulerFixture(1).withWorkers(worker("a", 1_000));
         silent.scheduler.accept(lasting(silent));
         silent.confirmedStarts();
-        silent.scheduler.leaseRenewalFailed("a");
+        silent.scheduler.leaseRenewalFailed("a", true);
         silent.advance(BACK_MS);
         silent.tick();
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -14,9 +14,11 @@
 import org.acaciafold.fleet.WorkerReport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.LIMITS;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.end;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.running;
@@ -71,6 +73,26 @@
         assertEquals(2, fleet.startsOf("job").size());
     }
 
+    /** Guards against a task that waits long for leases that no call can have granted, as its connection had ended. */
+    @ParameterizedTest
+    @CsvSource({"false, 1", "true, 0"})
+    void shouldCountLateLeasesOnlyWhenACallMayStillArrive(boolean mayArrive, int starts) {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        fixture.scheduler.leaseRenewalFailed("a", mayArrive);
+        fixture.advance(100);
+        fixture.scheduler.updateRegistry(List.of(changed(entry, entry.address(), false, INCARNATION + 1)), true);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+        fixture.confirmedStarts();
+        fixture.withWorkers(worker("b", 1_000));
+        fixture.scheduler.leaseRenewalFailed("a", mayArrive);
+
+        fixture.advance(LIMITS.acceptedLeaseMs() + 100);
+        fixture.leaseRenewed("b", List.of(), List.of());
+
+        assertEquals(starts, fixture.starts().size());
+    }
+
     /** Guards against a task that runs again since the end of its run was acknowledged by the number of another one. */
     @Test
     void shouldNotRepeatATaskWhenALateRenewalReachesTheIncarnationInWhichItHasEnded() {
@@ -208,7 +230,7 @@
         SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
         startedAndEnded(fixture);
         assertEquals(1, renewal(fixture).acknowledged());
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.advance(100);
         List<WorkerEntry> entries = new ArrayList<>(List.of(others));
         entries.add(changed(entry, entry.address(), false, INCARNATION + 1));
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RetireSystemTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RetireSystemTest.java
@@ -90,7 +90,7 @@
                 .findFirst()
                 .orElseThrow();
         assertEquals(Map.of("job", old), retire.expired());
-        later.scheduler.removed(Set.of("job"));
+        later.scheduler.removed(Set.of("job"), Set.of());
         assertEquals(Map.of(), later.scheduler.states());
     }
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReturnedWorkerRecordTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReturnedWorkerRecordTest.java
@@ -36,7 +36,7 @@
         fixture.scheduler.accept(job(fixture));
         Effect.Start start = fixture.confirmedStarts().getFirst();
         assertEquals("a", start.worker());
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.scheduler.updateRegistry(List.of(worker("b", 4_000)), true);
         fixture.tick();
         fixture.advance(8_000);
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerRecordTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerRecordTest.java
@@ -123,7 +123,7 @@
         fixture.scheduler.storeClock(StoreClock.between(0, 1_000_000));
         fixture.scheduler.accept(job(fixture));
         start = fixture.confirmedStarts().getFirst();
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         assertTrue(
                 saves(fixture.tick()).getFirst().claims().getFirst().silence().isPresent());
         fixture.advance(1_000);
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerTakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerTakeoverTest.java
@@ -97,7 +97,7 @@
         fixture.scheduler.storeClock(StoreClock.between(0, 1_000_000));
         fixture.scheduler.accept(job(fixture, true));
         Effect.Start start = fixture.confirmedStarts().getFirst();
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         assertTrue(silences(fixture.tick()).getFirst().silence().isPresent());
         fixture.confirmSaves = false;
         fixture.advance(1_000);
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -221,19 +221,23 @@
         Optional<SimulatedWorker> worker = at(renewal.address(), renewal.worker());
         if (misdirected(renewal.address(), renewal.worker())) {
             reply(0, () -> {
-                fixture.scheduler.leaseRenewalFailed(renewal.worker());
+                fixture.scheduler.leaseRenewalFailed(renewal.worker(), true);
                 fixture.scheduler.incarnationEnded(renewal.worker(), requestedAtMs);
             });
             return;
         }
         if (worker.isEmpty()) {
-            reply(renewal.waitMs() + ORDER_TIMEOUT_MS, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker()));
+            reply(
+                    renewal.waitMs() + ORDER_TIMEOUT_MS,
+                    () -> fixture.scheduler.leaseRenewalFailed(renewal.worker(), true));
             return;
         }
         if (lateRenewals > 0) {
             lateRenewals--;
             reply(lateMs, () -> at(renewal.address(), renewal.worker()).ifPresent(late -> late.renew(renewal)));
-            reply(renewal.waitMs() + ORDER_TIMEOUT_MS, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker()));
+            reply(
+                    renewal.waitMs() + ORDER_TIMEOUT_MS,
+                    () -> fixture.scheduler.leaseRenewalFailed(renewal.worker(), true));
             return;
         }
         SimulatedWorker answering = worker.get();
@@ -245,7 +249,7 @@
                                 renewal.worker(), answering.report(fixture.nowMs), requestedAtMs);
                     } else {
                         long timeoutMs = workers.containsValue(answering) ? ORDER_TIMEOUT_MS : 0;
-                        reply(timeoutMs, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker()));
+                        reply(timeoutMs, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker(), true));
                     }
                 }));
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TakeoverTest.java
@@ -57,7 +57,7 @@
     @Test
     void shouldStartOnlyWhatWasNotClaimedWhileAWorkerDoesNotAnswer() {
         SchedulerFixture fixture = secondTerm();
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
 
         List<Effect.Start> starts = fixture.confirmedStarts();
 
@@ -89,7 +89,7 @@
     @Test
     void shouldStartAClaimedTaskAgainOnlyWhenItsLeaseHasExpired() {
         SchedulerFixture fixture = secondTerm();
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.confirmedStarts();
 
         fixture.advance(LIMITS.predecessorLeaseMs() - 1);
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnansweredEntriesTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnansweredEntriesTest.java
@@ -30,7 +30,7 @@
         WorkerEntry right = SchedulerFixture.worker("a", 1_000);
         fixture.scheduler.updateRegistry(List.of(at(right, "10.9.9.9:9")), true);
         assertEquals(List.of("10.9.9.9:9"), renewedAt());
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
 
         fixture.scheduler.updateRegistry(List.of(right), true);
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnmatchedCancellationTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnmatchedCancellationTest.java
@@ -66,7 +66,7 @@
         assertEquals(Set.of(), removals(RetireSystem.UNMATCHED_RETAIN_MS));
         assertEquals(Set.of("job"), removals(RetireSystem.PERIOD_MS));
 
-        fixture.scheduler.cancellationsRemoved(Set.of("job"));
+        fixture.scheduler.removed(Set.of(), Set.of("job"));
 
         assertEquals(Set.of(), removals(RetireSystem.UNMATCHED_RETAIN_MS));
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnresponsiveWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/UnresponsiveWorkerTest.java
@@ -74,7 +74,7 @@
         fixture.tick();
 
         fixture.scheduler.probeFailed("a");
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.advance(1_000);
 
         List<Effect> effects = fixture.tick();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WaitReasonTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WaitReasonTest.java
@@ -108,10 +108,10 @@
         fixture.leaseRenewed("a", List.of(running(starts.getFirst()), running(starts.getLast())), List.of());
         assertEquals(new WorkspaceUse(twice(), none(), none(), none()), use());
         fixture.tick();
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.advance(5_000);
         fixture.tick();
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         assertEquals(new WorkspaceUse(none(), none(), twice(), none()), use());
     }
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerAddressTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerAddressTest.java
@@ -34,7 +34,7 @@
     void shouldCallAWorkerAtItsNewAddressWhenItComesBackInTheSameTerm() {
         WorkerEntry entry = worker("a", 1_000);
         SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
-        fixture.scheduler.leaseRenewalFailed("a");
+        fixture.scheduler.leaseRenewalFailed("a", true);
         fixture.scheduler.updateRegistry(List.of(moved(entry)), true);
         fixture.advance(RETRY_MS);
 
