A repeat of a request is not rejected while the job may still be created

What callers would see: a POST is answered 504, its repeat at the same host 503, "not accepted and never runs", and the job runs. Same cause as: what the store has not done now is taken for what it will never do.

A repeat is then answered 504 where it was 503: refused by the store, with an unresponsive store, or with an old configuration. What another host has written remains unknown.

--- a/entry/src/main/java/org/acaciafold/entry/ClientApi.java
+++ b/entry/src/main/java/org/acaciafold/entry/ClientApi.java
@@ -55,6 +55,7 @@
     private final StoreRelay relay;
     private final JobStateCache jobStates;
     private final OutageTracker outage = new OutageTracker();
+    private final UnresolvedCreations unresolved = new UnresolvedCreations();
     private final RecentEvents unmatchedCancellations =
             new RecentEvents(MAX_UNMATCHED_CANCELLATIONS, UNMATCHED_CANCELLATIONS_PERIOD_MS);
     private final double maxConfigAgeMs;
@@ -88,8 +89,13 @@
     Mono<ClientReply> handle(ClientRequest request) {
         Optional<FleetConfig> config = host.config().config();
         if (config.isEmpty() || !hasRecentConfig()) {
-            log(request, "", UNAVAILABLE, "configuration age " + host.config().ageMs() + " ms");
-            return Mono.just(retryLater());
+            boolean unknown = config.isPresent() && mayBeCreated(request, config.get());
+            log(
+                    request,
+                    "",
+                    unknown ? GATEWAY_TIMEOUT : UNAVAILABLE,
+                    "configuration age " + host.config().ageMs() + " ms");
+            return Mono.just(unknown ? ClientReply.of(GATEWAY_TIMEOUT) : retryLater());
         }
         Optional<Route> route = config.get().route(request.host(), request.path());
         if (route.isEmpty()) {
@@ -101,7 +107,7 @@
             log(request, "", UNAUTHORIZED, "unknown key");
             return Mono.just(ClientReply.of(UNAUTHORIZED));
         }
-        String id = request.path().substring(route.get().pathPrefix().length());
+        String id = identifier(request, route.get());
         String owner = workspace.map(Workspace::name).orElse("");
         return switch (request.method()) {
             case "POST" -> submit(request, id, route.get(), owner);
@@ -111,6 +117,19 @@
         };
     }
 
+    private static String identifier(ClientRequest request, Route route) {
+        return request.path().substring(route.pathPrefix().length());
+    }
+
+    /** Returns whether an earlier write may still create the job that a request submits, which is not rejected then. */
+    private boolean mayBeCreated(ClientRequest request, FleetConfig config) {
+        return request.method().equals("POST")
+                && config.route(request.host(), request.path())
+                        .map(route -> identifier(request, route))
+                        .filter(id -> unresolved.contains(id, host.loop().nowMs()))
+                        .isPresent();
+    }
+
     private ClientReply retryLater() {
         return ClientReply.retry(UNAVAILABLE, outage.retryAfterS(host.loop().nowMs()));
     }
@@ -140,16 +159,17 @@
             log(request, id, BAD_REQUEST, "the job's record has " + record.length + " bytes, too many for a row");
             return Mono.just(ClientReply.of(BAD_REQUEST));
         }
-        if (storeUnreachable()) {
+        boolean first = !unresolved.contains(id, host.loop().nowMs());
+        if (storeUnreachable() && first) {
             log(request, id, UNAVAILABLE, "store unresponsive, nothing was sent to it");
             return Mono.just(retryLater());
         }
-        return writeJob(request, job.get(), record, true);
+        return writeJob(request, job.get(), record, first);
     }
 
     /**
-     * Writes a job. On the first write, NOT_DONE proves that the job is not stored; on a retry it proves nothing, since
-     * the earlier write may still be applied.
+     * Writes a job. On the first write, NOT_DONE proves that the job is not stored; on a retry, by this request or a later
+     * one, it proves nothing, since the earlier write may still be applied.
      */
     private Mono<ClientReply> writeJob(ClientRequest request, Job job, byte[] value, boolean first) {
         Mono<StoreAccess.Creation> written = create(StoreRecords.JOBS, job.id(), value);
@@ -157,7 +177,10 @@
             case CREATED -> Mono.just(accepted(request, job));
             case EXISTED -> Mono.just(alreadyAccepted(request, job.id()));
             case NOT_DONE -> first ? storeRejected(request, job) : retryUnknown(request, job, value);
-            case UNKNOWN -> retryUnknown(request, job, value);
+            case UNKNOWN -> {
+                unresolved.add(job.id(), host.loop().nowMs());
+                yield retryUnknown(request, job, value);
+            }
         });
     }
 
@@ -202,6 +225,7 @@
     }
 
     private ClientReply accepted(ClientRequest request, Job job) {
+        unresolved.created(job.id());
         jobStates.accepted(job);
         leadership.sendToLeader(new PeerMessage.Accepted(List.of(job)));
         log(request, job.id(), OK, "accepted");
@@ -209,6 +233,7 @@
     }
 
     private ClientReply alreadyAccepted(ClientRequest request, String id) {
+        unresolved.created(id);
         log(request, id, OK, "already accepted");
         return ClientReply.of(OK);
     }
--- a/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/EntryHostTest.java
@@ -225,6 +225,25 @@
         assertEquals("", client.state("refused").block(LIMIT));
     }
 
+    /** Guards against a job that runs after a repeat of its request was told that it never will. */
+    @Test
+    void shouldNotRejectARepeatWhileAnEarlierWriteOfTheJobMayStillBeApplied() throws Exception {
+        platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
+        String storeAddress = platform.openStorePort(platform.address());
+        EmulatedClient client = host("only", 1, storeAddress);
+        platform.setUnresponsive(true);
+        assertEquals(GATEWAY_TIMEOUT, client.submit("j1", TASKS).block(LIMIT));
+        assertEquals(GATEWAY_TIMEOUT, client.submit("j1", TASKS).block(LIMIT));
+
+        platform.rejectWrites(storeAddress, true);
+        platform.setUnresponsive(false);
+
+        await("a response of the store", client.submit("other", TASKS), UNAVAILABLE);
+        assertEquals(GATEWAY_TIMEOUT, client.submit("j1", TASKS).block(LIMIT));
+        platform.rejectWrites(storeAddress, false);
+        await("the acceptance of the job", client.submit("j1", TASKS), OK);
+    }
+
     @Test
     void shouldLeadInTheAcquiredTermWhenTheAnswerWasLost() throws Exception {
         platform = EmulatedPlatform.start(2, SHORT_TASK_MS);
