--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
@@ -33,9 +33,9 @@
                 LOG.info("worker registered worker={} address={}", entry.id(), entry.address());
             }
             row.register(entry, tables.nowMs);
-            if (row.recordedBefore(entry)) {
+            if (row.mayHaveRestartedSinceRecord(entry)) {
                 long leaseMs = SilenceSystem.predecessorStrayLeaseMs(entry.incarnation(), tables);
-                row.restartedBeforeTerm(tables.nowMs + leaseMs);
+                row.extendPredecessorLease(tables.nowMs + leaseMs);
             }
         }
         Set<String> left = new HashSet<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -103,7 +103,7 @@
 
     /** Notices by its clock that a worker has restarted, and asks it for a report before it gets anything else. */
     void clockReported(WorkerRow worker, long clockMs, long requestedAtMs) {
-        if (worker.clockReset || !worker.resetBy(clockMs, requestedAtMs)) {
+        if (worker.clockReset || !worker.startedAnew(clockMs, requestedAtMs)) {
             return;
         }
         LOG.warn(
@@ -337,7 +337,7 @@
         if (worker.lastContactAtMs < 0) {
             // from now on the worker rejects the predecessor's calls, so only those that have arrived count
             long strayMs = SilenceSystem.predecessorStrayLeaseMs(incarnation, tables);
-            worker.strayLeases(tables.nowMs + Math.min(strayMs, tables.limits.acceptedLeaseMs()));
+            worker.strayLeasesUntil(tables.nowMs + Math.min(strayMs, tables.limits.acceptedLeaseMs()));
         }
         if (incarnation == 0 || incarnation == worker.incarnation) {
             return;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -199,7 +199,7 @@
     }
 
     /** Returns whether the predecessor may have commanded a later incarnation than the one that it has recorded. */
-    boolean recordedBefore(WorkerEntry present) {
+    boolean mayHaveRestartedSinceRecord(WorkerEntry present) {
         return predecessorLeaseEndsAtMs >= 0
                 && lastContactAtMs < 0
                 && !silentBefore
@@ -255,11 +255,11 @@
 
     /** Bounds the leases that calls of this leader, meant for a former incarnation, may have granted to the present one. */
     void boundStrayLeases(long nowMs, SchedulerLimits limits) {
-        strayLeases(lateCalls.leasesEndAtMs(lastContactAtMs, nowMs, limits));
+        strayLeasesUntil(lateCalls.leasesEndAtMs(lastContactAtMs, nowMs, limits));
     }
 
     /** Returns whether the clock in an answer is behind what this incarnation's must have shown when the call was sent. */
-    boolean resetBy(long shownMs, long requestedAtMs) {
+    boolean startedAnew(long shownMs, long requestedAtMs) {
         double elapsedMs = (requestedAtMs - lastContactAtMs) * SchedulerLimits.SLOWEST_CLOCK;
         return lastContactAtMs >= 0
                 && requestedAtMs >= lastContactAtMs
@@ -283,12 +283,12 @@
     }
 
     /** Records that calls meant for earlier incarnations may have granted leases that end at a time. */
-    void strayLeases(long endAtMs) {
+    void strayLeasesUntil(long endAtMs) {
         strayLeasesEndAtMs = Math.max(strayLeasesEndAtMs, endAtMs);
     }
 
-    /** Records that another incarnation than the one in its record may have leases of the predecessor until a time. */
-    void restartedBeforeTerm(long leasesEndAtMs) {
+    /** Counts leases that the predecessor may have granted to a later incarnation than the recorded one. */
+    void extendPredecessorLease(long leasesEndAtMs) {
         predecessorLeaseEndsAtMs = Math.max(predecessorLeaseEndsAtMs, leasesEndAtMs);
     }
 
