The log tells what a restart of a worker leaves in doubt

The line of a restart names the incarnation, how long stray leases may last, and for how long ends may be discarded unseen: the reasons why its runs or its capacity wait afterwards.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/LateCalls.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/LateCalls.java
@@ -84,8 +84,8 @@
         return lateMs < 0 ? executedMs : Math.max(executedMs, lateMs + limits.strayLeaseMs());
     }
 
-    /** Returns until when an acknowledgement may discard the ends of a later incarnation; negative when none may. */
-    long endsUnsafeUntilMs() {
+    /** Returns from when no acknowledgement can discard the ends of a later incarnation; negative when none can. */
+    long endsSafeAtMs() {
         long sentAtMs = lateAcknowledgementSentAtMs();
         return sentAtMs < 0 ? -1 : sentAtMs + SchedulerLimits.LATEST_EXECUTION_MS;
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -343,7 +343,6 @@
             return;
         }
         if (worker.incarnation != 0) {
-            LOG.warn("worker restarted worker={} runs={}", worker.id, worker.runs.size());
             for (RunRow run : worker.runs.values()) {
                 // an order that is still in transit would be executed by the new incarnation
                 if (run.phase == RunPhase.UNCONFIRMED) {
@@ -352,7 +351,17 @@
             }
             stopLateStarts(worker);
         }
+        boolean known = worker.incarnation != 0;
         worker.restarted(incarnation, tables.nowMs, tables.limits);
+        if (known) {
+            LOG.warn(
+                    "worker restarted worker={} runs={} incarnation={} strayLeasesEndInMs={} endsSafeInMs={}",
+                    worker.id,
+                    worker.runs.size(),
+                    incarnation,
+                    Math.max(0, worker.strayLeasesEndAtMs() - tables.nowMs),
+                    Math.max(0, worker.endsSafeAtMs() - tables.nowMs));
+        }
     }
 
     /** Bars the runs whose orders got no answer once more, since the new incarnation knows of no stop of the former one. */
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -46,8 +46,8 @@
     long lastAcknowledgedEnd;
     /** The worker has answered a renewal that acknowledged the ends up to this number. */
     long lastDiscardedEnd;
-    /** Until when an earlier incarnation's acknowledgement may discard the ends of new runs, so that none are started. */
-    private long endsUnsafeUntilMs = -1;
+    /** From when no acknowledgement of a former incarnation can discard the ends of new runs. */
+    private long endsSafeAtMs = -1;
 
     long lastProcessedEnd;
     long acknowledgeAfterBatch = -1;
@@ -279,7 +279,11 @@
 
     /** Returns whether the ends of runs that start now will be seen before they are discarded. */
     boolean endsSafe(long nowMs) {
-        return nowMs >= endsUnsafeUntilMs;
+        return nowMs >= endsSafeAtMs;
+    }
+
+    long endsSafeAtMs() {
+        return endsSafeAtMs;
     }
 
     /** Records that calls meant for earlier incarnations may have granted leases that end at a time. */
@@ -342,7 +346,7 @@
     void restarted(long newIncarnation, long nowMs, SchedulerLimits limits) {
         incarnation = newIncarnation;
         boundStrayLeases(nowMs, limits);
-        endsUnsafeUntilMs = lateCalls.endsUnsafeUntilMs();
+        endsSafeAtMs = lateCalls.endsSafeAtMs();
         lastAcknowledgedEnd = 0;
         lastDiscardedEnd = 0;
         lastProcessedEnd = 0;
