--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,9 @@
     private static final long TICK_MS = 20;
     private static final long REGISTRY_PERIOD_MS = 500;
 
+    /** How long after an outage of the store a read of the registry may lack entries of running workers. */
+    private static final long REREGISTRATION_MS = 2_500;
+
     /** How long the leader waits for the answer to an order. */
     private static final long ORDER_TIMEOUT_MS = 900;
 
@@ -46,6 +50,10 @@
     ToLongFunction<TaskName> durationMs = task -> Long.MAX_VALUE / 2;
     /** How a task ends by itself. */
     EndKind endKind = EndKind.DONE;
+    /** Workers whose entries are missing; advice leaves them out. */
+    final Set<String> lapsed = new HashSet<>();
+    /** True while the store is away: the registry cannot be read. */
+    boolean registryAway;
     /** Hosts that no message reaches. */
     Set<String> silentHosts = Set.of();
     /** The usual duration of an advice call; 0 for the one that the scheduler expects. */
@@ -69,6 +77,7 @@
 
     private final List<Reply> replies = new ArrayList<>();
     private long registryReadAtMs;
+    private long registryCompleteAtMs;
 
     SimulatedFleet() {
         this(1);
@@ -95,17 +104,25 @@
         workers.remove(id);
     }
 
+    /** Lets the store be away for some time, in which the entries of all workers lapse; they return some time later. */
+    void loseStore(long forMs, long returnAfterMs) {
+        registryAway = true;
+        lapsed.addAll(workers.keySet());
+        run(forMs);
+        registryAway = false;
+        registryCompleteAtMs = fixture.nowMs + REREGISTRATION_MS;
+        run(returnAfterMs);
+        lapsed.clear();
+    }
+
     /** Lets the fleet run for some time. */
     SimulatedFleet run(long ms) {
         long endMs = fixture.nowMs + ms;
         while (fixture.nowMs < endMs) {
             fixture.advance(TICK_MS);
             workers.values().forEach(worker -> worker.advance(fixture.nowMs));
-            if (fixture.nowMs - registryReadAtMs >= REGISTRY_PERIOD_MS) {
-                registryReadAtMs = fixture.nowMs;
-                List<WorkerEntry> entries = new ArrayList<>();
-                workers.values().forEach(worker -> entries.add(worker.entry));
-                fixture.scheduler.updateRegistry(entries, true);
+            if (!registryAway && fixture.nowMs - registryReadAtMs >= REGISTRY_PERIOD_MS) {
+                readRegistry();
             }
             deliverReplies();
             fixture.scheduler.storeClock(StoreClock.between(fixture.nowMs, fixture.nowMs));
@@ -130,6 +147,15 @@
                 .count();
     }
 
+    private void readRegistry() {
+        registryReadAtMs = fixture.nowMs;
+        List<WorkerEntry> entries = workers.values().stream()
+                .map(worker -> worker.entry)
+                .filter(entry -> !lapsed.contains(entry.id()))
+                .toList();
+        fixture.scheduler.updateRegistry(entries, fixture.nowMs >= registryCompleteAtMs);
+    }
+
     private void deliverReplies() {
         List<Reply> due = replies.stream()
                 .filter(reply -> reply.dueAtMs <= fixture.nowMs || reply.early.getAsBoolean())
@@ -280,7 +306,7 @@
         reply((adviceMs > 0 ? adviceMs : request.expectedMs()) + adviceExtraMs, () -> {
             List<Grant> grants = request.workers().stream()
                     .filter(workers::containsKey)
-                    .filter(worker -> allows.test(request.step(), worker))
+                    .filter(worker -> !lapsed.contains(worker) && allows.test(request.step(), worker))
                     .map(worker -> new Grant(worker, workers.get(worker).ticket()))
                     .toList();
             fixture.scheduler.adviceAnswered(request.host(), request.step(), Optional.of(grants));
