Denials of advice are reviewed: no step stands for good by one answer

Cause: a worker that an answer lacked counted as denied until it left the registry, restarted, or the term ended. None of these need come: entries that lapse with the store and return with it are never seen to leave, nor are those that lapse between two reads, and a cut answer leaves no trace at all.

Now each denial has an age. The registry's reads before the call and after the answer verify it: a worker that was missing, had just come back, or of which nothing could be read may be asked about again like an unknown one as soon as it has been listed for a second. All others are reviewed 1.5 s after the answer, then after 3, 6 and 12 s while answers confirm them; at 12 s only while the service is used by half or more. Only steps that have nobody else to ask about take part, those first that have waited longest, with the calls that are left once every step has requested what it needs, and on a quarter of the hosts at most: asking about everything again would take the calls from steps that need them. A step starts tasks while a review is in flight. Reviewed workers do not count in the share that advice allows.

Planning of requests moves from StartSystem to AdviceRequests unchanged.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
@@ -28,6 +28,9 @@
     /** The share of hosts that may make long calls at the same time. */
     private static final double LONG_CALL_SHARE = 0.75;
 
+    /** One host in this many may ask again about denied workers at the same time. */
+    private static final int HOSTS_PER_REVIEW = 4;
+
     /** Time after the expected duration at which a call is abandoned; the step may then request advice again. */
     private static final long RESPONSE_GRACE_MS = 1_000;
 
@@ -36,6 +39,8 @@
 
     private final Tables tables;
     private final Map<StepRow, List<String>> pendingRequests = new LinkedHashMap<>();
+    private final Set<StepRow> pendingReviews = new HashSet<>();
+    private final DenialVerification verification;
     private final Map<StepName, Call> callsInFlight = new HashMap<>();
     private final AbandonedCalls abandonedCalls = new AbandonedCalls();
     private final Map<String, GrantStatistics> statisticsByQueue = new HashMap<>();
@@ -44,14 +49,16 @@
 
     AdviceSystem(Tables tables) {
         this.tables = tables;
+        this.verification = new DenialVerification(tables);
     }
 
     void setHosts(List<String> names) {
         hosts.set(names);
     }
 
-    /** Forgets the denials of workers that have left the registry, since advice may have left them out for that. */
-    void deregistered(Set<String> workers) {
+    /** Forgets the denials of workers that have left the registry, and verifies those of others. */
+    void registryRead(Set<String> workers) {
+        verification.registryRead();
         if (workers.isEmpty()) {
             return;
         }
@@ -99,6 +106,29 @@
         return free;
     }
 
+    /** Returns whether a call could be made in this tick that asks again about denied workers of a step. */
+    boolean canReview(StepRow step) {
+        long reviews = callsInFlight.values().stream()
+                .filter(call -> call.step.reviewInFlight)
+                .count();
+        return reviews + pendingReviews.size() < Math.max(1, hosts.count() / HOSTS_PER_REVIEW)
+                && !pendingRequests.containsKey(step)
+                && !step.adviceInFlight
+                && slots.hasFree(isLong(settings(step).callMs(1)));
+    }
+
+    /** Requests advice again about denied workers; the step may start tasks on others meanwhile. */
+    boolean requestReview(StepRow step, List<String> workers) {
+        boolean longCall = isLong(callMs(step, workers.size()));
+        boolean free = slots.hasFree(longCall);
+        if (free) {
+            pendingRequests.put(step, workers);
+            pendingReviews.add(step);
+            slots = slots.withCall(longCall);
+        }
+        return free;
+    }
+
     void run(List<Effect> effects) {
         abandonOverdueCalls();
         for (Map.Entry<StepRow, List<String>> request : pendingRequests.entrySet()) {
@@ -114,14 +144,17 @@
                                 step,
                                 host.get(),
                                 incarnations(request.getValue()),
+                                tables.nowMs,
                                 callMs,
                                 settings.validMs(),
                                 abandonAtMs));
                 step.adviceInFlight = true;
+                step.reviewInFlight = pendingReviews.contains(step);
                 effects.add(new Effect.RequestAdvice(host.get(), step.name(), request.getValue(), callMs));
             }
         }
         pendingRequests.clear();
+        pendingReviews.clear();
     }
 
     /**
@@ -154,8 +187,7 @@
         if (!ambiguous) {
             recordStatistics(call, granted.get());
             step.allowed.keySet().removeAll(call.incarnations.keySet());
-            step.denied.putAll(call.incarnations);
-            step.denied.keySet().removeIf(worker -> !registered(worker));
+            deny(call, granted.get());
         }
         long expiresAtMs = tables.nowMs + call.validMs - TICKET_MARGIN_MS;
         for (Grant grant : granted.get()) {
@@ -173,11 +205,23 @@
                 ambiguous);
     }
 
-    /** Counts the requested and granted workers that advice had not allowed before. */
+    /** Records the registered workers that an answer lacks. */
+    private void deny(Call call, List<Grant> granted) {
+        Set<String> denied = new HashSet<>(call.incarnations.keySet());
+        granted.forEach(grant -> denied.remove(grant.worker()));
+        denied.removeIf(worker -> !registered(worker));
+        denied.forEach(worker -> call.step.denied.compute(
+                worker, (id, before) -> Denial.of(call.incarnations.get(worker), tables.nowMs, before)));
+        verification.answered(call.step, denied, call.askedAtMs);
+    }
+
+    /** Counts the requested and granted workers of which advice had not said anything before. */
     private void recordStatistics(Call call, List<Grant> granted) {
         Set<String> unknown = new HashSet<>();
         call.incarnations.forEach((worker, incarnation) -> {
-            if (!incarnation.equals(call.step.allowed.get(worker))) {
+            Denial denial = call.step.denied.get(worker);
+            boolean denied = denial != null && denial.incarnation() == incarnation;
+            if (!denied && !incarnation.equals(call.step.allowed.get(worker))) {
                 unknown.add(worker);
             }
         });
@@ -250,6 +294,7 @@
 
     private static void release(Call call) {
         call.step.adviceInFlight = false;
+        call.step.reviewInFlight = false;
         call.step.reserved.clear();
     }
 
@@ -310,7 +355,13 @@
     }
 
     private record Call(
-            StepRow step, String host, Map<String, Long> incarnations, long callMs, long validMs, long abandonAtMs) {
+            StepRow step,
+            String host,
+            Map<String, Long> incarnations,
+            long askedAtMs,
+            long callMs,
+            long validMs,
+            long abandonAtMs) {
         /** Returns whether the call names all granted workers, as its own answer does. */
         private boolean names(Optional<List<Grant>> granted) {
             return granted.stream().flatMap(List::stream).allMatch(grant -> incarnations.containsKey(grant.worker()));
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
@@ -14,7 +14,11 @@
 final class RegistrySystem {
     private static final Logger LOG = LoggerFactory.getLogger(RegistrySystem.class);
 
+    /** Reads follow each other within this time unless the store does not answer. */
+    private static final long MAX_READ_GAP_MS = 1_500;
+
     private final Tables tables;
+    private long lastReadAtMs = -1;
 
     RegistrySystem(Tables tables) {
         this.tables = tables;
@@ -38,6 +42,7 @@
                 row.extendPredecessorLease(tables.nowMs + leaseMs);
             }
         }
+        recordPresence(present);
         Set<String> left = new HashSet<>();
         for (WorkerRow row : tables.workers.values()) {
             if (complete && row.registered && !present.contains(row.id)) {
@@ -51,4 +56,13 @@
         }
         return left;
     }
+
+    private void recordPresence(Set<String> present) {
+        boolean first = lastReadAtMs < 0;
+        boolean gap = !first && tables.nowMs - lastReadAtMs > MAX_READ_GAP_MS;
+        // what the first read of a term lists has been there before
+        long sinceMs = first ? tables.nowMs - RegistryPresence.SETTLING_MS : tables.nowMs;
+        tables.workers.values().forEach(row -> row.presence.read(present.contains(row.id), gap, sinceMs));
+        lastReadAtMs = tables.nowMs;
+    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -220,7 +220,7 @@
      * @param complete false when entries of registered workers may be missing
      */
     public void updateRegistry(List<WorkerEntry> entries, boolean complete) {
-        advice.deregistered(registry.update(entries, complete));
+        advice.registryRead(registry.update(entries, complete));
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.acaciafold.fleet.Effect;
 import org.acaciafold.fleet.StartOutcome;
@@ -22,9 +20,6 @@
     /** Delay before a step requests advice again after a worker refused a start whose ticket had expired unused. */
     private static final long ADVICE_RETRY_MS = 300;
 
-    /** Delay before a step retries that found no worker to request advice about; the tick period without events. */
-    private static final long NO_CANDIDATES_RETRY_MS = 40;
-
     /** Responsive workers report the ends of an incomplete gang within this time. */
     private static final long INCOMPLETE_GANG_GRACE_MS = 400;
 
@@ -45,6 +40,8 @@
 
     private final Tables tables;
     private final AdviceSystem advice;
+    private final AdviceRequests requests;
+    private final DenialReview reviews;
     private final PreemptionSystem preemption;
     private final WaitReporter waits;
     private final DrainSystem drains;
@@ -55,6 +52,8 @@
     StartSystem(Tables tables, AdviceSystem advice) {
         this.tables = tables;
         this.advice = advice;
+        this.reviews = new DenialReview(tables, advice);
+        this.requests = new AdviceRequests(tables, advice, reviews);
         this.preemption = new PreemptionSystem(tables);
         this.waits = new WaitReporter(tables);
         this.drains = new DrainSystem(tables);
@@ -122,7 +121,7 @@
                 continue;
             }
             boolean blocked = !placeStep(step, placement, utilization);
-            if (blocked && step.spec.gang() && waitingGangs < MAX_WAITING_GANGS && !step.adviceInFlight) {
+            if (blocked && step.spec.gang() && waitingGangs < MAX_WAITING_GANGS && !step.waitsForAdvice()) {
                 waitingGangs++;
                 if (mostIsUsed(step, utilization)) {
                     GangReservation.reserve(step, placement);
@@ -131,6 +130,7 @@
                 preemption.preemptFor(entry, placement);
             }
         }
+        reviews.run();
         waits.report(ready, placement);
         drains.run(placement);
         cost = new TickCost(ready.size(), placement.searches(), measurements);
@@ -141,23 +141,6 @@
         return cost;
     }
 
-    private void requestAdvice(
-            StepRow step, Set<FreeCapacity> workers, Map<TaskRow, FreeCapacity> planned, boolean mostIsUsed) {
-        // drops the reservations of an earlier request that was not sent because no host was free
-        step.reserved.clear();
-        boolean requested = advice.request(
-                step,
-                workers.stream()
-                        .limit(AdviceQueryPlanner.MAX_WORKERS)
-                        .map(capacity -> capacity.worker.id)
-                        .toList());
-        step.waitReason = requested ? WaitReason.ADVICE_CALL : WaitReason.NO_ADVICE_HOST;
-        if (requested || mostIsUsed) {
-            planned.values().forEach(capacity -> step.reserved.merge(capacity.worker.id, 1, Integer::sum));
-            reserve(step, planned);
-        }
-    }
-
     private FleetUtilization measureUtilization() {
         measurements++;
         return FleetUtilization.of(tables.workers.values());
@@ -183,7 +166,7 @@
             return true;
         }
         step.incompleteSinceMs = -1;
-        if (step.adviceInFlight) {
+        if (step.waitsForAdvice()) {
             step.waitReason = WaitReason.ADVICE_CALL;
             if (!step.callUnanswered || mostIsUsed(step, utilization)) {
                 reapplyReservations(step, placement);
@@ -197,7 +180,7 @@
         }
         if (canRequest) {
             step.waitReason = WaitReason.NO_CAPACITY;
-            return planAdvice(step, unplaced, placement, mostIsUsed(step, utilization));
+            return requests.plan(step, unplaced, placement, mostIsUsed(step, utilization));
         }
         step.waitReason = reasonWithoutRequest(step);
         if (mostIsUsed(step, utilization)) {
@@ -208,6 +191,9 @@
     }
 
     private WaitReason reasonWithoutRequest(StepRow step) {
+        if (step.reviewInFlight) {
+            return WaitReason.ADVICE_CALL;
+        }
         if (waitsForCapacity(step)) {
             return WaitReason.NO_CAPACITY;
         }
@@ -251,42 +237,6 @@
         return found;
     }
 
-    /** Selects the workers to request advice about; returns false when there are none. */
-    private boolean planAdvice(StepRow step, List<TaskRow> unplaced, Placement placement, boolean mostIsUsed) {
-        List<FreeCapacity> unknown = new ArrayList<>();
-        List<FreeCapacity> allowed = new ArrayList<>();
-        for (FreeCapacity capacity : placement.candidates(step)) {
-            if (step.allows(capacity.worker)) {
-                allowed.add(capacity);
-            } else if (!step.denies(capacity.worker)) {
-                unknown.add(capacity);
-            }
-        }
-        Map<TaskRow, FreeCapacity> planned = placement.choose(unplaced, allowed);
-        // expired tickets are requested again in the same call as the unknown workers
-        Set<FreeCapacity> requestedWorkers = new LinkedHashSet<>(planned.values());
-        if (step.spec.gang() && !planned.isEmpty()) {
-            requestedWorkers.addAll(AdviceQueryPlanner.sparesForGang(step, allowed));
-        }
-        long answeredAtMs = tables.nowMs + advice.callMs(step, requestedWorkers.size());
-        requestedWorkers.removeIf(capacity -> hasTicketUntil(answeredAtMs, step, capacity.worker));
-        double allowedShare = advice.allowedShare(step);
-        if (step.spec.gang() && planned.isEmpty()) {
-            requestedWorkers.addAll(AdviceQueryPlanner.forGang(step, unknown, allowed, allowedShare, mostIsUsed));
-        } else if (planned.size() < unplaced.size()) {
-            int tasks = unplaced.size() - planned.size();
-            requestedWorkers.addAll(
-                    AdviceQueryPlanner.forTasks(step, tasks, placement.orderByPreference(step, unknown), allowedShare));
-        }
-        step.waitsForCapacity = requestedWorkers.isEmpty();
-        if (step.waitsForCapacity) {
-            step.adviceAfterMs = tables.nowMs + NO_CANDIDATES_RETRY_MS;
-            return false;
-        }
-        requestAdvice(step, requestedWorkers, planned, mostIsUsed);
-        return true;
-    }
-
     /** Reserves the capacity of a call in flight again, since each tick computes the free capacity anew. */
     private static void reapplyReservations(StepRow step, Placement placement) {
         step.reserved.forEach((id, count) ->
@@ -389,11 +339,6 @@
     }
 
     private boolean hasValidTicket(StepRow step, WorkerRow worker) {
-        return hasTicketUntil(tables.nowMs, step, worker);
-    }
-
-    private static boolean hasTicketUntil(long atMs, StepRow step, WorkerRow worker) {
-        Ticket ticket = step.tickets.get(worker.id);
-        return ticket != null && ticket.valid(atMs, worker.incarnation);
+        return step.hasTicketUntil(tables.nowMs, worker);
     }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StepRow.java
@@ -34,12 +34,16 @@
     final Map<String, Ticket> tickets = new HashMap<>();
     /** The workers that advice allows, with the incarnation that it allows. */
     final Map<String, Long> allowed = new HashMap<>();
-    /** The workers that advice denies, with the incarnation that it denies. */
-    final Map<String, Long> denied = new HashMap<>();
+    /** The workers that advice did not allow. */
+    final Map<String, Denial> denied = new HashMap<>();
 
     final Map<String, Integer> reserved = new HashMap<>();
     final Set<Integer> failedGangRuns = new TreeSet<>();
     boolean adviceInFlight;
+    /** True while that call only asks again about denied workers, so that the step may start tasks meanwhile. */
+    boolean reviewInFlight;
+    /** Before this time no denial of the step is due to be reviewed. */
+    long reviewAfterMs = Long.MIN_VALUE;
     /** True from a call for advice that failed or was abandoned until the next answer. */
     boolean callUnanswered;
 
@@ -83,7 +87,23 @@
     }
 
     boolean denies(WorkerRow worker) {
-        return isAbout(denied.get(worker.id), worker);
+        return denial(worker).isPresent();
+    }
+
+    /** Returns what advice said of the present incarnation of a worker that it did not allow. */
+    Optional<Denial> denial(WorkerRow worker) {
+        return Optional.ofNullable(denied.get(worker.id)).filter(denial -> denial.incarnation() == worker.incarnation);
+    }
+
+    /** Returns whether the step has a ticket for the present incarnation of a worker that is still valid at a time. */
+    boolean hasTicketUntil(long atMs, WorkerRow worker) {
+        Ticket ticket = tickets.get(worker.id);
+        return ticket != null && ticket.valid(atMs, worker.incarnation);
+    }
+
+    /** Returns whether nothing of the step can be planned before the answer to its call for advice. */
+    boolean waitsForAdvice() {
+        return adviceInFlight && !reviewInFlight;
     }
 
     boolean ready() {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -116,6 +116,7 @@
 
     private WorkerEntry entry;
 
+    final RegistryPresence presence = new RegistryPresence();
     final LateCalls lateCalls = new LateCalls();
 
     WorkerRow(String id, String address, long incarnation) {
