Eligibility tells the first condition that a worker does not meet

A step that stands because the leader keeps its workers out looks in the log like one without workers. The conditions, and the order in which they are checked, stay as they were; eligible is now the absence of a failing one.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Eligibility.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Eligibility.java
@@ -12,19 +12,57 @@
     private Eligibility() {}
 
     static boolean eligible(WorkerRow worker, Tables tables) {
+        return ineligibility(worker, tables).isEmpty();
+    }
+
+    /** Returns the first condition by which a worker gets no tasks; empty when it may get some. */
+    static Optional<Ineligibility> ineligibility(WorkerRow worker, Tables tables) {
+        return unresponsive(worker, tables)
+                .or(() -> setAside(worker, tables.nowMs))
+                .or(() -> notOffered(worker, tables));
+    }
+
+    private static Optional<Ineligibility> unresponsive(WorkerRow worker, Tables tables) {
+        if (!worker.registered) {
+            return Optional.of(Ineligibility.NOT_REGISTERED);
+        }
+        if (worker.missedRenewals != 0) {
+            return Optional.of(Ineligibility.MISSED_RENEWAL);
+        }
+        if (worker.suspect) {
+            return Optional.of(Ineligibility.SUSPECT);
+        }
+        if (worker.silenceRecorded) {
+            return Optional.of(Ineligibility.SILENCE_RECORDED);
+        }
+        if (worker.lastContactAtMs < 0) {
+            return Optional.of(Ineligibility.NEVER_ANSWERED);
+        }
+        boolean old = tables.nowMs - worker.lastContactAtMs > MAX_CONTACT_AGE_MS;
+        return old ? Optional.of(Ineligibility.CONTACT_OLD) : Optional.empty();
+    }
+
+    private static Optional<Ineligibility> setAside(WorkerRow worker, long nowMs) {
+        if (nowMs < worker.pausedUntilMs) {
+            return Optional.of(Ineligibility.PAUSED);
+        }
+        return nowMs < worker.refusedUntilMs ? Optional.of(Ineligibility.REFUSED_START) : Optional.empty();
+    }
+
+    private static Optional<Ineligibility> notOffered(WorkerRow worker, Tables tables) {
         Optional<WorkerEntry> entry = worker.entry();
-        return worker.registered
-                && worker.missedRenewals == 0
-                && !worker.suspect
-                && !worker.silenceRecorded
-                && worker.lastContactAtMs >= 0
-                && tables.nowMs - worker.lastContactAtMs <= MAX_CONTACT_AGE_MS
-                && tables.nowMs >= worker.pausedUntilMs
-                && tables.nowMs >= worker.refusedUntilMs
-                && entry.isPresent()
-                && worker.entryIsCurrent()
-                && !entry.get().draining()
-                && !tables.evacuatedDomains.contains(entry.get().domain())
-                && !tables.unreconciled.contains(worker);
+        if (entry.isEmpty()) {
+            return Optional.of(Ineligibility.NO_ENTRY);
+        }
+        if (!worker.entryIsCurrent()) {
+            return Optional.of(Ineligibility.OTHER_INCARNATION);
+        }
+        if (entry.get().draining()) {
+            return Optional.of(Ineligibility.DRAINING);
+        }
+        if (tables.evacuatedDomains.contains(entry.get().domain())) {
+            return Optional.of(Ineligibility.EVACUATED);
+        }
+        return tables.unreconciled.contains(worker) ? Optional.of(Ineligibility.UNRECONCILED) : Optional.empty();
     }
 }
