"step waits" tells why the workers that fit a step are not used

Steps stood for good beside free workers, and the log had no line about them: one was written only if the leader itself saw vacancies for all tasks, which a wrong belief denies. The line now tells how many registered workers fit a task when they are empty, and counts the reason why each takes none: denied by advice, not eligible and by which condition, full and by runs of which how many are unconfirmed, no answer of advice or no ticket yet. The steps that have waited longest beside room by capacity alone come first, then those that have waited longest; three lines a second as before.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
@@ -1,6 +1,9 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,10 +16,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Logs why steps wait although the workers that they may use have free capacity.
+ * Logs why steps wait, and why the workers that fit them are not used.
  *
  * <p>The vacancies are told with and without the reservations of other steps, so that a step without capacity can be told
- * from one that is held back.
+ * from one that is held back. Steps for which the leader sees none are told of, too, since it may be wrong.
  */
 final class WaitReporter {
     private static final Logger LOG = LoggerFactory.getLogger(WaitReporter.class);
@@ -35,23 +38,34 @@
         this.tables = tables;
     }
 
-    /**
-     * Reports why steps wait, and the first ones in the queue that would have room without reservations, at most once a
-     * second.
-     */
+    /** Reports why steps wait, and for some steps why the workers that fit them are not used, at most once a second. */
     void report(List<QueueOrder.Entry> ready, Placement placement) {
         if (tables.nowMs < nextAtMs) {
             return;
         }
         nextAtMs = tables.nowMs + PERIOD_MS;
         reportReasons(ready);
-        int reported = 0;
+        selected(ready).forEach(entry -> report(entry, placement));
+    }
+
+    /** Returns the steps to tell of: those that have waited longest beside free room, then the other ones. */
+    private List<QueueOrder.Entry> selected(List<QueueOrder.Entry> ready) {
+        List<QueueOrder.Entry> due = new ArrayList<>();
         for (QueueOrder.Entry entry : ready) {
-            boolean due = entry.step().hasWaitingTasks() && tables.nowMs - entry.step().readyAtMs >= MIN_WAIT_MS;
-            if (due && reported < MAX_STEPS) {
-                reported += report(entry, placement) ? 1 : 0;
+            boolean waited = tables.nowMs - entry.step().waitingSinceMs >= MIN_WAIT_MS;
+            if (waited && entry.step().hasWaitingTasks()) {
+                due.add(entry);
             }
         }
+        due.sort(Comparator.comparingLong(entry -> entry.step().waitingSinceMs));
+        FleetRoom room = FleetRoom.of(tables);
+        Set<QueueOrder.Entry> selected = new LinkedHashSet<>();
+        due.stream()
+                .filter(entry -> room.hasTwice(entry.step()))
+                .limit(MAX_STEPS)
+                .forEach(selected::add);
+        due.stream().limit(MAX_STEPS).forEach(selected::add);
+        return selected.stream().limit(MAX_STEPS).toList();
     }
 
     /** Reports how many steps wait for what, and the use of each workspace whose limit holds steps back. */
@@ -106,7 +120,7 @@
                 tables.config.version());
     }
 
-    private boolean report(QueueOrder.Entry entry, Placement placement) {
+    private void report(QueueOrder.Entry entry, Placement placement) {
         StepRow step = entry.step();
         long vacant = 0;
         long unreserved = 0;
@@ -117,17 +131,13 @@
             Ticket ticket = step.tickets.get(capacity.worker.id);
             ticketed += ticket != null && ticket.valid(tables.nowMs, capacity.worker.incarnation) ? 1 : 0;
         }
-        int tasks = step.waitingTasks().size();
-        if (unreserved < tasks) {
-            return false;
-        }
         LOG.info(
-                "step waits job={} step={}.{} tasks={} gang={} rank={} waitedMs={} reason={} workspace={} vacant={}"
-                        + " unreserved={} allowed={} denied={} ticketed={} adviceInFlight={}",
+                "step waits job={} step={}.{} tasks={} gang={} rank={} waitedMs={} reason={} workspace={}"
+                        + " vacant={} unreserved={} allowed={} denied={} ticketed={} adviceInFlight={} {}",
                 step.job.job.id(),
                 step.occurrence,
                 step.index,
-                tasks,
+                step.waitingTasks().size(),
                 step.spec.gang(),
                 entry.rank(),
                 tables.nowMs - step.readyAtMs,
@@ -138,7 +148,7 @@
                 step.allowed.size(),
                 step.denied.size(),
                 ticketed,
-                step.adviceInFlight);
-        return true;
+                step.adviceInFlight,
+                FittingWorkers.of(step, tables).summary());
     }
 }
