waitedMs counts since a task waits, readyForMs since its step is ready

"step waits" and "claim" counted waitedMs from when the step was ready first: 9,328 ms for a task that had waited 0.3 s after a failed run. Both times are told now, each under its name.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -367,16 +367,7 @@
             }
         });
         if (!chosen.isEmpty()) {
-            LOG.info(
-                    "claim job={} step={}.{} tasks={} of={} priority={} waitedMs={} config={}",
-                    step.job.job.id(),
-                    step.occurrence,
-                    step.index,
-                    chosen.size(),
-                    step.spec.count(),
-                    step.job.job.route().priority(),
-                    step.readyAtMs < 0 ? 0 : tables.nowMs - step.readyAtMs,
-                    tables.config.version());
+            waits.claimed(step, chosen.size());
         }
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
@@ -38,6 +38,21 @@
         this.tables = tables;
     }
 
+    /** Reports the start of some tasks of a step, with how long it has waited, and been ready. */
+    void claimed(StepRow step, int tasks) {
+        LOG.info(
+                "claim job={} step={}.{} tasks={} of={} priority={} waitedMs={} readyForMs={} config={}",
+                step.job.job.id(),
+                step.occurrence,
+                step.index,
+                tasks,
+                step.spec.count(),
+                step.job.job.route().priority(),
+                Age.since(step.waitingSinceMs, tables.nowMs),
+                Age.since(step.readyAtMs, tables.nowMs),
+                tables.config.version());
+    }
+
     /** Reports why steps wait, and for some steps why the workers that fit them are not used, at most once a second. */
     void report(List<QueueOrder.Entry> ready, Placement placement) {
         if (tables.nowMs < nextAtMs) {
@@ -132,7 +147,7 @@
             ticketed += ticket != null && ticket.valid(tables.nowMs, capacity.worker.incarnation) ? 1 : 0;
         }
         LOG.info(
-                "step waits job={} step={}.{} tasks={} gang={} rank={} waitedMs={} reason={} workspace={}"
+                "step waits job={} step={}.{} tasks={} gang={} rank={} waitedMs={} readyForMs={} reason={} workspace={}"
                         + " vacant={} unreserved={} allowed={} denied={} ticketed={} adviceInFlight={} {}",
                 step.job.job.id(),
                 step.occurrence,
@@ -140,7 +155,8 @@
                 step.waitingTasks().size(),
                 step.spec.gang(),
                 entry.rank(),
-                tables.nowMs - step.readyAtMs,
+                Age.since(step.waitingSinceMs, tables.nowMs),
+                Age.since(step.readyAtMs, tables.nowMs),
                 step.waitReason,
                 step.job.job.workspace(),
                 vacant,
