The age of a configuration that was never confirmed is told as unknown

A host that starts logged configAgeMs=: the age since a time that stands for never. Limits still compare with that age; the log lines of the host and its refused requests say unknown until the first confirmation.

--- a/entry/src/main/java/org/acaciafold/entry/ClientApi.java
+++ b/entry/src/main/java/org/acaciafold/entry/ClientApi.java
@@ -79,7 +79,7 @@
             LOG.info(
                     "jobs can be accepted={} configAgeMs={} storeResponds={} leaderResponds={}",
                     before,
-                    host.config().ageMs(),
+                    host.config().ageText(),
                     !host.store().unresponsive(),
                     relay.available());
         }
@@ -94,7 +94,7 @@
                     request,
                     "",
                     unknown ? GATEWAY_TIMEOUT : UNAVAILABLE,
-                    "configuration age " + host.config().ageMs() + " ms");
+                    "configuration age " + host.config().ageText() + " ms");
             return Mono.just(unknown ? ClientReply.of(GATEWAY_TIMEOUT) : retryLater());
         }
         Optional<Route> route = config.get().route(request.host(), request.path());
--- a/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
+++ b/entry/src/main/java/org/acaciafold/entry/ConfigWatch.java
@@ -46,13 +46,16 @@
      */
     private static final long OVERDUE_MS = 300;
 
+    /** So long ago that its age exceeds all limits. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final Source store;
     private final Timers loop;
     private final Runnable onChange;
     private final Set<String> evacuatedDomains = new HashSet<>();
     private FleetConfig config;
-    private long confirmedAtMs = Long.MIN_VALUE / 2;
-    private long confirmedWallMs = Long.MIN_VALUE / 2;
+    private long confirmedAtMs = NEVER;
+    private long confirmedWallMs = NEVER;
     private long version = -1;
     private long waitMs = WAIT_MS;
     /** The number of the newest poll; only its response is followed by another poll. */
@@ -81,6 +84,11 @@
         return Math.max(loop.nowMs() - confirmedAtMs, loop.wallMs() - confirmedWallMs);
     }
 
+    /** Returns the age as a log line has it, which is unknown until the configuration is confirmed first. */
+    String ageText() {
+        return confirmedAtMs < NEVER / 2 ? "unknown" : Long.toString(ageMs());
+    }
+
     /**
      * Records a time at which the current configuration was confirmed to be the newest.
      *
--- a/entry/src/test/java/org/acaciafold/entry/ConfigWatchTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/ConfigWatchTest.java
@@ -39,6 +39,17 @@
         assertEquals(0, watch.ageMs());
     }
 
+    /** Guards against an age of millions of years in the lines of a host that starts. */
+    @Test
+    void shouldTellAnUnknownAgeUntilTheConfigurationIsConfirmedFirst() {
+        ConfigWatch unread = new ConfigWatch(new ScriptedStore(), timers, () -> {});
+
+        assertEquals("unknown", unread.ageText());
+        unread.start();
+        timers.advance(40);
+        assertEquals("40", unread.ageText());
+    }
+
     @Test
     void shouldTrustTheConfigurationWhenTheStoreHasWaitedWithoutAChange() {
         for (int i = 0; i < 5; i++) {
