--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -38,7 +38,7 @@
  * }</pre>
  */
 public final class Scheduler {
-    private final Tables tables;
+    final Tables tables;
     private final EndSystem ends;
     private final WorkerLeaseSystem workerLeases;
     private final ProbeSystem probes;
