GET /explain/JOB tells an operator why a job waits; steps_standing counts steps that stand

It is served beside the metrics, where operators already ask a host: the leader tells what its term believes, other hosts answer 421 and name the leader. The gauge steps_standing, by the reason why a step waits, is renewed each second at the leader and absent elsewhere. Leadership returns the lease of another leader instead of only its address.

--- a/entry/src/main/java/org/acaciafold/entry/ClientServer.java
+++ b/entry/src/main/java/org/acaciafold/entry/ClientServer.java
@@ -23,7 +23,7 @@
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
-/** The HTTP listeners of a host: client requests, and the platform's readiness check with the metrics. */
+/** The HTTP listeners of a host: client requests, and the platform's readiness check with what operators ask. */
 final class ClientServer {
     private static final Logger LOG = LoggerFactory.getLogger(ClientServer.class);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
@@ -32,6 +32,10 @@
     private static final long DEFAULT_DEADLINE_MS = 3_000;
     private static final int INTERNAL_ERROR = 500;
     private static final String JSON = "application/json";
+    private static final String PLAIN_TEXT = "text/plain; charset=utf-8";
+    /** Followed by the identifier of a job, as in the requests of clients. */
+    private static final String EXPLAIN_PATH = "/explain/";
+
     private static final String PROMETHEUS_TEXT = "text/plain; version=0.0.4";
 
     /** Sixty times the longest text in a job; the store accepts no longer rows anyway. */
@@ -94,8 +98,11 @@
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         DisposableServer server =
                 bind(address, loop, connections, HttpServer.create().handle((request, response) -> {
-                    boolean metrics = request.uri().startsWith("/metrics");
-                    return metrics
+                    String path = path(request);
+                    if (path.startsWith(EXPLAIN_PATH)) {
+                        return send(response, readiness.explain(path.substring(EXPLAIN_PATH.length())), PLAIN_TEXT);
+                    }
+                    return path.startsWith("/metrics")
                             ? send(response, ClientReply.ok(readiness.metrics()), PROMETHEUS_TEXT)
                             : send(response, ClientReply.of(readiness.status()), JSON);
                 }));
@@ -153,19 +160,23 @@
     }
 
     private static ClientRequest toRequest(HttpServerRequest request, byte[] body, HostEventLoop loop) {
-        String uri = request.uri();
-        int query = uri.indexOf('?');
         String host = request.requestHeaders().get(HttpHeaderNames.HOST, "");
         int port = host.indexOf(':');
         return new ClientRequest(
                 request.method().name(),
                 port < 0 ? host : host.substring(0, port),
-                query < 0 ? uri : uri.substring(0, query),
+                path(request),
                 request.requestHeaders().get(HttpHeaderNames.AUTHORIZATION, ""),
                 body,
                 loop.nowMs() + parseDeadline(request.requestHeaders().get(DEADLINE_HEADER)));
     }
 
+    private static String path(HttpServerRequest request) {
+        String uri = request.uri();
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
     private static long parseDeadline(String text) {
         try {
             return text == null ? DEFAULT_DEADLINE_MS : Long.parseLong(text.trim());
@@ -196,12 +207,15 @@
         private static final long serialVersionUID = 1L;
     }
 
-    /** Provides the readiness status for the platform and the metrics for operators. */
+    /** Provides the readiness status for the platform, and the metrics and explanations for operators. */
     interface Readiness {
         /** Returns the HTTP status of the readiness check: whether this host accepts requests. */
         int status();
 
         /** Returns the metrics in the Prometheus text format. */
         byte[] metrics();
+
+        /** Describes a job, in plain text. */
+        ClientReply explain(String job);
     }
 }
--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -104,21 +104,28 @@
                 bus,
                 WorkerAgentClient.of(http("workers", WORKER_CONNECTIONS, Step.WORKER)),
                 AdviceClient.of(http("advice", ADVICE_CONNECTIONS, Step.PLACEMENT), settings.advice()),
-                metrics);
+                metrics,
+                new LeaderView());
         SchedulerLimits limits = SchedulerLimits.of(
                 settings.bounds().leaseMaxMs(),
                 settings.bounds().stopMs(),
                 settings.bounds().limitOverage());
         leadership = new Leadership(context, settings, loop.wallMs(), limits, jobStates);
         relay = new StoreRelay(
-                settings.advertisedPeers(), loop, store::create, config, bus::send, leadership::leaderAddress);
+                settings.advertisedPeers(),
+                loop,
+                store::create,
+                config,
+                bus::send,
+                () -> leadership.otherLeader().map(LeaseRecord::address));
         ClientApi clientApi = new ClientApi(
                 context, leadership, relay, jobStates, settings.bounds().configApplyMs());
         BooleanSupplier ready = () -> !stopping && clientApi.canAcceptJobs();
         // connections stay with their host, so clients reach another one only by a new connection
         clientServer = ClientServer.listen(
                 settings.consumers(), loop, clientApi::handle, metrics, () -> !ready.getAsBoolean());
-        HostReadiness statusSource = new HostReadiness(ready);
+        HostReadiness statusSource =
+                new HostReadiness(ready, new ExplainApi(settings.host(), context.view(), leadership::otherLeader));
         readiness = ClientServer.readiness(settings.readiness(), loop, statusSource);
         metricsServer = metricsServer(statusSource);
         loop.execute(config::start);
@@ -180,6 +187,7 @@
         metrics.gauge("jobs.known", jobStates, JobStateCache::size);
         metrics.functionCounter("log.lines.dropped", this, host -> QueueAppender.dropped());
         loop.every(SUMMARY_PERIOD_MS, leadership::updateFleetGauges);
+        loop.every(SUMMARY_PERIOD_MS, () -> metrics.standing(context.view().standing()));
     }
 
     private JsonHttp http(String name, int connections, Step step) {
@@ -196,12 +204,14 @@
         }
     }
 
-    /** The readiness and the metrics of this host. */
+    /** The readiness and the metrics of this host, and what it knows of jobs. */
     private final class HostReadiness implements ClientServer.Readiness {
         private final BooleanSupplier ready;
+        private final ExplainApi explainApi;
 
-        private HostReadiness(BooleanSupplier ready) {
+        private HostReadiness(BooleanSupplier ready, ExplainApi explainApi) {
             this.ready = ready;
+            this.explainApi = explainApi;
         }
 
         @Override
@@ -209,6 +219,11 @@
             return ready.getAsBoolean() ? OK : UNAVAILABLE;
         }
 
+        @Override
+        public ClientReply explain(String job) {
+            return explainApi.explain(job);
+        }
+
         @Override
         public byte[] metrics() {
             return metrics.scrape().getBytes(StandardCharsets.UTF_8);
--- a/entry/src/main/java/org/acaciafold/entry/HostContext.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostContext.java
@@ -24,6 +24,7 @@
  * @param workers the client for the worker agents
  * @param adviceClient the client for placement advice
  * @param metrics the host's metrics
+ * @param view what the running term of the host believes, for operators
  */
 record HostContext(
         String name,
@@ -36,7 +37,8 @@
         PeerBus bus,
         WorkerAgentClient workers,
         AdviceClient adviceClient,
-        HostMetrics metrics) {
+        HostMetrics metrics,
+        LeaderView view) {
     private static final Logger LOG = LoggerFactory.getLogger(HostContext.class);
 
     /** Requests placement advice on behalf of a peer, and sends it the result. */
--- a/entry/src/main/java/org/acaciafold/entry/HostMetrics.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostMetrics.java
@@ -48,6 +48,8 @@
     private final Map<Tags, Timer> timers = new ConcurrentHashMap<>();
     private final MultiGauge pending =
             MultiGauge.builder(PREFIX + "jobs.pending").register(registry);
+    private final MultiGauge standing =
+            MultiGauge.builder(PREFIX + "steps.standing").register(registry);
     private volatile FleetSummary fleet = FleetSummary.empty();
 
     HostMetrics() {
@@ -110,11 +112,12 @@
 
     /** Replaces the gauges of waiting jobs by queue. */
     void pending(Map<String, Integer> counts) {
-        pending.register(
-                counts.entrySet().stream()
-                        .map(entry -> MultiGauge.Row.of(Tags.of("queue", entry.getKey()), entry.getValue()))
-                        .toList(),
-                true);
+        replace(pending, "queue", counts);
+    }
+
+    /** Replaces the gauges of steps that stand beside free room, by the reason why they wait. */
+    void standing(Map<String, Integer> counts) {
+        replace(standing, "reason", counts);
     }
 
     /** Replaces the values of the fleet gauges. */
@@ -137,6 +140,14 @@
         return registry.scrape();
     }
 
+    private static void replace(MultiGauge gauge, String tag, Map<String, Integer> counts) {
+        gauge.register(
+                counts.entrySet().stream()
+                        .map(entry -> MultiGauge.Row.of(Tags.of(tag, entry.getKey()), entry.getValue()))
+                        .toList(),
+                true);
+    }
+
     private void count(String name, String key, String value, String secondKey, String secondValue) {
         Tags tags = tags(key, value).and(tags(secondKey, secondValue));
         counters.computeIfAbsent(tags.and("name", name), ignored -> registry.counter(PREFIX + name, tags))
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -99,11 +99,11 @@
         return !leads() && selection.isAmongLargest();
     }
 
-    /** Returns the address of another host that leads; empty when none is heard or its last lease has run out. */
-    Optional<String> leaderAddress() {
+    /** Returns the lease of another host that leads; empty when none is heard or its last lease has run out. */
+    Optional<LeaseRecord> otherLeader() {
         boolean heard = !leads() && leader != null && sinceHeartbeatMs() < MAX_STATE_AGE_MS;
         boolean known = heard && host.loop().nowMs() - announcedRenewalAtMs < leader.leaseMs();
-        return known ? Optional.of(leader.address()) : Optional.empty();
+        return known ? Optional.of(leader) : Optional.empty();
     }
 
     /** Returns the number of jobs of a queue without a started task; empty when no recent count is available. */
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -111,6 +111,7 @@
         jobWatch.end();
         workerWatch.end();
         broadcaster.end();
+        host.view().end();
     }
 
     boolean running() {
@@ -190,6 +191,7 @@
         configure();
         scheduler.restore(loaded.jobs(), loaded.ended(), loaded.awaitingRetirement(), loaded.workers());
         scheduler.restoreCancellations(loaded.unmatchedCancellations());
+        host.view().begin(scheduler);
         broadcaster.begin();
         Map<String, JobState> states = scheduler.states();
         publish.accept(states);
--- a/entry/src/test/java/org/acaciafold/entry/HostMetricsTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/HostMetricsTest.java
@@ -39,6 +39,7 @@
                 "acaciafold_orders_total{order=\"start\",outcome=\"NO_ROOM\"} 1.0",
                 "acaciafold_advice_calls_total{outcome=\"answered\"} 1.0",
                 "acaciafold_jobs_pending{queue=\"holds\"} 4.0",
+                "acaciafold_steps_standing{reason=\"NO_CAPACITY\"} 2.0",
                 "acaciafold_workers 33.0",
                 "acaciafold_job_first_start_seconds_sum{queue=\"holds\"} 0.25",
                 "acaciafold_jobs_ended_total{queue=\"holds\",state=\"COMPLETED\"} 1.0",
@@ -52,6 +53,7 @@
         metrics.order("start", "NO_ROOM", 3);
         metrics.advice(true, 600);
         metrics.pending(Map.of("holds", 4));
+        metrics.standing(Map.of("NO_CAPACITY", 2));
         metrics.fleet(new FleetSummary(33, 0, 10, 5, 1_000, 2_000));
         JobLatencyRecorder latencies = new JobLatencyRecorder(metrics);
         latencies.accepted(job());
@@ -69,4 +71,13 @@
 
         assertFalse(metrics.scrape().contains("queue=\"holds\""));
     }
+
+    @Test
+    void shouldRemoveTheReasonsForWhichNoStepStandsAnyMore() {
+        metrics.standing(Map.of("NO_CAPACITY", 2));
+
+        metrics.standing(Map.of());
+
+        assertFalse(metrics.scrape().contains("reason="));
+    }
 }
