The lines about claims keep the name of their logger

They moved to WaitReporter with the two waiting times, and with that to another loggerName, by which readers of the JSON lines may know them.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WaitReporter.java
@@ -24,6 +24,9 @@
 final class WaitReporter {
     private static final Logger LOG = LoggerFactory.getLogger(WaitReporter.class);
 
+    /** The name by which readers of the log know the lines about claims. */
+    private static final Logger CLAIMS = LoggerFactory.getLogger(StartSystem.class);
+
     /** Steps that wait no longer than this are not reported. */
     private static final long MIN_WAIT_MS = 2_000;
 
@@ -40,7 +43,7 @@
 
     /** Reports the start of some tasks of a step, with how long it has waited, and been ready. */
     void claimed(StepRow step, int tasks) {
-        LOG.info(
+        CLAIMS.info(
                 "claim job={} step={}.{} tasks={} of={} priority={} waitedMs={} readyForMs={} config={}",
                 step.job.job.id(),
                 step.occurrence,
