Rates of workspaces no longer depend on the fastest clock of a host

Callers saw: nothing recorded; found by reading. Jobs of one workspace come after those of all others for as long as the clock of one entry host is ahead, or after the clock of the leader's host was set back, although the workspace sends far less than its rate. Cause: the bucket of a workspace refills from the latest time of acceptance that it has seen, which is the wall clock of the accepting host. One job from a host whose clock is an hour ahead leaves the bucket without refill for an hour: all its jobs count as beyond the rate. The belief had no age and no end. Why it works: a time later than the leader's wall clock counts as now, also the one from which the bucket refills.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -260,7 +260,7 @@
         row.configure(config);
         stored.progress().ifPresent(progress -> row.restore(progress, wallMs));
         row.cancelled = stored.cancelled() && !row.state.ended();
-        row.overRate = rateLimiter.exceedsRate(stored.job(), config);
+        row.overRate = rateLimiter.exceedsRate(stored.job(), config, wallMs);
         jobs.put(stored.job().id(), row);
         if (row.active()) {
             active.add(row);
