Leases of a former leader end, whatever the clock of a silent worker's host shows

Callers saw: nothing; found by reading. A task that a former leader has claimed stands for as long as the worker's host is ahead of the leader's by its clock, or for as long as the worker restarts, if the worker has restarted since its record, is in the registry and does not answer. Cause: each reading of the registry extends the lease that the predecessor may have granted to the new incarnation, counted from now and shortened by the incarnation's age by the wall clock. A negative age shortens nothing, and each restart begins anew, although the predecessor sends no calls any more. Evidence: RestartedWorkerTakeoverTest, the two new tests red on the code before (no start within 26 s, expected 1). Why it works: all calls of the predecessor were sent before this term first read the registry, so no lease from them lasts longer than a late call (12 s) and the longest lease that workers accept, counted from then: 22.5 s.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
@@ -16,12 +16,16 @@
 
     private final Tables tables;
 
+    /** When entries were first read in this term; negative before. */
+    private long firstReadAtMs = -1;
+
     RegistrySystem(Tables tables) {
         this.tables = tables;
     }
 
     /** Applies all readable entries; returns the workers that have left, none while entries may be missing. */
     Set<String> update(List<WorkerEntry> entries, boolean complete) {
+        firstReadAtMs = firstReadAtMs < 0 ? tables.nowMs : firstReadAtMs;
         Set<String> present = new HashSet<>();
         Map<String, String> arrivedByAddress = new HashMap<>();
         for (WorkerEntry entry : entries) {
@@ -35,7 +39,9 @@
             row.register(entry, tables.nowMs);
             if (row.mayHaveRestartedSinceRecord(entry)) {
                 long leaseMs = SilenceSystem.predecessorStrayLeaseMs(entry.incarnation(), tables);
-                row.extendPredecessorLease(tables.nowMs + leaseMs);
+                // the predecessor sent no call after that, whatever the clock of the worker's host shows
+                long latestEndMs = firstReadAtMs + tables.limits.strayLeaseMs();
+                row.extendPredecessorLease(Math.min(tables.nowMs + leaseMs, latestEndMs));
             }
         }
         Set<String> left = new HashSet<>();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTakeoverTest.java
@@ -32,6 +32,8 @@
     private static final long ALL_LEASES_EXPIRED_MS = 26_000;
 
     private static final long LATER_MS = 300;
+    private static final long CLOCK_DIFFERENCE_MS = 3_600_000;
+    private static final long RESTART_PERIOD_MS = 5_000;
 
     private final SimulatedFleet next = new SimulatedFleet(2).with(worker("b", 1_000));
 
@@ -64,6 +66,30 @@
         assertEquals(1, next.startsOf("job").size());
     }
 
+    /** Guards against a task that stands for as long as the clock of a silent worker's host is ahead of the leader's. */
+    @Test
+    void shouldWaitNoLongerThanForTheLongestLeaseWhenTheClockOfTheRestartedWorkerIsAhead() {
+        next.with(restarted(-CLOCK_DIFFERENCE_MS)).workers.get("a").reachable = false;
+        restoreClaim(0);
+
+        next.run(ALL_LEASES_EXPIRED_MS);
+
+        assertEquals(1, next.startsOf("job").size());
+    }
+
+    /** Guards against a task that stands for as long as a silent worker restarts, since each restart begins a new wait. */
+    @Test
+    void shouldWaitNoLongerThanForTheLongestLeaseWhenTheSilentWorkerRestartsAgainAndAgain() {
+        restoreClaim(0);
+
+        for (long waitedMs = 0; waitedMs < ALL_LEASES_EXPIRED_MS; waitedMs += RESTART_PERIOD_MS) {
+            next.with(restarted(0)).workers.get("a").reachable = false;
+            next.run(RESTART_PERIOD_MS);
+        }
+
+        assertEquals(1, next.startsOf("job").size());
+    }
+
     @Test
     void shouldWaitForTheLeaseThatItsPredecessorHasRecorded() {
         next.fixture.scheduler.storeClock(StoreClock.between(next.fixture.nowMs, 0));
