--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -39,6 +39,9 @@
 
     private static final long SHORT_TASK_MS = 200;
 
+    /** The contract lets no job stand longer while capacity is free for it; the advice and the order take some of that. */
+    private static final long MAX_HELD_MS = 2_500;
+
     private final WorkerEntry entry = worker("a", 1_000);
     private final SimulatedFleet fleet = new SimulatedFleet().with(entry);
 
@@ -183,6 +186,20 @@
         assertEquals(List.of("job on a"), places(fixture.starts()));
     }
 
+    /** Guards against a job that stands beside free capacity since the only other workers cannot hold its task. */
+    @Test
+    void shouldStartATaskOnTheRestartedWorkerInTimeWhenTheOthersCannotHoldIt() {
+        SchedulerFixture fixture = restartWithUnansweredAcknowledgement(worker("b", 400));
+        fixture.scheduler.accept(fixture.job("job", step(1, 900).build()));
+
+        assertEquals(List.of(), fixture.starts());
+        fixture.advance(MAX_HELD_MS);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+        fixture.leaseRenewed("b", List.of(), List.of());
+
+        assertEquals(List.of("job on a"), places(fixture.starts()));
+    }
+
     /** Guards against a run whose order is executed by the new incarnation, which knows of no stop of the former one. */
     @Test
     void shouldStopARunOnceMoreWhenItsOrderMayStillReachTheNewIncarnation() {
