A task that fits its limit only as the last one starts while small ones keep starting

Callers saw: nothing; found by reading. A task that is larger than half of its workspace's limit stands for as long as smaller ones of the workspace keep starting, although less than half of the limit is used. Cause: one task may exceed the limit while nothing else of the workspace is on its way to start. At a rate at which one is always on its way there is no such moment: what ends the belief is an event that need not come.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -50,6 +50,7 @@
     final Set<String> obsoleteProgress = new LinkedHashSet<>();
 
     final WorkspaceRateLimiter rateLimiter = new WorkspaceRateLimiter();
+    final LimitTurns limitTurns = new LimitTurns();
     final Set<JobRow> active = new LinkedHashSet<>();
     final Map<String, WorkerRow> workers = new TreeMap<>();
     final Map<String, Resources> usedByWorkspace = new HashMap<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkspaceLimits.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkspaceLimits.java
@@ -25,7 +25,12 @@
         String name = step.job.job.workspace();
         Resources limit = tables.config.workspace(name).map(Workspace::limit).orElse(Resources.empty());
         Resources used = tables.usedByWorkspace.getOrDefault(name, Resources.empty());
-        boolean oneMore = underHalf(used, limit) && !tables.hasUnconfirmedRuns(name);
+        if (tables.limitTurns.holdsBack(step, tables.nowMs)) {
+            return List.of();
+        }
+        boolean underHalf = underHalf(used, limit);
+        boolean unconfirmed = underHalf && tables.hasUnconfirmedRuns(name);
+        boolean oneMore = underHalf && !unconfirmed;
         List<TaskRow> startable = new ArrayList<>();
         for (TaskRow task : step.waitingTasks()) {
             boolean mayExceed = oneMore && (startable.isEmpty() || step.spec.gang());
@@ -36,6 +41,9 @@
             startable.add(task);
             used = usedWith;
         }
+        if (unconfirmed && startable.size() < together(step) && fits(usedByAllButOne(step, tables), limit)) {
+            tables.limitTurns.request(step, tables.nowMs);
+        }
         boolean stands = startable.isEmpty() && standsForSilentRuns(step, used, limit, tables);
         return stands ? firstBeyond(step, used, limit, tables) : startable;
     }
@@ -55,7 +63,7 @@
      */
     private static List<TaskRow> firstBeyond(StepRow step, Resources used, Resources limit, Tables tables) {
         List<TaskRow> waiting = step.waitingTasks();
-        int together = step.spec.gang() ? step.spec.count() : 1;
+        int together = together(step);
         if (waiting.size() < together) {
             return List.of();
         }
@@ -67,6 +75,16 @@
         return fits(usedWith, extended(limit, tables.limits.limitOverage())) ? first : List.of();
     }
 
+    private static int together(StepRow step) {
+        return step.spec.gang() ? step.spec.count() : 1;
+    }
+
+    /** Returns what a workspace uses once all tasks of a step but one have started that start together. */
+    private static Resources usedByAllButOne(StepRow step, Tables tables) {
+        Resources used = tables.usedByWorkspace.getOrDefault(step.job.job.workspace(), Resources.empty());
+        return used.plus(step.spec.each().times(together(step) - 1L));
+    }
+
     private static Resources extended(Resources limit, double overage) {
         return Resources.of(
                 extended(limit.cpuMillis(), overage),
