--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -50,6 +50,7 @@
     final Set<String> obsoleteProgress = new LinkedHashSet<>();
 
     final WorkspaceRateLimiter rateLimiter = new WorkspaceRateLimiter();
+    final LimitTurns limitTurns = new LimitTurns();
     final Set<JobRow> active = new LinkedHashSet<>();
     final Map<String, WorkerRow> workers = new TreeMap<>();
     final Map<String, Resources> usedByWorkspace = new HashMap<>();
@@ -260,7 +261,7 @@
         row.configure(config);
         stored.progress().ifPresent(progress -> row.restore(progress, wallMs));
         row.cancelled = stored.cancelled() && !row.state.ended();
-        row.overRate = rateLimiter.exceedsRate(stored.job(), config);
+        row.overRate = rateLimiter.exceedsRate(stored.job(), config, wallMs);
         jobs.put(stored.job().id(), row);
         if (row.active()) {
             active.add(row);
