--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/FittingWorker.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/FittingWorker.java
@@ -26,11 +26,13 @@
                 worker,
                 ineligibility.isPresent() ? UnusedReason.NOT_ELIGIBLE : reason(step, capacity, tables.nowMs),
                 ineligibility,
-                denialAge(step, worker, tables.nowMs),
+                step.denial(worker)
+                        .map(denial -> Age.since(denial.answeredAtMs(), tables.nowMs))
+                        .orElse(Age.unknown()),
                 Math.max(0, Placement.vacancies(step, capacity)));
     }
 
-    /** Returns how long ago advice denied the worker; unknown when it did not, or when that is not recorded. */
+    /** Returns how long ago advice denied the worker; unknown when it did not. */
     Age denial() {
         return denial;
     }
@@ -77,9 +79,4 @@
         }
         return step.allows(worker) ? UnusedReason.NO_TICKET : UnusedReason.NOT_ASKED;
     }
-
-    /** Returns the age of a denial; steps record only the incarnation that is denied, so it is not known. */
-    private static Age denialAge(StepRow step, WorkerRow worker, long nowMs) {
-        return Age.unknown();
-    }
 }
