Measurement: how long a task is away whose worker had restarted before it was lost

A worker of some age restarts under its identifier with a renewal in flight that gets no answer, starts a task that lasts, and is gone 2 to 16 s after the restart; the leader stays, or is lost 0.2 or 3 s later.

--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -64,6 +64,8 @@
     int refusedStarts;
     /** True while nobody may command: the store is away, or there is no leader. */
     boolean withoutAuthority;
+    /** When the authority of the former leader ended, on the store's clock, which shows the time of this host; 0 for unknown. */
+    long predecessorEndsMs;
     /** Starts of tasks of which another run was at work. */
     int startedTwice;
 
@@ -108,7 +110,7 @@
                 fixture.scheduler.updateRegistry(entries, true);
             }
             deliverReplies();
-            fixture.scheduler.storeClock(StoreClock.between(fixture.nowMs, fixture.nowMs));
+            fixture.scheduler.storeClock(new StoreClock(fixture.nowMs, fixture.nowMs, predecessorEndsMs));
             fixture.confirmSaves = saveMs == 0;
             if (!withoutAuthority) {
                 fixture.tick().forEach(this::execute);
