Late leases of restarted workers end once the clock shows what the calls carry

Cause: leases that calls for a former incarnation may grant were bounded by the latest execution (12 s) and the longest lease (10 s) alone. But such a call carries until_ms, a time on the clock of whichever incarnation executes it, and never extends a lease beyond that. The present incarnation's clock, which its reports tell, reaches the latest time that this leader has sent after as long as the former one was old, and a lease more. Now the earlier of both bounds counts; calls of a former leader carry times that the present one does not know and keep the old bound, as does a restart that only the clock in an answer has told.

Test changed: shouldCountLateLeasesOnlyWhenACallMayStillArrive gave the next incarnation a clock that went on from the former one's, which no worker's does (PROTOCOL.md: its clock starts anew); under such a clock the late call could have granted 8 s only. It starts anew now, and the check is the same: no start as long as the call may arrive.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -112,9 +112,7 @@
                 worker.runs.size(),
                 clockMs,
                 worker.clockMs);
-        worker.clockReset = true;
-        worker.suspect = true;
-        worker.boundStrayLeases(tables.nowMs, tables.limits);
+        worker.clockStartedAnew(tables.nowMs, tables.limits);
         worker.askAtOnce(tables.nowMs);
     }
 
@@ -337,7 +335,7 @@
         if (worker.lastContactAtMs < 0) {
             // from now on the worker rejects the predecessor's calls, so only those that have arrived count
             long strayMs = SilenceSystem.predecessorStrayLeaseMs(incarnation, tables);
-            worker.strayLeasesUntil(tables.nowMs + Math.min(strayMs, tables.limits.acceptedLeaseMs()));
+            worker.strayLeases.ofPredecessorUntil(tables.nowMs + Math.min(strayMs, tables.limits.acceptedLeaseMs()));
         }
         if (incarnation == 0 || incarnation == worker.incarnation) {
             return;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -59,9 +59,6 @@
     /** The latest end of the leases that this leader granted, on the clock of the worker. */
     long leaseEndsAtMs;
 
-    /** When the leases have expired that calls meant for earlier incarnations may have granted to this one. */
-    private long strayLeasesEndAtMs = -1;
-
     /** Calls that were sent before this time went to an earlier address. */
     long addressSinceMs = Long.MIN_VALUE;
 
@@ -117,6 +114,7 @@
     private WorkerEntry entry;
 
     final LateCalls lateCalls = new LateCalls();
+    final StrayLeases strayLeases = new StrayLeases();
 
     WorkerRow(String id, String address, long incarnation) {
         this.id = id;
@@ -158,8 +156,9 @@
         }
     }
 
+    /** Returns when the leases have expired that calls meant for earlier incarnations may have granted to this one. */
     long strayLeasesEndAtMs() {
-        return strayLeasesEndAtMs;
+        return strayLeases.endAtMs(this);
     }
 
     WorkerClaims claims(long strayLeaseEndsMs) {
@@ -253,9 +252,11 @@
         leaseEndsAtMs = Math.max(leaseEndsAtMs, untilMs);
     }
 
-    /** Bounds the leases that calls of this leader, meant for a former incarnation, may have granted to the present one. */
-    void boundStrayLeases(long nowMs, SchedulerLimits limits) {
-        strayLeasesUntil(lateCalls.leasesEndAtMs(lastContactAtMs, nowMs, limits));
+    /** Records that the clock in an answer has started anew, so that calls may have granted leases to a next incarnation. */
+    void clockStartedAnew(long nowMs, SchedulerLimits limits) {
+        clockReset = true;
+        suspect = true;
+        strayLeases.ofUnknownIncarnationUntil(lateCalls.leasesEndAtMs(lastContactAtMs, nowMs, limits));
     }
 
     /** Returns whether the clock in an answer is behind what this incarnation's must have shown when the call was sent. */
@@ -286,11 +287,6 @@
         return endsSafeAtMs;
     }
 
-    /** Records that calls meant for earlier incarnations may have granted leases that end at a time. */
-    void strayLeasesUntil(long endAtMs) {
-        strayLeasesEndAtMs = Math.max(strayLeasesEndAtMs, endAtMs);
-    }
-
     /** Counts leases that the predecessor may have granted to a later incarnation than the recorded one. */
     void extendPredecessorLease(long leasesEndAtMs) {
         predecessorLeaseEndsAtMs = Math.max(predecessorLeaseEndsAtMs, leasesEndAtMs);
@@ -326,9 +322,14 @@
         if (lastContactAtMs < 0) {
             return predecessorLeaseEndsAtMs;
         }
-        double longestMs = (leaseEndsAtMs + SchedulerLimits.CLOCK_MARGIN_MS - clockMs) / SchedulerLimits.SLOWEST_CLOCK;
-        long grantedMs = Math.max((long) Math.ceil(lastContactAtMs + longestMs), predecessorLeaseEndsAtMs);
-        return Math.max(grantedMs, strayLeasesEndAtMs);
+        long grantedMs = Math.max(showsAtMs(leaseEndsAtMs), predecessorLeaseEndsAtMs);
+        return Math.max(grantedMs, strayLeasesEndAtMs());
+    }
+
+    /** Returns by when the clock of the incarnation that has answered last shows a time, on the clock of this host. */
+    long showsAtMs(long atMs) {
+        double longestMs = (atMs + SchedulerLimits.CLOCK_MARGIN_MS - clockMs) / SchedulerLimits.SLOWEST_CLOCK;
+        return (long) Math.ceil(lastContactAtMs + longestMs);
     }
 
     void remove(RunRow run) {
@@ -345,7 +346,7 @@
      */
     void restarted(long newIncarnation, long nowMs, SchedulerLimits limits) {
         incarnation = newIncarnation;
-        boundStrayLeases(nowMs, limits);
+        strayLeases.ofNextIncarnationUntil(lateCalls.leasesEndAtMs(lastContactAtMs, nowMs, limits), leaseEndsAtMs);
         endsSafeAtMs = lateCalls.endsSafeAtMs();
         lastAcknowledgedEnd = 0;
         lastDiscardedEnd = 0;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -39,6 +39,9 @@
 
     private static final long SHORT_TASK_MS = 200;
 
+    /** What the clock of an incarnation shows that has just started. */
+    private static final long YOUNG_CLOCK_MS = 50;
+
     private final WorkerEntry entry = worker("a", 1_000);
     private final SimulatedFleet fleet = new SimulatedFleet().with(entry);
 
@@ -81,7 +84,8 @@
         fixture.scheduler.leaseRenewalFailed("a", mayArrive);
         fixture.advance(100);
         fixture.scheduler.updateRegistry(List.of(changed(entry, entry.address(), false, INCARNATION + 1)), true);
-        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+        WorkerReport report = new WorkerReport(YOUNG_CLOCK_MS, INCARNATION + 1, List.of(), List.of());
+        fixture.scheduler.leaseRenewed("a", report, fixture.nowMs);
         fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
         fixture.confirmedStarts();
         fixture.withWorkers(worker("b", 1_000));
@@ -220,6 +224,26 @@
         assertEquals(List.of(), fixture.starts());
     }
 
+    /** Guards against two runs at once: the lease that the order has granted is one on the clock of the new incarnation. */
+    @Test
+    void shouldWaitForTheLongestLeaseWhenOnlyTheClockInAnAnswerHasToldTheRestart() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+        Effect.Start start = fixture.starts().getFirst();
+        fixture.scheduler.clockReported("a", YOUNG_CLOCK_MS, fixture.nowMs);
+        fixture.answerStart(start, StartOutcome.STARTED);
+        fixture.scheduler.leaseRenewalFailed("a", false);
+        fixture.withWorkers(worker("b", 1_000));
+
+        fixture.advance(LIMITS.acceptedLeaseMs() - 100);
+        fixture.leaseRenewed("b", List.of(), List.of());
+        assertEquals(List.of(), fixture.starts());
+
+        fixture.advance(SchedulerLimits.LATEST_EXECUTION_MS + 200);
+        fixture.leaseRenewed("b", List.of(), List.of());
+        assertEquals(List.of("job on b"), places(fixture.starts()));
+    }
+
     private static List<String> places(List<Effect.Start> starts) {
         return starts.stream()
                 .map(start -> start.task().job() + " on " + start.worker())
