Renewals go to the workers that have waited longest

What callers see: a worker that answers gets no tasks while so many others are due that the 32 renewals of a tick never reach it; after 3.5 s without a report it counts as away, and steps that only such workers fit stand. With ticks of 100 ms, as in a burst on a large fleet, 64 workers that refuse connections are enough: each is due again 200 to 400 ms after a failed call.

Cause: due renewals were sent in the order of the workers' names, so an event that need not come ends the wait. Now those that are due longest go first, so a worker waits for no more calls than there are workers.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -1,5 +1,7 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -151,14 +153,15 @@
     }
 
     void run(List<Effect> effects) {
-        int sent = 0;
+        List<WorkerRow> due = new ArrayList<>();
         for (WorkerRow worker : tables.workers.values()) {
-            boolean due = !worker.renewalInFlight && tables.nowMs >= worker.nextRenewalAtMs && needsRenewal(worker);
-            if (due && sent < MAX_RENEWALS_PER_TICK) {
-                sent++;
-                effects.add(renewLease(worker));
+            if (!worker.renewalInFlight && tables.nowMs >= worker.nextRenewalAtMs && needsRenewal(worker)) {
+                due.add(worker);
             }
         }
+        // workers that refuse connections are due again soon and must not keep others waiting
+        due.sort(Comparator.comparingLong(worker -> worker.nextRenewalAtMs));
+        due.stream().limit(MAX_RENEWALS_PER_TICK).forEach(worker -> effects.add(renewLease(worker)));
     }
 
     /** Ends the runs of unresponsive workers whose leases have provably expired, and removes deregistered workers. */
