--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -35,9 +35,6 @@
      */
     private static final long MAX_APART_WAIT_MS = 2_000;
 
-    /** How long a job with nothing at work waits for workers on which no end may be discarded, for the same reason. */
-    private static final long MAX_ENDS_UNSAFE_WAIT_MS = 2_000;
-
     private final List<FreeCapacity> capacities = new ArrayList<>();
     private final Map<String, FreeCapacity> byWorker = new HashMap<>();
     private final Map<WorkerSelector, Candidates> candidatesBySelector = new HashMap<>();
@@ -301,15 +298,10 @@
 
     private WorkerSelector selector(StepRow step) {
         // a task that lasts starts again however its run has ended
-        boolean endsMatter = endsUnsafe && !step.spec.longRunning() && !stands(step);
+        boolean endsMatter = endsUnsafe && !step.spec.longRunning();
         return new WorkerSelector(step.job.service(), step.spec.label(), endsMatter);
     }
 
-    private boolean stands(StepRow step) {
-        boolean waitsLong = step.waitingSinceMs >= 0 && nowMs - step.waitingSinceMs >= MAX_ENDS_UNSAFE_WAIT_MS;
-        return waitsLong && !step.job.atWork();
-    }
-
     /** Selects workers by the properties that they register; advice may restrict them further. */
     private record WorkerSelector(String service, String label, boolean endsMatter) {
         private boolean matches(WorkerEntry worker) {
