Recorded ends are acknowledged while further ones wait to be recorded

What callers see: nothing at first; a worker lists its ends again and again, and from 500 on its lists are incomplete, so that ends and absent runs are noticed late. Beside a slow store no end was acknowledged for as long as one more came before each batch was confirmed, since each end put off all of them to the next batch: what ends the belief is an event that need not come.

Evidence: SlowRecordTest, committed red before (acknowledged up to 0 after 15 s), green with this; fleet's tests green, AdviceOverloadTest included. Now each batch acknowledges the ends that it records, whatever has come since.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -75,11 +75,10 @@
         }
         answeringInBatch.clear();
         for (WorkerRow worker : tables.workers.values()) {
-            if (worker.acknowledgeAfterBatch >= 0 && worker.acknowledgeAfterBatch <= batch) {
-                worker.acknowledgeAfterBatch = -1;
-                worker.lastAcknowledgedEnd = worker.lastProcessedEnd;
+            worker.endsToRecord.recorded(batch).ifPresent(end -> {
+                worker.lastAcknowledgedEnd = end;
                 worker.nextRenewalAtMs = tables.nowMs;
-            }
+            });
         }
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -210,7 +210,7 @@
                     report.incarnation(),
                     worker.incarnation,
                     worker.clockMs - report.clockMs());
-            return worker.acknowledgeAfterBatch >= 0;
+            return !worker.endsToRecord.isEmpty();
         }
         crashes.observe(worker, report);
         observeIncarnation(worker, report.incarnation());
@@ -310,7 +310,7 @@
         OptionalLong leaseUntil = mayHold ? worker.lease(tables.nowMs, tables.limits) : OptionalLong.empty();
         leaseUntil.ifPresent(worker::leaseSent);
         boolean withoutLease = leaseUntil.isEmpty();
-        boolean unrecorded = worker.acknowledgeAfterBatch >= 0;
+        boolean unrecorded = !worker.endsToRecord.isEmpty();
         long wait = withoutLease || unrecorded ? 0 : renewalWaitMs(worker);
         worker.renewalDueAtMs = tables.nowMs + wait;
         long acknowledges = worker.acknowledge();
@@ -384,11 +384,13 @@
             }
         }
         if (needsRecord) {
-            worker.acknowledgeAfterBatch = tables.lastBatch + 1;
-        } else if (worker.acknowledgeAfterBatch < 0) {
+            worker.endsToRecord.add(tables.lastBatch + 1, worker.lastProcessedEnd);
+        } else if (worker.endsToRecord.isEmpty()) {
             worker.lastAcknowledgedEnd = worker.lastProcessedEnd;
+        } else {
+            worker.endsToRecord.extend(worker.lastProcessedEnd);
         }
-        return worker.acknowledgeAfterBatch >= 0;
+        return !worker.endsToRecord.isEmpty();
     }
 
     private boolean needsRenewal(WorkerRow worker) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -50,7 +50,7 @@
     private long endsSafeAtMs = -1;
 
     long lastProcessedEnd;
-    long acknowledgeAfterBatch = -1;
+    final EndsToRecord endsToRecord = new EndsToRecord();
     long lastContactAtMs = -1;
     long clockMs;
     /** True from an answer with a clock that has started anew until the next report. */
@@ -352,7 +352,7 @@
         lastAcknowledgedEnd = 0;
         lastDiscardedEnd = 0;
         lastProcessedEnd = 0;
-        acknowledgeAfterBatch = -1;
+        endsToRecord.clear();
         leaseEndsAtMs = 0;
         lastContactAtMs = -1;
         pausedAtMs = -1;
