Advice for tasks of silent workers is asked for in the first second of a term

Seen: a task that lasts was away for more than 9 s when a leader took over as the lease of its lost worker ended.

Cause: LostWorkerAdvice asked only once a call of the new leader to the worker had failed, 0.9 s after the term began, though the record told that the worker had been silent before, and by when its leases end. A run is given back after the failed call as before.

Evidence: shouldStartATaskThatLastsAgainInTimeWhenALeaderTakesOverAsItsLeaseEnds, red in 2 of its 4 cases (leader lost 6 s after the worker) and green now.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/LostWorkerAdvice.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/LostWorkerAdvice.java
@@ -31,7 +31,7 @@
     void run(Placement placement) {
         Map<StepRow, List<RunRow>> runsByStep = new LinkedHashMap<>();
         for (WorkerRow worker : tables.workers.values()) {
-            if (worker.missedRenewals > 0) {
+            if (lost(worker)) {
                 worker.runs.values().stream()
                         .filter(this::endsSoon)
                         .forEach(run -> runsByStep
@@ -42,6 +42,14 @@
         runsByStep.forEach((step, runs) -> request(step, runs, placement));
     }
 
+    /**
+     * Returns whether a worker owes an answer: a call has failed, or it was silent before this term and is late with its
+     * first answer.
+     */
+    private static boolean lost(WorkerRow worker) {
+        return worker.missedRenewals > 0 || worker.silent() && worker.suspect;
+    }
+
     private boolean endsSoon(RunRow run) {
         StepRow step = run.task.step;
         boolean startsAgain = step.spec.longRunning() && !step.spec.gang() && step.job.active();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossScenario.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossScenario.java
@@ -57,10 +57,13 @@
     private SimulatedFleet fleet;
     private String victim;
     private long lostAtMs;
+    /** How long after its worker the leader is lost, where it is. */
+    private long leaderLostAfterMs;
 
     WorkerLossScenario(SchedulerLimits limits, long offsetMs) {
         this.limits = limits;
         this.offsetMs = offsetMs;
+        this.leaderLostAfterMs = offsetMs * 3;
         fleet = new SimulatedFleet(new SchedulerFixture(1, limits));
         fleet.needsTicket = (task, worker) -> true;
         for (int i = 0; i < WORKERS; i++) {
@@ -78,6 +81,12 @@
         return this;
     }
 
+    /** Sets how long after its worker the leader is lost, where it is. */
+    WorkerLossScenario withLeaderLostAfter(long ms) {
+        leaderLostAfterMs = ms;
+        return this;
+    }
+
     /** Loses the task's worker for good, and lets the fleet go on. */
     WorkerLossScenario lose(Loss loss, Trouble... troubles) {
         lostAtMs = fleet.fixture.nowMs;
@@ -101,7 +110,7 @@
                 case START_REFUSED -> fleet.refusedStarts = 1;
             }
         }
-        long leaderLostAtMs = leaderLost ? lostAtMs + offsetMs * 3 : Long.MAX_VALUE;
+        long leaderLostAtMs = leaderLost ? lostAtMs + leaderLostAfterMs : Long.MAX_VALUE;
         long endMs = lostAtMs + HORIZON_MS;
         while (fleet.fixture.nowMs < endMs) {
             long elapsedMs = fleet.fixture.nowMs - lostAtMs;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossTest.java
@@ -86,6 +86,20 @@
         assertEquals(List.of(), late, "offsets of the loss at which the task is away for too long");
     }
 
+    /** Guards against advice that is asked for only once a call to a worker has failed that has been silent for seconds. */
+    @ParameterizedTest
+    @CsvSource({"GONE, 5000", "GONE, 6000", "DARK, 5000", "DARK, 6000"})
+    void shouldStartATaskThatLastsAgainInTimeWhenALeaderTakesOverAsItsLeaseEnds(Loss loss, long leaderLostAfterMs) {
+        List<Long> late = offsetsWhere(offset -> scenario(offset)
+                        .withLeaderLostAfter(leaderLostAfterMs)
+                        .lose(loss, Trouble.LEADER_LOST)
+                        .awayMs()
+                        .orElse(Long.MAX_VALUE)
+                > MAX_AWAY_MS);
+
+        assertEquals(List.of(), late, "offsets of the loss at which the task is away for too long");
+    }
+
     /** Guards against shorter leases without more frequent renewals: domains are cut off for five to six seconds. */
     @ParameterizedTest
     @ValueSource(longs = {3_000, 5_000, 6_000})
