Measurement: the next leader knows the end of its predecessor's authority

WorkerLossMeasurement counted the lease of a worker that was lost with its leader from the takeover, 2 s after the leader's last order, since its stand-in told no end of the authority; the lease row tells it (0.8 s at the latest). No bound of a test has changed.

--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossScenario.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossScenario.java
@@ -47,6 +47,9 @@
     /** From the last order of a leader that is lost to the first one of its successor. */
     private static final long TAKEOVER_MS = 2_000;
 
+    /** How long after its last order the authority of a leader that is lost ends. */
+    private static final long AUTHORITY_MS = 800;
+
     /** A store fifty times slower than usual takes this long for a transaction. */
     private static final long SLOW_SAVE_MS = 700;
 
@@ -196,7 +199,9 @@
         fleet.needsTicket = former.needsTicket;
         fleet.workers.putAll(former.workers);
         fleet.started.addAll(former.started);
-        fixture.scheduler.storeClock(StoreClock.between(fixture.nowMs, fixture.nowMs));
+        // the lease row tells it to the next leader
+        fleet.predecessorEndsMs = former.fixture.nowMs + AUTHORITY_MS;
+        fixture.scheduler.storeClock(new StoreClock(fixture.nowMs, fixture.nowMs, fleet.predecessorEndsMs));
         fixture.scheduler.restore(
                 List.of(new StoredJob(job(fleet), Optional.empty(), false)),
                 Map.of(),
