--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossScenario.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossScenario.java
@@ -47,6 +47,9 @@
     /** From the last order of a leader that is lost to the first one of its successor. */
     private static final long TAKEOVER_MS = 2_000;
 
+    /** How long after its last order the authority of a leader that is lost ends. */
+    private static final long AUTHORITY_MS = 800;
+
     /** A store fifty times slower than usual takes this long for a transaction. */
     private static final long SLOW_SAVE_MS = 700;
 
@@ -57,10 +60,13 @@
     private SimulatedFleet fleet;
     private String victim;
     private long lostAtMs;
+    /** How long after its worker the leader is lost, where it is. */
+    private long leaderLostAfterMs;
 
     WorkerLossScenario(SchedulerLimits limits, long offsetMs) {
         this.limits = limits;
         this.offsetMs = offsetMs;
+        this.leaderLostAfterMs = offsetMs * 3;
         fleet = new SimulatedFleet(new SchedulerFixture(1, limits));
         fleet.needsTicket = (task, worker) -> true;
         for (int i = 0; i < WORKERS; i++) {
@@ -78,6 +84,12 @@
         return this;
     }
 
+    /** Sets how long after its worker the leader is lost, where it is. */
+    WorkerLossScenario withLeaderLostAfter(long ms) {
+        leaderLostAfterMs = ms;
+        return this;
+    }
+
     /** Loses the task's worker for good, and lets the fleet go on. */
     WorkerLossScenario lose(Loss loss, Trouble... troubles) {
         lostAtMs = fleet.fixture.nowMs;
@@ -101,7 +113,7 @@
                 case START_REFUSED -> fleet.refusedStarts = 1;
             }
         }
-        long leaderLostAtMs = leaderLost ? lostAtMs + offsetMs * 3 : Long.MAX_VALUE;
+        long leaderLostAtMs = leaderLost ? lostAtMs + leaderLostAfterMs : Long.MAX_VALUE;
         long endMs = lostAtMs + HORIZON_MS;
         while (fleet.fixture.nowMs < endMs) {
             long elapsedMs = fleet.fixture.nowMs - lostAtMs;
@@ -187,7 +199,9 @@
         fleet.needsTicket = former.needsTicket;
         fleet.workers.putAll(former.workers);
         fleet.started.addAll(former.started);
-        fixture.scheduler.storeClock(StoreClock.between(fixture.nowMs, fixture.nowMs));
+        // the lease row tells it to the next leader
+        fleet.predecessorEndsMs = former.fixture.nowMs + AUTHORITY_MS;
+        fixture.scheduler.storeClock(new StoreClock(fixture.nowMs, fixture.nowMs, fleet.predecessorEndsMs));
         fixture.scheduler.restore(
                 List.of(new StoredJob(job(fleet), Optional.empty(), false)),
                 Map.of(),
