--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Advisor.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Advisor.java
@@ -8,13 +8,18 @@
 import org.acaciafold.fleet.Grant;
 import org.acaciafold.fleet.StepName;
 
-/** Fake placement advice: the workers allowed for a step never change, and tickets expire. */
+/** Fake placement advice: tickets expire, and the workers allowed for a step change only with another policy. */
 final class Advisor {
+    /** The policy that holds when no fault changes it. */
+    static final long LASTING_POLICY = 0;
+
     private static final int PERCENT = 100;
 
     private final int allowedPercent;
     private final Map<Key, Ticket> tickets = new HashMap<>();
     private final Map<String, Long> busyUntilMs = new HashMap<>();
+    /** Any policy but the lasting one denies half of the workers that this one allows. */
+    long policy = LASTING_POLICY;
 
     Advisor(int allowedPercent) {
         this.allowedPercent = allowedPercent;
@@ -22,7 +27,8 @@
 
     /** Returns whether the queue's policy lets a worker run a step. */
     boolean allows(StepName step, String worker) {
-        return Math.floorMod((step + worker).hashCode() * 31 >> 4, PERCENT) < allowedPercent;
+        boolean deniedNow = policy != LASTING_POLICY && (policy + worker + step).hashCode() % 2 == 0;
+        return Math.floorMod((step + worker).hashCode() * 31 >> 4, PERCENT) < allowedPercent && !deniedNow;
     }
 
     /** Returns when a call is answered: the service handles the calls of one host in turn. */
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
@@ -17,6 +17,7 @@
 /** Carries out what a leader decides: its orders to workers, its writes to the store, its calls for advice. */
 final class Effects {
     private static final long DRAIN_MS = 2_000;
+    private static final long REFUSAL_MS = 10;
 
     private final World world;
     private final Timeline timeline;
@@ -24,6 +25,7 @@
     private final Fleet fleet;
     private final Network network;
     private final Advisor advisor;
+    private final PlatformFaults platform;
     private final Oracle oracle;
     private final Set<String> cutHosts = new HashSet<>();
     private long savesDelayedUntilMs;
@@ -35,6 +37,7 @@
         this.fleet = fleet;
         this.network = world.network;
         this.advisor = advisor;
+        this.platform = world.platform;
         this.oracle = world.oracle;
     }
 
@@ -121,7 +124,14 @@
     private void requestAdvice(Scheduler term, Effect.RequestAdvice request) {
         boolean lost = network.lossy && timeline.oneIn(20);
         boolean failed = network.lossy && timeline.oneIn(20);
-        long answerMs = advisor.answersAtMs(request.host(), request.expectedMs(), timeline.nowMs());
+        if (platform.refusesCall()) {
+            later(
+                    REFUSAL_MS,
+                    () -> answer(term, () -> term.adviceAnswered(request.host(), request.step(), Optional.empty())));
+            return;
+        }
+        long callMs = request.expectedMs() + platform.delayMs();
+        long answerMs = advisor.answersAtMs(request.host(), callMs, timeline.nowMs());
         long validMs = store.jobs()
                 .get(request.step().job())
                 .route()
@@ -130,9 +140,12 @@
                 .validMs();
         timeline.schedule(answerMs, () -> {
             if (!lost && !cutHosts.contains(request.host())) {
-                List<FakeWorker> asked =
-                        request.workers().stream().map(fleet.workers::get).toList();
-                List<Grant> grants = advisor.grant(request.step(), asked, timeline.nowMs() + validMs);
+                List<FakeWorker> asked = request.workers().stream()
+                        .map(fleet.workers::get)
+                        .filter(platform::knows)
+                        .toList();
+                List<Grant> grants =
+                        platform.received(advisor.grant(request.step(), asked, timeline.nowMs() + validMs));
                 Optional<List<Grant>> granted = failed ? Optional.empty() : Optional.of(grants);
                 answer(term, () -> term.adviceAnswered(request.host(), request.step(), granted));
             }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Faults.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Faults.java
@@ -33,10 +33,14 @@
             if (!scheduled) {
                 scheduled = true;
                 new Troubles(world, timeline, fleet).schedule();
+                world.platform.scheduleSpans();
             }
+            world.platform.inject();
             return;
         }
+        world.platform.inject();
         if (!features.bursts()) {
+            world.platform.activate(timeline.nowMs() + Timeline.TICK_MS);
             timeline.disturb(timeline.nowMs());
             if (timeline.oneIn(MEAN_TICKS_BETWEEN_FAULTS)) {
                 injectOne(1);
@@ -51,6 +55,7 @@
     /** Ends all faults; only their effects remain. */
     void end() {
         over = true;
+        world.platform.end();
         world.network.lossy = false;
         fleet.heal();
         fleet.workers.values().stream().filter(worker -> worker.crashed).forEach(this::restart);
@@ -63,6 +68,7 @@
         boolean lossy = timeline.oneIn(2);
         world.network.lossy = lossy;
         timeline.disturb(endMs);
+        world.platform.activate(endMs);
         timeline.schedule(endMs, () -> world.network.lossy = false);
         for (int i = 0; i < count; i++) {
             later(timeline.between(0, BURST_MS), () -> injectOne(2));
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Features.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Features.java
@@ -1,6 +1,7 @@
 package org.acaciafold.fleet.fuzz;
 
 import java.util.Random;
+import java.util.Set;
 
 /**
  * What the world of a seed has besides the usual jobs and faults.
@@ -14,6 +15,7 @@
  * @param busyService true when tasks that last fill the larger one of the services
  * @param troubles true when troubles overlap in the first half of the traffic, with many workers and jobs of many steps
  * @param overload true when besides so many jobs come at once, within wide limits, that their calls for advice are short
+ * @param platform what the platform does besides
  */
 record Features(
         boolean plain,
@@ -24,10 +26,11 @@
         boolean failing,
         boolean busyService,
         boolean troubles,
-        boolean overload) {
-    static Features draw(Random random) {
+        boolean overload,
+        Set<PlatformFault> platform) {
+    static Features draw(Random random, Set<PlatformFault> platform) {
         if (random.nextInt(5) == 0) {
-            return new Features(true, false, false, false, false, false, false, false, false);
+            return new Features(true, false, false, false, false, false, false, false, false, platform);
         }
         return new Features(
                 false,
@@ -38,13 +41,18 @@
                 random.nextInt(4) == 0,
                 random.nextInt(8) == 0,
                 false,
-                false);
+                false,
+                platform);
     }
 
-    static Features overlappingTroubles(Random random, boolean overload) {
+    static Features overlappingTroubles(Random random, boolean overload, Set<PlatformFault> platform) {
         boolean flood = random.nextInt(3) == 0;
         boolean busyService = random.nextInt(6) == 0;
-        return new Features(false, false, flood, true, false, false, busyService, true, overload);
+        return new Features(false, false, flood, true, false, false, busyService, true, overload, platform);
+    }
+
+    boolean largeSteps() {
+        return platform.contains(PlatformFault.LARGE_STEPS);
     }
 
     String largerService() {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Fleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Fleet.java
@@ -38,6 +38,7 @@
     private final Map<String, Long> drainingSinceMs = new HashMap<>();
     private final Map<String, Long> lostAtMs = new HashMap<>();
     private final Map<String, Long> hiddenUntilMs = new HashMap<>();
+    private final Map<String, Long> garbledUntilMs = new HashMap<>();
     private final List<FakeWorker> permanent = new ArrayList<>();
     private final Timeline timeline;
     private final Advisor advisor;
@@ -117,6 +118,11 @@
         hiddenUntilMs.put(worker.id, untilMs);
     }
 
+    /** Makes the entry of a worker one that nobody can read until a time. */
+    void garbleUntil(FakeWorker worker, long untilMs) {
+        garbledUntilMs.put(worker.id, untilMs);
+    }
+
     void drain(FakeWorker worker, boolean draining) {
         worker.draining = draining;
         if (draining) {
@@ -146,6 +152,7 @@
         });
         evacuatedDomains.clear();
         hiddenUntilMs.clear();
+        garbledUntilMs.clear();
     }
 
     /** Delays what draining workers report until the registry can be written and read again. */
@@ -162,6 +169,13 @@
                 .toList();
     }
 
+    /** Returns whether the registry has an entry of a worker now, which a reader may be unable to read. */
+    boolean entered(FakeWorker worker) {
+        long nowMs = timeline.nowMs();
+        boolean expired = !worker.up() && nowMs - lostAtMs.getOrDefault(worker.id, nowMs) >= ENTRY_EXPIRY_MS;
+        return !expired && nowMs >= hiddenUntilMs.getOrDefault(worker.id, 0L);
+    }
+
     /** Returns whether a worker could be given tasks now. */
     boolean usable(FakeWorker worker) {
         return worker.up()
@@ -217,8 +231,6 @@
     }
 
     private boolean registered(FakeWorker worker) {
-        long nowMs = timeline.nowMs();
-        boolean expired = !worker.up() && nowMs - lostAtMs.getOrDefault(worker.id, nowMs) >= ENTRY_EXPIRY_MS;
-        return !expired && nowMs >= hiddenUntilMs.getOrDefault(worker.id, 0L);
+        return entered(worker) && timeline.nowMs() >= garbledUntilMs.getOrDefault(worker.id, 0L);
     }
 }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/FleetFuzzTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/FleetFuzzTest.java
@@ -22,9 +22,9 @@
     /** The worlds with overlapping troubles are larger. */
     private static final long SEEDS_WITH_TROUBLES = 6;
 
-    private static final long FIRST = Long.getLong("acaciafold.fuzz.first", 0);
-    private static final long LAST = Long.getLong("acaciafold.fuzz.last", -1);
-    private static final int MAX_SHOWN = 3;
+    static final long FIRST = Long.getLong("acaciafold.fuzz.first", 0);
+    static final long LAST = Long.getLong("acaciafold.fuzz.last", -1);
+    static final int MAX_SHOWN = 3;
 
     /** The seeds that have run, since two tests look at each. */
     private static final Map<Long, Outcome> OUTCOMES = new HashMap<>();
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
@@ -29,6 +29,7 @@
     private final Map<String, EndedJob> retired = new HashMap<>();
     private final Set<String> cancelled = new HashSet<>();
     private long backAtMs = Long.MIN_VALUE / 2;
+    private long readFailedAtMs = Long.MIN_VALUE / 2;
     private long leaderEndedAtMs;
 
     /** Records when a leader has ended, which its lease in the store tells the next one. */
@@ -53,6 +54,15 @@
         return nowMs - backAtMs >= INCOMPLETE_MS;
     }
 
+    void readFailed(long nowMs) {
+        readFailedAtMs = nowMs;
+    }
+
+    /** Returns the same as far as a reader knows, which counts from its last read that failed. */
+    boolean completeAsRead(long nowMs) {
+        return nowMs - readFailedAtMs >= INCOMPLETE_MS;
+    }
+
     void submit(Job job) {
         jobs.put(job.id(), job);
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Submissions.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Submissions.java
@@ -1,6 +1,7 @@
 package org.acaciafold.fleet.fuzz;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -32,6 +33,9 @@
     /** Every so many jobs there is one whose tasks checkpoint. */
     private static final int CHECKPOINTING_JOBS = 12;
 
+    /** With large steps, one in so many jobs has one. */
+    private static final int LARGE_JOBS = 8;
+
     private static final AdviceSettings LONG_CALLS = new AdviceSettings(370, 5.3, 2_500);
     private static final AdviceSettings SHORT_CALLS = new AdviceSettings(100, 5, 2_500);
 
@@ -70,6 +74,10 @@
     Job next(long wallMs) {
         String workspace =
                 limits.workspaces().get(random.nextInt(limits.workspaces().size()));
+        if (features.largeSteps() && random.nextInt(LARGE_JOBS) == 0) {
+            return firstMatching(() -> secondStepLarge(workspace, wallMs), this::holdable)
+                    .orElseGet(() -> single(workspace, wallMs));
+        }
         if (features.troubles()) {
             return ofManySteps(workspace, wallMs);
         }
@@ -193,6 +201,31 @@
         return job(workspace, service, advice(), steps, wallMs);
     }
 
+    /** Draws a job whose last step has tasks that fit about a quarter of the workers that stay. */
+    private Job secondStepLarge(String workspace, long wallMs) {
+        String service = service();
+        List<Resources> largest = fleet.permanentOf(service).stream()
+                .map(worker -> worker.shape.capacity())
+                .sorted(Comparator.comparingLong(Resources::cpuMillis).reversed())
+                .toList();
+        long fitting = largest.get(largest.size() / 4).cpuMillis();
+        List<StepSpec> steps = new ArrayList<>();
+        if (random.nextInt(4) > 0) {
+            steps.add(StepSpec.builder()
+                    .count(timeline.between(1, 3))
+                    .each(Resources.of(1_000, 1_000, 0))
+                    .estimateMs(timeline.between(500, 3_000))
+                    .build());
+        }
+        steps.add(StepSpec.builder()
+                .count(timeline.between(1, 4))
+                .each(Resources.of(fitting * timeline.between(55, 100) / 100, 1_000, 0))
+                .estimateMs(timeline.between(500, 3_000))
+                .after(steps.isEmpty() ? List.of() : List.of(0))
+                .build());
+        return job(workspace, service, Optional.of(advice.get(random.nextInt(advice.size()))), steps, wallMs);
+    }
+
     private Job lasting(String workspace, long wallMs) {
         String service = service();
         Resources each = part(service, 2, 20);
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.JobState;
@@ -53,6 +54,7 @@
     final Limits limits;
     final Oracle oracle;
     final Network network;
+    final PlatformFaults platform;
     private final Fleet fleet;
     private final Gangs gangs = new Gangs();
     final Effects effects;
@@ -72,12 +74,14 @@
 
     /** Creates a world with usual faults. */
     World(long seed, boolean crashes) {
-        this(seed, crashes, false, false);
+        this(seed, crashes, false, false, Set.of());
     }
 
-    private World(long seed, boolean crashes, boolean troubles, boolean overload) {
+    private World(long seed, boolean crashes, boolean troubles, boolean overload, Set<PlatformFault> platformFaults) {
         timeline = new Timeline(troubles ? seed * TROUBLES_SEED : seed);
-        features = troubles ? Features.overlappingTroubles(timeline.random, overload) : Features.draw(timeline.random);
+        features = troubles
+                ? Features.overlappingTroubles(timeline.random, overload, platformFaults)
+                : Features.draw(timeline.random, platformFaults);
         Advisor advisor = new Advisor(troubles ? FEW_ALLOWED_PERCENT : timeline.between(30, 90));
         hosts = troubles ? MANY_HOSTS : HOSTS;
         fleet = new Fleet(timeline, advisor);
@@ -88,6 +92,7 @@
         int divisor = troubles ? timeline.between(1, NARROW_LIMITS_DIVISOR) : 1;
         limits.share(fleet.capacityMillis() / (overload ? 1 : divisor));
         network = new Network(timeline, fleet);
+        platform = new PlatformFaults(seed, platformFaults, timeline, fleet, advisor);
         effects = new Effects(this, fleet, advisor);
         submissions = new Submissions(timeline, fleet, advisor, limits, features);
         standstill = new Standstill(timeline, fleet, limits, oracle, id -> SchedulerTrace.of(leader, id));
@@ -97,12 +102,22 @@
 
     /** Creates a world with many workers and jobs, in which troubles overlap and end before the traffic. */
     static World withOverlappingTroubles(long seed) {
-        return new World(seed, false, true, false);
+        return withOverlappingTroubles(seed, Set.of());
     }
 
     /** Creates a world of that kind in which so many jobs come at once that the hosts cannot ask for advice for all. */
     static World withOverload(long seed) {
-        return new World(seed, false, true, true);
+        return new World(seed, false, true, true, Set.of());
+    }
+
+    /** Creates a world with usual faults and with faults of the platform. */
+    static World withPlatformFaults(long seed, boolean crashes, Set<PlatformFault> faults) {
+        return new World(seed, crashes, false, false, faults);
+    }
+
+    /** Creates a world in which troubles overlap, with faults of the platform. */
+    static World withOverlappingTroubles(long seed, Set<PlatformFault> faults) {
+        return new World(seed, false, true, false, faults);
     }
 
     /** Runs the fleet for a time with faults, then without faults for long enough that all work ends. */
@@ -220,12 +235,16 @@
         fleet.advance();
         timeline.runDueEvents();
         long nowMs = timeline.nowMs();
+        if (nowMs % Fleet.READ_PERIOD_MS == 0 && store.away(nowMs)) {
+            store.readFailed(nowMs);
+        }
         oracle.crashes.advance(fleet.workers.values(), faults, nowMs);
         if (leader != null) {
             leader.advance(nowMs, WALL_MS + nowMs);
             leader.storeClock(StoreClock.between(nowMs, nowMs));
             if (nowMs % Fleet.READ_PERIOD_MS == 0 && !store.away(nowMs)) {
-                leader.updateRegistry(fleet.registered(), store.complete(nowMs));
+                boolean early = platform.has(PlatformFault.EARLY_READS);
+                leader.updateRegistry(fleet.registered(), early ? store.completeAsRead(nowMs) : store.complete(nowMs));
             }
             if (!paused) {
                 leader.adviceHosts(hosts);
