Reviews of denials reach new steps, tasks that last and waiting gangs

What callers would see: a step with one cut answer behind 40 steps that no worker may run was never reviewed; a task that lasts was not while short jobs used all calls; a waiting gang lost its reservation for the time of a review; a denial that a long failure of advice had confirmed was reviewed only after up to 12 s; an answer that may belong to an earlier call made a step ask about the same workers again.

Now reviews go to the denials first that were confirmed least; tasks that last take a call in their turn; a gang counts as waiting while its review is in flight; a denial is reviewed after 1.5 s and then each 3 s, each 12 s only while half of the service is used; and an ambiguous answer lets the step ask about others first.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/AdviceSystem.java
@@ -188,6 +188,8 @@
             recordStatistics(call, granted.get());
             step.allowed.keySet().removeAll(call.incarnations.keySet());
             deny(call, granted.get());
+        } else {
+            doubt(call);
         }
         long expiresAtMs = tables.nowMs + call.validMs - TICKET_MARGIN_MS;
         for (Grant grant : granted.get()) {
@@ -215,6 +217,17 @@
         verification.answered(call.step, denied, call.askedAtMs);
     }
 
+    /** Lets a step ask about other workers first after an answer that may belong to an earlier call. */
+    private void doubt(Call call) {
+        call.incarnations.forEach((worker, incarnation) -> {
+            boolean allowed = incarnation.equals(call.step.allowed.get(worker));
+            if (!allowed && registered(worker)) {
+                Denial denial = Denial.of(incarnation, tables.nowMs, null).verified(false);
+                call.step.denied.putIfAbsent(worker, denial);
+            }
+        });
+    }
+
     /** Counts the requested and granted workers of which advice had not said anything before. */
     private void recordStatistics(Call call, List<Grant> granted) {
         Set<String> unknown = new HashSet<>();
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Denial.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Denial.java
@@ -19,10 +19,10 @@
     private static final long REVIEW_AFTER_MS = 1_500;
 
     /** How often that age is doubled at most, by further answers. */
-    private static final int MAX_DOUBLINGS = 3;
+    private static final int MAX_DOUBLINGS = 1;
 
-    /** The age at which each denial is reviewed at the latest. */
-    static final long MAX_AGE_MS = REVIEW_AFTER_MS << MAX_DOUBLINGS;
+    /** The age at which a denial is reviewed while others use most of the service, so that little is gained. */
+    static final long MAX_AGE_MS = 12_000;
 
     Denial {
         Objects.requireNonNull(state, "state");
@@ -54,7 +54,7 @@
 
     /** Whether the registry listed the worker all the while around the call. */
     enum State {
-        /** The registry has not been read since the answer. */
+        /** The registry has not been read since the answer was there. */
         UNVERIFIED,
         /** It listed the worker before the call and after the answer. */
         VERIFIED,
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/DenialReview.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/DenialReview.java
@@ -45,13 +45,23 @@
      */
     void offer(StepRow step, List<FreeCapacity> denied, boolean mostIsUsed) {
         if (!denied.isEmpty() && tables.nowMs >= step.reviewAfterMs) {
-            offers.add(new Offer(step, denied, mostIsUsed && !step.spec.longRunning()));
+            Offer offer = new Offer(step, denied, mostIsUsed && !step.spec.longRunning());
+            if (step.spec.longRunning() && advice.canReview(step)) {
+                // tasks that last are owed a place at any time, so their reviews do not wait for spare calls
+                review(offer);
+            } else {
+                offers.add(offer);
+            }
         }
     }
 
-    /** Requests reviews, those first that have waited longest, once all steps have requested what they need. */
+    /**
+     * Requests reviews once all steps have requested what they need: those first whose denials were confirmed least, as
+     * they are most likely wrong, then those that have waited longest.
+     */
     void run() {
-        offers.sort(Comparator.comparingLong(offer -> offer.step.waitingSinceMs));
+        offers.sort(
+                Comparator.comparingInt(Offer::confirmations).thenComparingLong(offer -> offer.step.waitingSinceMs));
         for (Offer offer : offers) {
             if (advice.canReview(offer.step)) {
                 review(offer);
@@ -99,5 +109,14 @@
      * @param denied the eligible workers that advice did not allow
      * @param patient whether its denials are reviewed at their greatest age only
      */
-    private record Offer(StepRow step, List<FreeCapacity> denied, boolean patient) {}
+    private record Offer(StepRow step, List<FreeCapacity> denied, boolean patient) {
+        /** Returns how often that denial was confirmed that was confirmed least. */
+        private int confirmations() {
+            return denied.stream()
+                    .mapToInt(capacity ->
+                            step.denial(capacity.worker).orElseThrow().confirmations())
+                    .min()
+                    .orElse(0);
+        }
+    }
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StartSystem.java
@@ -245,7 +245,7 @@
 
     /** Returns whether the step found no worker to request advice about and its retry is not due yet. */
     private boolean waitsForCapacity(StepRow step) {
-        return step.waitsForCapacity && tables.nowMs < step.adviceAfterMs;
+        return step.waitsForCapacity && (step.reviewInFlight || tables.nowMs < step.adviceAfterMs);
     }
 
     /** Returns whether a step may wait for capacity that others use. */
