Operators see which lease keeps a task that lasts from running again

A run on a worker that does not answer is given back once the leases there have expired. No line told which of them that was, nor did any metric count tasks that are away for longer than the contract allows: steps_standing counts steps that wait, and these have a run.

--- a/entry/src/main/java/org/acaciafold/entry/EntryHost.java
+++ b/entry/src/main/java/org/acaciafold/entry/EntryHost.java
@@ -187,7 +187,10 @@
         metrics.gauge("jobs.known", jobStates, JobStateCache::size);
         metrics.functionCounter("log.lines.dropped", this, host -> QueueAppender.dropped());
         loop.every(SUMMARY_PERIOD_MS, leadership::updateFleetGauges);
-        loop.every(SUMMARY_PERIOD_MS, () -> metrics.standing(context.view().standing()));
+        loop.every(SUMMARY_PERIOD_MS, () -> {
+            metrics.standing(context.view().standing());
+            metrics.away(context.view().away());
+        });
     }
 
     private JsonHttp http(String name, int connections, Step step) {
--- a/entry/src/main/java/org/acaciafold/entry/HostMetrics.java
+++ b/entry/src/main/java/org/acaciafold/entry/HostMetrics.java
@@ -50,6 +50,7 @@
             MultiGauge.builder(PREFIX + "jobs.pending").register(registry);
     private final MultiGauge standing =
             MultiGauge.builder(PREFIX + "steps.standing").register(registry);
+    private final MultiGauge away = MultiGauge.builder(PREFIX + "tasks.away").register(registry);
     private volatile FleetSummary fleet = FleetSummary.empty();
 
     HostMetrics() {
@@ -120,6 +121,11 @@
         replace(standing, "reason", counts);
     }
 
+    /** Replaces the gauges of tasks that last and have been away for too long, by the lease that holds them. */
+    void away(Map<String, Integer> counts) {
+        replace(away, "lease", counts);
+    }
+
     /** Replaces the values of the fleet gauges. */
     void fleet(FleetSummary summary) {
         fleet = summary;
--- a/entry/src/main/java/org/acaciafold/entry/LeaderView.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaderView.java
@@ -24,6 +24,11 @@
         return diagnosis.isPresent();
     }
 
+    /** Returns the number of tasks that last and have been away for too long by the lease that holds them. */
+    Map<String, Integer> away() {
+        return diagnosis.map(Diagnosis::away).orElse(Map.of());
+    }
+
     /** Describes a job; empty when this host does not lead or does not know the job. */
     Optional<List<String>> explain(String job) {
         return diagnosis.flatMap(known -> known.explain(job));
--- a/entry/src/test/java/org/acaciafold/entry/HostMetricsTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/HostMetricsTest.java
@@ -40,6 +40,7 @@
                 "acaciafold_advice_calls_total{outcome=\"answered\"} 1.0",
                 "acaciafold_jobs_pending{queue=\"holds\"} 4.0",
                 "acaciafold_steps_standing{reason=\"NO_CAPACITY\"} 2.0",
+                "acaciafold_tasks_away{lease=\"STRAY\"} 3.0",
                 "acaciafold_workers 33.0",
                 "acaciafold_job_first_start_seconds_sum{queue=\"holds\"} 0.25",
                 "acaciafold_jobs_ended_total{queue=\"holds\",state=\"COMPLETED\"} 1.0",
@@ -54,6 +55,7 @@
         metrics.advice(true, 600);
         metrics.pending(Map.of("holds", 4));
         metrics.standing(Map.of("NO_CAPACITY", 2));
+        metrics.away(Map.of("STRAY", 3));
         metrics.fleet(new FleetSummary(33, 0, 10, 5, 1_000, 2_000));
         JobLatencyRecorder latencies = new JobLatencyRecorder(metrics);
         latencies.accepted(job());
@@ -75,6 +77,7 @@
     @Test
     void shouldRemoveTheReasonsForWhichNoStepStandsAnyMore() {
         metrics.standing(Map.of("NO_CAPACITY", 2));
+        metrics.away(Map.of("STRAY", 3));
 
         metrics.standing(Map.of());
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Diagnosis.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Diagnosis.java
@@ -19,6 +19,9 @@
     /** The contract owes a start within this time where there is room. */
     private static final long MAX_STAND_MS = 3_000;
 
+    /** The contract owes a task that lasts a run within this time after its last one. */
+    private static final long MAX_AWAY_MS = 9_000;
+
     private final Tables tables;
 
     private Diagnosis(Tables tables) {
@@ -66,6 +69,27 @@
         return counts;
     }
 
+    /**
+     * Counts the tasks that last and have been away for longer than the contract allows: their workers have not answered
+     * since, and their runs are held until the leases there have expired. A worker that this leader has never reached counts
+     * from the beginning of its term.
+     *
+     * @return the number of tasks by the lease that holds them
+     */
+    public Map<String, Integer> away() {
+        Map<String, Integer> counts = new TreeMap<>();
+        for (WorkerRow worker : tables.workers.values()) {
+            for (RunRow run : worker.runs.values()) {
+                long lastSeenAtMs = Math.max(worker.lastContactAtMs, run.sinceMs());
+                boolean lasts = run.task.step.spec.longRunning() && run.task.step.job.active();
+                if (worker.silent() && lasts && tables.nowMs - lastSeenAtMs > MAX_AWAY_MS) {
+                    counts.merge(worker.leaseBound(tables.nowMs).name(), 1, Integer::sum);
+                }
+            }
+        }
+        return counts;
+    }
+
     private List<StepRow> waitingTooLong() {
         List<StepRow> found = new ArrayList<>();
         for (JobRow job : tables.active) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -172,6 +172,7 @@
                 continue;
             }
             if (worker.missedRenewals > 0) {
+                reportExpiry(worker);
                 crashes.leaseExpired(worker);
                 endRuns(worker, "lease expired");
             }
@@ -186,6 +187,18 @@
         }
     }
 
+    private void reportExpiry(WorkerRow worker) {
+        if (!worker.runs.isEmpty()) {
+            LOG.info(
+                    "lease expired worker={} runs={} lasting={} contactAgeMs={} bound={}",
+                    worker.id,
+                    worker.runs.size(),
+                    worker.hasLastingRuns(),
+                    Age.since(worker.lastContactAtMs, tables.nowMs),
+                    worker.leaseBound(tables.nowMs));
+        }
+    }
+
     private void endRuns(WorkerRow worker, String reason) {
         long awaySinceMs = worker.lastContactAtMs >= 0 ? worker.lastContactAtMs : tables.nowMs;
         for (RunRow run : List.copyOf(worker.runs.values())) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -327,6 +327,15 @@
         return Math.max(grantedMs, strayLeasesEndAtMs());
     }
 
+    /** Returns which of the leases that may have been granted to the worker ends last. */
+    LeaseBound leaseBound(long nowMs) {
+        long endAtMs = leasesExpiredAtMs(nowMs);
+        if (endAtMs == predecessorLeaseEndsAtMs) {
+            return LeaseBound.PREDECESSOR;
+        }
+        return endAtMs == strayLeasesEndAtMs() ? LeaseBound.STRAY : LeaseBound.GRANTED;
+    }
+
     /** Returns by when the clock of the incarnation that has answered last shows a time, on the clock of this host. */
     long showsAtMs(long atMs) {
         double longestMs = (atMs + SchedulerLimits.CLOCK_MARGIN_MS - clockMs) / SchedulerLimits.SLOWEST_CLOCK;
