Calls for a former incarnation of a worker do nothing once it has answered a raised token

Callers saw tasks that last and do not run although there is room, and steps that few workers fit stand beside them. A worker that restarts under its identifier executes calls that were meant for its former incarnation, up to 12 s late: they may grant it 10 s, or discard its ends. So the leader held the runs of a restarted worker that was lost again for up to 20.5 s, where the contract has 9, and started no task that ends by itself there for 12 s if any other worker of the service existed.

A worker does nothing for a fencing token below the highest one that it has seen, and one token served all incarnations of a term. Now a restart with a call under way raises the token of that worker. The lease row records it before any call carries it, so the next term, whose number is above it, is obeyed, too; runs and records of silences keep the numbers of terms. The answer to the first such call voids all earlier ones, so only what was executed before it counts: 10.5 s from then on, and no wait for ends. A host of an earlier release that leads next counts from the number of the term: workers that had restarted since may refuse it, until a host of this release leads or they restart.

Tests that took a restarted worker for usable at once let it answer the token first. shouldStartOnlyTasksThatLast... and shouldStartTasksOnTheRestartedWorkerWhenNoOther... described the wait for ends; shouldStartNothingOnTheRestartedWorkerUntilItHasAnsweredARaisedToken replaces both: stricter before the answer, and nothing is kept out after it.

--- a/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
@@ -260,6 +260,8 @@
                         },
                         () -> term.probeFailed(probe.worker()));
             }
+            case Effect.RaiseToken raise ->
+                scheduleForTerm(term, storeLatencyMs(), () -> term.tokenRaised(raise.token()));
             case Effect.Save save -> scheduleAt(nowMs + storeLatencyMs(), () -> save(term, save));
             case Effect.Retire retire ->
                 scheduleForTerm(
--- a/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseKeeper.java
@@ -61,6 +61,9 @@
     /** What the store's clock showed when the last renewal was applied, in milliseconds; 0 when unknown. */
     private long storeMs;
 
+    /** The highest fencing token that the leader wants recorded. */
+    private long requestedToken;
+
     private int attempts;
     private long lastRoundTripMs;
     private boolean commitInFlight;
@@ -121,6 +124,17 @@
         sendNext();
     }
 
+    /**
+     * Records that orders may carry fencing tokens up to the given one.
+     *
+     * @param token the token
+     * @param onApplied runs once that is recorded
+     */
+    void raiseToken(long token, Runnable onApplied) {
+        requestedToken = Math.max(requestedToken, token);
+        commitLease(onApplied);
+    }
+
     void end() {
         ended = true;
         validity.lost();
@@ -178,7 +192,7 @@
     }
 
     private void send(PendingWrite pending) {
-        LeaseRecord renewed = record.renewed(nextLeaseMs(), releasing, latestStoreMs());
+        LeaseRecord renewed = record.renewed(nextLeaseMs(), releasing, latestStoreMs(), requestedToken);
         Transaction.Builder transaction = StoreRecords.leaseWrite(renewed, version);
         pending.writes.forEach(write -> transaction.write(write.table(), write.key(), write.value()));
         pending.removals.forEach(removal -> transaction.remove(removal.table(), removal.key()));
--- a/entry/src/main/java/org/acaciafold/entry/RecordReader.java
+++ b/entry/src/main/java/org/acaciafold/entry/RecordReader.java
@@ -59,7 +59,8 @@
     LeaseRecord lease(StoredRow row, LeaseRecord latest) {
         return decode(row, LeaseRecord.class, lease -> Optional.empty()).orElseGet(() -> {
             long epoch = latest == null ? EPOCH_ABOVE_ALL_EARLIER : latest.epoch();
-            return new LeaseRecord("unknown", "", 0, epoch, LeaseKeeper.SLOW_LEASE_MS, false, 0);
+            long token = latest == null ? 0 : latest.fencingToken();
+            return new LeaseRecord("unknown", "", 0, epoch, LeaseKeeper.SLOW_LEASE_MS, false, 0, token);
         });
     }
 
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -41,7 +41,7 @@
     private final BatchWriter batches;
     private final JobLatencyRecorder latencies;
     private final TickLoadReporter loadReporter;
-    private final long predecessorEndsMs;
+    private final Predecessor predecessor;
     private long earliestStoreMs;
     private final TickThrottle throttle = new TickThrottle();
     private final StateBroadcaster broadcaster;
@@ -54,7 +54,7 @@
     Term(
             HostContext host,
             LeaseKeeper lease,
-            long predecessorEndsMs,
+            Predecessor predecessor,
             SchedulerLimits limits,
             HostTable hosts,
             Consumer<Map<String, JobState>> publish,
@@ -62,7 +62,7 @@
         this.host = host;
         this.failFast = new FailFastRunner(onFailure);
         this.lease = lease;
-        this.predecessorEndsMs = predecessorEndsMs;
+        this.predecessor = predecessor;
         this.limits = limits;
         this.hosts = hosts;
         this.publish = publish;
@@ -186,6 +186,7 @@
                 loaded.ended().size(),
                 host.loop().nowMs() - requestedAtMs);
         scheduler = Scheduler.create(limits, epoch(), host.config().config().orElseThrow());
+        scheduler.follows(predecessor.epoch);
         earliestStoreMs = loaded.storeMs();
         advance();
         configure();
@@ -207,7 +208,7 @@
 
     private void advance() {
         scheduler.advance(host.loop().nowMs(), host.loop().wallMs());
-        scheduler.storeClock(new StoreClock(earliestStoreMs, lease.latestStoreMs(), predecessorEndsMs));
+        scheduler.storeClock(new StoreClock(earliestStoreMs, lease.latestStoreMs(), predecessor.endsAtStoreMs));
     }
 
     private void scheduleTick() {
@@ -261,6 +262,8 @@
             case Effect.Stop stop -> stop(stop);
             case Effect.RenewLease renewal -> renewLease(renewal);
             case Effect.Probe probe -> probe(probe);
+            case Effect.RaiseToken raise ->
+                lease.raiseToken(raise.token(), () -> applyLater(() -> scheduler.tokenRaised(raise.token())));
             case Effect.Save save -> batches.write(save);
             case Effect.Retire retire -> retire(retire);
             case Effect.RequestAdvice request -> requestAdvice(request);
@@ -290,7 +293,7 @@
     private void renewLease(Effect.RenewLease renewal) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .renewLease(renewal, epoch())
+                .renewLease(renewal, scheduler.fencingToken(renewal.worker()))
                 .subscribe(
                         report -> applyLater(() -> {
                             host.metrics().order("hold", "ANSWERED", host.loop().nowMs() - requestedAtMs);
@@ -306,7 +309,9 @@
     private void probe(Effect.Probe probe) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .renewLease(new Effect.RenewLease(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0), epoch())
+                .renewLease(
+                        new Effect.RenewLease(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0),
+                        scheduler.fencingToken(probe.worker()))
                 .subscribe(
                         report -> applyLater(() -> scheduler.probed(probe.worker(), report, requestedAtMs)),
                         error -> applyLater(() -> {
@@ -326,7 +331,12 @@
     }
 
     private void logFenced(String worker) {
-        LOG.error("worker rejected the fencing token worker={} epoch={}", worker, epoch());
+        // also a call that was sent just before the token was raised
+        LOG.error(
+                "worker rejected the fencing token worker={} epoch={} token={}",
+                worker,
+                epoch(),
+                scheduler.fencingToken(worker));
     }
 
     private void publish(Map<String, JobState> states) {
@@ -361,7 +371,7 @@
             return;
         }
         long requestedAtMs = host.loop().nowMs();
-        host.workers().start(start, epoch()).subscribe(answer -> {
+        host.workers().start(start, scheduler.fencingToken(start.worker())).subscribe(answer -> {
             host.metrics().order("start", answer.outcome().name(), host.loop().nowMs() - requestedAtMs);
             applyLater(() -> {
                 answer.clockMs().ifPresent(clock -> scheduler.clockReported(start.worker(), clock, requestedAtMs));
@@ -373,7 +383,7 @@
     private void stop(Effect.Stop stop) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .stop(stop, epoch())
+                .stop(stop, scheduler.fencingToken(stop.worker()))
                 .subscribe(outcome -> applyLater(() -> {
                     host.metrics().order("stop", outcome.name(), host.loop().nowMs() - requestedAtMs);
                     if (outcome == StopOutcome.FENCED) {
@@ -397,4 +407,12 @@
             });
         }
     }
+
+    /**
+     * The term before this one.
+     *
+     * @param epoch its number
+     * @param endsAtStoreMs when the authority of its leader had ended, on the store's clock; 0 when unknown
+     */
+    record Predecessor(long epoch, long endsAtStoreMs) {}
 }
--- a/entry/src/test/java/org/acaciafold/entry/BatchWriterTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/BatchWriterTest.java
@@ -24,7 +24,7 @@
 
 class BatchWriterTest {
     private static final int MAX_ENTRIES = 100;
-    private static final LeaseRecord LEASE = new LeaseRecord("a", "a:1", 1, 3, LeaseKeeper.LEASE_MS, false, 0);
+    private static final LeaseRecord LEASE = new LeaseRecord("a", "a:1", 1, 3, LeaseKeeper.LEASE_MS, false, 0, 0);
 
     private final List<Transaction> transactions = new ArrayList<>();
     private final ManualTimers timers = new ManualTimers();
--- a/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/LeaseKeeperTest.java
@@ -20,7 +20,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class LeaseKeeperTest {
-    private static final LeaseRecord LEASE = new LeaseRecord("a", "a:1", 1, 3, LeaseKeeper.LEASE_MS, false, 0);
+    private static final LeaseRecord LEASE = new LeaseRecord("a", "a:1", 1, 3, LeaseKeeper.LEASE_MS, false, 0, 0);
 
     /** How often a leader checks whether a renewal is due. */
     private static final long POLL_MS = 100;
@@ -146,15 +146,33 @@
     /** Guards against a lease that ends in the store before its holder stops, since the reply to a shorter one is lost. */
     @Test
     void shouldTellTheEndOfTheLongestLeaseThatItMayHold() {
-        LeaseRecord slow = LEASE.renewed(LeaseKeeper.SLOW_LEASE_MS, false, 5_000);
+        LeaseRecord slow = LEASE.renewed(LeaseKeeper.SLOW_LEASE_MS, false, 5_000, 0);
 
         assertEquals(
                 5_000 + LeaseKeeper.SLOW_LEASE_MS,
-                slow.renewed(LeaseKeeper.LEASE_MS, false, 5_300).endsAtStoreMs());
+                slow.renewed(LeaseKeeper.LEASE_MS, false, 5_300, 0).endsAtStoreMs());
         assertEquals(
                 9_000 + LeaseKeeper.LEASE_MS,
-                slow.renewed(LeaseKeeper.LEASE_MS, false, 9_000).endsAtStoreMs());
-        assertEquals(0, slow.renewed(LeaseKeeper.LEASE_MS, false, 0).endsAtStoreMs());
+                slow.renewed(LeaseKeeper.LEASE_MS, false, 9_000, 0).endsAtStoreMs());
+        assertEquals(0, slow.renewed(LeaseKeeper.LEASE_MS, false, 0, 0).endsAtStoreMs());
+    }
+
+    /** Guards against a successor whose calls carry a lower token than those of its predecessor. */
+    @Test
+    void shouldRecordTheRaisedTokenWithEachLaterRenewal() {
+        write();
+        lease.raiseToken(7, () -> applied++);
+        assertEquals(0, lastLease().fencingToken());
+
+        calls.getLast().answer(new TxReply.Applied(11, 0));
+        assertEquals(7, lastLease().fencingToken());
+        assertEquals(1, applied);
+        calls.getLast().answer(new TxReply.Applied(12, 0));
+        write();
+
+        assertEquals(2, applied);
+        assertEquals(7, lastLease().fencingToken());
+        assertEquals(8, lastLease().nextEpoch());
     }
 
     /** Guards against two leaders, since a shorter renewal whose reply is lost is in the store. */
@@ -317,7 +335,7 @@
     @Test
     void shouldEndAtOnceWhenAnotherHostHoldsTheLease() {
         write();
-        calls.getFirst().answer(conflict(new LeaseRecord("b", "b:1", 9, 4, LeaseKeeper.LEASE_MS, false, 0), 12));
+        calls.getFirst().answer(conflict(new LeaseRecord("b", "b:1", 9, 4, LeaseKeeper.LEASE_MS, false, 0, 0), 12));
 
         assertEquals(1, lostReasons.size());
         assertFalse(lease.mayCommand());
--- a/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
+++ b/entry/src/test/java/org/acaciafold/entry/RecordReaderTest.java
@@ -138,13 +138,14 @@
     @Test
     void shouldReadALeaseOfAnEarlierReleaseAndWriteLeasesThatItReads() {
         EarlierLease earlier = new EarlierLease("a", "a:1", 7, 3, 800, false);
-        LeaseRecord lease = new LeaseRecord("a", "a:1", 7, 3, 800, false, 5_800);
+        LeaseRecord lease = new LeaseRecord("a", "a:1", 7, 3, 800, false, 5_800, 0);
         byte[] earlierRow = StoreRecords.encode(earlier, EarlierLease.class);
         byte[] row = StoreRecords.encode(lease, LeaseRecord.class);
 
         assertEquals(0, reader.lease(row("leader", earlierRow), null).endsAtStoreMs());
         assertEquals(5_800, reader.lease(row("leader", row), null).endsAtStoreMs());
         assertEquals(Optional.of(earlier), StoreRecords.decode(row("leader", row), EarlierLease.class));
+        assertEquals(4, reader.lease(row("leader", earlierRow), null).nextEpoch());
     }
 
     @Test
--- a/fleet/src/main/java/org/acaciafold/fleet/Effect.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/Effect.java
@@ -52,6 +52,13 @@
     record RenewLease(String worker, String address, OptionalLong untilMs, long acknowledged, long waitMs)
             implements Effect {}
 
+    /**
+     * Records durably, with the lease, that calls may carry fencing tokens up to this one.
+     *
+     * @param token the token
+     */
+    record RaiseToken(long token) implements Effect {}
+
     /**
      * Requests a report of its runs from a worker at once, while the answer to a renewal may be pending.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Eligibility.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Eligibility.java
@@ -38,6 +38,9 @@
         if (worker.lastContactAtMs < 0) {
             return Optional.of(Ineligibility.NEVER_ANSWERED);
         }
+        if (worker.fence.open()) {
+            return Optional.of(Ineligibility.FENCE_OPEN);
+        }
         boolean old = tables.nowMs - worker.lastContactAtMs > MAX_CONTACT_AGE_MS;
         return old ? Optional.of(Ineligibility.CONTACT_OLD) : Optional.empty();
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/FittingWorker.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/FittingWorker.java
@@ -67,9 +67,6 @@
         if (Placement.vacancies(step, capacity) <= 0) {
             return UnusedReason.MAX_PER_WORKER;
         }
-        if (!step.spec.longRunning() && !worker.endsSafe(nowMs)) {
-            return UnusedReason.ENDS_UNSAFE;
-        }
         if (!advised) {
             return UnusedReason.NONE;
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Ineligibility.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Ineligibility.java
@@ -12,6 +12,8 @@
     SILENCE_RECORDED,
     /** It has not answered this leader yet. */
     NEVER_ANSWERED,
+    /** Calls for a former incarnation may still be executed: it has not answered a raised fencing token yet. */
+    FENCE_OPEN,
     /** Its last answer is too old. */
     CONTACT_OLD,
     /** Tasks of different jobs have failed there. */
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/LateCalls.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/LateCalls.java
@@ -63,6 +63,21 @@
         starts.add(new Start(run.task.name, run.number, run.orderedAtMs));
     }
 
+    /** Returns whether a call may still be executed that was sent to an incarnation that last answered at a time. */
+    boolean mayArrive(long lastContactAtMs) {
+        return leaseSentAtMs >= 0 && leaseSentAtMs >= lastContactAtMs
+                || lateLeaseSentAtMs() >= 0
+                || lateAcknowledgementSentAtMs() >= 0
+                || !starts.isEmpty();
+    }
+
+    /** Forgets the calls without an answer that were sent before a time, as they do nothing any more. */
+    void voidBefore(long sentAtMs) {
+        lateLeaseSentAtMs = lateLeaseSentAtMs < sentAtMs ? -1 : lateLeaseSentAtMs;
+        lateAcknowledgementSentAtMs = lateAcknowledgementSentAtMs < sentAtMs ? -1 : lateAcknowledgementSentAtMs;
+        starts.removeIf(start -> start.sentAtMs < sentAtMs);
+    }
+
     /** Returns the orders to start that may still be executed. */
     List<Start> starts(long nowMs) {
         dropExecuted(nowMs);
@@ -84,12 +99,6 @@
         return lateMs < 0 ? executedMs : Math.max(executedMs, lateMs + limits.strayLeaseMs());
     }
 
-    /** Returns from when no acknowledgement can discard the ends of a later incarnation; negative when none can. */
-    long endsSafeAtMs() {
-        long sentAtMs = lateAcknowledgementSentAtMs();
-        return sentAtMs < 0 ? -1 : sentAtMs + SchedulerLimits.LATEST_EXECUTION_MS;
-    }
-
     private long lateLeaseSentAtMs() {
         boolean inFlight = renewalInFlight && renewalGrantsLease;
         return inFlight ? Math.max(lateLeaseSentAtMs, renewalSentAtMs) : lateLeaseSentAtMs;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -39,9 +39,6 @@
     private final Map<String, FreeCapacity> byWorker = new HashMap<>();
     private final Map<WorkerSelector, Candidates> candidatesBySelector = new HashMap<>();
     private final long nowMs;
-    /** True if the ends of runs on some worker may be discarded unseen. */
-    private boolean endsUnsafe;
-
     private int searches;
 
     /**
@@ -56,16 +53,13 @@
             FreeCapacity capacity = FreeCapacity.of(worker);
             capacities.add(capacity);
             byWorker.put(worker.id, capacity);
-            endsUnsafe |= !worker.endsSafe(nowMs);
         }
     }
 
     /** Returns the free capacity of a worker, if it may start tasks of a step. */
     Optional<FreeCapacity> freeCapacity(StepRow step, String worker) {
         return Optional.ofNullable(byWorker.get(worker))
-                .filter(capacity -> selector(step).matches(capacity.entry))
-                .filter(capacity -> capacity.worker.endsSafe(nowMs)
-                        || matchingCandidates(step).capacities().contains(capacity));
+                .filter(capacity -> selector(step).matches(capacity.entry));
     }
 
     /** Returns how often a list of workers was scanned. */
@@ -284,26 +278,18 @@
     private Candidates matchingCandidates(StepRow step) {
         return candidatesBySelector.computeIfAbsent(selector(step), selector -> {
             searches++;
-            List<FreeCapacity> found = new ArrayList<>();
-            List<FreeCapacity> unsafe = new ArrayList<>();
-            for (FreeCapacity capacity : capacities) {
-                if (selector.matches(capacity.entry)) {
-                    boolean safe = !selector.endsMatter || capacity.worker.endsSafe(nowMs);
-                    (safe ? found : unsafe).add(capacity);
-                }
-            }
-            return Candidates.of(found.isEmpty() ? unsafe : found);
+            return Candidates.of(capacities.stream()
+                    .filter(capacity -> selector.matches(capacity.entry))
+                    .toList());
         });
     }
 
-    private WorkerSelector selector(StepRow step) {
-        // a task that lasts starts again however its run has ended
-        boolean endsMatter = endsUnsafe && !step.spec.longRunning();
-        return new WorkerSelector(step.job.service(), step.spec.label(), endsMatter);
+    private static WorkerSelector selector(StepRow step) {
+        return new WorkerSelector(step.job.service(), step.spec.label());
     }
 
     /** Selects workers by the properties that they register; advice may restrict them further. */
-    private record WorkerSelector(String service, String label, boolean endsMatter) {
+    private record WorkerSelector(String service, String label) {
         private boolean matches(WorkerEntry worker) {
             return worker.service().equals(service)
                     && (label.isEmpty() || worker.labels().contains(label));
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RegistrySystem.java
@@ -34,8 +34,7 @@
         Map<String, String> arrivedByAddress = new HashMap<>();
         for (WorkerEntry entry : entries) {
             present.add(entry.id());
-            WorkerRow row = tables.workers.computeIfAbsent(
-                    entry.id(), id -> new WorkerRow(id, entry.address(), entry.incarnation()));
+            WorkerRow row = tables.workers.computeIfAbsent(entry.id(), id -> newRow(entry));
             if (!row.registered) {
                 arrivedByAddress.put(entry.address(), entry.id());
                 LOG.info("worker registered worker={} address={}", entry.id(), entry.address());
@@ -63,6 +62,13 @@
         return left;
     }
 
+    private WorkerRow newRow(WorkerEntry entry) {
+        WorkerRow row = new WorkerRow(entry.id(), entry.address(), entry.incarnation());
+        // a worker that returns after its row was removed may have seen a raised token
+        row.fence.startAt(tables.recordedToken);
+        return row;
+    }
+
     private void recordPresence(Set<String> present) {
         boolean first = lastReadAtMs < 0;
         boolean gap = !first && tables.nowMs - lastReadAtMs > MAX_READ_GAP_MS;
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -47,6 +47,7 @@
     private final AdviceSystem advice;
     private final StartSystem starts;
     private final SilenceSystem silences;
+    private final FenceSystem fences;
     private final SaveSystem saves;
     private final RetireSystem retirements;
     private final RecurrenceSystem recurrence;
@@ -61,6 +62,7 @@
         this.advice = new AdviceSystem(tables);
         this.starts = new StartSystem(tables, advice);
         this.silences = new SilenceSystem(tables);
+        this.fences = new FenceSystem(tables);
         this.saves = new SaveSystem(tables);
         this.retirements = new RetireSystem(tables);
         this.recurrence = new RecurrenceSystem(tables);
@@ -131,6 +133,34 @@
         return tables.cancel(id);
     }
 
+    /**
+     * Returns the fencing token that a call to a worker carries now.
+     *
+     * @param worker the worker
+     * @return the token, the number of the term or a higher one
+     */
+    public long fencingToken(String worker) {
+        return worker(worker).map(row -> row.fence.token(tables.epoch())).orElse(tables.epoch());
+    }
+
+    /**
+     * Sets the number of the term before this one, if it is not the next lower one.
+     *
+     * @param epoch the number of that term
+     */
+    public void follows(long epoch) {
+        tables.predecessorEpoch = epoch;
+    }
+
+    /**
+     * Applies the confirmation that a fencing token is recorded with the lease.
+     *
+     * @param token the token
+     */
+    public void tokenRaised(long token) {
+        tables.recordedToken = Math.max(tables.recordedToken, token);
+    }
+
     /**
      * Applies what a worker's clock showed in its answer to an order, which tells an incarnation from the next one.
      *
@@ -369,6 +399,7 @@
         List<Effect> effects = new ArrayList<>();
         recurrence.run();
         workerLeases.expireLeases(saves.removedWorkers());
+        fences.run(effects);
         tables.active.removeIf(job -> !job.active() && job.hasNoRuns());
         stops.run(effects);
         probes.run(effects);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
@@ -94,8 +94,8 @@
      */
     static long predecessorLeaseMs(WorkerClaims known, Tables tables) {
         long longestMs = Math.max(0, tables.limits.predecessorLeaseMs() - tables.storeClock.sincePredecessorMs());
-        Optional<WorkerClaims.Silence> silence =
-                known.silence().filter(one -> one.epoch() == tables.epoch() - 1 && tables.storeClock.earliestMs() > 0);
+        Optional<WorkerClaims.Silence> silence = known.silence()
+                .filter(one -> one.epoch() == tables.predecessorEpoch && tables.storeClock.earliestMs() > 0);
         if (silence.isEmpty()) {
             return Math.max(longestMs, recordedStrayLeaseMs(known, tables));
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/StrayLeases.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/StrayLeases.java
@@ -42,6 +42,11 @@
         incarnationKnown = true;
     }
 
+    /** Bounds the leases that this leader may have granted. */
+    void endAtTheLatest(long endAtMs) {
+        ownEndAtMs = Math.min(ownEndAtMs, endAtMs);
+    }
+
     /**
      * Returns when these leases have expired.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -76,6 +76,11 @@
     final Set<WorkerRow> unreconciled = new HashSet<>();
     FleetConfig config;
     long lastBatch;
+    /** The highest fencing token that is recorded with the lease. */
+    long recordedToken;
+    /** The number of the term before this one. */
+    long predecessorEpoch;
+
     boolean saving;
     long nowMs;
     long wallMs;
@@ -85,6 +90,8 @@
         this.limits = limits;
         this.firstRun = firstRun;
         this.config = config;
+        this.recordedToken = epoch();
+        this.predecessorEpoch = epoch() - 1;
     }
 
     void begin(RunRow run) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/UnusedReason.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/UnusedReason.java
@@ -10,8 +10,6 @@
     NO_ROOM,
     /** As many tasks of the step run there as may. */
     MAX_PER_WORKER,
-    /** The ends of runs there could be discarded unseen, so others are preferred. */
-    ENDS_UNSAFE,
     /** Advice has not answered about it yet. */
     NOT_ASKED,
     /** Advice allows it, and the step has no valid ticket for it. */
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -229,6 +229,7 @@
         observeIncarnation(worker, report.incarnation());
         worker.answered(tables.nowMs);
         worker.clockMs = report.clockMs();
+        worker.fenceAnswered(requestedAtMs, tables.nowMs, tables.limits);
         boolean unrecorded = processEnds(worker, report.ends());
         reconcileRuns(worker, report, requestedAtMs);
         return unrecorded;
@@ -366,15 +367,15 @@
             stopLateStarts(worker);
         }
         boolean known = worker.incarnation != 0;
-        worker.restarted(incarnation, tables.nowMs, tables.limits);
+        worker.restarted(incarnation, tables.epoch(), tables.nowMs, tables.limits);
         if (known) {
             LOG.warn(
-                    "worker restarted worker={} runs={} incarnation={} strayLeasesEndInMs={} endsSafeInMs={}",
+                    "worker restarted worker={} runs={} incarnation={} strayLeasesEndInMs={} raisesToken={}",
                     worker.id,
                     worker.runs.size(),
                     incarnation,
                     Math.max(0, worker.strayLeasesEndAtMs() - tables.nowMs),
-                    Math.max(0, worker.endsSafeAtMs() - tables.nowMs));
+                    worker.fence.open());
         }
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -46,8 +46,6 @@
     long lastAcknowledgedEnd;
     /** The worker has answered a renewal that acknowledged the ends up to this number. */
     long lastDiscardedEnd;
-    /** From when no acknowledgement of a former incarnation can discard the ends of new runs. */
-    private long endsSafeAtMs = -1;
 
     long lastProcessedEnd;
     final EndsToRecord endsToRecord = new EndsToRecord();
@@ -116,6 +114,7 @@
     final RegistryPresence presence = new RegistryPresence();
     final LateCalls lateCalls = new LateCalls();
     final StrayLeases strayLeases = new StrayLeases();
+    final WorkerFence fence = new WorkerFence();
 
     WorkerRow(String id, String address, long incarnation) {
         this.id = id;
@@ -148,6 +147,16 @@
         incarnationEnded = false;
     }
 
+    /** Applies an answer to a call, after which calls with lower tokens do nothing any more. */
+    void fenceAnswered(long requestedAtMs, long nowMs, SchedulerLimits limits) {
+        long voidBeforeMs = fence.answered(requestedAtMs);
+        if (voidBeforeMs >= 0) {
+            lateCalls.voidBefore(voidBeforeMs);
+            // only those count that were executed before
+            strayLeases.endAtTheLatest(nowMs + limits.acceptedLeaseMs());
+        }
+    }
+
     /** Asks for a report as soon as possible, beside a renewal that may wait for its answer. */
     void askAtOnce(long nowMs) {
         if (missedRenewals == 0 || renewalInFlight) {
@@ -279,15 +288,6 @@
         return acknowledges ? lastAcknowledgedEnd : 0;
     }
 
-    /** Returns whether the ends of runs that start now will be seen before they are discarded. */
-    boolean endsSafe(long nowMs) {
-        return nowMs >= endsSafeAtMs;
-    }
-
-    long endsSafeAtMs() {
-        return endsSafeAtMs;
-    }
-
     /** Counts leases that the predecessor may have granted to a later incarnation than the recorded one. */
     void extendPredecessorLease(long leasesEndAtMs) {
         predecessorLeaseEndsAtMs = Math.max(predecessorLeaseEndsAtMs, leasesEndAtMs);
@@ -352,12 +352,14 @@
 
     /**
      * Resets the state that belongs to an earlier incarnation. The leases granted to it are over, but the calls that
-     * granted the last of them may have reached the new one, or may still do so.
+     * granted the last of them may have reached the new one, or may still do so until it has answered a raised token.
      */
-    void restarted(long newIncarnation, long nowMs, SchedulerLimits limits) {
+    void restarted(long newIncarnation, long epoch, long nowMs, SchedulerLimits limits) {
         incarnation = newIncarnation;
+        if (lateCalls.mayArrive(lastContactAtMs)) {
+            fence.raise(epoch);
+        }
         strayLeases.ofNextIncarnationUntil(lateCalls.leasesEndAtMs(lastContactAtMs, nowMs, limits), leaseEndsAtMs);
-        endsSafeAtMs = lateCalls.endsSafeAtMs();
         lastAcknowledgedEnd = 0;
         lastDiscardedEnd = 0;
         lastProcessedEnd = 0;
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Effects.java
@@ -52,10 +52,11 @@
     }
 
     /** Carries out an effect of a term. */
-    void handle(Scheduler term, long token, Effect effect) {
+    void handle(Scheduler term, Effect effect) {
         switch (effect) {
-            case Effect.Start start -> start(term, start, token);
-            case Effect.Stop stop ->
+            case Effect.Start start -> start(term, start, term.fencingToken(start.worker()));
+            case Effect.Stop stop -> {
+                long token = term.fencingToken(stop.worker());
                 network.deliver(
                         stop.worker(),
                         stop.address(),
@@ -64,8 +65,10 @@
                                 term,
                                 () -> term.stopped(
                                         stop.worker(), stop.task(), stop.run(), outcome.orElse(StopOutcome.UNKNOWN))));
-            case Effect.RenewLease renewal -> renewLease(term, renewal, token);
-            case Effect.Probe probe -> probe(term, probe, token);
+            }
+            case Effect.RenewLease renewal -> renewLease(term, renewal, term.fencingToken(renewal.worker()));
+            case Effect.Probe probe -> probe(term, probe, term.fencingToken(probe.worker()));
+            case Effect.RaiseToken raise -> later(timeline.between(10, 40), () -> raise(term, raise));
             case Effect.Save save -> later(timeline.between(10, 40), () -> save(term, save));
             case Effect.Retire retire -> later(timeline.between(10, 510), () -> retire(term, retire));
             case Effect.RequestAdvice request -> requestAdvice(term, request);
@@ -106,6 +109,19 @@
                 }));
     }
 
+    private void raise(Scheduler term, Effect.RaiseToken raise) {
+        if (!world.leads(term)) {
+            return;
+        }
+        if (store.away(timeline.nowMs())) {
+            timeline.schedule(store.backAtMs() + timeline.between(10, 300), () -> raise(term, raise));
+            return;
+        }
+        store.raiseToken(raise.token());
+        long answerMs = Math.max(timeline.nowMs(), savesDelayedUntilMs);
+        timeline.schedule(answerMs, () -> answer(term, () -> term.tokenRaised(raise.token())));
+    }
+
     private void save(Scheduler term, Effect.Save save) {
         // the store rejects writes of a leader that has a successor
         if (!world.leads(term)) {
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/Store.java
@@ -31,12 +31,25 @@
     private long backAtMs = Long.MIN_VALUE / 2;
     private long readFailedAtMs = Long.MIN_VALUE / 2;
     private long leaderEndedAtMs;
+    private long epoch;
+    private long token;
 
     /** Records when a leader has ended, which its lease in the store tells the next one. */
     void leaderEnded(long nowMs) {
         leaderEndedAtMs = nowMs;
     }
 
+    /** Begins the next term, with a number above all tokens of the former one, and returns that number. */
+    long beginTerm() {
+        epoch = Math.max(epoch, token) + 1;
+        token = epoch;
+        return epoch;
+    }
+
+    void raiseToken(long raised) {
+        token = Math.max(token, raised);
+    }
+
     void awayUntil(long untilMs) {
         backAtMs = Math.max(backAtMs, untilMs);
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/fuzz/World.java
@@ -66,7 +66,9 @@
     private List<String> hosts;
     private Scheduler leader;
     private boolean paused;
+    /** The number of the present term, or of the last one. */
     private long epoch;
+
     private long startedAtMs;
     private long trafficEndsMs;
     private boolean faults = true;
@@ -249,7 +251,7 @@
             if (!paused) {
                 leader.adviceHosts(hosts);
                 Scheduler term = leader;
-                term.tick().forEach(effect -> effects.handle(term, epoch, effect));
+                term.tick().forEach(effect -> effects.handle(term, effect));
             }
         }
         if (nowMs % Standstill.PERIOD_MS == 0 && leader != null) {
@@ -328,9 +330,11 @@
         if (leader != null) {
             return;
         }
-        epoch++;
+        long former = epoch;
+        epoch = store.beginTerm();
         long nowMs = timeline.nowMs();
         leader = Scheduler.create(LIMITS, epoch, limits.config(nowMs));
+        leader.follows(former);
         paused = false;
         leader.advance(nowMs, WALL_MS + nowMs);
         configure();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerScenario.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerScenario.java
@@ -104,7 +104,9 @@
     RestartedWorkerScenario loseLeader(long afterMs) {
         fleet.run(afterMs);
         SimulatedFleet former = fleet;
-        SchedulerFixture fixture = new SchedulerFixture(2, LIMITS);
+        long formerToken = former.raisedTokens.stream().reduce(1L, Math::max);
+        SchedulerFixture fixture = new SchedulerFixture(formerToken + 1, LIMITS);
+        fixture.scheduler.follows(1);
         fixture.advance(former.fixture.nowMs + TAKEOVER_MS - fixture.nowMs);
         fleet = new SimulatedFleet(fixture);
         fleet.predecessorEndsMs = former.fixture.nowMs + AUTHORITY_MS;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -10,6 +10,7 @@
 import org.acaciafold.fleet.StartOutcome;
 import org.acaciafold.fleet.StepProgress;
 import org.acaciafold.fleet.StopOutcome;
+import org.acaciafold.fleet.TaskName;
 import org.acaciafold.fleet.WorkerEntry;
 import org.acaciafold.fleet.WorkerReport;
 import org.junit.jupiter.api.Test;
@@ -79,10 +80,10 @@
         assertEquals(2, fleet.startsOf("job").size());
     }
 
-    /** Guards against a task that waits long for leases that no call can have granted, as its connection had ended. */
+    /** Guards against a task that waits for leases of late calls that do nothing any more. */
     @ParameterizedTest
-    @CsvSource({"false, 1", "true, 0"})
-    void shouldCountLateLeasesOnlyWhenACallMayStillArrive(boolean mayArrive, int starts) {
+    @CsvSource({"false, true, 1", "true, true, 1", "true, false, 0"})
+    void shouldCountLateLeasesOnlyWhenACallMayStillArrive(boolean mayArrive, boolean answersToken, int starts) {
         SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(entry);
         fixture.scheduler.leaseRenewalFailed("a", mayArrive);
         fixture.advance(100);
@@ -90,7 +91,14 @@
         WorkerReport report = new WorkerReport(YOUNG_CLOCK_MS, INCARNATION + 1, List.of(), List.of());
         fixture.scheduler.leaseRenewed("a", report, fixture.nowMs);
         fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
-        fixture.confirmedStarts();
+        if (answersToken) {
+            fixture.tick();
+            fixture.tick();
+            fixture.scheduler.leaseRenewed("a", report, fixture.nowMs);
+            fixture.confirmedStarts();
+        } else {
+            executeLate(fixture, report);
+        }
         fixture.withWorkers(worker("b", 1_000));
         fixture.scheduler.leaseRenewalFailed("a", mayArrive);
 
@@ -100,6 +108,13 @@
         assertEquals(starts, fixture.starts().size());
     }
 
+    /** Lets the new incarnation list a run that a late order has started there. */
+    private static void executeLate(SchedulerFixture fixture, WorkerReport report) {
+        ReportedRun run = new ReportedRun(new TaskName("job", 0, 0, 0), 1, "", 10);
+        fixture.scheduler.leaseRenewed(
+                "a", new WorkerReport(report.clockMs(), report.incarnation(), List.of(run), List.of()), fixture.nowMs);
+    }
+
     /** Guards against a task that runs again since the end of its run was acknowledged by the number of another one. */
     @Test
     void shouldNotRepeatATaskWhenALateRenewalReachesTheIncarnationInWhichItHasEnded() {
@@ -125,6 +140,7 @@
         fixture.advance(100);
         fixture.scheduler.updateRegistry(List.of(changed(entry, entry.address(), false, INCARNATION + 1)), true);
         fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+        fixture.answerRaisedToken("a", INCARNATION + 1);
         Effect.Start start = fixture.confirmedStarts().getFirst();
         fixture.advance(100);
         fixture.leaseRenewed("a", INCARNATION + 1, List.of(running(start)), List.of());
@@ -166,30 +182,98 @@
         assertEquals(0, renewal(fixture).acknowledged());
     }
 
-    /** Guards against a task that runs again since a late acknowledgement has discarded its end unseen. */
+    /** Guards against ends that a late acknowledgement discards unseen, so that their tasks run again. */
     @Test
-    void shouldStartOnlyTasksThatLastWhileALateAcknowledgementMayDiscardTheirEnds() {
+    void shouldStartNothingOnTheRestartedWorkerUntilItHasAnsweredARaisedToken() {
         SchedulerFixture fixture = restartWithUnansweredAcknowledgement(worker("b", 1_000));
         fixture.scheduler.accept(fixture.job("job", step(2, 900).build()));
         fixture.scheduler.accept(
                 fixture.job("lasting", step(1, 100).longRunning(true).build()));
 
         List<Effect.Start> early = fixture.confirmedStarts();
-        fixture.advance(SchedulerLimits.LATEST_EXECUTION_MS);
-        fixture.leaseRenewed("a", INCARNATION + 1, List.of(running(early.getFirst())), List.of());
+        long token = fixture.scheduler.fencingToken("a");
+        fixture.advance(20);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
 
-        assertEquals(List.of("lasting on a", "job on b"), places(early));
+        assertEquals(List.of("lasting on b", "job on b"), places(early));
+        assertEquals(2, token);
         assertEquals(List.of("job on a"), places(fixture.starts()));
     }
 
+    /** Guards against a leader whose calls carry the same token as those of its successor. */
     @Test
-    void shouldStartTasksOnTheRestartedWorkerWhenNoOtherOneCanRunThem() {
+    void shouldRaiseTheTokenOnlyOnceItIsRecorded() {
         SchedulerFixture fixture = restartWithUnansweredAcknowledgement();
+        fixture.confirmSaves = false;
         fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
 
+        List<Effect> before = fixture.tick();
+        fixture.advance(20);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+        fixture.tick();
+        assertTrue(before.contains(new Effect.RaiseToken(2)));
+        assertEquals(1, fixture.scheduler.fencingToken("a"));
+
+        fixture.confirmSaves = true;
+        fixture.scheduler.tokenRaised(2);
+        fixture.tick();
+        fixture.advance(20);
+        fixture.leaseRenewed("a", INCARNATION + 1, List.of(), List.of());
+
+        assertEquals(2, fixture.scheduler.fencingToken("a"));
         assertEquals(List.of("job on a"), places(fixture.starts()));
     }
 
+    /** Guards against an answer to a call with the former token, which voids nothing. */
+    @Test
+    void shouldIgnoreAnAnswerThatWasRequestedBeforeTheTokenWasRaised() {
+        SchedulerFixture fixture = restartWithUnansweredAcknowledgement();
+        fixture.scheduler.accept(fixture.job("job", step(1, 1_000).build()));
+        fixture.advance(20);
+        long requestedAtMs = fixture.nowMs - 10;
+        fixture.tick();
+        fixture.tick();
+
+        WorkerReport report = new WorkerReport(fixture.nowMs - 10_000, INCARNATION + 1, List.of(), List.of());
+        fixture.scheduler.probed("a", report, requestedAtMs);
+
+        assertEquals(List.of(), places(fixture.starts()));
+    }
+
+    /** Guards against a worker that refuses all calls of the term: its row was removed, and with it the raised token. */
+    @Test
+    void shouldKeepTheRaisedTokenWhenTheWorkerLeavesTheRegistryAndReturns() {
+        fleet.run(AGE_MS);
+        restartBeforeARenewalArrives(1_000);
+        fleet.run(AGE_MS);
+        fleet.lapsed.add("a");
+        fleet.workers.get("a").reachable = false;
+        fleet.run(AGE_MS);
+
+        fleet.lapsed.clear();
+        fleet.workers.get("a").reachable = true;
+        fleet.run(2_000);
+        fleet.fixture.scheduler.accept(fleet.fixture.job("job", step(1, 1_000).build()));
+        fleet.run(1_000);
+
+        assertEquals(1, fleet.startsOf("job").size());
+    }
+
+    @Test
+    void shouldRaiseTheTokenOnceWhenWorkersRestartTogether() {
+        SimulatedFleet together = new SimulatedFleet().with(worker("a", 1_000), worker("b", 1_000));
+        together.run(AGE_MS);
+        List.of("a", "b").forEach(id -> {
+            WorkerEntry former = worker(id, 1_000);
+            together.with(changed(former, former.address(), false, INCARNATION + together.fixture.nowMs));
+        });
+
+        together.run(AGE_MS);
+
+        assertEquals(List.of(2L), together.raisedTokens.stream().distinct().toList());
+        assertEquals(2, together.fixture.scheduler.fencingToken("a"));
+    }
+
     /** Guards against a job that stands beside free capacity since the only other workers cannot hold its task. */
     @Test
     void shouldStartATaskOnTheRestartedWorkerInTimeWhenTheOthersCannotHoldIt() {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReturningWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/ReturningWorkerTest.java
@@ -80,6 +80,7 @@
         assertEquals(List.of(), fixture.starts());
         assertTrue(fixture.effects.contains(new Effect.RenewLease("a", "a:2", OptionalLong.empty(), 0, 0)));
         fixture.leaseRenewed("a", INCARNATION + 5_000, List.of(), List.of());
+        fixture.answerRaisedToken("a", INCARNATION + 5_000);
         assertEquals("a:2", fixture.starts().getFirst().address());
     }
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SchedulerFixture.java
@@ -125,6 +125,9 @@
             if (effect instanceof Effect.Publish publish) {
                 published.putAll(publish.states());
             }
+            if (effect instanceof Effect.RaiseToken raise && confirmSaves) {
+                scheduler.tokenRaised(raise.token());
+            }
             if (effect instanceof Effect.Save save && confirmSaves) {
                 saved.putAll(save.progress());
                 scheduler.saved(save.batch());
@@ -161,6 +164,13 @@
         scheduler.leaseRenewed(worker, new WorkerReport(nowMs - 10_000, incarnation, running, ends), nowMs);
     }
 
+    /** Lets a restarted worker answer a call that carries the token which its restart has raised. */
+    void answerRaisedToken(String worker, long incarnation) {
+        tick();
+        tick();
+        leaseRenewed(worker, incarnation, List.of(), List.of());
+    }
+
     WorkerReport report(List<ReportedRun> running, List<RunEnd> ends) {
         return new WorkerReport(nowMs - 10_000, INCARNATION, running, ends);
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/ShrunkenCapacityTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/ShrunkenCapacityTest.java
@@ -127,6 +127,8 @@
         fixture.leaseRenewed("a", REBORN, List.of(), List.of());
         submit("job", 2, 500);
         assertEquals(List.of(), fixture.starts());
+        fixture.answerRaisedToken("a", REBORN);
+        assertEquals(List.of(), fixture.starts());
 
         fixture.scheduler.updateRegistry(List.of(reborn(500)), true);
 
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerTakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerTakeoverTest.java
@@ -125,6 +125,19 @@
         assertEquals(early ? 1 : 0, next.startsOf("job").size());
     }
 
+    /** Guards against a whole lease for a silent worker, since the numbers of terms have a gap where tokens were raised. */
+    @Test
+    void shouldTrustTheRecordOfAPredecessorThatHadRaisedItsToken() {
+        SimulatedFleet next = new SimulatedFleet(5).with(worker("b", 4_000));
+        next.fixture.scheduler.follows(2);
+        next.fixture.scheduler.storeClock(StoreClock.between(next.fixture.nowMs, 0));
+        restore(next, new WorkerClaims.Silence(2, next.fixture.nowMs - 1));
+
+        next.run(LIMITS.predecessorLeaseMs() - 100);
+
+        assertEquals(1, next.startsOf("job").size());
+    }
+
     /** Guards against a whole lease from the takeover on for a worker that was lost with its leader. */
     @ParameterizedTest
     @CsvSource({"47000, 5700, 0", "47000, 6700, 1", "0, 8700, 0", "51000, 8700, 0"})
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedFleet.java
@@ -41,6 +41,9 @@
     /** The records of the workers in the store. */
     final Map<String, WorkerClaims> claims = new LinkedHashMap<>();
 
+    /** The fencing tokens whose record was requested. */
+    final List<Long> raisedTokens = new ArrayList<>();
+
     final List<Effect.RequestAdvice> adviceCalls = new ArrayList<>();
     /** Whether advice allows a step on a worker; tickets are valid for one incarnation of the worker. */
     BiPredicate<StepName, String> allows = (step, worker) -> true;
@@ -174,6 +177,7 @@
             case Effect.RenewLease renewal -> renew(renewal);
             case Effect.Probe probe -> probe(probe);
             case Effect.RequestAdvice request -> advise(request);
+            case Effect.RaiseToken raise -> raise(raise);
             case Effect.Save save -> save(save);
             case Effect.Retire ignored -> {}
             case Effect.Publish ignored -> {}
@@ -201,6 +205,17 @@
         }
     }
 
+    private void raise(Effect.RaiseToken raise) {
+        raisedTokens.add(raise.token());
+        if (saveMs > 0) {
+            reply(saveMs, () -> fixture.scheduler.tokenRaised(raise.token()));
+        }
+    }
+
+    private boolean accepts(SimulatedWorker worker) {
+        return worker.accepts(fixture.scheduler.fencingToken(worker.entry.id()));
+    }
+
     private void start(Effect.Start start) {
         Optional<SimulatedWorker> worker = at(start.address(), start.worker());
         if (refusedStarts > 0) {
@@ -216,8 +231,9 @@
         }
         boolean ticketMissing = needsTicket.test(start.task(), start.worker())
                 && !start.ticket().equals(worker.get().ticket());
-        StartOutcome outcome =
-                ticketMissing ? StartOutcome.NO_TICKET : worker.get().start(start, durationMs, endKind);
+        StartOutcome outcome = !accepts(worker.get())
+                ? StartOutcome.FENCED
+                : ticketMissing ? StartOutcome.NO_TICKET : worker.get().start(start, durationMs, endKind);
         if (outcome == StartOutcome.STARTED) {
             startedTwice += atWorkElsewhere(start) ? 1 : 0;
             started.add(new Started(start.task(), start.worker(), fixture.nowMs));
@@ -237,7 +253,7 @@
 
     private void stop(Effect.Stop stop) {
         Optional<SimulatedWorker> worker = at(stop.address(), stop.worker());
-        worker.ifPresent(one -> one.stop(stop));
+        worker.filter(this::accepts).ifPresent(one -> one.stop(stop));
         StopOutcome outcome = worker.isPresent() ? StopOutcome.STOPPED : StopOutcome.UNKNOWN;
         reply(
                 worker.isPresent() ? 0 : ORDER_TIMEOUT_MS,
@@ -262,13 +278,22 @@
         }
         if (lateRenewals > 0) {
             lateRenewals--;
-            reply(lateMs, () -> at(renewal.address(), renewal.worker()).ifPresent(late -> late.renew(renewal)));
+            long token = fixture.scheduler.fencingToken(renewal.worker());
+            reply(
+                    lateMs,
+                    () -> at(renewal.address(), renewal.worker())
+                            .filter(late -> late.accepts(token))
+                            .ifPresent(late -> late.renew(renewal)));
             reply(
                     renewal.waitMs() + ORDER_TIMEOUT_MS,
                     () -> fixture.scheduler.leaseRenewalFailed(renewal.worker(), true));
             return;
         }
         SimulatedWorker answering = worker.get();
+        if (!accepts(answering)) {
+            reply(0, () -> fixture.scheduler.leaseRenewalFailed(renewal.worker(), false));
+            return;
+        }
         answering.renew(renewal);
         replies.add(new Reply(
                 fixture.nowMs + renewal.waitMs(), () -> answering.reachable && answering.hasEnds(), () -> {
@@ -296,6 +321,10 @@
             reply(ORDER_TIMEOUT_MS, () -> fixture.scheduler.probeFailed(probe.worker()));
             return;
         }
+        if (!accepts(worker.get())) {
+            reply(0, () -> fixture.scheduler.probeFailed(probe.worker()));
+            return;
+        }
         WorkerReport report = worker.get().report(fixture.nowMs);
         reply(0, () -> fixture.scheduler.probed(probe.worker(), report, requestedAtMs));
     }
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedWorker.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SimulatedWorker.java
@@ -36,6 +36,7 @@
     private final List<RunEnd> ends = new ArrayList<>();
     private long lastEnd;
     private long leaseUntilMs;
+    private long highestToken;
     private long nowMs;
 
     SimulatedWorker(WorkerEntry entry, long startedAtMs) {
@@ -66,6 +67,12 @@
         }
     }
 
+    /** Returns whether the worker carries out a call with a fencing token, which it remembers. */
+    boolean accepts(long token) {
+        highestToken = Math.max(highestToken, token);
+        return token == highestToken;
+    }
+
     StartOutcome start(Effect.Start order, ToLongFunction<TaskName> durationMs, EndKind kind) {
         if (refusesStarts) {
             return StartOutcome.REFUSED;
