Tasks that last start on restarted workers only where no other has room

Callers saw a task that lasts away for more than 9 s: its worker had restarted, and was lost again within 3 s of its answer. A call that came late before that answer may have granted the worker 10 s, so its loss is certain only 10.5 s after it. Within that time other workers come first for tasks that last. The new case of RestartedWorkerTest was red before (on a instead of b); where no other worker has room the task starts there as before.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Placement.java
@@ -139,7 +139,10 @@
     List<FreeCapacity> orderByPreference(StepRow step, List<FreeCapacity> unordered) {
         searches++;
         List<FreeCapacity> ordered = new ArrayList<>(unordered);
-        ordered.sort(ON_TRIAL_LAST.thenComparing(sameRackFirst(step)).thenComparing(LEAST_FREE_FIRST));
+        ordered.sort(ON_TRIAL_LAST
+                .thenComparing(strayLeasesLast(step))
+                .thenComparing(sameRackFirst(step))
+                .thenComparing(LEAST_FREE_FIRST));
         return ordered;
     }
 
@@ -197,6 +200,7 @@
         vacancies.sort(Comparator.comparing(
                 vacancy -> vacancy.capacity,
                 ON_TRIAL_LAST
+                        .thenComparing(strayLeasesLast(step))
                         .thenComparing(sameRackFirst(step))
                         .thenComparing(capacity -> capacity.worker.trialUntilMs > nowMs)
                         .thenComparing(homeFirst)
@@ -213,6 +217,12 @@
         return chosen;
     }
 
+    /** Orders those workers last whose loss would keep a task that lasts away for longer than the loss of others. */
+    private Comparator<FreeCapacity> strayLeasesLast(StepRow step) {
+        return Comparator.comparing(
+                capacity -> step.spec.longRunning() && capacity.worker.strayLeasesEndAtMs() > nowMs);
+    }
+
     /** Orders the workers on the rack of the step's data before others. */
     private static Comparator<FreeCapacity> sameRackFirst(StepRow step) {
         String rack = step.spec.rack();
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTest.java
@@ -200,6 +200,18 @@
         assertEquals(List.of("job on a"), places(fixture.starts()));
     }
 
+    /** Guards against a task that is away for longer than it must be, as its worker restarted just before it was lost. */
+    @ParameterizedTest
+    @CsvSource({"true, lasting on b", "false, lasting on a"})
+    void shouldStartATaskThatLastsOnTheRestartedWorkerOnlyWhenNoOtherHasRoom(boolean roomElsewhere, String place) {
+        SchedulerFixture fixture = restartWithUnansweredAcknowledgement(worker("b", roomElsewhere ? 2_000 : 100));
+        fixture.answerRaisedToken("a", INCARNATION + 1);
+        fixture.scheduler.accept(
+                fixture.job("lasting", step(1, 500).longRunning(true).build()));
+
+        assertEquals(List.of(place), places(fixture.starts()));
+    }
+
     /** Guards against a leader whose calls carry the same token as those of its successor. */
     @Test
     void shouldRaiseTheTokenOnlyOnceItIsRecorded() {
