A new leader counts the short leases of workers with tasks that last

Callers saw a task that lasts away for 10.0 to 10.6 s where the contract has 9: its worker was lost within a second of the leader, which had not noticed, so its record said nothing, and the successor counted a lease of 8.03 s from the end of the former one's authority, with the margin of clocks twice. Their record now says since when and in which term; the leader grants no longer lease until a record without that is confirmed. The successor counts the later of a short lease from the end of the authority and a long one from that time; records of other terms are not trusted.

--- a/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
@@ -14,9 +14,16 @@
  * @param silence when its leases have expired, while the leader grants none; empty while it may grant some
  * @param strayLeaseEndsMs when the leases have expired, on the store's clock, that calls meant for an earlier incarnation
  *     may have granted; 0 when there are none
+ * @param shortLeases since when the leader grants it short leases only; empty while it may grant longer ones
  */
 public record WorkerClaims(
-        String id, String address, long bornMs, List<Claim> claims, Optional<Silence> silence, long strayLeaseEndsMs) {
+        String id,
+        String address,
+        long bornMs,
+        List<Claim> claims,
+        Optional<Silence> silence,
+        long strayLeaseEndsMs,
+        Optional<ShortLeases> shortLeases) {
     /** The most runs that may be on a worker, so that their record fits in a row of the store. */
     public static final int MAX_CLAIMS = 2_500;
 
@@ -27,6 +34,27 @@
         claims = List.copyOf(claims);
         // rows of earlier releases lack it
         silence = silence == null ? Optional.empty() : silence;
+        shortLeases = shortLeases == null ? Optional.empty() : shortLeases;
+    }
+
+    /**
+     * Creates the record of a worker to which the leader may grant leases of any length.
+     *
+     * @param id the worker's identifier
+     * @param address the address of the worker's agent
+     * @param bornMs the incarnation of the worker; 0 when unknown
+     * @param claims the runs that may be on the worker
+     * @param silence when its leases have expired, while the leader grants none
+     * @param strayLeaseEndsMs when the leases of calls for an earlier incarnation have expired; 0 for none
+     */
+    public WorkerClaims(
+            String id,
+            String address,
+            long bornMs,
+            List<Claim> claims,
+            Optional<Silence> silence,
+            long strayLeaseEndsMs) {
+        this(id, address, bornMs, claims, silence, strayLeaseEndsMs, Optional.empty());
     }
 
     /**
@@ -61,4 +89,13 @@
      * @param leaseEndsMs when all leases of the worker have expired, on the store's clock
      */
     public record Silence(long epoch, long leaseEndsMs) {}
+
+    /**
+     * The lease lengths of a worker with tasks that last, to which its leader grants no longer lease before the record says
+     * so.
+     *
+     * @param epoch the term of that leader
+     * @param sinceMs from when on it has granted short leases only, on the store's clock
+     */
+    public record ShortLeases(long epoch, long sinceMs) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SaveSystem.java
@@ -28,6 +28,8 @@
     private final List<RunRow> runsInBatch = new ArrayList<>();
     /** Workers whose records say in the present batch that they may get leases again. */
     private final List<WorkerRow> answeringInBatch = new ArrayList<>();
+    /** Workers whose records no longer say in the present batch that they get short leases only. */
+    private final List<WorkerRow> longerLeasesInBatch = new ArrayList<>();
 
     private final List<String> removedWorkers = new ArrayList<>();
 
@@ -41,7 +43,7 @@
 
     void run(List<Effect> effects) {
         boolean nothingToSave = tables.claimed.isEmpty()
-                && tables.silenceChanged.isEmpty()
+                && tables.outdatedRecords.isEmpty()
                 && tables.unsaved.isEmpty()
                 && removedWorkers.isEmpty()
                 && tables.obsoleteProgress.isEmpty();
@@ -74,6 +76,8 @@
             worker.nextRenewalAtMs = tables.nowMs;
         }
         answeringInBatch.clear();
+        longerLeasesInBatch.forEach(worker -> worker.shortLeasesSinceMs = 0);
+        longerLeasesInBatch.clear();
         for (WorkerRow worker : tables.workers.values()) {
             worker.endsToRecord.recorded(batch).ifPresent(end -> {
                 worker.lastAcknowledgedEnd = end;
@@ -87,6 +91,7 @@
         worker.refusedUntilMs = tables.nowMs + CLAIMS_REFUSED_PAUSE_MS;
         worker.recordRefusedUntilMs = worker.refusedUntilMs;
         answeringInBatch.remove(worker);
+        longerLeasesInBatch.remove(worker);
         runsInBatch.removeIf(run -> {
             if (run.worker != worker) {
                 return false;
@@ -102,8 +107,8 @@
         tables.claimed.forEach(run -> workers.add(run.worker));
         runsInBatch.addAll(tables.claimed);
         tables.claimed.clear();
-        workers.addAll(tables.silenceChanged);
-        tables.silenceChanged.clear();
+        workers.addAll(tables.outdatedRecords);
+        tables.outdatedRecords.clear();
         return workers.stream().map(this::record).toList();
     }
 
@@ -117,6 +122,9 @@
         } else if (worker.silenceRecorded) {
             answeringInBatch.add(worker);
         }
+        if (record.shortLeases().isEmpty() && worker.shortLeasesSinceMs > 0) {
+            longerLeasesInBatch.add(worker);
+        }
         return record;
     }
 
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerLimits.java
@@ -66,6 +66,16 @@
         return lasting ? leaseMs - (BUSY_WORKER_WAIT_MS - LASTING_WORKER_WAIT_MS) : leaseMs;
     }
 
+    /**
+     * Returns how long after a call was sent the lease that it grants has expired for certain.
+     *
+     * @param lasting whether the worker has runs of tasks that last
+     * @return the duration in milliseconds, on the clock of this host
+     */
+    long expiredAfterMs(boolean lasting) {
+        return (long) Math.ceil((leaseMs(lasting) + CLOCK_MARGIN_MS) / SLOWEST_CLOCK);
+    }
+
     /**
      * Returns how long after a call was sent the lease may last that it has granted to a later incarnation. The end of the
      * lease is a time on the clock of the earlier one, so only the worker's own maximum bounds it.
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
@@ -2,12 +2,13 @@
 
 import java.util.Optional;
 
+import org.acaciafold.fleet.StoreClock;
 import org.acaciafold.fleet.WorkerClaims;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Records which workers are silent, and by when their leases have expired.
+ * Records which workers are silent, and by when their leases have expired, and which get short leases only.
  *
  * <p>Without that record a new leader must assume that its predecessor granted a lease just before it ended. A worker that
  * answers again gets no lease until its record says that it may.
@@ -24,16 +25,17 @@
         this.tables = tables;
     }
 
-    /** Collects the workers whose records have to be written anew. */
+    /** Collects the workers whose records have to be written anew, since they are silent, answer or may get longer leases. */
     void run() {
         if (tables.saving) {
             return;
         }
         for (WorkerRow worker : tables.workers.values()) {
-            boolean differs = worker.silent() != worker.silenceRecorded;
+            boolean mayGetLonger = worker.shortLeasesSinceMs > 0 && !worker.hasLastingRuns();
+            boolean differs = worker.silent() != worker.silenceRecorded || mayGetLonger;
             boolean canRecord = tables.storeClock.latestMs() > 0 || !worker.silent();
             if (worker.recorded && differs && canRecord && tables.nowMs >= worker.recordRefusedUntilMs) {
-                tables.silenceChanged.add(worker);
+                tables.outdatedRecords.add(worker);
             }
         }
     }
@@ -42,7 +44,10 @@
     static WorkerClaims record(WorkerRow worker, Tables tables) {
         long strayMs = worker.strayLeasesEndAtMs() - tables.nowMs;
         boolean stray = strayMs > 0 && tables.storeClock.latestMs() > 0;
-        WorkerClaims claims = worker.claims(stray ? tables.storeClock.latestMs() + strayMs : 0);
+        if (worker.hasLastingRuns() && worker.shortLeasesSinceMs == 0) {
+            worker.shortLeasesSinceMs = tables.storeClock.latestMs();
+        }
+        WorkerClaims claims = worker.claims(stray ? tables.storeClock.latestMs() + strayMs : 0, tables.epoch());
         if (!worker.silent() || tables.storeClock.latestMs() <= 0) {
             return claims;
         }
@@ -61,7 +66,21 @@
                 claims.bornMs(),
                 claims.claims(),
                 Optional.of(silence),
-                claims.strayLeaseEndsMs());
+                claims.strayLeaseEndsMs(),
+                claims.shortLeases());
+    }
+
+    /** Returns how long a lease may still last that the predecessor has granted to a worker that got short ones only. */
+    private static long shortLeaseMs(WorkerClaims known, Tables tables) {
+        StoreClock clock = tables.storeClock;
+        boolean clockKnown = clock.earliestMs() > 0 && clock.predecessorEndsMs() > 0;
+        return known.shortLeases()
+                .filter(one -> one.epoch() == tables.predecessorEpoch && clockKnown)
+                .map(one -> Math.max(
+                        tables.limits.expiredAfterMs(true) - clock.sincePredecessorMs(),
+                        tables.limits.expiredAfterMs(false) - (clock.earliestMs() - one.sinceMs())))
+                .map(remainingMs -> Math.max(0, remainingMs))
+                .orElse(Long.MAX_VALUE);
     }
 
     private static long recordedStrayLeaseMs(WorkerClaims known, Tables tables) {
@@ -93,7 +112,9 @@
      * @return the time in milliseconds
      */
     static long predecessorLeaseMs(WorkerClaims known, Tables tables) {
-        long longestMs = Math.max(0, tables.limits.predecessorLeaseMs() - tables.storeClock.sincePredecessorMs());
+        long longestMs = Math.min(
+                Math.max(0, tables.limits.predecessorLeaseMs() - tables.storeClock.sincePredecessorMs()),
+                shortLeaseMs(known, tables));
         Optional<WorkerClaims.Silence> silence = known.silence()
                 .filter(one -> one.epoch() == tables.predecessorEpoch && tables.storeClock.earliestMs() > 0);
         if (silence.isEmpty()) {
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Tables.java
@@ -66,8 +66,8 @@
     final List<RunRow> claimed = new ArrayList<>();
     /** Runs whose claims are recorded and whose start orders can be sent. */
     final List<RunRow> startable = new ArrayList<>();
-    /** Workers whose records do not say yet whether they are silent. */
-    final Set<WorkerRow> silenceChanged = new LinkedHashSet<>();
+    /** Workers whose records do not say yet whether they are silent, or which leases they get. */
+    final Set<WorkerRow> outdatedRecords = new LinkedHashSet<>();
 
     final Set<String> evacuatedDomains = new HashSet<>();
     /** Orders to stop orphans. */
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -341,7 +341,7 @@
             return IDLE_WORKER_WAIT_MS;
         }
         long firstEndMs =
-                worker.hasLastingRuns() ? SchedulerLimits.LASTING_WORKER_WAIT_MS : SchedulerLimits.BUSY_WORKER_WAIT_MS;
+                worker.hasShortLeases() ? SchedulerLimits.LASTING_WORKER_WAIT_MS : SchedulerLimits.BUSY_WORKER_WAIT_MS;
         for (RunRow run : worker.runs.values()) {
             firstEndMs = Math.min(firstEndMs, run.expectedRemainingMs(tables.nowMs) + END_SLACK_MS);
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -78,6 +78,9 @@
     /** True while the record of the worker may say that it is silent; it gets no lease meanwhile. */
     boolean silenceRecorded;
 
+    /** Since when the record may say that the worker gets short leases only, on the store's clock; 0 while it does not. */
+    long shortLeasesSinceMs;
+
     long pausedUntilMs = -1;
     long refusedUntilMs = -1;
     /** Until when the record is not written again after the store has refused it. */
@@ -171,11 +174,15 @@
         return strayLeases.endAtMs(this);
     }
 
-    WorkerClaims claims(long strayLeaseEndsMs) {
+    WorkerClaims claims(long strayLeaseEndsMs, long epoch) {
         List<WorkerClaims.Claim> claims = runs.values().stream()
                 .map(run -> new WorkerClaims.Claim(run.task.name, run.number))
                 .toList();
-        return new WorkerClaims(id, answeredAddress, incarnation, claims, Optional.empty(), strayLeaseEndsMs);
+        Optional<WorkerClaims.ShortLeases> shortLeases = hasLastingRuns() && shortLeasesSinceMs > 0
+                ? Optional.of(new WorkerClaims.ShortLeases(epoch, shortLeasesSinceMs))
+                : Optional.empty();
+        return new WorkerClaims(
+                id, answeredAddress, incarnation, claims, Optional.empty(), strayLeaseEndsMs, shortLeases);
     }
 
     void add(RunRow run) {
@@ -188,6 +195,11 @@
         return lastingRuns > 0;
     }
 
+    /** Returns whether the worker may get short leases only. */
+    boolean hasShortLeases() {
+        return hasLastingRuns() || shortLeasesSinceMs > 0;
+    }
+
     Optional<WorkerEntry> entry() {
         return Optional.ofNullable(entry);
     }
@@ -298,7 +310,7 @@
         if (lastContactAtMs < 0 || clockReset) {
             return OptionalLong.empty();
         }
-        return OptionalLong.of(clockMs + (nowMs - lastContactAtMs) + limits.leaseMs(hasLastingRuns()));
+        return OptionalLong.of(clockMs + (nowMs - lastContactAtMs) + limits.leaseMs(hasShortLeases()));
     }
 
     /**
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossTest.java
@@ -100,6 +100,33 @@
         assertEquals(List.of(), late, "offsets of the loss at which the task is away for too long");
     }
 
+    /** Guards against a whole long lease for a worker whose loss its leader had no time to notice. */
+    @ParameterizedTest
+    @CsvSource({"GONE, 100", "GONE, 300", "GONE, 600", "GONE, 900", "DARK, 100", "DARK, 300", "DARK, 500"})
+    void shouldStartATaskThatLastsAgainInTimeWhenTheLeaderIsLostJustAfterItsWorker(Loss loss, long leaderLostAfterMs) {
+        List<Long> late = offsetsWhere(offset -> scenario(offset)
+                        .withLeaderLostAfter(leaderLostAfterMs)
+                        .lose(loss, Trouble.LEADER_LOST)
+                        .awayMs()
+                        .orElse(Long.MAX_VALUE)
+                > MAX_AWAY_MS);
+
+        assertEquals(List.of(), late, "offsets of the loss at which the task is away for too long");
+    }
+
+    /** Guards against two runs at once: a worker that has just got a task that lasts holds a longer lease of before. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.98, 1})
+    void shouldNeverRunATaskTwiceWhenItsWorkerIsCutOffJustBeforeTheLeaderIsLost(double clockRate) {
+        List<Long> twice = offsetsWhere(offset -> scenario(offset)
+                .withClockRate(clockRate)
+                .withLeaderLostAfter(offset)
+                .lose(Loss.CUT, Trouble.LEADER_LOST)
+                .startedTwice());
+
+        assertEquals(List.of(), twice, "offsets of the cut at which the task runs twice");
+    }
+
     /** Guards against shorter leases without more frequent renewals: domains are cut off for five to six seconds. */
     @ParameterizedTest
     @ValueSource(longs = {3_000, 5_000, 6_000})
