Records tell of short leases also when the store's clock was not known at the claim, and after a takeover

The claim of the task had been recorded before the first renewal of the lease told the store's clock, so the record said nothing of short leases, and nothing wrote it again; after a takeover no record of the new term said it either. Such records are written again, eight in a batch at most. SilentWorkerRecordTest: the new case on the clock was red before.

--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
@@ -19,6 +19,9 @@
     /** A leader calls each worker at least every two seconds, and notices within this time that it has restarted. */
     private static final long RESTART_NOTICED_MS = 3_000;
 
+    /** Records in one batch that only tell of short leases, so that they do not delay its claims, also after a takeover. */
+    private static final int MAX_SHORT_LEASES_TOLD = 8;
+
     private final Tables tables;
 
     SilenceSystem(Tables tables) {
@@ -30,7 +33,12 @@
         if (tables.saving) {
             return;
         }
+        int told = 0;
         for (WorkerRow worker : tables.workers.values()) {
+            if (told < MAX_SHORT_LEASES_TOLD && hasUntoldShortLeases(worker)) {
+                told++;
+                tables.outdatedRecords.add(worker);
+            }
             boolean mayGetLonger = worker.shortLeasesSinceMs > 0 && !worker.hasLastingRuns();
             boolean differs = worker.silent() != worker.silenceRecorded || mayGetLonger;
             boolean canRecord = tables.storeClock.latestMs() > 0 || !worker.silent();
@@ -40,6 +48,16 @@
         }
     }
 
+    /** Returns whether the record was written before the store's clock was known, or by an earlier leader. */
+    private boolean hasUntoldShortLeases(WorkerRow worker) {
+        return worker.recorded
+                && worker.hasLastingRuns()
+                && worker.answers()
+                && worker.shortLeasesSinceMs == 0
+                && tables.storeClock.latestMs() > 0
+                && tables.nowMs >= worker.recordRefusedUntilMs;
+    }
+
     /** Returns the record of a worker as of now. */
     static WorkerClaims record(WorkerRow worker, Tables tables) {
         long strayMs = worker.strayLeasesEndAtMs() - tables.nowMs;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerRecordTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerRecordTest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import org.acaciafold.fleet.Effect;
+import org.acaciafold.fleet.EndKind;
 import org.acaciafold.fleet.Job;
 import org.acaciafold.fleet.ReportedRun;
 import org.acaciafold.fleet.StoreClock;
@@ -22,6 +23,7 @@
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.step;
 import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Covers the record of a silent worker: what it holds, and how long a worker that answers again waits for it. */
@@ -47,6 +49,46 @@
                 .toList();
     }
 
+    /** Guards against a whole long lease after a takeover: the record was written before the store's clock was known. */
+    @Test
+    void shouldTellOfShortLeasesAsSoonAsTheStoresClockIsKnown() {
+        SchedulerFixture fixture = new SchedulerFixture(3).withWorkers(worker("a", 1_000));
+        fixture.scheduler.accept(job(fixture));
+        fixture.confirmedStarts();
+        fixture.effects.clear();
+        assertEquals(List.of(), saves(fixture.tick()));
+
+        fixture.scheduler.storeClock(StoreClock.between(0, 1_000_000));
+        List<Effect.Save> told = saves(fixture.tick());
+
+        WorkerClaims record = told.getFirst().claims().getFirst();
+        assertEquals(Optional.of(new WorkerClaims.ShortLeases(3, 1_000_000)), record.shortLeases());
+        assertEquals(1, record.claims().size());
+        assertEquals(List.of(), saves(fixture.tick()));
+    }
+
+    /** Guards against two runs at once: a successor trusts a record of short leases after a longer one was granted. */
+    @Test
+    void shouldGrantLongerLeasesOnlyOnceTheRecordSaysSo() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("a", 1_000));
+        fixture.scheduler.storeClock(StoreClock.between(0, 1_000_000));
+        fixture.scheduler.accept(job(fixture));
+        start = fixture.confirmedStarts().getFirst();
+        fixture.confirmSaves = false;
+        fixture.advance(100);
+        fixture.leaseRenewed(
+                "a", List.of(), List.of(SchedulerFixture.end(1, start.task(), start.run(), EndKind.FAILED)));
+        fixture.scheduler.cancel("job");
+        List<Effect> effects = fixture.tick();
+        WorkerRow row = fixture.scheduler.tables.workers.get("a");
+
+        assertTrue(row.hasShortLeases());
+        saves(effects).forEach(save -> fixture.scheduler.saved(save.batch()));
+        saves(fixture.tick()).forEach(save -> fixture.scheduler.saved(save.batch()));
+
+        assertFalse(row.hasShortLeases());
+    }
+
     /** Guards against a task that runs twice: an address at which a worker never answered proves nothing of it. */
     @Test
     void shouldNotTakeAnAnswerAtAnAddressThatNeverAnsweredAsProofAfterATakeover() {
