Runs that an incarnation has listed end with it, also for a leader that never reached the worker

Callers saw tasks and steps stand for up to 22 s: a worker restarted about when its leader was lost and was lost again, so the successor never reached it. Its record was of the former incarnation, the entry of a later one, and the successor waited until an order to start could have been executed late by that one, and its lease had ended.

No such order is under way for a run that the incarnation has listed. The record now tells how many of its claims these are; an answer to an order does not count, since it does not tell which incarnation gave it. RestartedWorkerTakeoverTest and SilentWorkerRecordTest: the former was red with the new rule left out.

--- a/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/WorkerClaims.java
@@ -15,6 +15,8 @@
  * @param strayLeaseEndsMs when the leases have expired, on the store's clock, that calls meant for an earlier incarnation
  *     may have granted; 0 when there are none
  * @param shortLeases since when the leader grants it short leases only; empty while it may grant longer ones
+ * @param listed how many of the claims, from the first one on, are of runs that this incarnation has listed: they end with it,
+ *     as no order to start them is under way
  */
 public record WorkerClaims(
         String id,
@@ -23,7 +25,8 @@
         List<Claim> claims,
         Optional<Silence> silence,
         long strayLeaseEndsMs,
-        Optional<ShortLeases> shortLeases) {
+        Optional<ShortLeases> shortLeases,
+        int listed) {
     /** The most runs that may be on a worker, so that their record fits in a row of the store. */
     public static final int MAX_CLAIMS = 2_500;
 
@@ -35,6 +38,7 @@
         // rows of earlier releases lack it
         silence = silence == null ? Optional.empty() : silence;
         shortLeases = shortLeases == null ? Optional.empty() : shortLeases;
+        listed = Math.clamp(listed, 0, claims.size());
     }
 
     /**
@@ -54,7 +58,7 @@
             List<Claim> claims,
             Optional<Silence> silence,
             long strayLeaseEndsMs) {
-        this(id, address, bornMs, claims, silence, strayLeaseEndsMs, Optional.empty());
+        this(id, address, bornMs, claims, silence, strayLeaseEndsMs, Optional.empty(), 0);
     }
 
     /**
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/ClaimRecovery.java
@@ -34,12 +34,14 @@
         }
         Map<TaskName, LatestClaim> latest = new HashMap<>();
         for (WorkerClaims record : workers) {
-            for (WorkerClaims.Claim claim : record.claims()) {
+            for (int i = 0; i < record.claims().size(); i++) {
+                WorkerClaims.Claim claim = record.claims().get(i);
                 if (claim.run() < 1) {
                     LOG.warn("claim ignored task={} run={} worker={}", claim.task(), claim.run(), record.id());
                     continue;
                 }
-                LatestClaim next = new LatestClaim(tables.workers.get(record.id()), claim.run());
+                long listedBy = i < record.listed() ? record.bornMs() : 0;
+                LatestClaim next = new LatestClaim(tables.workers.get(record.id()), claim.run(), listedBy);
                 // a run is claimed only after the previous one has provably ended, so the highest number is current
                 latest.merge(claim.task(), next, (old, other) -> other.run > old.run ? other : old);
             }
@@ -55,11 +57,12 @@
         }
         RunRow run = new RunRow(task, claim.run, claim.worker, task.step.spec.each());
         run.phase = RunPhase.UNCONFIRMED;
+        run.listedBy = claim.listedBy;
         // a worker that has responded to this leader refuses orders of earlier ones, so a report without the run
         // proves its absence
         run.confirmedAtMs = tables.nowMs;
         tables.begin(run);
     }
 
-    private record LatestClaim(WorkerRow worker, int run) {}
+    private record LatestClaim(WorkerRow worker, int run, long listedBy) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Diagnosis.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Diagnosis.java
@@ -83,7 +83,7 @@
                 long lastSeenAtMs = Math.max(worker.lastContactAtMs, run.sinceMs());
                 boolean lasts = run.task.step.spec.longRunning() && run.task.step.job.active();
                 if (worker.silent() && lasts && tables.nowMs - lastSeenAtMs > MAX_AWAY_MS) {
-                    counts.merge(worker.leaseBound(tables.nowMs).name(), 1, Integer::sum);
+                    counts.merge(LeaseBound.of(worker, tables.nowMs).name(), 1, Integer::sum);
                 }
             }
         }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/RunRow.java
@@ -20,6 +20,8 @@
     boolean stopInFlight;
     long stopRetryAtMs;
     long stopAnsweredAtMs = Long.MAX_VALUE;
+    /** The incarnation of the worker that has listed the run; 0 when none has. */
+    long listedBy;
     /** A report that was requested after this time and lacks the run proves that the run has ended. */
     long confirmedAtMs = Long.MAX_VALUE;
 
@@ -35,6 +37,11 @@
         return orderedAtMs > 0 ? orderedAtMs : confirmedAtMs;
     }
 
+    /** Returns whether the run ends with the present incarnation of its worker, which has listed it. */
+    boolean listed() {
+        return listedBy != 0 && listedBy == worker.incarnation;
+    }
+
     boolean provenAbsentIn(long requestedAtMs) {
         return requestedAtMs > Math.min(confirmedAtMs, stopAnsweredAtMs);
     }
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SilenceSystem.java
@@ -1,5 +1,7 @@
 package org.acaciafold.fleet.scheduling;
 
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 
 import org.acaciafold.fleet.StoreClock;
@@ -65,7 +67,7 @@
         if (worker.hasLastingRuns() && worker.shortLeasesSinceMs == 0) {
             worker.shortLeasesSinceMs = tables.storeClock.latestMs();
         }
-        WorkerClaims claims = worker.claims(stray ? tables.storeClock.latestMs() + strayMs : 0, tables.epoch());
+        WorkerClaims claims = claims(worker, stray ? tables.storeClock.latestMs() + strayMs : 0, tables);
         if (!worker.silent() || tables.storeClock.latestMs() <= 0) {
             return claims;
         }
@@ -85,7 +87,29 @@
                 claims.claims(),
                 Optional.of(silence),
                 claims.strayLeaseEndsMs(),
-                claims.shortLeases());
+                claims.shortLeases(),
+                claims.listed());
+    }
+
+    private static WorkerClaims claims(WorkerRow worker, long strayLeaseEndsMs, Tables tables) {
+        List<RunRow> runs = worker.runs.values().stream()
+                .sorted(Comparator.comparing(run -> !run.listed()))
+                .toList();
+        List<WorkerClaims.Claim> claims = runs.stream()
+                .map(run -> new WorkerClaims.Claim(run.task.name, run.number))
+                .toList();
+        Optional<WorkerClaims.ShortLeases> shortLeases = worker.hasLastingRuns() && worker.shortLeasesSinceMs > 0
+                ? Optional.of(new WorkerClaims.ShortLeases(tables.epoch(), worker.shortLeasesSinceMs))
+                : Optional.empty();
+        return new WorkerClaims(
+                worker.id,
+                worker.answeredAddress(),
+                worker.incarnation,
+                claims,
+                Optional.empty(),
+                strayLeaseEndsMs,
+                shortLeases,
+                (int) runs.stream().filter(RunRow::listed).count());
     }
 
     /** Returns how long a lease may still last that the predecessor has granted to a worker that got short ones only. */
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerLeaseSystem.java
@@ -49,11 +49,13 @@
     private final Tables tables;
     private final EndSystem ends;
     private final CrashSystem crashes;
+    private final LeaseExpiry expiry;
 
     WorkerLeaseSystem(Tables tables, EndSystem ends) {
         this.tables = tables;
         this.ends = ends;
         this.crashes = new CrashSystem(tables, ends);
+        this.expiry = new LeaseExpiry(tables, ends, crashes);
     }
 
     void renewed(WorkerRow worker, WorkerReport report, long requestedAtMs) {
@@ -100,7 +102,7 @@
         }
         worker.incarnationEnded = true;
         crashes.incarnationEnded(worker);
-        endRuns(worker, "another worker answers at its address");
+        expiry.endRuns(worker, "another worker answers at its address");
     }
 
     /** Notices by its clock that a worker has restarted, and asks it for a report before it gets anything else. */
@@ -166,46 +168,7 @@
 
     /** Ends the runs of unresponsive workers whose leases have provably expired, and removes deregistered workers. */
     void expireLeases(List<String> removedWorkers) {
-        crashes.run();
-        for (WorkerRow worker : List.copyOf(tables.workers.values())) {
-            if (worker.missedRenewals == 0 && worker.registered || !worker.leaseExpired(tables.nowMs)) {
-                continue;
-            }
-            if (worker.missedRenewals > 0) {
-                reportExpiry(worker);
-                crashes.leaseExpired(worker);
-                endRuns(worker, "lease expired");
-            }
-            if (!worker.registered && worker.runs.isEmpty()) {
-                tables.workers.remove(worker.id);
-                tables.unreconciled.remove(worker);
-                if (worker.recorded) {
-                    removedWorkers.add(worker.id);
-                }
-                LOG.info("worker removed worker={}", worker.id);
-            }
-        }
-    }
-
-    private void reportExpiry(WorkerRow worker) {
-        if (!worker.runs.isEmpty()) {
-            LOG.info(
-                    "lease expired worker={} runs={} lasting={} contactAgeMs={} bound={}",
-                    worker.id,
-                    worker.runs.size(),
-                    worker.hasLastingRuns(),
-                    Age.since(worker.lastContactAtMs, tables.nowMs),
-                    worker.leaseBound(tables.nowMs));
-        }
-    }
-
-    private void endRuns(WorkerRow worker, String reason) {
-        long awaySinceMs = worker.lastContactAtMs >= 0 ? worker.lastContactAtMs : tables.nowMs;
-        for (RunRow run : List.copyOf(worker.runs.values())) {
-            ends.removeLostRun(run, reason);
-            run.task.step.waitsSince(awaySinceMs);
-        }
-        tables.unreconciled.remove(worker);
+        expiry.run(removedWorkers);
     }
 
     /** Ends a renewal that tells nothing of the incarnation at the present address. */
@@ -250,6 +213,7 @@
     private void addReportedRun(WorkerRow worker, ReportedRun reportedRun, TaskRow task) {
         RunRow run = new RunRow(task, reportedRun.run(), worker, task.step.spec.each());
         run.confirm(tables.nowMs);
+        run.listedBy = worker.incarnation;
         run.checkpoint = reportedRun.checkpoint();
         boolean duplicate = task.run().isPresent();
         if (duplicate || task.done || !task.step.job.active()) {
@@ -277,6 +241,7 @@
             ReportedRun reportedRun = reported.get(run.task.name);
             if (reportedRun != null && reportedRun.run() == run.number) {
                 run.confirm(tables.nowMs);
+                run.listedBy = report.incarnation();
                 run.checkpoint = reportedRun.checkpoint().isEmpty() ? run.checkpoint : reportedRun.checkpoint();
             } else if (run.phase == RunPhase.CLAIMED) {
                 LOG.debug("run not ordered yet task={} run={}", run.task.name, run.number);
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/WorkerRow.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -10,7 +9,6 @@
 
 import org.acaciafold.core.model.Resources;
 import org.acaciafold.fleet.TaskName;
-import org.acaciafold.fleet.WorkerClaims;
 import org.acaciafold.fleet.WorkerEntry;
 
 /** A worker: its registry entry, its lease, and the runs that occupy its capacity. */
@@ -130,6 +128,11 @@
         return address;
     }
 
+    /** Returns where the incarnation has answered, to this leader or to the one that recorded its claims. */
+    String answeredAddress() {
+        return answeredAddress;
+    }
+
     /** Returns whether the worker gets no leases since it does not answer. */
     boolean silent() {
         return missedRenewals > 0 || silentBefore && lastContactAtMs < 0;
@@ -174,17 +177,6 @@
         return strayLeases.endAtMs(this);
     }
 
-    WorkerClaims claims(long strayLeaseEndsMs, long epoch) {
-        List<WorkerClaims.Claim> claims = runs.values().stream()
-                .map(run -> new WorkerClaims.Claim(run.task.name, run.number))
-                .toList();
-        Optional<WorkerClaims.ShortLeases> shortLeases = hasLastingRuns() && shortLeasesSinceMs > 0
-                ? Optional.of(new WorkerClaims.ShortLeases(epoch, shortLeasesSinceMs))
-                : Optional.empty();
-        return new WorkerClaims(
-                id, answeredAddress, incarnation, claims, Optional.empty(), strayLeaseEndsMs, shortLeases);
-    }
-
     void add(RunRow run) {
         runs.put(run.task.name, run);
         lastingRuns += run.task.step.spec.longRunning() ? 1 : 0;
@@ -339,15 +331,6 @@
         return Math.max(grantedMs, strayLeasesEndAtMs());
     }
 
-    /** Returns which of the leases that may have been granted to the worker ends last. */
-    LeaseBound leaseBound(long nowMs) {
-        long endAtMs = leasesExpiredAtMs(nowMs);
-        if (endAtMs == predecessorLeaseEndsAtMs) {
-            return LeaseBound.PREDECESSOR;
-        }
-        return endAtMs == strayLeasesEndAtMs() ? LeaseBound.STRAY : LeaseBound.GRANTED;
-    }
-
     /** Returns by when the clock of the incarnation that has answered last shows a time, on the clock of this host. */
     long showsAtMs(long atMs) {
         double longestMs = (atMs + SchedulerLimits.CLOCK_MARGIN_MS - clockMs) / SchedulerLimits.SLOWEST_CLOCK;
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTakeoverTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerTakeoverTest.java
@@ -47,8 +47,13 @@
     }
 
     private void restoreClaim(long strayLeaseEndsMs) {
+        restoreClaim(strayLeaseEndsMs, 0);
+    }
+
+    private void restoreClaim(long strayLeaseEndsMs, int listed) {
         List<WorkerClaims.Claim> claims = List.of(new WorkerClaims.Claim(TASK, 1));
-        WorkerClaims record = new WorkerClaims("a", "a:1", INCARNATION, claims, Optional.empty(), strayLeaseEndsMs);
+        WorkerClaims record = new WorkerClaims(
+                "a", "a:1", INCARNATION, claims, Optional.empty(), strayLeaseEndsMs, Optional.empty(), listed);
         next.fixture.scheduler.restore(
                 List.of(new StoredJob(job(), Optional.empty(), false)), Map.of(), Set.of(), List.of(record));
     }
@@ -66,6 +71,18 @@
         assertEquals(1, next.startsOf("job").size());
     }
 
+    /** Guards against a task that waits for late calls, though no order to start it can be among them. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1, 1"})
+    void shouldStartATaskAgainAtOnceWhenTheIncarnationHasEndedThatHadListedItsRun(int listed, int starts) {
+        next.with(restarted(500)).workers.get("a").reachable = false;
+        restoreClaim(0, listed);
+
+        next.run(1_000 + LATER_MS);
+
+        assertEquals(starts, next.startsOf("job").size());
+    }
+
     /** Guards against a task that stands for as long as the clock of a silent worker's host is ahead of the leader's. */
     @Test
     void shouldWaitNoLongerThanForTheLongestLeaseWhenTheClockOfTheRestartedWorkerIsAhead() {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerRecordTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/SilentWorkerRecordTest.java
@@ -67,6 +67,21 @@
         assertEquals(List.of(), saves(fixture.tick()));
     }
 
+    /** Guards against two runs at once: an answer to an order does not tell which incarnation has executed it. */
+    @Test
+    void shouldTellOnlyOfRunsThatTheWorkerHasListed() {
+        SchedulerFixture fixture = new SchedulerFixture(1).withWorkers(worker("a", 1_000));
+        fixture.scheduler.accept(job(fixture));
+        start = fixture.confirmedStarts().getFirst();
+        WorkerRow row = fixture.scheduler.tables.workers.get("a");
+        assertEquals(0, SilenceSystem.record(row, fixture.scheduler.tables).listed());
+
+        fixture.advance(100);
+        fixture.leaseRenewed("a", List.of(running(start)), List.of());
+
+        assertEquals(1, SilenceSystem.record(row, fixture.scheduler.tables).listed());
+    }
+
     /** Guards against two runs at once: a successor trusts a record of short leases after a longer one was granted. */
     @Test
     void shouldGrantLongerLeasesOnlyOnceTheRecordSaysSo() {
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/TaskAwayTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/TaskAwayTest.java
@@ -33,7 +33,7 @@
 
     private static final long ALL_LEASES_EXPIRED_MS = 26_000;
 
-    private final LoggedLines lines = LoggedLines.of(WorkerLeaseSystem.class);
+    private final LoggedLines lines = LoggedLines.of(LeaseExpiry.class);
     private final WorkerEntry entry = worker("a", 1_000);
 
     @AfterEach
