--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerLossTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerLossTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongUnaryOperator;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,25 +26,14 @@
     /** How long after its worker the leader is lost; the loss of the worker is recorded by then. */
     private static final long LEADER_LOST_AFTER_MS = 3_000;
 
-    /** Guards against a wait for leases longer than any that a call can carry, on the clock of either incarnation. */
-    @ParameterizedTest
-    @CsvSource({
-        "2000, 2000, false",
-        "2000, 2000, true",
-        "4000, 5000, false",
-        "4000, 5000, true",
-        "8000, 9000, false",
-        "8000, 9000, true"
-    })
-    void shouldStartATaskThatLastsAgainInTimeWhenItsWorkerHadRestartedWhileYoung(
-            long ageMs, long upMs, boolean leaderLost) {
+    private static void assertBackInTime(long ageMs, LongUnaryOperator upMs, boolean leaderLost) {
         List<Long> late = new ArrayList<>();
         for (long offset = 0; offset < OFFSETS_MS; offset += OFFSET_STEP_MS) {
             RestartedWorkerScenario scenario = new RestartedWorkerScenario(ageMs + offset)
                     .restart()
                     .awaitRun()
                     .withOthers()
-                    .lose(upMs + offset);
+                    .lose(upMs.applyAsLong(offset));
             scenario = leaderLost ? scenario.loseLeader(LEADER_LOST_AFTER_MS).run() : scenario.run();
             if (scenario.awayMs().orElse(Long.MAX_VALUE) > MAX_AWAY_MS) {
                 late.add(offset);
@@ -53,24 +43,26 @@
         assertEquals(List.of(), late, "offsets of the restart at which the task is away for too long");
     }
 
+    /** Guards against a wait for leases longer than any that a call can carry, on the clock of either incarnation. */
+    @ParameterizedTest
+    @CsvSource({
+        "2000, 2000, false",
+        "2000, 2000, true",
+        "4000, 5000, false",
+        "4000, 5000, true",
+        "8000, 9000, false",
+        "8000, 9000, true"
+    })
+    void shouldStartATaskThatLastsAgainInTimeWhenItsWorkerHadRestartedWhileYoung(
+            long ageMs, long upMs, boolean leaderLost) {
+        assertBackInTime(ageMs, offset -> upMs + offset, leaderLost);
+    }
+
     /** Guards against a task that is away for 20 s, since calls for an old incarnation of its worker may still arrive. */
     @ParameterizedTest
     @CsvSource({"3000, false", "3000, true", "5000, false", "5000, true", "8000, false", "8000, true"})
     void shouldStartATaskThatLastsAgainInTimeWhenItsWorkerHadRestartedWhileOld(long upMs, boolean leaderLost) {
-        List<Long> late = new ArrayList<>();
-        for (long offset = 0; offset < OFFSETS_MS; offset += OFFSET_STEP_MS) {
-            RestartedWorkerScenario scenario = new RestartedWorkerScenario(OLD_MS + offset)
-                    .restart()
-                    .awaitRun()
-                    .withOthers()
-                    .lose(upMs);
-            scenario = leaderLost ? scenario.loseLeader(LEADER_LOST_AFTER_MS).run() : scenario.run();
-            if (scenario.awayMs().orElse(Long.MAX_VALUE) > MAX_AWAY_MS) {
-                late.add(offset);
-            }
-        }
-
-        assertEquals(List.of(), late, "offsets of the restart at which the task is away for too long");
+        assertBackInTime(OLD_MS, offset -> upMs, leaderLost);
     }
 
     /** Guards against two runs at once: a late call extends the lease up to the time that it carries. */
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/WorkerLossTest.java
@@ -43,6 +43,17 @@
         return new WorkerLossScenario(LIMITS, offsetMs);
     }
 
+    private static void assertBackInTimeWhenTheLeaderIsLost(Loss loss, long leaderLostAfterMs) {
+        List<Long> late = offsetsWhere(offset -> scenario(offset)
+                        .withLeaderLostAfter(leaderLostAfterMs)
+                        .lose(loss, Trouble.LEADER_LOST)
+                        .awayMs()
+                        .orElse(Long.MAX_VALUE)
+                > MAX_AWAY_MS);
+
+        assertEquals(List.of(), late, "offsets of the loss at which the task is away for too long");
+    }
+
     /** Guards against leases that leave no room for a second trouble within the time of the contract. */
     @ParameterizedTest
     @CsvSource({
@@ -90,28 +101,14 @@
     @ParameterizedTest
     @CsvSource({"GONE, 5000", "GONE, 6000", "DARK, 5000", "DARK, 6000"})
     void shouldStartATaskThatLastsAgainInTimeWhenALeaderTakesOverAsItsLeaseEnds(Loss loss, long leaderLostAfterMs) {
-        List<Long> late = offsetsWhere(offset -> scenario(offset)
-                        .withLeaderLostAfter(leaderLostAfterMs)
-                        .lose(loss, Trouble.LEADER_LOST)
-                        .awayMs()
-                        .orElse(Long.MAX_VALUE)
-                > MAX_AWAY_MS);
-
-        assertEquals(List.of(), late, "offsets of the loss at which the task is away for too long");
+        assertBackInTimeWhenTheLeaderIsLost(loss, leaderLostAfterMs);
     }
 
     /** Guards against a whole long lease for a worker whose loss its leader had no time to notice. */
     @ParameterizedTest
     @CsvSource({"GONE, 100", "GONE, 300", "GONE, 600", "GONE, 900", "DARK, 100", "DARK, 300", "DARK, 500"})
     void shouldStartATaskThatLastsAgainInTimeWhenTheLeaderIsLostJustAfterItsWorker(Loss loss, long leaderLostAfterMs) {
-        List<Long> late = offsetsWhere(offset -> scenario(offset)
-                        .withLeaderLostAfter(leaderLostAfterMs)
-                        .lose(loss, Trouble.LEADER_LOST)
-                        .awayMs()
-                        .orElse(Long.MAX_VALUE)
-                > MAX_AWAY_MS);
-
-        assertEquals(List.of(), late, "offsets of the loss at which the task is away for too long");
+        assertBackInTimeWhenTheLeaderIsLost(loss, leaderLostAfterMs);
     }
 
     /** Guards against two runs at once: a worker that has just got a task that lasts holds a longer lease of before. */
