Fencing tokens of a term get a type of their own; the former term is one value

TermTokens holds what hosts ask of tokens, Predecessor what a term knows of the one before it. The predecessor is now that of the attempt to take the lease, also where the reply to the transaction was lost; it was the lease that was read last. No case or bound of a test changes.

--- a/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
+++ b/bench/src/main/java/org/acaciafold/bench/load/LoadSimulation.java
@@ -31,6 +31,7 @@
 import org.acaciafold.fleet.Workspace;
 import org.acaciafold.fleet.scheduling.Scheduler;
 import org.acaciafold.fleet.scheduling.SchedulerLimits;
+import org.acaciafold.fleet.scheduling.TermTokens;
 
 /** Simulates one pattern of load on a deployment, from an empty fleet. The same seed gives the same result. */
 final class LoadSimulation {
@@ -261,7 +262,8 @@
                         () -> term.probeFailed(probe.worker()));
             }
             case Effect.RaiseToken raise ->
-                scheduleForTerm(term, storeLatencyMs(), () -> term.tokenRaised(raise.token()));
+                scheduleForTerm(
+                        term, storeLatencyMs(), () -> TermTokens.of(term).raised(raise.token()));
             case Effect.Save save -> scheduleAt(nowMs + storeLatencyMs(), () -> save(term, save));
             case Effect.Retire retire ->
                 scheduleForTerm(
--- a/entry/src/main/java/org/acaciafold/entry/Leadership.java
+++ b/entry/src/main/java/org/acaciafold/entry/Leadership.java
@@ -44,10 +44,8 @@
     private final LeaderSelection selection;
     private final StoreReachability reachability;
     private final LeaseExpiryDetector leaseExpiry = LeaseExpiryDetector.of(EXPIRY_MARGIN_MS, HOLDER_GRACE_MS);
-    /** When the authority of the last holder ends that this host has read, on the store's clock; 0 when unknown. */
-    private long predecessorEndsMs;
-    /** The number of the term before the one that this host has last tried to begin. */
-    private long predecessorEpoch;
+    /** The term before the one that this host has last tried to begin. */
+    private Predecessor predecessor = Predecessor.NONE;
     /** The last attempt to acquire the lease; null if there is none or this host leads. */
     private LeaseKeeper.LeaseWrite attempt;
 
@@ -326,9 +324,8 @@
         }
         LeaseRecord holder = row.map(one -> host.records().lease(one, leader)).orElse(null);
         long version = row.map(StoredRow::version).orElse(0L);
-        predecessorEndsMs = holder == null ? 0 : holder.endsAtStoreMs();
         if (holder == null) {
-            acquireLease(0, 1, version, "no leader yet");
+            acquireLease(Predecessor.NONE, version, "no leader yet");
             return;
         }
         boolean expired =
@@ -338,13 +335,13 @@
             LOG.info("leadership taken epoch={} reason=the reply to its transaction was lost", holder.epoch());
             beginTerm(new LeaseKeeper.LeaseWrite(holder, version, attempt.sentAtMs(), attempt.sentAtWallMs()));
         } else if (holder.released()) {
-            acquireLease(holder, version, "released by " + holder.host());
+            acquireLease(Predecessor.of(holder), version, "released by " + holder.host());
         } else if (ownLease) {
-            acquireLease(holder, version, "held by an earlier incarnation of this host");
+            acquireLease(Predecessor.of(holder), version, "held by an earlier incarnation of this host");
         } else if (handedOver.isPresent() && handedOver.get() == holder.epoch()) {
-            acquireLease(holder, version, "handed over by " + holder.host());
+            acquireLease(Predecessor.of(holder), version, "handed over by " + holder.host());
         } else if (expired && !selection.shouldDefer(version, host.loop().nowMs())) {
-            acquireLease(holder, version, "lease of " + holder.host() + " has expired");
+            acquireLease(Predecessor.of(holder), version, "lease of " + holder.host() + " has expired");
         } else {
             follow(holder);
         }
@@ -373,14 +370,10 @@
         return Math.min(host.loop().nowMs() - host.store().answeredAtMs(), lease.sinceRenewalMs()) - STORE_TIMEOUT_MS;
     }
 
-    private void acquireLease(LeaseRecord holder, long version, String reason) {
-        acquireLease(holder.epoch(), holder.nextEpoch(), version, reason);
-    }
-
-    private void acquireLease(long formerEpoch, long epoch, long version, String reason) {
-        predecessorEpoch = formerEpoch;
-        LeaseRecord record =
-                new LeaseRecord(host.name(), address, incarnation, epoch, LeaseKeeper.LEASE_MS, false, 0, epoch);
+    private void acquireLease(Predecessor former, long version, String reason) {
+        predecessor = former;
+        long epoch = former.nextEpoch();
+        LeaseRecord record = LeaseRecord.acquired(host.name(), address, incarnation, epoch);
         long sentAtMs = host.loop().nowMs();
         long sentAtWallMs = host.loop().wallMs();
         leaseCallInFlight = true;
@@ -400,14 +393,7 @@
         attempt = null;
         leader = acquired.record();
         lease = new LeaseKeeper(host.store()::commit, host.loop(), acquired, this::stepDown);
-        term = new Term(
-                host,
-                lease,
-                new Term.Predecessor(predecessorEpoch, predecessorEndsMs),
-                limits,
-                hosts,
-                jobStates::update,
-                this::stepDown);
+        term = new Term(host, lease, predecessor, limits, hosts, jobStates::update, this::stepDown);
         largerHostCheckedAtMs = host.loop().nowMs();
         term.begin();
         sendHeartbeat();
--- a/entry/src/main/java/org/acaciafold/entry/LeaseRecord.java
+++ b/entry/src/main/java/org/acaciafold/entry/LeaseRecord.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Returns the lease of a host that begins a term. */
+    static LeaseRecord acquired(String host, String address, long life, long epoch) {
+        return new LeaseRecord(host, address, life, epoch, LeaseKeeper.LEASE_MS, false, 0, epoch);
+    }
+
     /** Returns the number of the next term, above all tokens of this one. */
     long nextEpoch() {
         return Math.max(epoch, fencingToken) + 1;
--- a/entry/src/main/java/org/acaciafold/entry/Term.java
+++ b/entry/src/main/java/org/acaciafold/entry/Term.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -19,6 +18,7 @@
 import org.acaciafold.fleet.StoreClock;
 import org.acaciafold.fleet.scheduling.Scheduler;
 import org.acaciafold.fleet.scheduling.SchedulerLimits;
+import org.acaciafold.fleet.scheduling.TermTokens;
 import org.acaciafold.platform.Transaction;
 import org.acaciafold.platform.WorkerAgentClient;
 import org.slf4j.Logger;
@@ -47,6 +47,7 @@
     private final StateBroadcaster broadcaster;
     private final FailFastRunner failFast;
     private Scheduler scheduler;
+    private TermTokens tokens;
     private boolean ended;
     private boolean tickScheduled;
     private long heartbeatSequence;
@@ -186,7 +187,8 @@
                 loaded.ended().size(),
                 host.loop().nowMs() - requestedAtMs);
         scheduler = Scheduler.create(limits, epoch(), host.config().config().orElseThrow());
-        scheduler.follows(predecessor.epoch);
+        tokens = TermTokens.of(scheduler);
+        tokens.follows(predecessor.epoch());
         earliestStoreMs = loaded.storeMs();
         advance();
         configure();
@@ -208,7 +210,7 @@
 
     private void advance() {
         scheduler.advance(host.loop().nowMs(), host.loop().wallMs());
-        scheduler.storeClock(new StoreClock(earliestStoreMs, lease.latestStoreMs(), predecessor.endsAtStoreMs));
+        scheduler.storeClock(new StoreClock(earliestStoreMs, lease.latestStoreMs(), predecessor.endsAtStoreMs()));
     }
 
     private void scheduleTick() {
@@ -263,7 +265,7 @@
             case Effect.RenewLease renewal -> renewLease(renewal);
             case Effect.Probe probe -> probe(probe);
             case Effect.RaiseToken raise ->
-                lease.raiseToken(raise.token(), () -> applyLater(() -> scheduler.tokenRaised(raise.token())));
+                lease.raiseToken(raise.token(), () -> applyLater(() -> tokens.raised(raise.token())));
             case Effect.Save save -> batches.write(save);
             case Effect.Retire retire -> retire(retire);
             case Effect.RequestAdvice request -> requestAdvice(request);
@@ -293,7 +295,7 @@
     private void renewLease(Effect.RenewLease renewal) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .renewLease(renewal, scheduler.fencingToken(renewal.worker()))
+                .renewLease(renewal, tokens.token(renewal.worker()))
                 .subscribe(
                         report -> applyLater(() -> {
                             host.metrics().order("hold", "ANSWERED", host.loop().nowMs() - requestedAtMs);
@@ -309,9 +311,7 @@
     private void probe(Effect.Probe probe) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .renewLease(
-                        new Effect.RenewLease(probe.worker(), probe.address(), OptionalLong.empty(), 0, 0),
-                        scheduler.fencingToken(probe.worker()))
+                .renewLease(probe.request(), tokens.token(probe.worker()))
                 .subscribe(
                         report -> applyLater(() -> scheduler.probed(probe.worker(), report, requestedAtMs)),
                         error -> applyLater(() -> {
@@ -332,11 +332,7 @@
 
     private void logFenced(String worker) {
         // also a call that was sent just before the token was raised
-        LOG.error(
-                "worker rejected the fencing token worker={} epoch={} token={}",
-                worker,
-                epoch(),
-                scheduler.fencingToken(worker));
+        LOG.error("worker rejected the fencing token worker={} token={}", worker, tokens.token(worker));
     }
 
     private void publish(Map<String, JobState> states) {
@@ -371,7 +367,7 @@
             return;
         }
         long requestedAtMs = host.loop().nowMs();
-        host.workers().start(start, scheduler.fencingToken(start.worker())).subscribe(answer -> {
+        host.workers().start(start, tokens.token(start.worker())).subscribe(answer -> {
             host.metrics().order("start", answer.outcome().name(), host.loop().nowMs() - requestedAtMs);
             applyLater(() -> {
                 answer.clockMs().ifPresent(clock -> scheduler.clockReported(start.worker(), clock, requestedAtMs));
@@ -383,7 +379,7 @@
     private void stop(Effect.Stop stop) {
         long requestedAtMs = host.loop().nowMs();
         host.workers()
-                .stop(stop, scheduler.fencingToken(stop.worker()))
+                .stop(stop, tokens.token(stop.worker()))
                 .subscribe(outcome -> applyLater(() -> {
                     host.metrics().order("stop", outcome.name(), host.loop().nowMs() - requestedAtMs);
                     if (outcome == StopOutcome.FENCED) {
@@ -407,12 +403,4 @@
             });
         }
     }
-
-    /**
-     * The term before this one.
-     *
-     * @param epoch its number
-     * @param endsAtStoreMs when the authority of its leader had ended, on the store's clock; 0 when unknown
-     */
-    record Predecessor(long epoch, long endsAtStoreMs) {}
 }
--- a/fleet/src/main/java/org/acaciafold/fleet/Effect.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/Effect.java
@@ -67,7 +67,16 @@
      * @param worker the worker's identifier
      * @param address the worker's address
      */
-    record Probe(String worker, String address) implements Effect {}
+    record Probe(String worker, String address) implements Effect {
+        /**
+         * Returns the call that requests the report: a renewal that grants no lease and does not wait.
+         *
+         * @return the call
+         */
+        public RenewLease request() {
+            return new RenewLease(worker, address, OptionalLong.empty(), 0, 0);
+        }
+    }
 
     /**
      * Records progress durably.
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/Scheduler.java
@@ -133,34 +133,6 @@
         return tables.cancel(id);
     }
 
-    /**
-     * Returns the fencing token that a call to a worker carries now.
-     *
-     * @param worker the worker
-     * @return the token, the number of the term or a higher one
-     */
-    public long fencingToken(String worker) {
-        return worker(worker).map(row -> row.fence.token(tables.epoch())).orElse(tables.epoch());
-    }
-
-    /**
-     * Sets the number of the term before this one, if it is not the next lower one.
-     *
-     * @param epoch the number of that term
-     */
-    public void follows(long epoch) {
-        tables.predecessorEpoch = epoch;
-    }
-
-    /**
-     * Applies the confirmation that a fencing token is recorded with the lease.
-     *
-     * @param token the token
-     */
-    public void tokenRaised(long token) {
-        tables.recordedToken = Math.max(tables.recordedToken, token);
-    }
-
     /**
      * Applies what a worker's clock showed in its answer to an order, which tells an incarnation from the next one.
      *
--- a/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
+++ b/fleet/src/main/java/org/acaciafold/fleet/scheduling/SchedulerRehearsal.java
@@ -143,7 +143,7 @@
             case Effect.RenewLease renewal -> workers.get(renewal.worker()).acknowledge(renewal.acknowledged());
             case Effect.Probe probe ->
                 scheduler.probed(probe.worker(), workers.get(probe.worker()).report(nowMs), nowMs);
-            case Effect.RaiseToken raise -> scheduler.tokenRaised(raise.token());
+            case Effect.RaiseToken raise -> TermTokens.of(scheduler).raised(raise.token());
             case Effect.Save save -> scheduler.saved(save.batch());
             case Effect.Retire retire -> {
                 scheduler.retired(retire.jobs().keySet());
--- a/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerLossTest.java
+++ b/fleet/src/test/java/org/acaciafold/fleet/scheduling/RestartedWorkerLossTest.java
@@ -4,10 +4,14 @@
 import java.util.List;
 import java.util.function.LongUnaryOperator;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.INCARNATION;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.changed;
+import static org.acaciafold.fleet.scheduling.SchedulerFixture.worker;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Covers workers that are lost soon after a restart, while calls that were meant for their former incarnation may arrive. */
@@ -86,4 +90,19 @@
 
         assertEquals(List.of(), twice);
     }
+
+    @Test
+    void shouldRaiseTheTokenOnceWhenWorkersRestartTogether() {
+        SimulatedFleet together = new SimulatedFleet()
+                .with(worker("a", 1_000), worker("b", 1_000))
+                .run(OLD_MS);
+        long incarnation = INCARNATION + together.fixture.nowMs;
+        together.with(changed(worker("a", 1_000), "a:1", false, incarnation));
+        together.with(changed(worker("b", 1_000), "b:1", false, incarnation));
+
+        together.run(OLD_MS);
+
+        assertEquals(List.of(2L), together.raisedTokens.stream().distinct().toList());
+        assertEquals(2, TermTokens.of(together.fixture.scheduler).token("a"));
+    }
 }
