--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -7,16 +7,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A stand-in of a worker behind a proxy. The `spec` of a task says what it does: `work N` ends as done after N ms, `last`
  * runs until it is stopped.
  */
 final class Worker implements AutoCloseable {
+    /** Calls that all workers have got. */
+    static final AtomicInteger REQUESTS = new AtomicInteger();
+
     private static final long HEARTBEAT_MS = 1_500;
     private static final long LEASE_MAX_MS = 10_000;
     private static final int MAX_LISTED_ENDS = 500;
     private static final long STEP_MS = 5;
+    private static final long LATEST_MS = 12_000;
 
     final String id;
     final Proxy proxy;
@@ -28,6 +33,9 @@
     private volatile Life life;
     private volatile boolean down;
     private volatile boolean closed;
+    private volatile boolean deferNextStart;
+    private volatile Deferred deferred;
+    private volatile String losesAnswerAfter = "";
     private long sequence;
 
     Worker(String id, String zone, int cpu, Store store, Record record) throws Exception {
@@ -51,6 +59,21 @@
         }
     }
 
+    /** Leaves the next order to start unanswered; it is carried out when the worker is back after its next crash. */
+    void deferNextStart() {
+        deferNextStart = true;
+    }
+
+    /** Loses the answer of the call that waits when a task of the job ends. */
+    void loseAnswerAfter(String job) {
+        losesAnswerAfter = job;
+    }
+
+    /** Returns the task whose order to start was left unanswered, or an empty name. */
+    String deferredTask() {
+        return deferred == null ? "" : deferred.body.path("task").asText();
+    }
+
     /** Crashes for good. */
     void crash() throws Exception {
         Life ended = life;
@@ -74,6 +97,12 @@
         down = false;
         register();
         record.line("worker " + id + " is back, born=" + life.born);
+        if (deferred != null) {
+            record.line("worker " + id + " carries out the order for " + deferredTask() + " that was sent "
+                    + (record.nowMs() - deferred.sentAtMs) + " ms ago");
+            life.start(deferred.body);
+            deferred = null;
+        }
     }
 
     @Override
@@ -121,13 +150,24 @@
     }
 
     private Web.Reply answer(Web.Request request) throws Exception {
+        REQUESTS.incrementAndGet();
         Life current = life;
         if (!id.equals(request.instance())) {
             return new Web.Reply(421, Web.object());
         }
         return switch (request.path()) {
             case "/v1/hold" -> current.hold(request.json());
-            case "/v1/run-start" -> current.start(request.json());
+            case "/v1/run-start" -> {
+                if (deferNextStart) {
+                    deferNextStart = false;
+                    deferred = new Deferred(request.json(), record.nowMs());
+                    record.line("worker " + id + " leaves an order unanswered: start of " + deferredTask() + " run "
+                            + request.json().path("run").asInt());
+                    Thread.sleep(LATEST_MS);
+                    yield new Web.Reply(503, Web.object());
+                }
+                yield current.start(request.json());
+            }
             case "/v1/run-stop" -> current.stop(request.json());
             default -> new Web.Reply(404, Web.object());
         };
@@ -144,6 +184,7 @@
         private long fence;
         private long leaseUntilMs;
         private boolean over;
+        private boolean silent;
 
         private long clockMs() {
             return 1_000 + (System.nanoTime() - startedNs) / 1_000_000;
@@ -161,6 +202,13 @@
             while (!over && lastEnd == seen && clockMs() < untilMs) {
                 wait(Math.max(1, untilMs - clockMs()));
             }
+            if (silent) {
+                silent = false;
+                record.line("worker " + id + " loses its answer, which lists the end");
+                while (!over) {
+                    wait();
+                }
+            }
             ObjectNode answer = stamp();
             ArrayNode running = answer.putArray("running");
             runs.forEach((task, run) ->
@@ -234,6 +282,7 @@
             ends.add(new End(++lastEnd, task, run.number, how));
             barred.merge(task, run.number, Math::max);
             record.run(id, task, run.number, "ends as " + how);
+            silent |= !losesAnswerAfter.isEmpty() && task.startsWith(losesAnswerAfter);
             notifyAll();
         }
 
@@ -257,6 +306,8 @@
         }
     }
 
+    private record Deferred(JsonNode body, long sentAtMs) {}
+
     private record End(long number, String task, int run, String how) {}
 
     private record Run(int number, long startedAtMs, long workMs) {
